Set up the workspace, the design page and the typed interfaces

The packages, messages, events and actions of docs/design.md exist as types, so that the decision cores and the processes can be written side by side.

Weighed: one RPC per message; one Call RPC keeps conversions in one place.

--- /dev/null
+++ b/crates/admission/src/lib.rs
@@ -0,0 +1,1 @@
+//! Leases, queue, fair share and output retention of an agent.
--- /dev/null
+++ b/crates/agent-core/src/config.rs
@@ -0,0 +1,64 @@
+//! Limits of an agent's decisions.
+
+use cuminlead_types::{BackendServerId, DurationUs, Incarnation, KvPieces, Slots, TokensPerSecond};
+
+/// Limits of an agent's decisions; the defaults are those of `docs/design.md`.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AgentConfig {
+    /// Backend server beside the agent.
+    pub server: BackendServerId,
+    /// Life of the agent.
+    pub incarnation: Incarnation,
+    /// Places in the engine's batch.
+    pub slots: Slots,
+    /// KV pieces of the engine.
+    pub pieces: KvPieces,
+    /// Most requests that wait.
+    pub queue_max_count: u32,
+    /// Longest reserved lease.
+    pub lease_max_us: DurationUs,
+    /// Time after which a decode without an attached entry is cancelled.
+    pub orphan_us: DurationUs,
+    /// Time that a finished prefill is held.
+    pub kv_hold_us: DurationUs,
+    /// Time that a finished answer is retained for its entry.
+    pub answer_hold_us: DurationUs,
+    /// Time after which an import has failed.
+    pub import_timeout_us: DurationUs,
+    /// Interval of heartbeats on decode streams.
+    pub heartbeat_us: DurationUs,
+    /// Interval of engine inventories.
+    pub inventory_us: DurationUs,
+    /// Time until an unused permit expires.
+    pub permit_ttl_us: DurationUs,
+    /// Time that idempotency keys are remembered.
+    pub key_retention_us: DurationUs,
+    /// Age of unconfirmed lists from which keyed calls are refused.
+    pub key_staleness_us: DurationUs,
+    /// Prefill rate of the engine, for estimates.
+    pub prefill_rate: TokensPerSecond,
+}
+
+impl AgentConfig {
+    /// Defaults for a backend server.
+    pub fn new(server: BackendServerId, incarnation: Incarnation) -> Self {
+        Self {
+            server,
+            incarnation,
+            slots: Slots(20),
+            pieces: KvPieces(256),
+            queue_max_count: 64,
+            lease_max_us: DurationUs::from_ms(30_000),
+            orphan_us: DurationUs::from_ms(5_000),
+            kv_hold_us: DurationUs::from_ms(10_000),
+            answer_hold_us: DurationUs::from_ms(5_000),
+            import_timeout_us: DurationUs::from_ms(2_000),
+            heartbeat_us: DurationUs::from_ms(1_000),
+            inventory_us: DurationUs::from_ms(2_000),
+            permit_ttl_us: DurationUs::from_ms(2_000),
+            key_retention_us: DurationUs::from_ms(600_000),
+            key_staleness_us: DurationUs::from_ms(600_000),
+            prefill_rate: TokensPerSecond(20_000),
+        }
+    }
+}
--- /dev/null
+++ b/crates/agent/src/lib.rs
@@ -0,0 +1,1 @@
+//! The process beside a backend server.
--- /dev/null
+++ b/crates/dev/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins, demo, load and measuring tools.
--- /dev/null
+++ b/crates/distribution/src/lib.rs
@@ -0,0 +1,1 @@
+//! How list revisions reach every process.
--- /dev/null
+++ b/crates/entry-core/src/call.rs
@@ -0,0 +1,154 @@
+//! Events and actions shared by both kinds of call.
+
+use cuminlead_protocol::{
+    AgentReply, AgentRequest, DecodeControl, DecodeEvent, DecodeOpen, FinishReason, HttpResponse,
+};
+use cuminlead_retry::Evidence;
+use cuminlead_routing::{NoRoute, Route, RouteNeed};
+use cuminlead_types::{BackendServerId, Sequence, TimeUs, Tokens};
+
+use crate::error::CallerError;
+
+/// A call that a driver advances with events.
+pub trait Call: Send {
+    /// Decides on an event and appends the resulting actions.
+    fn handle(&mut self, now: TimeUs, event: CallEvent, actions: &mut Vec<CallAction>);
+
+    /// Time at which a `Deadline` event is needed at the latest.
+    fn next_deadline(&self) -> Option<TimeUs>;
+
+    /// Whether the call has ended and every message that frees resources was sent.
+    fn is_ended(&self) -> bool;
+}
+
+/// Message sent to an agent; numbers grow within one call and are not reused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct SendRef(pub u64);
+
+/// Decode stream opened by a call; numbers grow within one call and are not reused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct CallStreamRef(pub u64);
+
+/// Something that happened to a call.
+#[derive(Clone, Debug)]
+pub enum CallEvent {
+    /// The caller's request was accepted.
+    Start,
+    /// Answer to a `Route` action.
+    Routed(Result<Route, NoRoute>),
+    /// A message was answered or lost.
+    Reply {
+        /// The message.
+        send: SendRef,
+        /// What came of it.
+        outcome: SendOutcome,
+    },
+    /// A decode stream brought something.
+    Stream {
+        /// The stream.
+        stream: CallStreamRef,
+        /// What it brought.
+        event: DecodeEvent,
+    },
+    /// A decode stream ended without a last chunk.
+    StreamLost {
+        /// The stream.
+        stream: CallStreamRef,
+        /// What is known about it.
+        evidence: Evidence,
+    },
+    /// The time of `next_deadline` has come.
+    Deadline,
+    /// The caller is gone.
+    CallerGone,
+}
+
+/// What came of a message.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum SendOutcome {
+    /// The agent answered.
+    Reply(Box<AgentReply>),
+    /// No connection was made, so the agent did not get the message.
+    ConnectFailed,
+    /// The connection ended or timed out after the message was sent.
+    Lost,
+}
+
+/// Something that the driver of a call must do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum CallAction {
+    /// Chooses servers and answers with `Routed`.
+    Route(RouteNeed),
+    /// Sends a message and answers with `Reply`.
+    Send {
+        /// The message.
+        send: SendRef,
+        /// Receiver.
+        server: BackendServerId,
+        /// Content.
+        request: AgentRequest,
+        /// Whether a connection must be made anew because the present one is silent.
+        fresh: bool,
+    },
+    /// Opens a decode stream.
+    OpenStream {
+        /// The stream.
+        stream: CallStreamRef,
+        /// Receiver.
+        server: BackendServerId,
+        /// First message.
+        open: DecodeOpen,
+        /// Whether a connection must be made anew because the present one is silent.
+        fresh: bool,
+    },
+    /// Sends on a decode stream.
+    Control {
+        /// The stream.
+        stream: CallStreamRef,
+        /// Content.
+        control: DecodeControl,
+    },
+    /// Drops a decode stream.
+    CloseStream {
+        /// The stream.
+        stream: CallStreamRef,
+    },
+    /// Hands part of the answer to the caller.
+    Deliver(Delivery),
+    /// Hands a service's response to the caller; ends the answer.
+    Respond(HttpResponse),
+    /// Hands an error to the caller; ends the answer.
+    Fail(CallerError),
+    /// Reports first-hand evidence about a server to membership and routing.
+    Report {
+        /// Server.
+        server: BackendServerId,
+        /// `None` when the server did what it was asked.
+        evidence: Option<Evidence>,
+    },
+    /// Counts prompt tokens that were computed and then discarded.
+    WastedPrefill {
+        /// Tokens.
+        tokens: Tokens,
+        /// Evidence that made the call give them up.
+        cause: Evidence,
+    },
+    /// Counts a retry by its row in the table.
+    Retried {
+        /// Evidence that led to the retry.
+        evidence: Evidence,
+    },
+}
+
+/// Part of an answer on its way to the caller.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Delivery {
+    /// Position in the answer.
+    pub sequence: Sequence,
+    /// Text.
+    pub text: String,
+    /// Tokens in `text`.
+    pub tokens: Tokens,
+    /// Set on the last part.
+    pub finish: Option<FinishReason>,
+}
--- /dev/null
+++ b/crates/entry-core/src/lib.rs
@@ -0,0 +1,17 @@
+//! The state of one request at an entry.
+//!
+//! [`ModelCall`] and [`ApplicationCall`] take an event and the present time and return actions. The
+//! traffic thread of the request carries the actions out; the fault matrix and the measuring tool
+//! drive the same code.
+
+pub mod application;
+pub mod call;
+pub mod config;
+pub mod error;
+pub mod model;
+
+pub use application::{ApplicationCall, ApplicationRequest};
+pub use call::*;
+pub use config::CallConfig;
+pub use error::{CallerError, ErrorCode, Outcome};
+pub use model::{ModelCall, ModelRequest};
--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! The process between callers and agents.
--- /dev/null
+++ b/crates/membership/src/lib.rs
@@ -0,0 +1,1 @@
+//! Which backend servers may get new work.
--- /dev/null
+++ b/crates/orders/src/lib.rs
@@ -0,0 +1,1 @@
+//! Fencing numbers, model and role orders.
--- /dev/null
+++ b/crates/permits/src/lib.rs
@@ -0,0 +1,1 @@
+//! Single-use permits and idempotency keys.
--- /dev/null
+++ b/crates/routing/src/lib.rs
@@ -0,0 +1,5 @@
+//! Routing policies as plug-ins and load estimates.
+
+pub mod need;
+
+pub use need::*;
--- /dev/null
+++ b/crates/settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! TOML settings of both binaries, checked with findings.
--- /dev/null
+++ b/crates/types/src/findings.rs
@@ -0,0 +1,104 @@
+//! Findings: problems in input, each with its place, collected and reported together.
+//!
+//! A check that stops at the first problem makes its user fix a file one line at a time, so every
+//! check of the project adds to a [`Findings`] and goes on.
+
+use std::fmt;
+
+/// Place in a file or list that a finding is about.
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Place {
+    /// File, list part or context.
+    pub file: String,
+    /// Line from 1, or 0 when the finding is about the whole file.
+    pub line: u32,
+    /// Key within the file, or empty.
+    pub key: String,
+}
+
+impl fmt::Display for Place {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.file)?;
+        if self.line > 0 {
+            write!(f, ":{}", self.line)?;
+        }
+        if !self.key.is_empty() {
+            write!(f, ": {}", self.key)?;
+        }
+        Ok(())
+    }
+}
+
+/// One problem and its place.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Finding {
+    /// Where the problem is.
+    pub place: Place,
+    /// What is wrong.
+    pub message: String,
+}
+
+impl fmt::Display for Finding {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.place, self.message)
+    }
+}
+
+/// All problems of one check; printed one a line.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Findings(Vec<Finding>);
+
+impl Findings {
+    /// Empty collection.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Adds a finding.
+    pub fn add(&mut self, place: Place, message: impl Into<String>) {
+        self.0.push(Finding {
+            place,
+            message: message.into(),
+        });
+    }
+
+    /// Adds all findings of another check.
+    pub fn extend(&mut self, other: Findings) {
+        self.0.extend(other.0);
+    }
+
+    /// Whether nothing was found.
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
+    /// Number of findings.
+    pub fn len(&self) -> usize {
+        self.0.len()
+    }
+
+    /// Findings in the order they were added.
+    pub fn iter(&self) -> std::slice::Iter<'_, Finding> {
+        self.0.iter()
+    }
+
+    /// `Ok(value)` when nothing was found.
+    pub fn into_result<T>(self, value: T) -> Result<T, Findings> {
+        if self.is_empty() {
+            Ok(value)
+        } else {
+            Err(self)
+        }
+    }
+}
+
+impl fmt::Display for Findings {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for finding in &self.0 {
+            writeln!(f, "{finding}")?;
+        }
+        Ok(())
+    }
+}
+
+impl std::error::Error for Findings {}
--- /dev/null
+++ b/crates/types/src/ids.rs
@@ -0,0 +1,240 @@
+//! Names and numbers that identify customers, machines, models and requests.
+
+use std::fmt;
+use std::str::FromStr;
+
+use crate::macros::{name_type, number_type};
+
+/// Longest accepted name in bytes.
+pub const NAME_MAX_BYTES: usize = 128;
+
+/// Text that is not a valid id of the named type.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ParseIdError {
+    type_name: &'static str,
+    text: String,
+}
+
+impl ParseIdError {
+    pub(crate) fn new(type_name: &'static str, text: &str) -> Self {
+        let text = text.chars().take(NAME_MAX_BYTES).collect();
+        Self { type_name, text }
+    }
+}
+
+impl fmt::Display for ParseIdError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:?} is not a valid {}", self.text, self.type_name)
+    }
+}
+
+impl std::error::Error for ParseIdError {}
+
+pub(crate) fn check_name(type_name: &'static str, text: &str) -> Result<(), ParseIdError> {
+    let is_valid = !text.is_empty()
+        && text.len() <= NAME_MAX_BYTES
+        && text.chars().all(|c| !c.is_control() && !c.is_whitespace());
+    if is_valid {
+        Ok(())
+    } else {
+        Err(ParseIdError::new(type_name, text))
+    }
+}
+
+name_type!(
+    /// Customer of the operator.
+    CustomerId
+);
+name_type!(
+    /// Plan of a customer.
+    PlanName
+);
+name_type!(
+    /// Backend server: a model engine or a plain service process.
+    BackendServerId
+);
+name_type!(
+    /// Host that runs a process of the system.
+    HostId
+);
+name_type!(
+    /// Availability zone of a host.
+    AvailabilityZoneName
+);
+name_type!(
+    /// Region of an availability zone.
+    RegionName
+);
+name_type!(
+    /// Model served by engines.
+    ModelName
+);
+name_type!(
+    /// Adapter loaded on top of a model.
+    AdapterName
+);
+name_type!(
+    /// Version of a model's weights.
+    VersionName
+);
+name_type!(
+    /// Plain service.
+    ServiceName
+);
+name_type!(
+    /// Entry process.
+    EntryId
+);
+name_type!(
+    /// Idempotency key given by a caller.
+    IdempotencyKey
+);
+
+number_type!(
+    /// Number of a try to serve a request, from 1.
+    Attempt(u32)
+);
+number_type!(
+    /// One life of an agent: its start in Unix milliseconds.
+    Incarnation(u64)
+);
+number_type!(
+    /// Revision of the lists or of the host list, as numbered by the platform.
+    Revision(u64)
+);
+number_type!(
+    /// Position of a chunk in the answer of a request, from 0.
+    Sequence(u64)
+);
+number_type!(
+    /// Priority of a request; a larger number is served first.
+    Priority(u8)
+);
+
+impl Sequence {
+    /// Following position.
+    pub const fn next(self) -> Self {
+        Self(self.0 + 1)
+    }
+}
+
+impl Attempt {
+    /// First attempt of a request.
+    pub const FIRST: Self = Self(1);
+
+    /// Following attempt.
+    pub const fn next(self) -> Self {
+        Self(self.0 + 1)
+    }
+}
+
+/// Request of a caller, unique over all entries.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RequestId(pub u128);
+
+impl fmt::Display for RequestId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:032x}", self.0)
+    }
+}
+
+impl FromStr for RequestId {
+    type Err = ParseIdError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let error = || ParseIdError::new("RequestId", text);
+        if text.len() != 32 {
+            return Err(error());
+        }
+        u128::from_str_radix(text, 16)
+            .map(Self)
+            .map_err(|_| error())
+    }
+}
+
+/// One attempt of one request; the unit that holds resources at an agent.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct AttemptId {
+    /// Request of the caller.
+    pub request: RequestId,
+    /// Number of the try.
+    pub attempt: Attempt,
+}
+
+impl fmt::Display for AttemptId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.request, self.attempt)
+    }
+}
+
+impl FromStr for AttemptId {
+    type Err = ParseIdError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let (request, attempt) = text
+            .split_once('/')
+            .ok_or_else(|| ParseIdError::new("AttemptId", text))?;
+        Ok(Self {
+            request: request.parse()?,
+            attempt: attempt.parse()?,
+        })
+    }
+}
+
+/// Single-use permit for a non-idempotent call, valid for one incarnation of one agent.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct PermitId {
+    /// Incarnation of the agent that issued the permit.
+    pub incarnation: Incarnation,
+    /// Number of the permit within the incarnation.
+    pub number: u64,
+}
+
+impl fmt::Display for PermitId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}", self.incarnation, self.number)
+    }
+}
+
+impl FromStr for PermitId {
+    type Err = ParseIdError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let error = || ParseIdError::new("PermitId", text);
+        let (incarnation, number) = text.split_once('.').ok_or_else(error)?;
+        let number = number.parse().map_err(|_| error())?;
+        Ok(Self {
+            incarnation: incarnation.parse()?,
+            number,
+        })
+    }
+}
+
+/// Number that orders to an engine carry; an engine that checks refuses smaller ones.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct FencingNumber {
+    /// Incarnation of the ordering agent.
+    pub incarnation: Incarnation,
+    /// Number of the order within the incarnation.
+    pub order: u64,
+}
+
+impl fmt::Display for FencingNumber {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}", self.incarnation, self.order)
+    }
+}
+
+impl FromStr for FencingNumber {
+    type Err = ParseIdError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let error = || ParseIdError::new("FencingNumber", text);
+        let (incarnation, order) = text.split_once('.').ok_or_else(error)?;
+        let order = order.parse().map_err(|_| error())?;
+        Ok(Self {
+            incarnation: incarnation.parse()?,
+            order,
+        })
+    }
+}
--- /dev/null
+++ b/crates/types/src/rates.rs
@@ -0,0 +1,39 @@
+//! Rates: amounts for each second.
+
+use crate::macros::number_type;
+use crate::time::DurationUs;
+
+const US_PER_SECOND: u64 = 1_000_000;
+
+number_type!(
+    /// Requests for each second.
+    RequestsPerSecond(u32)
+);
+number_type!(
+    /// Tokens for each second.
+    TokensPerSecond(u64)
+);
+number_type!(
+    /// Bits for each second.
+    BitsPerSecond(u64)
+);
+
+impl TokensPerSecond {
+    /// Time to process `tokens` at this rate; the longest duration at rate zero.
+    pub fn time_for(self, tokens: crate::Tokens) -> DurationUs {
+        if self.0 == 0 {
+            return DurationUs(u64::MAX);
+        }
+        DurationUs(tokens.0.saturating_mul(US_PER_SECOND) / self.0)
+    }
+}
+
+impl BitsPerSecond {
+    /// Time to send `size` at this rate; the longest duration at rate zero.
+    pub fn time_for(self, size: crate::Bytes) -> DurationUs {
+        if self.0 == 0 {
+            return DurationUs(u64::MAX);
+        }
+        DurationUs(size.0.saturating_mul(8 * US_PER_SECOND) / self.0)
+    }
+}
--- /dev/null
+++ b/crates/verifier/src/lib.rs
@@ -0,0 +1,1 @@
+//! Checks the promises over a record of observations.
