--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -1,1 +1,14 @@
 //! Logs, metrics and spans.
+//!
+//! | module | holds |
+//! |---|---|
+//! | [`log`] | one line of key=value pairs for each event, to standard error |
+//! | [`metrics`] | counters, gauges and histograms of both processes |
+//! | [`trace`] | a span for each hop, with W3C trace context |
+
+pub mod log;
+pub mod metrics;
+pub mod trace;
+
+pub use metrics::{CommonMetrics, Label, Metrics};
+pub use trace::{HopSpan, Tracing};
--- /dev/null
+++ b/crates/telemetry/src/trace.rs
@@ -0,0 +1,129 @@
+//! A span for each hop, with W3C trace context.
+//!
+//! Spans go to a collector in batches from a thread of the library; when the collector is lost, the
+//! batch queue drops spans and traffic does not wait. Without a collector address no span is made
+//! and the caller's trace context is passed on unchanged.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use opentelemetry::propagation::TextMapPropagator;
+use opentelemetry::trace::{
+    Span as _, SpanKind, TraceContextExt, Tracer as _, TracerProvider as _,
+};
+use opentelemetry::{Context, KeyValue};
+use opentelemetry_otlp::{ExporterBuildError, SpanExporter, WithExportConfig};
+use opentelemetry_sdk::Resource;
+use opentelemetry_sdk::propagation::TraceContextPropagator;
+use opentelemetry_sdk::trace::{SdkTracer, SdkTracerProvider, Span};
+
+const TRACEPARENT: &str = "traceparent";
+const EXPORT_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Longest accepted `traceparent` of a caller; the W3C format has 55 characters.
+const TRACEPARENT_MAX_BYTES: usize = 128;
+
+/// Makes spans; does nothing without a collector.
+#[derive(Clone, Debug, Default)]
+pub struct Tracing {
+    provider: Option<SdkTracerProvider>,
+}
+
+impl Tracing {
+    /// Tracing to a collector at an IP address and port, or none. Must be called inside the tokio
+    /// runtime that carries the exporter's connection.
+    pub fn new(collector: Option<&str>, process: &str) -> Result<Self, ExporterBuildError> {
+        let Some(address) = collector else {
+            return Ok(Self::default());
+        };
+        let exporter = SpanExporter::builder()
+            .with_tonic()
+            .with_endpoint(format!("http://{address}"))
+            .with_timeout(EXPORT_TIMEOUT)
+            .build()?;
+        let resource = Resource::builder()
+            .with_service_name(process.to_string())
+            .build();
+        let provider = SdkTracerProvider::builder()
+            .with_batch_exporter(exporter)
+            .with_resource(resource)
+            .build();
+        Ok(Self {
+            provider: Some(provider),
+        })
+    }
+
+    /// Starts the span of a hop under the trace context of its parent.
+    pub fn hop(&self, name: &'static str, traceparent: &str) -> HopSpan {
+        let Some(provider) = &self.provider else {
+            return HopSpan {
+                span: None,
+                traceparent: checked(traceparent),
+            };
+        };
+        let tracer: SdkTracer = provider.tracer("cuminlead");
+        let parent = extract(traceparent);
+        let span = tracer
+            .span_builder(name)
+            .with_kind(SpanKind::Internal)
+            .start_with_context(&tracer, &parent);
+        let traceparent = inject(&span);
+        HopSpan {
+            span: Some(span),
+            traceparent,
+        }
+    }
+
+    /// Sends what is left; waits for the collector for a short time only.
+    pub fn shutdown(&self) {
+        if let Some(provider) = &self.provider {
+            // The process ends either way; spans that cannot be sent are lost.
+            let _ = provider.shutdown_with_timeout(EXPORT_TIMEOUT);
+        }
+    }
+}
+
+fn checked(traceparent: &str) -> String {
+    let is_valid = traceparent.len() <= TRACEPARENT_MAX_BYTES
+        && traceparent
+            .bytes()
+            .all(|byte| byte.is_ascii_hexdigit() || byte == b'-');
+    if is_valid {
+        traceparent.to_string()
+    } else {
+        String::new()
+    }
+}
+
+fn extract(traceparent: &str) -> Context {
+    let carrier = HashMap::from([(TRACEPARENT.to_string(), checked(traceparent))]);
+    TraceContextPropagator::new().extract(&carrier)
+}
+
+fn inject(span: &Span) -> String {
+    let context = Context::new().with_remote_span_context(span.span_context().clone());
+    let mut carrier = HashMap::new();
+    TraceContextPropagator::new().inject_context(&context, &mut carrier);
+    carrier.remove(TRACEPARENT).unwrap_or_default()
+}
+
+/// Span of one hop; ends when it is dropped.
+#[derive(Debug)]
+pub struct HopSpan {
+    span: Option<Span>,
+    traceparent: String,
+}
+
+impl HopSpan {
+    /// Trace context for the next hop.
+    pub fn traceparent(&self) -> &str {
+        &self.traceparent
+    }
+
+    /// Adds an attribute.
+    pub fn attribute(&mut self, name: &'static str, value: impl Into<String>) {
+        if let Some(span) = &mut self.span {
+            span.set_attribute(KeyValue::new(name, value.into()));
+        }
+    }
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,10 +1,32 @@
 //! Generated tonic code and conversions.
 //!
 //! The generated code is committed; `cargo run -p cuminlead-dev --example codegen` renews it from
-//! `proto/cuminlead.proto`.
+//! `proto/cuminlead.proto`. Conversions from the wire check every field, because a peer of another
+//! version or a stray client may send anything; conversions to the wire cannot fail.
+//!
+//! | module | converts |
+//! |---|---|
+//! | [`envelope`] | what every message and reply carries |
+//! | [`request`] | messages from an entry to an agent |
+//! | [`reply`] | answers of an agent |
+//! | [`stream`] | the decode stream |
+
+pub mod envelope;
+pub mod error;
+pub mod reply;
+pub mod request;
+pub mod stream;
+
+pub use error::WireError;
 
 /// Generated messages, clients and servers.
 #[allow(missing_docs, unreachable_pub, clippy::all, clippy::pedantic)]
 #[rustfmt::skip]
 #[path = "generated/cuminlead.v1.rs"]
 pub mod proto;
+
+/// Metadata key that carries the secret shared by the processes of a deployment.
+pub const PEER_SECRET_METADATA: &str = "x-cuminlead-peer-secret";
+
+/// Largest message between processes: a prompt or body of 4 MiB and its envelope.
+pub const MESSAGE_MAX_BYTES: usize = 6 * 1024 * 1024;
--- /dev/null
+++ b/crates/wire/tests/round_trip.rs
@@ -0,0 +1,162 @@
+//! Messages survive the wire unchanged, and invalid ones are refused.
+//!
+//! Guards against a field that is dropped or swapped in one direction of a conversion.
+
+use cuminlead_protocol::*;
+use cuminlead_types::*;
+use cuminlead_wire::stream::DecodeMessage;
+use cuminlead_wire::{WireError, proto};
+use yare::parameterized;
+
+fn envelope() -> Envelope {
+    Envelope {
+        entry: "entry-1".parse().unwrap(),
+        id: AttemptId {
+            request: RequestId(7 << 90),
+            attempt: Attempt(2),
+        },
+        customer: "kiosks".parse().unwrap(),
+        lists_revision: Revision(3),
+        hosts_revision: Revision(4),
+        traceparent: "00-1-2-01".to_string(),
+    }
+}
+
+fn target() -> ModelTarget {
+    ModelTarget {
+        model: "notes".parse().unwrap(),
+        adapter: Some("kiosk".parse().unwrap()),
+        version: "v1".parse().unwrap(),
+    }
+}
+
+fn http() -> HttpRequest {
+    HttpRequest {
+        method: "POST".to_string(),
+        path: "/charges?x=1".to_string(),
+        content_type: "application/json".to_string(),
+        body: vec![1, 2],
+    }
+}
+
+fn agent_state() -> AgentState {
+    AgentState {
+        server: "notes-1".parse().unwrap(),
+        incarnation: Incarnation(9),
+        lists_revision: Revision(1),
+        hosts_revision: Revision(2),
+        draining: true,
+        load: LoadReport {
+            free_slots: Slots(1),
+            free_pieces: KvPieces(2),
+            running_count: 3,
+            queued_count: 4,
+            pending_prompt_tokens: Tokens(5),
+            oldest_stall_us: DurationUs(6),
+        },
+    }
+}
+
+fn response() -> HttpResponse {
+    HttpResponse {
+        status: 201,
+        content_type: "text/plain".to_string(),
+        body: vec![3],
+    }
+}
+
+const PERMIT: PermitId = PermitId {
+    incarnation: Incarnation(9),
+    number: 8,
+};
+
+#[parameterized(
+    reserve = { AgentRequest::Reserve(Reserve { envelope: envelope(), target: target(),
+        priority: Priority(5), prompt_tokens: Tokens(6), output_max_tokens: Tokens(7),
+        lease_us: DurationUs(8), due_us: DurationUs(9), wait_max_us: DurationUs(10) }) },
+    prefill = { AgentRequest::Prefill(Prefill { envelope: envelope(), target: target(),
+        priority: Priority(5), prompt: "text".to_string(), prompt_tokens: Tokens(1),
+        due_us: DurationUs(2), wait_max_us: DurationUs(3) }) },
+    release = { AgentRequest::Release(Release { envelope: envelope() }) },
+    issue = { AgentRequest::IssuePermit(IssuePermit { envelope: envelope(),
+        service: "counter".parse().unwrap(), key: Some("k".parse().unwrap()),
+        key_issued_at_ms: Some(UnixMs(5)) }) },
+    run = { AgentRequest::RunCall(RunCall { envelope: envelope(),
+        service: "counter".parse().unwrap(), permit: Some(PERMIT), http: http() }) },
+    ask = { AgentRequest::AskPermit(AskPermit { envelope: envelope(), permit: PERMIT }) },
+    state = { AgentRequest::GetState(GetState { envelope: envelope() }) },
+)]
+fn request(message: AgentRequest) {
+    let wire: proto::CallRequest = message.clone().into();
+    assert_eq!(AgentRequest::try_from(wire), Ok(message));
+}
+
+#[parameterized(
+    reserved = { ReplyBody::Reserved(Reserved { expires_in_us: DurationUs(1) }) },
+    prefilled = { ReplyBody::Prefilled(Prefilled { kv: KvHandle { address: "127.0.0.1:1".to_string(),
+        handle: "h".to_string() }, prompt_tokens: Tokens(1), cached_tokens: Tokens(2),
+        held_for_us: DurationUs(3) }) },
+    released = { ReplyBody::Released },
+    issued = { ReplyBody::PermitIssued(PermitIssued { permit: PERMIT, expires_in_us: DurationUs(1) }) },
+    replayed = { ReplyBody::KeyReplayed(response()) },
+    key_running = { ReplyBody::KeyRunning },
+    key_unknown = { ReplyBody::KeyUnknown },
+    done = { ReplyBody::CallDone(response()) },
+    voided = { ReplyBody::PermitOutcome(PermitOutcome::Voided) },
+    running = { ReplyBody::PermitOutcome(PermitOutcome::Running) },
+    permit_done = { ReplyBody::PermitOutcome(PermitOutcome::Done(response())) },
+    unknown = { ReplyBody::PermitOutcome(PermitOutcome::Unknown) },
+    state = { ReplyBody::State },
+    refused = { ReplyBody::Failed(AgentFailure::Refused(RefusalReason::NotOwner)) },
+    engine = { ReplyBody::Failed(AgentFailure::EngineFailed) },
+    transfer = { ReplyBody::Failed(AgentFailure::TransferFailed) },
+    cancelled = { ReplyBody::Failed(AgentFailure::Cancelled) },
+    outcome = { ReplyBody::Failed(AgentFailure::OutcomeUnknown) },
+    service = { ReplyBody::Failed(AgentFailure::ServiceFailed) },
+)]
+fn reply(body: ReplyBody) {
+    let reply = AgentReply {
+        state: agent_state(),
+        body,
+    };
+    let wire: proto::CallReply = reply.clone().into();
+    assert_eq!(AgentReply::try_from(wire), Ok(reply));
+}
+
+#[parameterized(
+    start = { DecodeMode::Start(DecodeStart { kv: KvHandle::default(), first_sequence: Sequence(4),
+        output_max_tokens: Tokens(5) }) },
+    resume = { DecodeMode::Resume(DecodeResume { incarnation: Incarnation(1), next_sequence: Sequence(2) }) },
+)]
+fn open(mode: DecodeMode) {
+    let open = DecodeOpen {
+        envelope: envelope(),
+        mode,
+    };
+    let wire: proto::DecodeRequest = open.clone().into();
+    assert_eq!(DecodeMessage::try_from(wire), Ok(DecodeMessage::Open(open)));
+}
+
+#[parameterized(
+    imported = { DecodeEvent::Imported(agent_state()) },
+    heartbeat = { DecodeEvent::Heartbeat(agent_state()) },
+    failed = { DecodeEvent::Failed { state: agent_state(), failure: AgentFailure::EngineFailed } },
+    chunk = { DecodeEvent::Chunk(Chunk { id: envelope().id, incarnation: Incarnation(1),
+        sequence: Sequence(2), text: "t".to_string(), tokens: Tokens(1),
+        finish: Some(FinishReason::Length) }) },
+)]
+fn event(event: DecodeEvent) {
+    let wire: proto::DecodeReply = event.clone().into();
+    assert_eq!(DecodeEvent::try_from(wire), Ok(event));
+}
+
+#[parameterized(
+    empty = { proto::CallRequest::default(), WireError::Missing("envelope") },
+    short_request_id = { proto::CallRequest { envelope: Some(proto::Envelope { request: vec![1],
+        ..Default::default() }), body: None }, WireError::Invalid("request") },
+    no_body = { proto::CallRequest { envelope: Some(envelope().into()), body: None },
+        WireError::Missing("body") },
+)]
+fn invalid(wire: proto::CallRequest, error: WireError) {
+    assert_eq!(AgentRequest::try_from(wire), Err(error));
+}
