Parse and check plans and allowances

Every process needs the lists before it may accept work, and an operator who edits them needs every problem at once with its part, line and key.

Deserializing with serde derives was ruled out because it stops at the first problem; the parser walks the spanned value tree of the toml library instead.

--- /dev/null
+++ b/crates/lists/src/keys.rs
@@ -0,0 +1,59 @@
+//! Look-up of customers by key.
+//!
+//! Only the SHA-256 of a key is published. Comparing a digest in constant time with each of 4,400
+//! customers costs some 0.3 ms for a request, too much for the overhead allowed to a node, so the
+//! first two bytes select a bucket and the whole digest is compared in constant time with every
+//! entry of the bucket. The time of a look-up thus depends on two bytes of a digest only.
+
+use std::collections::BTreeMap;
+
+use cuminlead_types::CustomerId;
+use sha2::{Digest, Sha256};
+use subtle::{ConditionallySelectable, ConstantTimeEq};
+
+use crate::lists::Lists;
+
+/// Customers by the SHA-256 of their keys.
+#[derive(Clone, Debug, Default)]
+pub struct CustomerKeys {
+    buckets: BTreeMap<u16, Vec<KeyEntry>>,
+}
+
+#[derive(Clone, Debug)]
+struct KeyEntry {
+    key_sha256: [u8; 32],
+    customer: CustomerId,
+}
+
+impl CustomerKeys {
+    /// Keys of all customers of the lists.
+    pub fn new(lists: &Lists) -> Self {
+        let mut keys = Self::default();
+        for customer in lists.customers.values() {
+            let entry = KeyEntry {
+                key_sha256: customer.key_sha256,
+                customer: customer.id.clone(),
+            };
+            let bucket = keys.buckets.entry(bucket_of(&entry.key_sha256));
+            bucket.or_default().push(entry);
+        }
+        keys
+    }
+
+    /// Customer with this key.
+    pub fn find(&self, key: &[u8]) -> Option<&CustomerId> {
+        let digest: [u8; 32] = Sha256::digest(key).into();
+        let bucket = self.buckets.get(&bucket_of(&digest))?;
+        let mut found = u64::MAX;
+        for (index, entry) in bucket.iter().enumerate() {
+            let is_equal = entry.key_sha256.ct_eq(&digest);
+            found.conditional_assign(&(index as u64), is_equal);
+        }
+        let index = usize::try_from(found).ok()?;
+        bucket.get(index).map(|entry| &entry.customer)
+    }
+}
+
+fn bucket_of(digest: &[u8; 32]) -> u16 {
+    u16::from_be_bytes([digest[0], digest[1]])
+}
--- a/crates/lists/src/lib.rs
+++ b/crates/lists/src/lib.rs
@@ -2,11 +2,28 @@
 //!
 //! | module | holds |
 //! |---|---|
+//! | [`part`] | the published values that the lists consist of |
+//! | [`snapshot`] | all parts at one revision, and what changed since another one |
+//! | [`store`] | the lists in force in one process |
 //! | [`lists`] | the checked lists in force and the questions asked of them |
+//! | [`keys`] | look-up of customers by key |
 //! | [`hosts`] | the platform's list of live and leaving hosts |
 
+mod check;
 pub mod hosts;
+pub mod keys;
 pub mod lists;
+mod parse;
+pub mod part;
+mod reader;
+pub mod snapshot;
+pub mod store;
+mod text;
 
 pub use hosts::*;
+pub use keys::*;
 pub use lists::*;
+pub use parse::{PRIORITY_MAX, SCHEMA};
+pub use part::*;
+pub use snapshot::*;
+pub use store::*;
--- a/crates/lists/src/lists.rs
+++ b/crates/lists/src/lists.rs
@@ -6,7 +6,7 @@
     AdapterName, BackendServerId, CustomerId, DurationUs, ModelName, PlanName, Priority,
     RequestsPerSecond, Revision, ServiceName, VersionName,
 };
-use strum::{Display, EnumString, IntoStaticStr};
+use strum::{Display, EnumString, IntoStaticStr, VariantNames};
 
 /// Plans and allowances at one revision, checked as a whole.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -107,6 +107,7 @@
     Display,
     EnumString,
     IntoStaticStr,
+    VariantNames,
 )]
 #[strum(serialize_all = "snake_case")]
 pub enum WantedRole {
