--- /dev/null
+++ b/crates/agent/src/backend/service.rs
@@ -0,0 +1,121 @@
+//! Driver of a plain service over HTTP.
+//!
+//! Each command makes a connection of its own: on a kept connection that the service has closed,
+//! a client cannot tell whether its request was read, and some clients then send it again.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use cuminlead_kernel::{PluginInfo, PluginPoint, WorkerPool};
+use cuminlead_protocol::{EngineCommand, HttpResponse, RunRef, ServiceCommand, ServiceEvent};
+use ureq::http::{Request, header};
+use ureq::{Agent, Error};
+
+use super::engine::is_connect_failure;
+use super::{Backend, BackendContext, BackendEvent, BackendEvents, BackendPlugin};
+
+inventory::submit! { BackendPlugin { name: "service", build: ServiceBackend::build } }
+inventory::submit! {
+    PluginInfo {
+        point: PluginPoint::Backend,
+        name: "service",
+        summary: "plain HTTP service, some of whose calls may not be repeated",
+    }
+}
+
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+const CALL_TIMEOUT: Duration = Duration::from_secs(100);
+const RESPONSE_MAX_BYTES: u64 = 4 * 1024 * 1024;
+
+struct ServiceBackend {
+    pool: WorkerPool,
+    client: Arc<ServiceClient>,
+}
+
+struct ServiceClient {
+    base: String,
+    http: Agent,
+    events: BackendEvents,
+}
+
+impl ServiceBackend {
+    fn build(context: BackendContext) -> Box<dyn Backend> {
+        let config = Agent::config_builder()
+            .timeout_connect(Some(CONNECT_TIMEOUT))
+            .timeout_global(Some(CALL_TIMEOUT))
+            .http_status_as_error(false)
+            .max_redirects(0)
+            .max_idle_connections(0)
+            .allow_non_standard_methods(true)
+            .build();
+        let client = ServiceClient {
+            base: format!("http://{}", context.address),
+            http: config.into(),
+            events: context.events,
+        };
+        Box::new(Self { pool: context.pool, client: Arc::new(client) })
+    }
+}
+
+impl Backend for ServiceBackend {
+    fn command_engine(&self, _command: EngineCommand) {}
+
+    fn command_service(&self, command: ServiceCommand) {
+        let client = Arc::clone(&self.client);
+        self.pool.execute(move || client.run(&command));
+    }
+
+    fn has_inventory(&self) -> bool {
+        false
+    }
+}
+
+impl ServiceClient {
+    fn run(&self, command: &ServiceCommand) {
+        let event = match self.send(command) {
+            Ok(http) => ServiceEvent::Answered { run: command.run, http },
+            Err(Failure::NotSent) => ServiceEvent::NotSent { run: command.run },
+            Err(Failure::Lost) => ServiceEvent::Lost { run: command.run },
+        };
+        (self.events)(BackendEvent::Service(event));
+    }
+
+    fn send(&self, command: &ServiceCommand) -> Result<HttpResponse, Failure> {
+        let http = &command.http;
+        let mut request = Request::builder()
+            .method(http.method.as_str())
+            .uri(format!("{}{}", self.base, http.path))
+            .header("x-cuminlead-run", run_name(command.run));
+        if !http.content_type.is_empty() {
+            request = request.header(header::CONTENT_TYPE, &http.content_type);
+        }
+        let request = request.body(http.body.clone()).map_err(|_| Failure::NotSent)?;
+        let mut response = self.http.run(request).map_err(Failure::from)?;
+        let content_type = response.headers().get(header::CONTENT_TYPE);
+        let content_type = content_type.and_then(|value| value.to_str().ok()).unwrap_or_default();
+        let content_type = content_type.to_string();
+        let status = response.status().as_u16();
+        let body = response.body_mut().with_config().limit(RESPONSE_MAX_BYTES).read_to_vec();
+        let body = body.map_err(|_| Failure::Lost)?;
+        Ok(HttpResponse { status, content_type, body })
+    }
+}
+
+/// Name of a run that the service may log.
+fn run_name(run: RunRef) -> String {
+    match run {
+        RunRef::Permit(permit) => permit.to_string(),
+        RunRef::Message(message) => format!("message-{message}"),
+    }
+}
+
+enum Failure {
+    NotSent,
+    Lost,
+}
+
+impl From<Error> for Failure {
+    fn from(error: Error) -> Self {
+        if is_connect_failure(&error) { Self::NotSent } else { Self::Lost }
+    }
+}
--- /dev/null
+++ b/crates/agent/src/controller.rs
@@ -0,0 +1,250 @@
+//! The state owned by the agent's control thread.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Instant;
+
+use cuminlead_agent_core::{
+    AgentAction, AgentContext, AgentEvent, AgentRecord, CallRef, StreamRef,
+};
+use cuminlead_kernel::Controller;
+use cuminlead_lists::{HostState, Lists};
+use cuminlead_process::feed::{Feed, FeedEvent, FeedUpdate};
+use cuminlead_protocol::{
+    AgentReply, AgentRequest, DecodeEvent, DecodeOpen, EngineEvent, ServiceEvent,
+};
+use cuminlead_types::{BackendServerId, Now, TimeUs};
+use slog::{Logger, debug, info, warn};
+use tokio::sync::{mpsc, oneshot};
+
+use crate::backend::Backend;
+use crate::status::AgentMetrics;
+
+/// Event for the agent's control thread.
+#[derive(Debug)]
+pub enum ControlEvent {
+    /// A message arrived.
+    Call {
+        /// The message's reference.
+        call: CallRef,
+        /// The message.
+        request: AgentRequest,
+        /// Where the reply goes.
+        reply: oneshot::Sender<AgentReply>,
+    },
+    /// A decode stream was opened.
+    Stream {
+        /// The stream's reference.
+        stream: StreamRef,
+        /// First message.
+        open: DecodeOpen,
+        /// Where its events go.
+        events: mpsc::UnboundedSender<DecodeEvent>,
+    },
+    /// An event that needs no reply.
+    Agent(AgentEvent),
+    /// The model engine reported something.
+    Engine(EngineEvent),
+    /// The plain service reported something.
+    Service(ServiceEvent),
+    /// The feed of lists and hosts reported something.
+    Feed(FeedEvent),
+    /// The process was asked to stop.
+    Stop,
+}
+
+/// State shared with the admin address.
+#[derive(Debug, Default)]
+pub struct AgentFlags {
+    /// Whether lists and inventory are there and the agent is not stopping.
+    pub is_ready: AtomicBool,
+    /// Whether the agent takes no new work.
+    pub is_draining: AtomicBool,
+}
+
+/// Parts that a controller is built from.
+pub struct ControllerParts {
+    /// Backend server beside the agent.
+    pub server: BackendServerId,
+    /// Decisions.
+    pub context: AgentContext,
+    /// Lists and hosts.
+    pub feed: Feed,
+    /// Driver of the back end.
+    pub backend: Box<dyn Backend>,
+    /// Metrics.
+    pub metrics: AgentMetrics,
+    /// State shared with the admin address.
+    pub flags: Arc<AgentFlags>,
+    /// Logger.
+    pub log: Logger,
+}
+
+/// State owned by the agent's control thread.
+pub struct AgentController {
+    parts: ControllerParts,
+    calls: HashMap<CallRef, oneshot::Sender<AgentReply>>,
+    streams: HashMap<StreamRef, mpsc::UnboundedSender<DecodeEvent>>,
+    actions: Vec<AgentAction>,
+    is_drained: bool,
+}
+
+impl AgentController {
+    /// Controller that starts its feed.
+    pub fn new(parts: ControllerParts) -> Self {
+        parts.feed.start();
+        Self {
+            parts,
+            calls: HashMap::new(),
+            streams: HashMap::new(),
+            actions: Vec::new(),
+            is_drained: false,
+        }
+    }
+
+    fn decide(&mut self, now: Now, event: AgentEvent) {
+        let started = Instant::now();
+        let mut actions = std::mem::take(&mut self.actions);
+        self.parts.context.handle(now, event, &mut actions);
+        let busy_us = u64::try_from(started.elapsed().as_micros()).unwrap_or(u64::MAX);
+        self.parts.metrics.common.control_busy_us.inc_by(busy_us);
+        for action in actions.drain(..) {
+            self.carry_out(action);
+        }
+        self.actions = actions;
+    }
+
+    fn carry_out(&mut self, action: AgentAction) {
+        match action {
+            AgentAction::Reply { call, reply } => {
+                if let Some(waiting) = self.calls.remove(&call) {
+                    // A receiver that is gone has reported the dropped message itself.
+                    let _ = waiting.send(reply);
+                }
+            }
+            AgentAction::Send { stream, event } => {
+                if let Some(events) = self.streams.get(&stream) {
+                    // A receiver that is gone has reported the closed stream itself.
+                    let _ = events.send(event);
+                }
+            }
+            AgentAction::CloseStream { stream } => {
+                self.streams.remove(&stream);
+            }
+            AgentAction::Engine(command) => self.parts.backend.command_engine(command),
+            AgentAction::Service(command) => self.parts.backend.command_service(command),
+            AgentAction::Record(record) => self.record(&record),
+            AgentAction::Drained => {
+                info!(self.parts.log, "agent drained");
+                self.is_drained = true;
+            }
+        }
+    }
+
+    fn record(&self, record: &AgentRecord) {
+        self.parts.metrics.count(record);
+        let log = &self.parts.log;
+        match record {
+            AgentRecord::Refused { id, customer, reason } => {
+                info!(log, "message refused"; "request" => %id, "customer" => %customer,
+                    "reason" => %reason);
+            }
+            AgentRecord::Released { id, cause, wasted_prefill_tokens } => {
+                debug!(log, "attempt released"; "request" => %id, "cause" => %cause,
+                    "wasted_prefill_tokens" => wasted_prefill_tokens.0);
+            }
+            AgentRecord::UnknownSequence { id } => {
+                warn!(log, "engine held an unknown sequence"; "request" => %id);
+            }
+            AgentRecord::PermitVoided { permit } => {
+                debug!(log, "permit voided"; "permit" => %permit);
+            }
+            AgentRecord::PermitStarted { permit } => {
+                debug!(log, "permit started"; "permit" => %permit);
+            }
+        }
+    }
+
+    fn apply(&mut self, now: Now, update: FeedUpdate) {
+        if let Some(findings) = update.refused {
+            for finding in findings.iter() {
+                warn!(self.parts.log, "list snapshot refused"; "place" => %finding.place,
+                    "finding" => &finding.message);
+            }
+        }
+        if let Some(lists) = update.lists {
+            self.apply_lists(now, lists);
+        }
+        if update.is_confirmed {
+            self.decide(now, AgentEvent::ListsConfirmed);
+        }
+        if let Some(hosts) = update.hosts {
+            self.parts.metrics.set_revision("hosts", hosts.revision);
+            self.decide(now, AgentEvent::Hosts(hosts.revision));
+            let own = hosts.hosts.iter().find(|h| h.server.as_ref() == Some(&self.parts.server));
+            if own.is_some_and(|host| host.state == HostState::Leaving) {
+                self.drain(now);
+            }
+        }
+    }
+
+    fn apply_lists(&mut self, now: Now, lists: Arc<Lists>) {
+        info!(self.parts.log, "lists in force"; "revision" => lists.revision.0);
+        self.parts.metrics.set_revision("lists", lists.revision);
+        self.parts.flags.is_ready.store(true, Ordering::Relaxed);
+        self.decide(now, AgentEvent::Lists(lists));
+    }
+
+    fn drain(&mut self, now: Now) {
+        if !self.parts.flags.is_draining.swap(true, Ordering::Relaxed) {
+            info!(self.parts.log, "agent draining"; "server" => %self.parts.server);
+            self.decide(now, AgentEvent::Drain);
+        }
+    }
+}
+
+impl Controller for AgentController {
+    type Event = ControlEvent;
+
+    fn handle(&mut self, now: Now, event: ControlEvent) {
+        match event {
+            ControlEvent::Call { call, request, reply } => {
+                self.calls.insert(call, reply);
+                self.decide(now, AgentEvent::Request { call, request });
+            }
+            ControlEvent::Stream { stream, open, events } => {
+                self.streams.insert(stream, events);
+                self.decide(now, AgentEvent::StreamOpened { stream, open });
+            }
+            ControlEvent::Agent(event) => {
+                if let AgentEvent::CallDropped { call } = event {
+                    self.calls.remove(&call);
+                }
+                if let AgentEvent::StreamClosed { stream } = event {
+                    self.streams.remove(&stream);
+                }
+                self.decide(now, event);
+            }
+            ControlEvent::Engine(event) => self.decide(now, AgentEvent::Engine(event)),
+            ControlEvent::Service(event) => self.decide(now, AgentEvent::Service(event)),
+            ControlEvent::Feed(event) => {
+                let update = self.parts.feed.handle(now.mono_us, event);
+                self.apply(now, update);
+            }
+            ControlEvent::Stop => self.drain(now),
+        }
+    }
+
+    fn tick(&mut self, now: Now) {
+        self.decide(now, AgentEvent::Tick);
+    }
+
+    fn next_deadline(&self) -> Option<TimeUs> {
+        self.parts.context.next_deadline()
+    }
+
+    fn is_done(&self) -> bool {
+        self.is_drained
+    }
+}
--- /dev/null
+++ b/crates/agent/src/status.rs
@@ -0,0 +1,117 @@
+//! Metrics and the status page of an agent.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use arc_swap::ArcSwap;
+use cuminlead_agent_core::AgentRecord;
+use cuminlead_process::admin::AdminSource;
+use cuminlead_process::feed::FeedView;
+use cuminlead_telemetry::metrics::Counters;
+use cuminlead_telemetry::{CommonMetrics, Label, Metrics};
+use cuminlead_types::{BackendServerId, Incarnation, Revision};
+use prometheus_client::metrics::counter::Counter;
+use serde_json::json;
+
+use crate::controller::AgentFlags;
+
+/// Metrics of an agent.
+#[derive(Clone, Debug)]
+pub struct AgentMetrics {
+    /// Metrics that both processes have.
+    pub common: CommonMetrics,
+    refusals: Counters,
+    releases: Counters,
+    wasted_prefill_tokens: Counters,
+    unknown_sequences: Counter,
+    permits: Counters,
+}
+
+impl AgentMetrics {
+    /// Registers the metrics of an agent.
+    pub fn new(metrics: &mut Metrics) -> Self {
+        Self {
+            common: metrics.common.clone(),
+            refusals: metrics.counters("refusals", "Refused messages by reason"),
+            releases: metrics.counters("leases_released", "Released attempts by cause"),
+            wasted_prefill_tokens: metrics.counters(
+                "wasted_prefill_tokens",
+                "Prompt tokens computed and not used by a decode, by cause",
+            ),
+            unknown_sequences: metrics
+                .counter("unknown_sequences", "Engine sequences that the agent did not know"),
+            permits: metrics.counters("permits", "Permits by what became of them"),
+        }
+    }
+
+    /// Counts a decision.
+    pub fn count(&self, record: &AgentRecord) {
+        match record {
+            AgentRecord::Refused { reason, .. } => {
+                inc(&self.refusals, "reason", &reason.to_string(), 1);
+            }
+            AgentRecord::Released { cause, wasted_prefill_tokens, .. } => {
+                inc(&self.releases, "cause", &cause.to_string(), 1);
+                if wasted_prefill_tokens.0 > 0 {
+                    let wasted = &self.wasted_prefill_tokens;
+                    inc(wasted, "cause", &cause.to_string(), wasted_prefill_tokens.0);
+                }
+            }
+            AgentRecord::UnknownSequence { .. } => {
+                self.unknown_sequences.inc();
+            }
+            AgentRecord::PermitVoided { .. } => inc(&self.permits, "outcome", "voided", 1),
+            AgentRecord::PermitStarted { .. } => inc(&self.permits, "outcome", "started", 1),
+        }
+    }
+
+    /// Shows a revision in force.
+    pub fn set_revision(&self, list: &str, revision: Revision) {
+        let value = i64::try_from(revision.0).unwrap_or(i64::MAX);
+        self.common.revision.get_or_create(&Label::new("list", list)).set(value);
+    }
+}
+
+fn inc(counters: &Counters, label: &'static str, value: &str, amount: u64) {
+    counters.get_or_create(&Label::new(label, value)).inc_by(amount);
+}
+
+/// What the admin address of an agent reports.
+#[derive(Debug)]
+pub struct AgentAdmin {
+    /// Backend server beside the agent.
+    pub server: BackendServerId,
+    /// Life of the agent.
+    pub incarnation: Incarnation,
+    /// Registry.
+    pub metrics: Metrics,
+    /// State shared with the control thread.
+    pub flags: Arc<AgentFlags>,
+    /// Lists and hosts.
+    pub view: Arc<ArcSwap<FeedView>>,
+}
+
+impl AdminSource for AgentAdmin {
+    fn metrics(&self) -> String {
+        self.metrics.encode().unwrap_or_default()
+    }
+
+    fn is_ready(&self) -> bool {
+        self.flags.is_ready.load(Ordering::Relaxed)
+            && !self.flags.is_draining.load(Ordering::Relaxed)
+    }
+
+    fn status(&self) -> String {
+        let view = self.view.load();
+        json!({
+            "process": "agent",
+            "server": self.server.to_string(),
+            "incarnation": self.incarnation.0,
+            "ready": self.is_ready(),
+            "draining": self.flags.is_draining.load(Ordering::Relaxed),
+            "lists_revision": view.lists.revision.0,
+            "hosts_revision": view.hosts.revision.0,
+        })
+        .to_string()
+    }
+}
--- /dev/null
+++ b/crates/process/src/lib.rs
@@ -0,0 +1,21 @@
+//! What the entry and agent processes share.
+//!
+//! | module | holds |
+//! |---|---|
+//! | [`admin`] | the HTTP address for metrics, health and status |
+//! | [`error`] | why a process cannot start |
+//! | [`feed`] | lists and hosts of this process, fed by platform and peers |
+//! | [`peer`] | the tonic service that hands lists to other processes |
+//! | [`platform`] | the client of the configuration service and host list |
+//! | [`secret`] | the secret that processes of a deployment share |
+//! | [`signal`] | the signals that ask a process to stop |
+
+pub mod admin;
+pub mod error;
+pub mod feed;
+pub mod peer;
+pub mod platform;
+pub mod secret;
+pub mod signal;
+
+pub use error::StartError;
--- /dev/null
+++ b/crates/process/src/peer.rs
@@ -0,0 +1,1 @@
+//! The tonic service that hands lists to other processes.
--- a/crates/protocol/src/request.rs
+++ b/crates/protocol/src/request.rs
@@ -52,6 +52,19 @@
             Self::GetState(message) => &message.envelope,
         }
     }
+
+    /// Envelope of the message, to be changed.
+    pub fn envelope_mut(&mut self) -> &mut Envelope {
+        match self {
+            Self::Reserve(message) => &mut message.envelope,
+            Self::Prefill(message) => &mut message.envelope,
+            Self::Release(message) => &mut message.envelope,
+            Self::IssuePermit(message) => &mut message.envelope,
+            Self::RunCall(message) => &mut message.envelope,
+            Self::AskPermit(message) => &mut message.envelope,
+            Self::GetState(message) => &mut message.envelope,
+        }
+    }
 }
 
 /// Asks for a decode place: one slot and the KV pieces of prompt and answer.
