--- a/crates/lists/src/hosts.rs
+++ b/crates/lists/src/hosts.rs
@@ -1,7 +1,7 @@
 //! The platform's list of live and leaving hosts.
 
 use cuminlead_types::{AvailabilityZoneName, BackendServerId, HostId, RegionName, Revision};
-use strum::{Display, EnumString, IntoStaticStr};
+use strum::{Display, EnumString, IntoStaticStr, VariantNames};
 
 /// Published list of hosts at one revision.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -32,7 +32,9 @@
 }
 
 /// Published state of a host.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Display, EnumString, IntoStaticStr)]
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, Display, EnumString, IntoStaticStr, VariantNames,
+)]
 #[strum(serialize_all = "snake_case")]
 pub enum HostState {
     /// In use.
@@ -43,7 +45,9 @@
 }
 
 /// Kind of process of the system.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Display, EnumString, IntoStaticStr)]
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, Display, EnumString, IntoStaticStr, VariantNames,
+)]
 #[strum(serialize_all = "snake_case")]
 pub enum ProcessKind {
     /// Entry process.
--- /dev/null
+++ b/crates/lists/src/hosts_json.rs
@@ -0,0 +1,198 @@
+//! JSON text of the host list.
+//!
+//! Fields that this version does not know are ignored, because the platform may add some at any
+//! time and a refused list would keep a leaving host in use. All known fields are checked.
+
+use std::collections::BTreeSet;
+use std::fmt;
+use std::net::SocketAddr;
+use std::str::FromStr;
+
+use cuminlead_types::{Findings, Place, Revision};
+use serde_json::{Map, Value, json};
+use strum::VariantNames;
+
+use crate::hosts::{HostEntry, HostList, HostState, ProcessKind};
+
+/// Name of the host list in findings.
+const FILE: &str = "hosts";
+
+impl FromStr for HostList {
+    type Err = Findings;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let mut findings = Findings::new();
+        let list = match serde_json::from_str(text) {
+            Ok(document) => read_list(&document, &mut findings),
+            Err(error) => {
+                findings.add(syntax_place(&error), error.to_string());
+                None
+            }
+        };
+        findings.into_result(list.unwrap_or_default())
+    }
+}
+
+impl fmt::Display for HostList {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{{\"revision\":{},\"hosts\":[", self.revision)?;
+        for (index, entry) in self.hosts.iter().enumerate() {
+            let separator = if index == 0 { "\n" } else { ",\n" };
+            write!(f, "{separator}{}", entry_json(entry))?;
+        }
+        writeln!(f, "\n]}}")
+    }
+}
+
+fn entry_json(entry: &HostEntry) -> Value {
+    let mut object = json!({
+        "host": entry.host.as_str(),
+        "region": entry.region.as_str(),
+        "availability_zone": entry.zone.as_str(),
+        "state": entry.state.to_string(),
+        "process": entry.process.to_string(),
+        "address": entry.address,
+    });
+    if let Some(server) = &entry.server {
+        object["server"] = json!(server.as_str());
+    }
+    object
+}
+
+fn syntax_place(error: &serde_json::Error) -> Place {
+    Place {
+        file: FILE.to_string(),
+        line: u32::try_from(error.line()).unwrap_or(u32::MAX),
+        key: String::new(),
+    }
+}
+
+fn add(findings: &mut Findings, key: String, message: impl Into<String>) {
+    let file = FILE.to_string();
+    findings.add(Place { file, line: 0, key }, message);
+}
+
+fn read_list(document: &Value, findings: &mut Findings) -> Option<HostList> {
+    let revision = document.get("revision").and_then(Value::as_u64);
+    if revision.is_none() {
+        add(findings, "revision".to_string(), "expected a whole number");
+    }
+    let Some(items) = document.get("hosts").and_then(Value::as_array) else {
+        add(findings, "hosts".to_string(), "expected an array");
+        return None;
+    };
+    let mut hosts = Vec::with_capacity(items.len());
+    for (index, item) in items.iter().enumerate() {
+        hosts.extend(read_entry(index, item, findings));
+    }
+    check_duplicates(&hosts, findings);
+    Some(HostList {
+        revision: Revision(revision?),
+        hosts,
+    })
+}
+
+fn read_entry(index: usize, item: &Value, findings: &mut Findings) -> Option<HostEntry> {
+    let path = format!("hosts[{index}]");
+    let Some(object) = item.as_object() else {
+        add(findings, path, "expected an object");
+        return None;
+    };
+    let mut fields = Fields {
+        object,
+        path,
+        findings,
+    };
+    let host = fields.required("host");
+    let region = fields.required("region");
+    let zone = fields.required("availability_zone");
+    let state = fields.choice::<HostState>("state");
+    let process = fields.choice::<ProcessKind>("process");
+    let address = fields.required::<SocketAddr>("address");
+    let server = fields.optional("server");
+    fields.check_server(process, server.is_some());
+    Some(HostEntry {
+        host: host?,
+        region: region?,
+        zone: zone?,
+        state: state?,
+        process: process?,
+        address: address?.to_string(),
+        server,
+    })
+}
+
+/// Fields of one host.
+struct Fields<'a> {
+    object: &'a Map<String, Value>,
+    path: String,
+    findings: &'a mut Findings,
+}
+
+impl Fields<'_> {
+    fn add(&mut self, name: &str, message: impl Into<String>) {
+        add(self.findings, format!("{}.{name}", self.path), message);
+    }
+
+    fn required<T: FromStr<Err: fmt::Display>>(&mut self, name: &str) -> Option<T> {
+        if self.object.get(name).is_none_or(Value::is_null) {
+            self.add(name, "missing");
+            return None;
+        }
+        self.optional(name)
+    }
+
+    fn optional<T: FromStr<Err: fmt::Display>>(&mut self, name: &str) -> Option<T> {
+        let value = self.object.get(name).filter(|value| !value.is_null())?;
+        let Some(text) = value.as_str() else {
+            self.add(name, "expected a text");
+            return None;
+        };
+        match text.parse() {
+            Ok(value) => Some(value),
+            Err(error) => {
+                self.add(name, error.to_string());
+                None
+            }
+        }
+    }
+
+    fn choice<T: FromStr + VariantNames>(&mut self, name: &str) -> Option<T> {
+        let text: String = self.required(name)?;
+        let choice = text.parse().ok();
+        if choice.is_none() {
+            let names = T::VARIANTS.join(" or ");
+            self.add(name, format!("expected {names}, found {text:?}"));
+        }
+        choice
+    }
+
+    fn check_server(&mut self, process: Option<ProcessKind>, has_server: bool) {
+        match process {
+            Some(ProcessKind::Agent) if !has_server => self.add("server", "missing"),
+            Some(ProcessKind::Entry) if has_server => {
+                self.add("server", "an entry has no backend server");
+            }
+            _ => {}
+        }
+    }
+}
+
+/// A server may be listed for a leaving host and its replacement, but for one live host only.
+fn check_duplicates(hosts: &[HostEntry], findings: &mut Findings) {
+    let mut names = BTreeSet::new();
+    let mut servers = BTreeSet::new();
+    for entry in hosts {
+        if !names.insert(&entry.host) {
+            let message = format!("host {} is listed twice", entry.host);
+            add(findings, "hosts".to_string(), message);
+        }
+        let Some(server) = &entry.server else {
+            continue;
+        };
+        if entry.state == HostState::Live && !servers.insert(server) {
+            let message = format!("server {server} is listed for two live hosts");
+            add(findings, "hosts".to_string(), message);
+        }
+    }
+}
--- a/crates/lists/src/lib.rs
+++ b/crates/lists/src/lib.rs
@@ -11,6 +11,7 @@
 
 mod check;
 pub mod hosts;
+mod hosts_json;
 pub mod keys;
 pub mod lists;
 mod parse;
--- a/crates/lists/src/reader.rs
+++ b/crates/lists/src/reader.rs
@@ -282,8 +282,8 @@
 fn unknown_key(name: &str, known: &BTreeSet<&str>) -> String {
     let stem = name.rsplit_once('_').map_or(name, |(stem, _)| stem);
     let similar = known.iter().find(|candidate| {
-        let candidate_stem = candidate.rsplit_once('_').map_or(**candidate, |(s, _)| s);
-        candidate_stem == stem || candidate_stem == name
+        let candidate_stem = candidate.rsplit_once('_').map(|(stem, _)| stem);
+        candidate_stem.is_some_and(|candidate| candidate == stem || candidate == name)
     });
     match similar {
         Some(similar) => format!("unknown key; the key with its unit is {similar}"),
--- a/crates/lists/tests/check.rs
+++ b/crates/lists/tests/check.rs
@@ -40,7 +40,7 @@
     negative = { "weight = 1", "weight = -1", "plans/base:8: plan.weight: expected a whole number, found a number that does not fit" },
     out_of_range = { "weight = 1", "weight = 0", "plans/base:8: plan.weight: 0 is out of range 1 to 1000" },
     missing_plan = { "plan = \"notes-standard\"", "plan = \"gone\"", "plans/base:11: customer.plan: no plan gone" },
-    short_digest = { "2c70e1", "2c70", "plans/base:12: customer.key_sha256: expected 64 hex digits" },
+    short_digest = { "9c481b", "9c48", "plans/base:12: customer.key_sha256: expected 64 hex digits" },
     schema = { "schema = 1", "schema = 2", "plans/base:1: schema: 2 is out of range 1 to 1" },
     wrong_table = { "[[customer]]", "[[server]]", "plans/base:9: server: unknown key" },
     bad_name = { "\"kiosks-norte\"", "\"kiosks norte\"", "plans/base:10: customer.id: \"kiosks norte\" is not a valid CustomerId" },
--- /dev/null
+++ b/crates/lists/tests/hosts.rs
@@ -0,0 +1,108 @@
+//! JSON text of the host list.
+
+use cuminlead_lists::{HostEntry, HostList, HostState, ProcessKind};
+use cuminlead_types::Revision;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, RngSeed};
+use yare::parameterized;
+
+const LIST: &str = r#"{"revision": 4, "hosts": [
+{"host": "h1", "region": "litoral", "availability_zone": "litoral-a", "state": "live",
+ "process": "agent", "address": "127.0.0.1:7001", "server": "notes-1", "rack": "r7"},
+{"host": "h2", "region": "litoral", "availability_zone": "litoral-b", "state": "leaving",
+ "process": "entry", "address": "[::1]:7002", "server": null}
+]}"#;
+
+/// Guards against a list that is refused, or read with a state or process mistaken.
+#[test]
+fn published_list_is_read() {
+    let list: HostList = LIST.parse().expect("valid list");
+    assert_eq!(list.revision, Revision(4));
+    assert_eq!(list.hosts[0].server, Some("notes-1".parse().unwrap()));
+    assert_eq!(list.hosts[0].state, HostState::Live);
+    assert_eq!(list.hosts[1].state, HostState::Leaving);
+    assert_eq!(list.hosts[1].process, ProcessKind::Entry);
+}
+
+/// Guards against a faulty list that comes in force, or a finding without its key.
+#[parameterized(
+    syntax = { "]}", "]", "hosts:6: " },
+    revision = { "\"revision\": 4", "\"revision\": \"4\"", "hosts: revision: expected a whole number" },
+    no_hosts = { "\"hosts\"", "\"machines\"", "hosts: hosts: expected an array" },
+    state = { "\"leaving\"", "\"gone\"", "hosts: hosts[1].state: expected live or leaving, found \"gone\"" },
+    host_name = { "127.0.0.1:7001", "localhost:7001", "hosts: hosts[0].address: invalid socket address" },
+    no_zone = { "\"availability_zone\": \"litoral-b\", ", "", "hosts: hosts[1].availability_zone: missing" },
+    no_server = { ", \"server\": \"notes-1\"", "", "hosts: hosts[0].server: missing" },
+    entry_with_server = { "\"server\": null", "\"server\": \"notes-2\"", "hosts: hosts[1].server: an entry has no backend server" },
+    duplicate = { "\"h2\"", "\"h1\"", "hosts: hosts: host h1 is listed twice" },
+)]
+fn finding(valid: &str, faulty: &str, expected: &str) {
+    let found = LIST.replacen(valid, faulty, 1).parse::<HostList>();
+    let found = found.expect_err("findings").to_string();
+    let has_finding = found.lines().any(|line| line.starts_with(expected));
+    assert!(has_finding, "{found}");
+}
+
+/// Guards against refusing the list while a leaving host is being replaced, and against two live
+/// hosts for one server, between which no entry could choose.
+#[parameterized(
+    replaced = { "leaving", true },
+    doubled = { "live", false },
+)]
+fn server_on_two_hosts(other_state: &str, is_valid: bool) {
+    let host = |name: &str, state: &str| {
+        format!(
+            r#"{{"host":"{name}","region":"r","availability_zone":"z","state":"{state}","process":"agent","address":"127.0.0.1:1","server":"s"}}"#
+        )
+    };
+    let hosts = [host("h1", "live"), host("h2", other_state)].join(",");
+    let text = format!(r#"{{"revision":1,"hosts":[{hosts}]}}"#);
+    assert_eq!(text.parse::<HostList>().is_ok(), is_valid);
+}
+
+fn entries() -> impl Strategy<Value = Vec<HostEntry>> {
+    let entry = (
+        "[a-z\"\\\\é]{1,8}",
+        any::<bool>(),
+        any::<bool>(),
+        any::<[u8; 4]>(),
+    );
+    prop::collection::vec(entry, 0..8).prop_map(|entries| {
+        let hosts = entries.into_iter().enumerate();
+        hosts
+            .map(|(index, (name, is_live, is_agent, ip))| HostEntry {
+                host: format!("{name}{index}").parse().expect("name"),
+                region: name.parse().expect("name"),
+                zone: name.parse().expect("name"),
+                state: if is_live {
+                    HostState::Live
+                } else {
+                    HostState::Leaving
+                },
+                process: if is_agent {
+                    ProcessKind::Agent
+                } else {
+                    ProcessKind::Entry
+                },
+                address: std::net::SocketAddr::from((ip, 80)).to_string(),
+                server: is_agent.then(|| format!("{name}{index}").parse().expect("name")),
+            })
+            .collect()
+    })
+}
+
+proptest! {
+    #![proptest_config(Config {
+        rng_seed: RngSeed::Fixed(5),
+        rng_algorithm: RngAlgorithm::ChaCha,
+        failure_persistence: None,
+        ..Config::default()
+    })]
+
+    /// Guards against a printed host list that a peer reads as another list.
+    #[test]
+    fn text_parses_back(revision: u64, hosts in entries()) {
+        let list = HostList { revision: Revision(revision), hosts };
+        prop_assert_eq!(list.to_string().parse::<HostList>(), Ok(list));
+    }
+}
