--- /dev/null
+++ b/crates/settings/src/value.rs
@@ -0,0 +1,364 @@
+//! Types of values and how each is read and printed.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::str::FromStr;
+
+use cuminlead_types::{
+    AvailabilityZoneName, BackendServerId, BitsPerSecond, Bytes, DurationUs, EntryId, HostId,
+    KvPieces, RegionName, Slots, TokensPerSecond,
+};
+use strum::{Display, EnumString, IntoStaticStr, VariantNames};
+use toml::de::DeValue;
+
+use crate::key::NumberRange;
+
+/// Fewest characters of a peer secret; 16 random bytes in Base64 have more.
+pub const SECRET_MIN_CHARS: usize = 16;
+
+/// Why a value was not accepted; never holds the value of a secret.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ValueError(String);
+
+impl ValueError {
+    fn expected(kind: &str) -> Self {
+        Self(format!("expected {kind}"))
+    }
+}
+
+impl fmt::Display for ValueError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl std::error::Error for ValueError {}
+
+/// Type of a value in a settings file.
+pub trait Setting: Sized {
+    /// What values look like.
+    const KIND: &'static str;
+
+    /// Reads a TOML value.
+    fn read(value: &DeValue<'_>, range: Option<NumberRange>) -> Result<Self, ValueError>;
+
+    /// TOML form, or `None` when there is no value.
+    fn print(&self) -> Option<String>;
+
+    /// Value of a key that is not set and has no default.
+    fn absent() -> Option<Self> {
+        None
+    }
+}
+
+impl<T: Setting> Setting for Option<T> {
+    const KIND: &'static str = T::KIND;
+
+    fn read(value: &DeValue<'_>, range: Option<NumberRange>) -> Result<Self, ValueError> {
+        T::read(value, range).map(Some)
+    }
+
+    fn print(&self) -> Option<String> {
+        self.as_ref().and_then(T::print)
+    }
+
+    fn absent() -> Option<Self> {
+        Some(None)
+    }
+}
+
+/// Length of time in milliseconds, the unit of settings.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct DurationMs(pub u64);
+
+impl fmt::Display for DurationMs {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+impl From<DurationMs> for DurationUs {
+    fn from(duration: DurationMs) -> Self {
+        Self::from_ms(duration.0)
+    }
+}
+
+impl From<DurationMs> for std::time::Duration {
+    fn from(duration: DurationMs) -> Self {
+        Self::from_millis(duration.0)
+    }
+}
+
+/// Number of things.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Count(pub u32);
+
+impl fmt::Display for Count {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+/// Fraction from 0 to 1.
+#[derive(Clone, Copy, Debug, Default, PartialEq, PartialOrd)]
+pub struct Fraction(f64);
+
+impl Fraction {
+    /// Plain number.
+    pub const fn get(self) -> f64 {
+        self.0
+    }
+}
+
+impl fmt::Display for Fraction {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:?}", self.0)
+    }
+}
+
+impl Setting for Fraction {
+    const KIND: &'static str = "fraction from 0.0 to 1.0";
+
+    fn read(value: &DeValue<'_>, _: Option<NumberRange>) -> Result<Self, ValueError> {
+        let number = match value {
+            DeValue::Float(number) => number.as_str().parse().ok(),
+            DeValue::Integer(number) => number.as_str().parse().ok(),
+            _ => None,
+        };
+        let is_valid = |number: &f64| (0.0..=1.0).contains(number);
+        let number = number.filter(is_valid);
+        number
+            .map(Self)
+            .ok_or_else(|| ValueError::expected(Self::KIND))
+    }
+
+    fn print(&self) -> Option<String> {
+        Some(self.to_string())
+    }
+}
+
+/// Shared token that entries present to agents; printed and debugged without its value.
+#[derive(Clone, PartialEq, Eq)]
+pub struct Secret(String);
+
+impl Secret {
+    /// Value, for sending and comparing.
+    pub fn expose(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Display for Secret {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("redacted")
+    }
+}
+
+impl fmt::Debug for Secret {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "Secret({self})")
+    }
+}
+
+impl Setting for Secret {
+    const KIND: &'static str = "text of at least 16 visible characters";
+
+    fn read(value: &DeValue<'_>, _: Option<NumberRange>) -> Result<Self, ValueError> {
+        let is_valid = |text: &&str| {
+            text.len() >= SECRET_MIN_CHARS && text.chars().all(|c| c.is_ascii_graphic())
+        };
+        let text = read_text(value).filter(is_valid);
+        text.map(|text| Self(text.to_string()))
+            .ok_or_else(|| ValueError::expected(Self::KIND))
+    }
+
+    fn print(&self) -> Option<String> {
+        Some(quoted(&self.to_string()))
+    }
+}
+
+/// Defines a name that only settings use.
+macro_rules! setting_name {
+    ($(#[doc = $doc:literal])* $name:ident) => {
+        $(#[doc = $doc])*
+        #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+        pub struct $name(String);
+
+        impl $name {
+            /// Text of the name.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = ValueError;
+
+            fn from_str(text: &str) -> Result<Self, Self::Err> {
+                let is_name_char = |c: char| c.is_ascii_alphanumeric() || "-_.".contains(c);
+                if !text.is_empty() && text.chars().all(is_name_char) {
+                    Ok(Self(text.to_string()))
+                } else {
+                    Err(ValueError::expected("letters, digits, -, _ and ."))
+                }
+            }
+        }
+    };
+}
+
+setting_name!(
+    /// Name of a routing policy plug-in; the registry knows which ones are linked in.
+    RoutingPolicyName
+);
+setting_name!(
+    /// Name of an agent process.
+    AgentName
+);
+
+/// Least severe log lines that are written.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    Hash,
+    Display,
+    EnumString,
+    IntoStaticStr,
+    VariantNames,
+)]
+#[strum(serialize_all = "snake_case")]
+pub enum LogLevel {
+    /// Every step, for development.
+    Trace,
+    /// Decisions in detail.
+    Debug,
+    /// Events of normal operation.
+    #[default]
+    Info,
+    /// Events that need attention when they go on.
+    Warning,
+    /// Failures.
+    Error,
+}
+
+/// Kind of backend server beside an agent.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    Hash,
+    Display,
+    EnumString,
+    IntoStaticStr,
+    VariantNames,
+)]
+#[strum(serialize_all = "snake_case")]
+pub enum BackendKind {
+    /// Model engine.
+    #[default]
+    Engine,
+    /// Plain service.
+    Service,
+}
+
+fn read_text<'v>(value: &'v DeValue<'_>) -> Option<&'v str> {
+    match value {
+        DeValue::String(text) => Some(text),
+        _ => None,
+    }
+}
+
+fn read_number(
+    value: &DeValue<'_>,
+    kind: &str,
+    range: Option<NumberRange>,
+) -> Result<u64, ValueError> {
+    let number = match value {
+        DeValue::Integer(digits) => u64::from_str_radix(digits.as_str(), digits.radix()).ok(),
+        _ => None,
+    };
+    let number = number.ok_or_else(|| ValueError::expected(kind))?;
+    match range {
+        Some(range) if !(range.min..=range.max).contains(&number) => Err(ValueError(format!(
+            "{number} is out of range {} to {}",
+            range.min, range.max
+        ))),
+        _ => Ok(number),
+    }
+}
+
+fn quoted(text: &str) -> String {
+    toml::Value::String(text.to_string()).to_string()
+}
+
+/// Implements [`Setting`] for types of whole numbers.
+macro_rules! number_setting {
+    ($($name:ident($inner:ty) = $kind:literal;)*) => {$(
+        impl Setting for $name {
+            const KIND: &'static str = $kind;
+
+            fn read(value: &DeValue<'_>, range: Option<NumberRange>) -> Result<Self, ValueError> {
+                let number = read_number(value, Self::KIND, range)?;
+                let number = <$inner>::try_from(number);
+                number.map(Self).map_err(|_| ValueError::expected(Self::KIND))
+            }
+
+            fn print(&self) -> Option<String> {
+                Some(self.to_string())
+            }
+        }
+    )*};
+}
+
+/// Implements [`Setting`] for types that are written as text.
+macro_rules! text_setting {
+    ($($name:ident = $kind:literal;)*) => {$(
+        impl Setting for $name {
+            const KIND: &'static str = $kind;
+
+            fn read(value: &DeValue<'_>, _: Option<NumberRange>) -> Result<Self, ValueError> {
+                let text = read_text(value).ok_or_else(|| ValueError::expected(Self::KIND))?;
+                text.parse().map_err(|_| ValueError(format!("expected {}, found {text:?}", Self::KIND)))
+            }
+
+            fn print(&self) -> Option<String> {
+                Some(quoted(&self.to_string()))
+            }
+        }
+    )*};
+}
+
+number_setting!(
+    DurationMs(u64) = "milliseconds";
+    Count(u32) = "number";
+    Bytes(u64) = "bytes";
+    BitsPerSecond(u64) = "bits per second";
+    TokensPerSecond(u64) = "tokens per second";
+    Slots(u32) = "slots";
+    KvPieces(u32) = "KV pieces";
+);
+
+text_setting!(
+    EntryId = "name";
+    AgentName = "name";
+    HostId = "name";
+    RegionName = "name";
+    AvailabilityZoneName = "name";
+    BackendServerId = "name";
+    RoutingPolicyName = "name of a routing policy";
+    SocketAddr = "IP address and port";
+    LogLevel = "trace, debug, info, warning or error";
+    BackendKind = "engine or service";
+);
