Add admission: leases, queue, fair share and retained output

An agent needs one owner of its engine's capacity. `Admission` holds the ledger of slots and KV pieces, the bounded queue, the lease of each attempt from reservation or prefill to release, and the chunks that the entry has not acknowledged. It is pure: each function takes the present time and appends actions.

The prefill estimate treats the engine as computing prompts one after the other at the configured rate.

--- /dev/null
+++ b/crates/admission/src/config.rs
@@ -0,0 +1,40 @@
+//! Limits of admission.
+
+use cuminlead_types::{DurationUs, Incarnation, KvPieces, Slots, TokensPerSecond};
+
+/// Limits of admission.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AdmissionConfig {
+    /// Life of the agent, carried by each chunk.
+    pub incarnation: Incarnation,
+    /// Places in the engine's batch.
+    pub slots: Slots,
+    /// KV pieces that may be used.
+    pub pieces: KvPieces,
+    /// Most requests that wait.
+    pub queue_max_count: usize,
+    /// Longest lease without a sign of the entry.
+    pub lease_max_us: DurationUs,
+    /// Time after which an attempt without an attached entry is cancelled.
+    pub orphan_us: DurationUs,
+    /// Time that a finished prefill is held.
+    pub kv_hold_us: DurationUs,
+    /// Time that a finished answer is retained.
+    pub answer_hold_us: DurationUs,
+    /// Time after which an import has failed.
+    pub import_timeout_us: DurationUs,
+    /// Longest silence on a decode stream.
+    pub heartbeat_us: DurationUs,
+    /// Prefill rate of the engine.
+    pub prefill_rate: TokensPerSecond,
+}
+
+impl AdmissionConfig {
+    /// Longest time that a request may wait or compute without a sign of its entry.
+    ///
+    /// A finished prefill is held for `kv_hold_us` more, and both together must not exceed the
+    /// longest lease, which bounds how long memory is held for an entry that is gone.
+    pub fn silent_max_us(&self) -> DurationUs {
+        self.lease_max_us.saturating_sub(self.kv_hold_us)
+    }
+}
--- /dev/null
+++ b/crates/admission/src/stream.rs
@@ -0,0 +1,253 @@
+//! Decode streams: start, resume, acknowledgement and cancel.
+
+use cuminlead_protocol::{
+    AgentFailure, DecodeControl, DecodeMode, DecodeOpen, DecodeResume, DecodeStart, EngineCommand,
+    RefusalReason,
+};
+use cuminlead_types::{Sequence, TimeUs};
+
+use crate::action::{AdmissionAction, ReleaseCause, StreamNote, StreamRef};
+use crate::context::Admission;
+use crate::lease::{Decoding, Lease, LeaseKey, LeaseState, Phase, ReserveTerms};
+use crate::output::Output;
+
+impl Admission {
+    /// A decode stream was opened.
+    pub fn stream_opened(
+        &mut self,
+        now: TimeUs,
+        stream: StreamRef,
+        open: DecodeOpen,
+        actions: &mut Vec<AdmissionAction>,
+    ) {
+        self.advance(now, actions);
+        let opened = self.find_owned(&open).map_or_else(
+            || Err(RefusalReason::NoSuchLease),
+            |key| match &open.mode {
+                DecodeMode::Start(start) => self.start_or_join(now, key, stream, start, actions),
+                DecodeMode::Resume(resume) => self.resume(now, key, stream, resume, actions),
+            },
+        );
+        if let Err(reason) = opened {
+            Self::refuse(
+                open.envelope.id,
+                &open.envelope.customer,
+                &[],
+                reason,
+                actions,
+            );
+            Self::fail_stream(stream, AgentFailure::Refused(reason), actions);
+        }
+        self.grant(now, actions);
+    }
+
+    /// A message came on a decode stream; one that is not attached any more is ignored.
+    pub fn stream_control(
+        &mut self,
+        now: TimeUs,
+        stream: StreamRef,
+        control: DecodeControl,
+        actions: &mut Vec<AdmissionAction>,
+    ) {
+        self.advance(now, actions);
+        let Some(key) = self.leases.find_stream(stream) else {
+            return;
+        };
+        match control {
+            DecodeControl::Acknowledge(next) => self.acknowledge(now, key, next, actions),
+            DecodeControl::Cancel => {
+                if let Some(lease) = self.leases.get(key) {
+                    self.released.insert(now, lease.id);
+                }
+                self.free(now, key, ReleaseCause::Released, actions);
+            }
+        }
+        self.grant(now, actions);
+    }
+
+    /// A decode stream ended; the entry may resume over a fresh one.
+    pub fn stream_closed(
+        &mut self,
+        now: TimeUs,
+        stream: StreamRef,
+        actions: &mut Vec<AdmissionAction>,
+    ) {
+        self.advance(now, actions);
+        let Some(key) = self.leases.detach(stream) else {
+            return;
+        };
+        let lease = self.leases.get_mut(key);
+        let Some(decoding) = lease.and_then(Lease::decoding_mut) else {
+            return;
+        };
+        if !decoding.is_in_engine() {
+            decoding.heard_at = now;
+        }
+    }
+
+    fn find_owned(&self, open: &DecodeOpen) -> Option<LeaseKey> {
+        let key = self.leases.find(open.envelope.id)?;
+        let lease = self.leases.get(key)?;
+        (lease.owner == open.envelope.entry).then_some(key)
+    }
+
+    fn start_or_join(
+        &mut self,
+        now: TimeUs,
+        key: LeaseKey,
+        stream: StreamRef,
+        start: &DecodeStart,
+        actions: &mut Vec<AdmissionAction>,
+    ) -> Result<(), RefusalReason> {
+        let lease = self.leases.get(key).ok_or(RefusalReason::NoSuchLease)?;
+        let start_id = lease.id;
+        match &lease.state {
+            LeaseState::Reserved(reserved) => {
+                let terms = reserved.terms;
+                self.start_import(now, key, stream, start, terms, actions);
+            }
+            LeaseState::Decoding(decoding) => {
+                let is_new_import =
+                    matches!(decoding.phase, Phase::Importing { .. }) && decoding.kv != start.kv;
+                let terms = decoding.terms;
+                if is_new_import {
+                    self.detach_replaced(key, actions);
+                    let id = start_id;
+                    actions.push(AdmissionAction::Engine(EngineCommand::Cancel { id }));
+                    self.start_import(now, key, stream, start, terms, actions);
+                } else {
+                    self.attach(now, key, stream, actions);
+                }
+            }
+            _ => return Err(RefusalReason::NoSuchLease),
+        }
+        Ok(())
+    }
+
+    fn start_import(
+        &mut self,
+        now: TimeUs,
+        key: LeaseKey,
+        stream: StreamRef,
+        start: &DecodeStart,
+        terms: ReserveTerms,
+        actions: &mut Vec<AdmissionAction>,
+    ) {
+        let Some(lease) = self.leases.get_mut(key) else {
+            return;
+        };
+        // More tokens than reserved would not fit into the reserved pieces.
+        let output_max_tokens = start.output_max_tokens.min(terms.output_max_tokens);
+        actions.push(AdmissionAction::Engine(EngineCommand::Decode {
+            id: lease.id,
+            target: lease.target.clone(),
+            priority: lease.priority,
+            kv: start.kv.clone(),
+            output_max_tokens,
+        }));
+        lease.missed_inventories_count = 0;
+        lease.state = LeaseState::Decoding(Decoding {
+            terms,
+            kv: start.kv.clone(),
+            phase: Phase::Importing {
+                until: now + self.config.import_timeout_us,
+            },
+            progress_at: now,
+            heard_at: now,
+            attached: None,
+            output: Output::new(lease.id, self.config.incarnation, start.first_sequence),
+        });
+        self.leases.attach(key, stream, now);
+    }
+
+    fn resume(
+        &mut self,
+        now: TimeUs,
+        key: LeaseKey,
+        stream: StreamRef,
+        resume: &DecodeResume,
+        actions: &mut Vec<AdmissionAction>,
+    ) -> Result<(), RefusalReason> {
+        if resume.incarnation != self.config.incarnation {
+            return Err(RefusalReason::NoSuchLease);
+        }
+        let lease = self.leases.get_mut(key);
+        let decoding = lease
+            .and_then(Lease::decoding_mut)
+            .ok_or(RefusalReason::NoSuchLease)?;
+        if !decoding.output.can_resume_at(resume.next_sequence) {
+            return Err(RefusalReason::Malformed);
+        }
+        decoding.output.acknowledge(resume.next_sequence);
+        self.attach(now, key, stream, actions);
+        self.end_if_delivered(now, key, actions);
+        Ok(())
+    }
+
+    /// Attaches a stream and sends everything that is retained.
+    fn attach(
+        &mut self,
+        now: TimeUs,
+        key: LeaseKey,
+        stream: StreamRef,
+        actions: &mut Vec<AdmissionAction>,
+    ) {
+        let replaced = self.leases.attach(key, stream, now);
+        actions.extend(replaced.map(|stream| AdmissionAction::CloseStream { stream }));
+        let lease = self.leases.get_mut(key);
+        let Some(decoding) = lease.and_then(Lease::decoding_mut) else {
+            return;
+        };
+        if !matches!(decoding.phase, Phase::Importing { .. }) {
+            let note = StreamNote::Imported;
+            actions.push(AdmissionAction::Send { stream, note });
+        }
+        for chunk in decoding.output.retained() {
+            let note = StreamNote::Chunk(chunk.clone());
+            actions.push(AdmissionAction::Send { stream, note });
+        }
+    }
+
+    fn acknowledge(
+        &mut self,
+        now: TimeUs,
+        key: LeaseKey,
+        next: Sequence,
+        actions: &mut Vec<AdmissionAction>,
+    ) {
+        let lease = self.leases.get_mut(key);
+        let Some(decoding) = lease.and_then(Lease::decoding_mut) else {
+            return;
+        };
+        decoding.heard_at = now;
+        decoding.output.acknowledge(next);
+        self.end_if_delivered(now, key, actions);
+    }
+
+    fn end_if_delivered(&mut self, now: TimeUs, key: LeaseKey, actions: &mut Vec<AdmissionAction>) {
+        let lease = self.leases.get_mut(key);
+        let decoding = lease.and_then(Lease::decoding_mut);
+        if decoding.is_some_and(|decoding| decoding.output.is_delivered()) {
+            self.free(now, key, ReleaseCause::Finished, actions);
+        }
+    }
+
+    fn detach_replaced(&mut self, key: LeaseKey, actions: &mut Vec<AdmissionAction>) {
+        let stream = self.leases.get(key).and_then(Lease::stream);
+        if let Some(stream) = stream {
+            self.leases.detach(stream);
+            actions.push(AdmissionAction::CloseStream { stream });
+        }
+    }
+
+    /// Tells an entry that its attempt has failed and ends the stream.
+    pub(crate) fn fail_stream(
+        stream: StreamRef,
+        failure: AgentFailure,
+        actions: &mut Vec<AdmissionAction>,
+    ) {
+        let note = StreamNote::Failed(failure);
+        actions.push(AdmissionAction::Send { stream, note });
+        actions.push(AdmissionAction::CloseStream { stream });
+    }
+}
