Add permits and idempotency keys

A non-idempotent call needs a single-use permit of one incarnation, and a keyed call needs an owner that remembers the key, so that a lost answer never makes a call run twice. One record holds what is known about a permit and its key. A query voids an unused permit; an outcome that is no longer retained is answered unknown.

Ruled out: honouring Idempotency-Issued-At-Ms from 5 s after a change of the server list. An owner that is cut off runs keyed calls under the old list until its lists are stale, so the time from which a key counts as certainly new is the change plus the staleness time plus the margin. The first lists of an incarnation count as a change for keys without that header, because the incarnation cannot know when they were published.

--- /dev/null
+++ b/crates/permits/src/owner.rs
@@ -0,0 +1,51 @@
+//! The server that owns an idempotency key.
+//!
+//! Rendezvous hashing over the servers that the lists name: every process with the same lists
+//! computes the same owner, whatever it thinks of the servers' health, and removing one server
+//! moves only the keys of that server.
+
+use cuminlead_types::{BackendServerId, CustomerId, IdempotencyKey, ServiceName};
+use xxhash_rust::xxh3::Xxh3;
+
+/// Seed of the owner hash. All processes of a fleet must use the same one, because two owners of
+/// a key could both run its call.
+pub const OWNER_HASH_SEED: u64 = 0x6375_6d69_6e6b_6579;
+
+/// Separator between hashed names, which contain no control characters.
+const SEPARATOR: &[u8] = &[0];
+
+/// Idempotency key within the customer and service that it is used for.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct KeyId {
+    /// Customer.
+    pub customer: CustomerId,
+    /// Service.
+    pub service: ServiceName,
+    /// Key given by the caller.
+    pub key: IdempotencyKey,
+}
+
+/// Server that owns a key among the servers that the lists name for its service.
+pub fn owner_of<'a>(
+    key: &KeyId,
+    servers: impl IntoIterator<Item = &'a BackendServerId>,
+) -> Option<&'a BackendServerId> {
+    servers
+        .into_iter()
+        .max_by_key(|server| (score(key, server), *server))
+}
+
+fn score(key: &KeyId, server: &BackendServerId) -> u64 {
+    let mut hasher = Xxh3::with_seed(OWNER_HASH_SEED);
+    let names = [
+        key.customer.as_str(),
+        key.service.as_str(),
+        key.key.as_str(),
+        server.as_str(),
+    ];
+    for name in names {
+        hasher.update(name.as_bytes());
+        hasher.update(SEPARATOR);
+    }
+    hasher.digest()
+}
--- /dev/null
+++ b/crates/permits/src/permits.rs
@@ -0,0 +1,303 @@
+//! `Permits`: issues, starts, voids and remembers permits at one agent.
+//!
+//! Rules that the safety of non-idempotent calls rests on:
+//!
+//! - A permit starts only from the state issued, before its end, at the incarnation that issued it.
+//! - A query for a permit that has not started voids it, so "not run" is true from then on.
+//! - A key maps to one permit at a time. Only a voided permit frees its key before the retention
+//!   time has passed.
+//! - What is not known is answered *unknown*, never *voided*.
+
+use cuminlead_lists::{Lists, ServerDuty};
+use cuminlead_protocol::{
+    AgentFailure, HttpResponse, IssuePermit, PermitIssued, PermitOutcome, RefusalReason, ReplyBody,
+    RunCall,
+};
+use cuminlead_types::{DurationUs, Now, PermitId, ServiceName, TimeUs};
+
+use crate::config::PermitsConfig;
+use crate::history::History;
+use crate::owner::{KeyId, owner_of};
+use crate::table::{PermitRecord, PermitState, PermitTable};
+
+/// How a call under a permit ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum RunOutcome {
+    /// The service answered.
+    Answered(HttpResponse),
+    /// No connection was made, so the service did not run the call.
+    NotSent,
+    /// The connection ended after the call was sent.
+    Lost,
+}
+
+/// Permits and idempotency keys of one agent.
+#[derive(Clone, Debug)]
+pub struct Permits {
+    config: PermitsConfig,
+    history: History,
+    table: PermitTable,
+    voided: Vec<PermitId>,
+}
+
+impl Permits {
+    /// Empty context of an incarnation that starts at `now`.
+    pub fn new(now: Now, config: PermitsConfig) -> Self {
+        Self {
+            config,
+            history: History::new(now),
+            table: PermitTable::default(),
+            voided: Vec::new(),
+        }
+    }
+
+    /// Takes lists into force.
+    pub fn apply_lists(&mut self, now: Now, lists: &Lists) {
+        let service = self.own_service(lists);
+        self.history.apply(now, lists, service);
+    }
+
+    /// Notes that the configuration service or a peer confirmed the lists in force as the newest.
+    pub fn confirm_lists(&mut self, now: TimeUs) {
+        self.history.confirm(now);
+    }
+
+    /// Issues a permit, or answers from what is known about the key.
+    ///
+    /// `lists` are the lists in force, given to [`Permits::apply_lists`] before.
+    pub fn issue(&mut self, now: Now, lists: &Lists, message: &IssuePermit) -> ReplyBody {
+        self.expire(now.mono_us);
+        if self.own_service(lists) != Some(&message.service) {
+            return refused(RefusalReason::NotServed);
+        }
+        let key = key_of(message);
+        if let Some(key) = &key
+            && let Some(answer) = self.answer_of_key(now, lists, message, key)
+        {
+            return answer;
+        }
+        if !self.table.make_room(self.config.record_max_count) {
+            return refused(RefusalReason::QueueFull);
+        }
+        self.insert(now.mono_us, message, key)
+    }
+
+    /// Starts the call of a message under its permit; the caller then forwards the call once.
+    pub fn start(&mut self, now: TimeUs, message: &RunCall) -> Result<PermitId, RefusalReason> {
+        self.expire(now);
+        let permit = message.permit.ok_or(RefusalReason::PermitMissing)?;
+        let record = self
+            .record(permit)
+            .filter(|record| record.state == PermitState::Issued)
+            .filter(|record| is_for(record, message))
+            .ok_or(RefusalReason::PermitInvalid)?;
+        debug_assert!(record.until.is_some_and(|until| now < until));
+        self.table
+            .set_state(permit.number, PermitState::Running, None);
+        Ok(permit)
+    }
+
+    /// Notes how the call of a permit ended and returns the outcome from then on.
+    ///
+    /// An end that is reported twice, or for a permit that was not started, changes nothing.
+    pub fn finish(&mut self, now: TimeUs, permit: PermitId, outcome: &RunOutcome) -> PermitOutcome {
+        let Some(record) = self.record(permit) else {
+            return PermitOutcome::Unknown;
+        };
+        if record.state != PermitState::Running {
+            return outcome_of(&record.state);
+        }
+        let state = ended_state(outcome);
+        let answer = outcome_of(&state);
+        if state == PermitState::Voided {
+            self.void(now, permit.number);
+        } else {
+            let until = now + self.hold_us(record);
+            self.table.set_state(permit.number, state, Some(until));
+            self.table
+                .trim_responses(self.config.retained_max_bytes.get());
+        }
+        answer
+    }
+
+    /// Outcome of a permit; one that has not started is voided.
+    pub fn ask(&mut self, now: TimeUs, permit: PermitId) -> ReplyBody {
+        self.expire(now);
+        let state = self.record(permit).map(|record| &record.state);
+        if state == Some(&PermitState::Issued) {
+            self.void(now, permit.number);
+        }
+        let outcome = self
+            .record(permit)
+            .map_or(PermitOutcome::Unknown, |record| outcome_of(&record.state));
+        ReplyBody::PermitOutcome(outcome)
+    }
+
+    /// Voids unused permits and forgets outcomes whose time has come.
+    pub fn expire(&mut self, now: TimeUs) {
+        while let Some(due) = self.table.ended(now) {
+            let state = self.table.get(due.number).map(|record| &record.state);
+            if state == Some(&PermitState::Issued) {
+                self.void(due.at, due.number);
+            } else {
+                self.table.remove(due.number);
+            }
+        }
+    }
+
+    /// Time at which [`Permits::expire`] has something to do.
+    pub fn next_deadline(&self) -> Option<TimeUs> {
+        self.table.next_deadline()
+    }
+
+    /// Permits voided since the last call of this function, for records.
+    pub fn take_voided(&mut self) -> Vec<PermitId> {
+        std::mem::take(&mut self.voided)
+    }
+
+    /// Permits that are issued and not used.
+    pub fn issued_count(&self) -> usize {
+        self.table.issued_count()
+    }
+
+    /// Permits whose calls are running.
+    pub fn running_count(&self) -> usize {
+        self.table.running_count()
+    }
+
+    /// Bytes of retained responses.
+    pub fn retained_bytes(&self) -> u64 {
+        self.table.retained_bytes()
+    }
+
+    fn own_service<'a>(&self, lists: &'a Lists) -> Option<&'a ServiceName> {
+        match &lists.servers.get(&self.config.server)?.duty {
+            ServerDuty::Service(service) => Some(service),
+            ServerDuty::Engine(_) => None,
+        }
+    }
+
+    /// Answer for a keyed message that gets no new permit.
+    fn answer_of_key(
+        &mut self,
+        now: Now,
+        lists: &Lists,
+        message: &IssuePermit,
+        key: &KeyId,
+    ) -> Option<ReplyBody> {
+        let owner = owner_of(key, lists.servers_of_service(&key.service));
+        if owner != Some(&self.config.server) {
+            return Some(refused(RefusalReason::NotOwner));
+        }
+        if !self.history.is_confirmed(now.mono_us, &self.config) {
+            return Some(refused(RefusalReason::ListsUnconfirmed));
+        }
+        let Some(number) = self.table.number_of_key(key) else {
+            let issued_at = message.key_issued_at_ms;
+            let could_have_run = self.history.could_have_run(now, issued_at, &self.config);
+            return could_have_run.then_some(ReplyBody::KeyUnknown);
+        };
+        self.answer_of_record(now.mono_us, message, number)
+    }
+
+    fn answer_of_record(
+        &mut self,
+        now: TimeUs,
+        message: &IssuePermit,
+        number: u64,
+    ) -> Option<ReplyBody> {
+        let record = self.table.get(number)?;
+        match &record.state {
+            PermitState::Done(http) => Some(ReplyBody::KeyReplayed(http.clone())),
+            PermitState::Unknown => Some(ReplyBody::KeyUnknown),
+            PermitState::Issued if record.request == message.envelope.id.request => {
+                // The entry repeats its message because the reply was lost. The earlier permit is
+                // voided, so only the new one can start the call.
+                self.void(now, number);
+                None
+            }
+            PermitState::Issued | PermitState::Running => Some(ReplyBody::KeyRunning),
+            PermitState::Voided => None,
+        }
+    }
+
+    fn insert(&mut self, now: TimeUs, message: &IssuePermit, key: Option<KeyId>) -> ReplyBody {
+        let expires_in_us = self.config.permit_ttl_us;
+        let number = self.table.insert(PermitRecord {
+            request: message.envelope.id.request,
+            customer: message.envelope.customer.clone(),
+            service: message.service.clone(),
+            key,
+            state: PermitState::Issued,
+            until: Some(now + expires_in_us),
+        });
+        let permit = self.permit_of(number);
+        ReplyBody::PermitIssued(PermitIssued {
+            permit,
+            expires_in_us,
+        })
+    }
+
+    fn void(&mut self, now: TimeUs, number: u64) {
+        let until = now + self.config.outcome_hold_us;
+        self.table
+            .set_state(number, PermitState::Voided, Some(until));
+        self.voided.push(self.permit_of(number));
+    }
+
+    fn permit_of(&self, number: u64) -> PermitId {
+        PermitId {
+            incarnation: self.config.incarnation,
+            number,
+        }
+    }
+
+    fn record(&self, permit: PermitId) -> Option<&PermitRecord> {
+        if permit.incarnation != self.config.incarnation {
+            return None;
+        }
+        self.table.get(permit.number)
+    }
+
+    fn hold_us(&self, record: &PermitRecord) -> DurationUs {
+        match record.key {
+            Some(_) => self.config.key_retention_us,
+            None => self.config.outcome_hold_us,
+        }
+    }
+}
+
+fn key_of(message: &IssuePermit) -> Option<KeyId> {
+    Some(KeyId {
+        customer: message.envelope.customer.clone(),
+        service: message.service.clone(),
+        key: message.key.clone()?,
+    })
+}
+
+fn is_for(record: &PermitRecord, message: &RunCall) -> bool {
+    record.request == message.envelope.id.request
+        && record.customer == message.envelope.customer
+        && record.service == message.service
+}
+
+fn ended_state(outcome: &RunOutcome) -> PermitState {
+    match outcome {
+        RunOutcome::Answered(http) => PermitState::Done(http.clone()),
+        RunOutcome::NotSent => PermitState::Voided,
+        RunOutcome::Lost => PermitState::Unknown,
+    }
+}
+
+fn outcome_of(state: &PermitState) -> PermitOutcome {
+    match state {
+        PermitState::Issued | PermitState::Running => PermitOutcome::Running,
+        PermitState::Done(http) => PermitOutcome::Done(http.clone()),
+        PermitState::Unknown => PermitOutcome::Unknown,
+        PermitState::Voided => PermitOutcome::Voided,
+    }
+}
+
+fn refused(reason: RefusalReason) -> ReplyBody {
+    ReplyBody::Failed(AgentFailure::Refused(reason))
+}
