--- /dev/null
+++ b/crates/retry/src/budget.rs
@@ -0,0 +1,86 @@
+//! How many retries a backend server may get.
+//!
+//! Retries to a server are bounded by a share of the requests that it got lately, so that a failing
+//! server or a partition does not multiply the load of the others. The floor lets a server with
+//! little traffic be retried at all.
+
+use cuminlead_types::TimeUs;
+
+/// Window over which requests and retries are counted, in seconds.
+pub const WINDOW_S: u64 = 10;
+/// One retry is allowed for this many requests of the window.
+pub const REQUESTS_PER_RETRY: u32 = 10;
+/// Retries allowed in the window whatever the requests.
+pub const RETRIES_MIN: u32 = 3;
+
+const SLOT_US: u64 = 1_000_000;
+
+/// One slot more than the window, because the oldest slot is only partly inside it. Counting it
+/// whole for retries keeps the bound in every window.
+const SLOTS: usize = 11;
+
+/// Token bucket of retries for one backend server.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct RetryBudget {
+    requests: Window,
+    retries: Window,
+}
+
+impl RetryBudget {
+    /// Counts a request that is not a retry.
+    pub fn count_request(&mut self, now: TimeUs) {
+        self.requests.add(now);
+    }
+
+    /// Whether a retry would be allowed.
+    pub fn allows(&mut self, now: TimeUs) -> bool {
+        let requests = self.requests.count(now, SLOTS - 1);
+        let allowed = (requests / REQUESTS_PER_RETRY).max(RETRIES_MIN);
+        self.retries.count(now, SLOTS) < allowed
+    }
+
+    /// Takes one retry from the budget; false when none is left.
+    pub fn try_retry(&mut self, now: TimeUs) -> bool {
+        let is_allowed = self.allows(now);
+        if is_allowed {
+            self.retries.add(now);
+        }
+        is_allowed
+    }
+}
+
+/// Counts in slots of one second; `newest` is the second of the latest slot.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+struct Window {
+    newest: u64,
+    counts: [u32; SLOTS],
+}
+
+impl Window {
+    fn add(&mut self, now: TimeUs) {
+        self.advance(now);
+        let index = slot_index(self.newest);
+        self.counts[index] = self.counts[index].saturating_add(1);
+    }
+
+    fn count(&mut self, now: TimeUs, slots: usize) -> u32 {
+        self.advance(now);
+        (0..slots as u64)
+            .filter_map(|age| self.newest.checked_sub(age))
+            .map(|second| self.counts[slot_index(second)])
+            .fold(0, u32::saturating_add)
+    }
+
+    fn advance(&mut self, now: TimeUs) {
+        let second = now.get() / SLOT_US;
+        let passed = second.saturating_sub(self.newest).min(SLOTS as u64);
+        for age in 0..passed {
+            self.counts[slot_index(second - age)] = 0;
+        }
+        self.newest = self.newest.max(second);
+    }
+}
+
+fn slot_index(second: u64) -> usize {
+    usize::try_from(second % SLOTS as u64).unwrap_or(0)
+}
--- a/crates/retry/src/lib.rs
+++ b/crates/retry/src/lib.rs
@@ -1,5 +1,12 @@
 //! The retry table and retry budgets.
+//!
+//! | module | holds |
+//! |---|---|
+//! | [`table`] | kinds, steps, evidence and [`decide`] |
+//! | [`budget`] | how many retries a backend server may get |
 
+pub mod budget;
 pub mod table;
 
-pub use table::{CallKind, Decision, Evidence, Step};
+pub use budget::RetryBudget;
+pub use table::{ATTEMPTS_MAX, CallKind, Decision, Evidence, Step, decide, give_up, may_have_run};
