Drive model and application calls from route to ending

The traffic threads, the fault matrix and the measuring tool need one decision core for a request. ModelCall walks route, reserve, prefill, import and chunks and repeats, resumes or starts a new attempt after a failure; ApplicationCall walks permit, run and question.

The retry table of cuminlead-retry has no `decide` yet, so the rows that the calls need stand in the private module `decide`. Sharing one state machine for both kinds of call was ruled out: they have only the list of sent messages in common, which is the module `sends`.

Before: both calls ignored every event. Failures are decided but not yet covered by cases.

--- a/crates/entry-core/src/application.rs
+++ b/crates/entry-core/src/application.rs
@@ -1,13 +1,36 @@
 //! `ApplicationCall`: permit, run and question of one request to a plain service.
+//!
+//! At most one `RunCall` of a non-idempotent call is ever without proof of its fate. A permit is
+//! used for one `RunCall` only, so a refusal of that message proves that nothing ran under it.
+//!
+//! | module | holds |
+//! |---|---|
+//! | `state` | what the call knows: phase, permit, proof |
+//! | `messages` | messages to agents |
+//! | `steps` | the good path from route to response |
+//! | `keys` | replies about idempotency keys |
+//! | `recover` | what follows a failure, by the retry table |
+//! | `ending` | the one ending of the call |
 
-use cuminlead_protocol::HttpRequest;
+use cuminlead_protocol::{HttpRequest, PermitIssued};
 use cuminlead_types::{
-    BackendServerId, CustomerId, EntryId, IdempotencyKey, RequestId, Revision, ServiceName, TimeUs,
-    UnixMs,
+    Attempt, BackendServerId, CustomerId, EntryId, IdempotencyKey, RequestId, Revision,
+    ServiceName, TimeUs, UnixMs,
 };
 
 use crate::call::{Call, CallAction, CallEvent};
 use crate::config::CallConfig;
+use crate::sends::Sends;
+use crate::turn::Turn;
+
+mod ending;
+mod keys;
+mod messages;
+mod recover;
+mod state;
+mod steps;
+
+use state::{Limits, Phase, Proof};
 
 /// An application request inside its customer's plan.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -41,28 +64,67 @@
 /// State of one application request.
 #[derive(Debug)]
 pub struct ApplicationCall {
-    _config: CallConfig,
-    _request: ApplicationRequest,
+    config: CallConfig,
+    request: ApplicationRequest,
+    phase: Phase,
+    attempt: Attempt,
+    server: BackendServerId,
+    permit: Option<PermitIssued>,
+    proof: Proof,
+    limits: Limits,
+    excluded: Vec<BackendServerId>,
+    sends: Sends,
 }
 
 impl ApplicationCall {
     /// State of a request that was just accepted.
     pub fn new(config: CallConfig, request: ApplicationRequest) -> Self {
         Self {
-            _config: config,
-            _request: request,
+            config,
+            request,
+            phase: Phase::Created,
+            attempt: Attempt::ZERO,
+            server: BackendServerId::default(),
+            permit: None,
+            proof: Proof::default(),
+            limits: Limits::default(),
+            excluded: Vec::new(),
+            sends: Sends::default(),
+        }
+    }
+
+    fn handle_event(&mut self, turn: &mut Turn, event: CallEvent) {
+        match event {
+            CallEvent::Start => self.start(turn),
+            CallEvent::Routed(result) => self.routed(turn, result),
+            CallEvent::Reply { send, outcome } => self.replied(turn, send, outcome),
+            CallEvent::CallerGone => self.caller_gone(),
+            CallEvent::Deadline | CallEvent::Stream { .. } | CallEvent::StreamLost { .. } => {}
         }
     }
 }
 
 impl Call for ApplicationCall {
-    fn handle(&mut self, _now: TimeUs, _event: CallEvent, _actions: &mut Vec<CallAction>) {}
+    fn handle(&mut self, now: TimeUs, event: CallEvent, actions: &mut Vec<CallAction>) {
+        let turn = &mut Turn::new(now, actions);
+        self.check_time_limit(turn);
+        self.handle_event(turn, event);
+        self.check_deadlines(turn);
+    }
 
     fn next_deadline(&self) -> Option<TimeUs> {
-        None
+        if !self.is_running() {
+            return None;
+        }
+        let deadlines = [
+            Some(self.limits.ends_at),
+            self.pause_deadline(),
+            self.sends.next_deadline(),
+        ];
+        deadlines.into_iter().flatten().min()
     }
 
     fn is_ended(&self) -> bool {
-        false
+        self.phase == Phase::Ended
     }
 }
--- /dev/null
+++ b/crates/entry-core/src/application/messages.rs
@@ -0,0 +1,62 @@
+//! Messages of an application call to agents.
+
+use cuminlead_protocol::{AgentRequest, AskPermit, Envelope, IssuePermit, RunCall};
+use cuminlead_routing::{RouteKind, RouteNeed};
+use cuminlead_types::{AttemptId, PermitId};
+
+use super::ApplicationCall;
+
+impl ApplicationCall {
+    fn envelope(&self) -> Envelope {
+        let request = &self.request;
+        Envelope {
+            entry: request.entry.clone(),
+            id: AttemptId {
+                request: request.id,
+                attempt: self.attempt,
+            },
+            customer: request.customer.clone(),
+            lists_revision: request.lists_revision,
+            hosts_revision: request.hosts_revision,
+            traceparent: request.traceparent.clone(),
+        }
+    }
+
+    pub(super) fn permit_message(&self) -> AgentRequest {
+        AgentRequest::IssuePermit(IssuePermit {
+            envelope: self.envelope(),
+            service: self.request.service.clone(),
+            key: self.request.key.clone(),
+            key_issued_at_ms: self.request.key_issued_at_ms,
+        })
+    }
+
+    pub(super) fn run_message(&self) -> AgentRequest {
+        AgentRequest::RunCall(RunCall {
+            envelope: self.envelope(),
+            service: self.request.service.clone(),
+            permit: self.permit.map(|issued| issued.permit),
+            http: self.request.http.clone(),
+        })
+    }
+
+    pub(super) fn ask_message(&self, permit: PermitId) -> AgentRequest {
+        AgentRequest::AskPermit(AskPermit {
+            envelope: self.envelope(),
+            permit,
+        })
+    }
+
+    pub(super) fn route_need(&self) -> RouteNeed {
+        RouteNeed {
+            customer: self.request.customer.clone(),
+            kind: RouteKind::Service {
+                service: self.request.service.clone(),
+                key: self.request.key.clone(),
+            },
+            allowed: self.request.servers.clone(),
+            excluded: self.excluded.clone(),
+            is_retry: self.limits.route_count > 1,
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry-core/src/application/recover.rs
@@ -0,0 +1,128 @@
+//! What follows a failure, by the retry table.
+
+use cuminlead_protocol::RefusalReason;
+use cuminlead_retry::{CallKind, Decision, Evidence, Step};
+
+use super::ApplicationCall;
+use super::state::Phase;
+use crate::call::CallAction;
+use crate::cause::Cause;
+use crate::decide::decide;
+use crate::turn::Turn;
+
+impl ApplicationCall {
+    pub(super) fn recover(&mut self, turn: &mut Turn, step: Step, cause: Cause) {
+        self.report_failure(turn, step, cause);
+        if cause.refusal == Some(RefusalReason::NotOwner) {
+            self.retry_elsewhere(turn, step, cause);
+            return;
+        }
+        match decide(self.kind(), step, cause.evidence) {
+            Decision::RetrySame => self.retry_same(turn, step, cause),
+            Decision::RetryElsewhere => self.retry_elsewhere(turn, step, cause),
+            Decision::AskOwner | Decision::Resume => self.ask_owner(turn, step, cause),
+            Decision::ReportNotRun | Decision::ReportUnknown | Decision::Stop => {
+                self.fail(turn, cause);
+            }
+        }
+    }
+
+    fn retry_same(&mut self, turn: &mut Turn, step: Step, cause: Cause) {
+        self.limits.repeat_count += 1;
+        if self.limits.repeat_count > self.config.repeats_max_count {
+            self.retry_elsewhere(turn, step, cause);
+            return;
+        }
+        match (self.kind(), step) {
+            (_, Step::Permit) => {
+                self.count_retry(turn, cause);
+                self.send_permit(turn, true);
+            }
+            (CallKind::Idempotent, Step::Run) => {
+                self.count_retry(turn, cause);
+                self.send_run(turn, true);
+            }
+            _ => self.retry_elsewhere(turn, step, cause),
+        }
+    }
+
+    /// Tries another server. Only the owner of a key may take a call with this key, so a new route
+    /// helps only when the lists differ.
+    fn retry_elsewhere(&mut self, turn: &mut Turn, step: Step, cause: Cause) {
+        if self.must_ask() {
+            self.ask_owner(turn, step, cause);
+            return;
+        }
+        let is_owner_fixed = self.request.key.is_some() && !self.request.is_idempotent;
+        let has_other = !is_owner_fixed || cause.refusal == Some(RefusalReason::NotOwner);
+        if step == Step::Route || !has_other || !self.may_route(turn) {
+            self.fail(turn, cause);
+            return;
+        }
+        if !is_owner_fixed && !self.excluded.contains(&self.server) {
+            self.excluded.push(self.server.clone());
+        }
+        self.count_retry(turn, cause);
+        self.permit = None;
+        self.route(turn);
+    }
+
+    /// Whether a call that may not be repeated was sent and its fate is not proven.
+    fn must_ask(&self) -> bool {
+        self.kind() == CallKind::NonIdempotent && self.proof.is_last_open
+    }
+
+    /// Asks about the call at once after its answer was lost, and after a pause from then on.
+    fn ask_owner(&mut self, turn: &mut Turn, step: Step, cause: Cause) {
+        match self.phase {
+            Phase::Run(run) if self.permit.is_some() => self.send_ask(turn, run),
+            Phase::Ask { run, .. } => {
+                let at = turn.now + self.config.repeat_pause_us;
+                self.phase = Phase::AskPause { at, run };
+            }
+            _ if step == Step::Permit => self.retry_same(turn, step, cause),
+            _ => self.fail(turn, cause),
+        }
+    }
+
+    fn may_route(&self, turn: &Turn) -> bool {
+        self.limits.route_count < self.config.attempts_max_count && turn.now < self.limits.ends_at
+    }
+
+    fn count_retry(&self, turn: &mut Turn, cause: Cause) {
+        turn.push(CallAction::Retried {
+            evidence: cause.evidence,
+        });
+    }
+
+    fn report_failure(&self, turn: &mut Turn, step: Step, cause: Cause) {
+        let is_of_server = !matches!(
+            cause.evidence,
+            Evidence::Voided | Evidence::StillRunning | Evidence::OutcomeUnknown
+        );
+        if step != Step::Route && is_of_server {
+            turn.report(&self.server, Some(cause.evidence));
+        }
+    }
+
+    pub(super) fn check_deadlines(&mut self, turn: &mut Turn) {
+        self.check_pause(turn);
+        for message in self.sends.take_overdue(turn.now) {
+            let step = match self.phase {
+                Phase::Permit(send) if send == message.send => Step::Permit,
+                Phase::Run(send) if send == message.send => Step::Run,
+                Phase::Ask { ask, .. } if ask == message.send => Step::Ask,
+                _ => continue,
+            };
+            self.recover(turn, step, Cause::new(Evidence::Silent));
+        }
+    }
+
+    fn check_pause(&mut self, turn: &mut Turn) {
+        match self.phase {
+            Phase::KeyPause(at) if at <= turn.now => self.send_permit(turn, false),
+            Phase::AskPause { at, run } if at <= turn.now => self.send_ask(turn, run),
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry-core/src/cause.rs
@@ -0,0 +1,106 @@
+//! Why a step of a call failed, as evidence for the retry table and as an error for the caller.
+
+use cuminlead_protocol::{AgentFailure, RefusalReason};
+use cuminlead_retry::Evidence;
+
+use crate::error::ErrorCode;
+
+/// Why a step failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Cause {
+    /// Evidence for the retry table.
+    pub(crate) evidence: Evidence,
+    /// Reason of the agent, when it refused.
+    pub(crate) refusal: Option<RefusalReason>,
+    /// Whether the KV cache did not arrive, which leaves the decode place intact.
+    pub(crate) is_transfer: bool,
+}
+
+impl Cause {
+    pub(crate) const fn new(evidence: Evidence) -> Self {
+        Self {
+            evidence,
+            refusal: None,
+            is_transfer: false,
+        }
+    }
+
+    /// Cause of a failure that an agent reported.
+    pub(crate) fn from_failure(failure: &AgentFailure) -> Self {
+        match failure {
+            AgentFailure::Refused(reason) => Self::from_refusal(*reason),
+            AgentFailure::EngineFailed => Self::new(Evidence::EngineFailed),
+            AgentFailure::TransferFailed => Self {
+                is_transfer: true,
+                ..Self::new(Evidence::TimedOut)
+            },
+            // The agent ended the lease, so the attempt is as unknown to it as an expired one.
+            AgentFailure::Cancelled => Self::from_refusal(RefusalReason::NoSuchLease),
+            AgentFailure::OutcomeUnknown => Self::new(Evidence::OutcomeUnknown),
+            AgentFailure::ServiceFailed => Self::new(Evidence::EngineFailed),
+        }
+    }
+
+    pub(crate) fn from_refusal(reason: RefusalReason) -> Self {
+        let evidence = match reason {
+            RefusalReason::Draining => Evidence::Draining,
+            RefusalReason::OutsidePlan | RefusalReason::NotOwner => Evidence::StaleLists,
+            _ => Evidence::RefusedNotRun,
+        };
+        Self {
+            refusal: Some(reason),
+            ..Self::new(evidence)
+        }
+    }
+
+    /// Error code for the caller.
+    pub(crate) fn error_code(&self) -> ErrorCode {
+        match self.refusal {
+            Some(reason) => refusal_code(reason),
+            None => evidence_code(self.evidence),
+        }
+    }
+}
+
+fn refusal_code(reason: RefusalReason) -> ErrorCode {
+    match reason {
+        RefusalReason::QueueFull
+        | RefusalReason::CannotMeetTarget
+        | RefusalReason::WaitEnded
+        | RefusalReason::TooLarge => ErrorCode::Overloaded,
+        RefusalReason::OutsidePlan => ErrorCode::OutsidePlan,
+        RefusalReason::Malformed => ErrorCode::Malformed,
+        RefusalReason::Draining
+        | RefusalReason::NotServed
+        | RefusalReason::NoSuchLease
+        | RefusalReason::PermitInvalid
+        | RefusalReason::PermitMissing
+        | RefusalReason::NotOwner
+        | RefusalReason::ListsUnconfirmed
+        | RefusalReason::Starting => ErrorCode::NoServer,
+    }
+}
+
+fn evidence_code(evidence: Evidence) -> ErrorCode {
+    match evidence {
+        Evidence::RefusedNotRun | Evidence::Draining | Evidence::ConnectFailed => {
+            ErrorCode::NoServer
+        }
+        Evidence::Silent | Evidence::TimedOut | Evidence::Cancelled => ErrorCode::TimedOut,
+        Evidence::NewIncarnation | Evidence::EngineFailed | Evidence::Voided => {
+            ErrorCode::BackendFailed
+        }
+        Evidence::StillRunning | Evidence::OutcomeUnknown => ErrorCode::OutcomeUnknown,
+        Evidence::StaleLists => ErrorCode::OutsidePlan,
+    }
+}
+
+impl Cause {
+    /// Reason in plain words.
+    pub(crate) fn message(&self) -> String {
+        match self.refusal {
+            Some(reason) => format!("refused by the backend server: {reason}"),
+            None => format!("backend server failed: {}", self.evidence),
+        }
+    }
+}
--- a/crates/entry-core/src/config.rs
+++ b/crates/entry-core/src/config.rs
@@ -1,6 +1,6 @@
 //! Limits of a call's decisions.
 
-use cuminlead_types::DurationUs;
+use cuminlead_types::{DurationUs, TokensPerSecond};
 
 /// Limits of a call's decisions; the defaults are those of `docs/design.md`.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -17,6 +17,20 @@
     pub message_timeout_us: DurationUs,
     /// Longest wait for a place in a queue.
     pub wait_max_us: DurationUs,
+    /// Most repeats of one lost message, and most resumptions in a row without a chunk.
+    pub repeats_max_count: u32,
+    /// Pause before a release, a question or a key is tried again.
+    pub repeat_pause_us: DurationUs,
+    /// Time without an answer after which an idempotent application call is lost.
+    pub run_timeout_us: DurationUs,
+    /// Prefill rate of an engine, for estimates.
+    pub prefill_rate: TokensPerSecond,
+    /// Time that a decode lease is asked for beyond the estimated prefill.
+    pub lease_margin_us: DurationUs,
+    /// Longest decode lease that an agent grants.
+    pub lease_max_us: DurationUs,
+    /// Whether the prefill runs before a decode place is reserved; only for comparisons.
+    pub prefill_first: bool,
 }
 
 impl Default for CallConfig {
@@ -28,6 +42,16 @@
             acknowledge_us: DurationUs::from_ms(1_000),
             message_timeout_us: DurationUs::from_ms(2_000),
             wait_max_us: DurationUs::from_ms(5_000),
+            // Three windows of `message_timeout_us` outlast `wait_max_us`, so a server that only
+            // queues has answered before its message is given up.
+            repeats_max_count: 2,
+            repeat_pause_us: DurationUs::from_ms(500),
+            run_timeout_us: DurationUs::from_ms(10_000),
+            prefill_rate: TokensPerSecond(20_000),
+            // Covers the longest wait in the prefill queue and one lost message.
+            lease_margin_us: DurationUs::from_ms(8_000),
+            lease_max_us: DurationUs::from_ms(30_000),
+            prefill_first: false,
         }
     }
 }
--- a/crates/entry-core/src/lib.rs
+++ b/crates/entry-core/src/lib.rs
@@ -6,9 +6,13 @@
 
 pub mod application;
 pub mod call;
+mod cause;
 pub mod config;
+mod decide;
 pub mod error;
 pub mod model;
+mod sends;
+mod turn;
 
 pub use application::{ApplicationCall, ApplicationRequest};
 pub use call::*;
--- a/crates/entry-core/src/model.rs
+++ b/crates/entry-core/src/model.rs
@@ -1,4 +1,14 @@
 //! `ModelCall`: reservation, prefill, transfer and decode of one request.
+//!
+//! | module | holds |
+//! |---|---|
+//! | `state` | what the call knows: phase, attempt, delivered text |
+//! | `holds` | what agents may hold for the call, and its release |
+//! | `messages` | messages to agents |
+//! | `steps` | the good path from route to stream |
+//! | `stream` | events of the decode stream |
+//! | `recover` | what follows a failure, by the retry table |
+//! | `ending` | the one ending of the call |
 
 use cuminlead_protocol::ModelTarget;
 use cuminlead_types::{
@@ -7,6 +17,19 @@
 
 use crate::call::{Call, CallAction, CallEvent};
 use crate::config::CallConfig;
+use crate::sends::Sends;
+use crate::turn::Turn;
+
+mod ending;
+mod holds;
+mod messages;
+mod recover;
+mod state;
+mod steps;
+mod stream;
+
+use holds::Holds;
+use state::{Answer, AttemptState, Limits, Phase};
 
 /// A model request inside its customer's plan.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -40,28 +63,69 @@
 /// State of one model request.
 #[derive(Debug)]
 pub struct ModelCall {
-    _config: CallConfig,
-    _request: ModelRequest,
+    config: CallConfig,
+    request: ModelRequest,
+    phase: Phase,
+    attempt: AttemptState,
+    answer: Answer,
+    limits: Limits,
+    excluded: Vec<BackendServerId>,
+    holds: Holds,
+    sends: Sends,
+    stream_count: u64,
 }
 
 impl ModelCall {
     /// State of a request that was just accepted.
     pub fn new(config: CallConfig, request: ModelRequest) -> Self {
         Self {
-            _config: config,
-            _request: request,
+            config,
+            request,
+            phase: Phase::Created,
+            attempt: AttemptState::default(),
+            answer: Answer::default(),
+            limits: Limits::default(),
+            excluded: Vec::new(),
+            holds: Holds::default(),
+            sends: Sends::default(),
+            stream_count: 0,
+        }
+    }
+
+    fn handle_event(&mut self, turn: &mut Turn, event: CallEvent) {
+        match event {
+            CallEvent::Start => self.start(turn),
+            CallEvent::Routed(result) => self.routed(turn, result),
+            CallEvent::Reply { send, outcome } => self.replied(turn, send, outcome),
+            CallEvent::Stream { stream, event } => self.stream_event(turn, stream, event),
+            CallEvent::StreamLost { stream, evidence } => self.stream_lost(turn, stream, evidence),
+            CallEvent::Deadline => {}
+            CallEvent::CallerGone => self.caller_gone(turn),
         }
     }
 }
 
 impl Call for ModelCall {
-    fn handle(&mut self, _now: TimeUs, _event: CallEvent, _actions: &mut Vec<CallAction>) {}
+    fn handle(&mut self, now: TimeUs, event: CallEvent, actions: &mut Vec<CallAction>) {
+        let turn = &mut Turn::new(now, actions);
+        self.check_time_limit(turn);
+        self.handle_event(turn, event);
+        self.check_deadlines(turn);
+    }
 
     fn next_deadline(&self) -> Option<TimeUs> {
-        None
+        let deadlines = [
+            self.time_limit(),
+            self.stream_deadline(),
+            self.sends.next_deadline(),
+            self.holds.next_deadline(),
+        ];
+        deadlines.into_iter().flatten().min()
     }
 
     fn is_ended(&self) -> bool {
-        false
+        let is_settled =
+            self.sends.next_deadline().is_none() && self.holds.next_deadline().is_none();
+        self.phase == Phase::Ended && is_settled
     }
 }
--- /dev/null
+++ b/crates/entry-core/src/model/recover.rs
@@ -0,0 +1,181 @@
+//! What follows a failure, by the retry table.
+
+use cuminlead_retry::{CallKind, Decision, Evidence, Step};
+use cuminlead_types::BackendServerId;
+
+use super::ModelCall;
+use super::state::Phase;
+use super::steps::step_of;
+use crate::call::CallAction;
+use crate::cause::Cause;
+use crate::decide::decide;
+use crate::turn::Turn;
+
+/// Imports of one KV cache before it is computed anew.
+const IMPORTS_MAX_COUNT: u32 = 2;
+
+impl ModelCall {
+    pub(super) fn recover(&mut self, turn: &mut Turn, step: Step, cause: Cause) {
+        match decide(CallKind::Model, step, cause.evidence) {
+            Decision::RetrySame => self.retry_same(turn, step, cause),
+            Decision::Resume | Decision::AskOwner => self.resume(turn, step, cause),
+            Decision::RetryElsewhere => self.retry_elsewhere(turn, step, cause),
+            Decision::ReportNotRun | Decision::ReportUnknown | Decision::Stop => {
+                self.report_failure(turn, step, cause);
+                self.fail(turn, cause);
+            }
+        }
+    }
+
+    fn retry_same(&mut self, turn: &mut Turn, step: Step, cause: Cause) {
+        match step {
+            Step::Reserve | Step::Prefill => self.repeat(turn, step, cause),
+            Step::Transfer if cause.is_transfer => self.import_again(turn, cause),
+            Step::Transfer | Step::Decode => self.resume(turn, step, cause),
+            _ => self.fail(turn, cause),
+        }
+    }
+
+    /// Sends the lost message again; agents join a repeat with the running one.
+    fn repeat(&mut self, turn: &mut Turn, step: Step, cause: Cause) {
+        self.attempt.repeat_count += 1;
+        if self.attempt.repeat_count > self.config.repeats_max_count {
+            self.retry_elsewhere(turn, step, cause);
+            return;
+        }
+        self.count_retry(turn, cause);
+        if step == Step::Reserve {
+            self.send_reserve(turn, true);
+        } else {
+            self.send_prefill(turn, true);
+        }
+    }
+
+    fn import_again(&mut self, turn: &mut Turn, cause: Cause) {
+        self.attempt.import_count += 1;
+        if self.attempt.import_count >= IMPORTS_MAX_COUNT {
+            self.retry_elsewhere(turn, Step::Transfer, cause);
+            return;
+        }
+        self.count_retry(turn, cause);
+        self.close_stream(turn, false);
+        self.open_stream(turn, false);
+    }
+
+    fn resume(&mut self, turn: &mut Turn, step: Step, cause: Cause) {
+        if !matches!(self.phase, Phase::Stream(_)) {
+            self.retry_same(turn, step, cause);
+            return;
+        }
+        self.attempt.resume_count += 1;
+        if self.attempt.resume_count > self.config.repeats_max_count {
+            self.retry_elsewhere(turn, step, cause);
+            return;
+        }
+        self.count_retry(turn, cause);
+        self.close_stream(turn, false);
+        self.open_stream(turn, true);
+    }
+
+    fn retry_elsewhere(&mut self, turn: &mut Turn, step: Step, cause: Cause) {
+        self.report_failure(turn, step, cause);
+        let is_prefill_fault = step == Step::Prefill || cause.is_transfer;
+        if is_prefill_fault && self.lease_lasts(turn) {
+            self.other_prefill(turn, cause);
+        } else {
+            self.new_attempt(turn, cause);
+        }
+    }
+
+    /// Whether the decode place outlasts another prefill.
+    fn lease_lasts(&self, turn: &Turn) -> bool {
+        let done_at = turn.now + self.prefill_estimate();
+        self.attempt.lease_ends_at.is_some_and(|end| done_at < end)
+    }
+
+    fn other_prefill(&mut self, turn: &mut Turn, cause: Cause) {
+        if !self.may_route(turn) {
+            self.fail(turn, cause);
+            return;
+        }
+        self.close_stream(turn, false);
+        self.discard_prefill(turn, cause.evidence);
+        self.count_retry(turn, cause);
+        self.route_prefill(turn);
+    }
+
+    /// Gives up what the prefill server holds.
+    fn discard_prefill(&mut self, turn: &mut Turn, evidence: Evidence) {
+        if let Some(prefilled) = self.attempt.prefilled.take() {
+            self.count_waste(turn, &prefilled, evidence);
+        }
+        let server = self.attempt.prefill.clone();
+        self.release(turn, &server, self.attempt.number);
+    }
+
+    pub(super) fn new_attempt(&mut self, turn: &mut Turn, cause: Cause) {
+        if !self.may_route(turn) {
+            self.fail(turn, cause);
+            return;
+        }
+        self.abandon(turn, cause.evidence);
+        self.count_retry(turn, cause);
+        self.renew_due(turn, cause);
+        self.route_pair(turn);
+    }
+
+    /// A refusal leaves the first token due as before. After a fault the target is missed, and an
+    /// agent would refuse the rest of a request that it could still complete.
+    fn renew_due(&mut self, turn: &Turn, cause: Cause) {
+        let is_refusal = cause.refusal.is_some();
+        let is_new = self.answer.text.is_empty();
+        if !is_refusal || !is_new {
+            let due_at = turn.now + self.request.first_token_us;
+            self.limits.due_at = self.limits.due_at.max(due_at);
+        }
+    }
+
+    fn may_route(&self, turn: &Turn) -> bool {
+        self.limits.route_count < self.config.attempts_max_count && turn.now < self.limits.ends_at
+    }
+
+    fn count_retry(&self, turn: &mut Turn, cause: Cause) {
+        turn.push(CallAction::Retried {
+            evidence: cause.evidence,
+        });
+    }
+
+    fn report_failure(&mut self, turn: &mut Turn, step: Step, cause: Cause) {
+        let Some(server) = self.server_at_fault(step, cause) else {
+            return;
+        };
+        turn.report(&server, Some(cause.evidence));
+        if !self.excluded.contains(&server) {
+            self.excluded.push(server);
+        }
+    }
+
+    fn server_at_fault(&self, step: Step, cause: Cause) -> Option<BackendServerId> {
+        match step {
+            Step::Route => None,
+            Step::Prefill => Some(self.attempt.prefill.clone()),
+            Step::Transfer if cause.is_transfer => Some(self.attempt.prefill.clone()),
+            _ => Some(self.attempt.decode.clone()),
+        }
+    }
+
+    pub(super) fn check_deadlines(&mut self, turn: &mut Turn) {
+        self.check_stream(turn);
+        for message in self.sends.take_overdue(turn.now) {
+            if message.kind == crate::sends::SendKind::Release {
+                self.release_lost(turn, &message);
+            } else if self.is_current(message.send) {
+                let cause = Cause::new(Evidence::Silent);
+                self.recover(turn, step_of(message.kind), cause);
+            }
+        }
+        for hold in self.holds.take_repeats(turn.now) {
+            self.send_release(turn, &hold.server, hold.attempt, true);
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry-core/src/model/steps.rs
@@ -0,0 +1,283 @@
+//! The good path: route, reserve, prefill, open the stream.
+
+use cuminlead_protocol::{AgentReply, Prefilled, ReplyBody, Reserved};
+use cuminlead_retry::{Evidence, Step};
+use cuminlead_routing::{NoRoute, Route, RouteKind};
+use cuminlead_types::{Attempt, BackendServerId, Incarnation};
+
+use super::ModelCall;
+use super::state::{AttemptState, OpenStream, Phase};
+use crate::call::{CallAction, CallStreamRef, SendOutcome, SendRef};
+use crate::cause::Cause;
+use crate::sends::{SendKind, SentMessage};
+use crate::turn::Turn;
+
+impl ModelCall {
+    pub(super) fn start(&mut self, turn: &mut Turn) {
+        if self.phase != Phase::Created {
+            return;
+        }
+        self.limits.ends_at = turn.now + self.config.request_max_us;
+        self.limits.due_at = turn.now + self.request.first_token_us;
+        self.route_pair(turn);
+    }
+
+    pub(super) fn route_pair(&mut self, turn: &mut Turn) {
+        self.limits.route_count += 1;
+        self.phase = Phase::RoutePair;
+        let kind = RouteKind::Pair(self.model_need(turn.now));
+        turn.push(CallAction::Route(self.route_need(kind)));
+    }
+
+    pub(super) fn route_prefill(&mut self, turn: &mut Turn) {
+        self.limits.route_count += 1;
+        self.phase = Phase::RoutePrefill;
+        let kind = RouteKind::Prefill {
+            region: self.attempt.region.clone(),
+            need: self.model_need(turn.now),
+        };
+        turn.push(CallAction::Route(self.route_need(kind)));
+    }
+
+    pub(super) fn routed(&mut self, turn: &mut Turn, result: Result<Route, NoRoute>) {
+        match (&self.phase, result) {
+            (
+                Phase::RoutePair,
+                Ok(Route::Pair {
+                    region,
+                    decode,
+                    prefill,
+                }),
+            ) => {
+                self.attempt = AttemptState {
+                    number: self.attempt.number.next(),
+                    region,
+                    decode,
+                    prefill,
+                    ..AttemptState::default()
+                };
+                self.advance(turn);
+            }
+            (Phase::RoutePrefill, Ok(Route::Prefill(server))) => self.use_prefill(turn, server),
+            (Phase::RoutePair, _) => self.fail_route(turn),
+            (Phase::RoutePrefill, Err(NoRoute::RetryBudget)) => self.fail_route(turn),
+            (Phase::RoutePrefill, _) => self.new_attempt(turn, Cause::new(Evidence::RefusedNotRun)),
+            _ => {}
+        }
+    }
+
+    fn fail_route(&mut self, turn: &mut Turn) {
+        let cause = self.limits_cause();
+        self.recover(turn, Step::Route, cause);
+    }
+
+    /// Continues with another prefill server. A server given up in this attempt may still get the
+    /// release that was sent to it, so it is used again only under a new attempt.
+    fn use_prefill(&mut self, turn: &mut Turn, server: BackendServerId) {
+        if self.holds.is_given_up(&server, self.attempt.number) {
+            self.new_attempt(turn, Cause::new(Evidence::RefusedNotRun));
+            return;
+        }
+        self.attempt.prefill = server;
+        self.attempt.prefilled = None;
+        self.attempt.repeat_count = 0;
+        self.attempt.import_count = 0;
+        self.advance(turn);
+    }
+
+    /// Takes the next step of the attempt.
+    pub(super) fn advance(&mut self, turn: &mut Turn) {
+        let has_lease = self.attempt.lease_ends_at.is_some();
+        let has_prefill = self.attempt.prefilled.is_some();
+        let reserve_now = has_prefill || !self.config.prefill_first;
+        if !has_lease && reserve_now {
+            self.send_reserve(turn, false);
+        } else if !has_prefill {
+            self.send_prefill(turn, false);
+        } else {
+            self.open_stream(turn, false);
+        }
+    }
+
+    pub(super) fn send_reserve(&mut self, turn: &mut Turn, fresh: bool) {
+        let server = self.attempt.decode.clone();
+        self.holds.note(&server, self.attempt.number);
+        let request = self.reserve_message(turn.now);
+        let deadline = turn.now + self.config.message_timeout_us;
+        let send = self
+            .sends
+            .add(SendKind::Reserve, &server, self.attempt.number, deadline);
+        self.phase = Phase::Reserve(send);
+        turn.push(CallAction::Send {
+            send,
+            server,
+            request,
+            fresh,
+        });
+    }
+
+    pub(super) fn send_prefill(&mut self, turn: &mut Turn, fresh: bool) {
+        let server = self.attempt.prefill.clone();
+        self.holds.note(&server, self.attempt.number);
+        let request = self.prefill_message(turn.now);
+        let wait = self
+            .prefill_estimate()
+            .saturating_add(self.config.message_timeout_us);
+        let send = self.sends.add(
+            SendKind::Prefill,
+            &server,
+            self.attempt.number,
+            turn.now + wait,
+        );
+        self.phase = Phase::Prefill(send);
+        turn.push(CallAction::Send {
+            send,
+            server,
+            request,
+            fresh,
+        });
+    }
+
+    pub(super) fn open_stream(&mut self, turn: &mut Turn, fresh: bool) {
+        let stream = CallStreamRef(self.stream_count);
+        self.stream_count += 1;
+        self.phase = Phase::Stream(OpenStream {
+            stream,
+            heard_at: turn.now,
+            acknowledged_at: turn.now,
+        });
+        turn.push(CallAction::OpenStream {
+            stream,
+            server: self.attempt.decode.clone(),
+            open: self.open_message(),
+            fresh,
+        });
+    }
+
+    pub(super) fn replied(&mut self, turn: &mut Turn, send: SendRef, outcome: SendOutcome) {
+        let Some(message) = self.sends.settle(send) else {
+            return;
+        };
+        match message.kind {
+            SendKind::Release => self.release_replied(turn, &message, &outcome),
+            _ if self.is_current(send) => self.step_replied(turn, &message, outcome),
+            _ => self.late_reply(turn, &message, &outcome),
+        }
+    }
+
+    pub(super) fn is_current(&self, send: SendRef) -> bool {
+        self.phase == Phase::Reserve(send) || self.phase == Phase::Prefill(send)
+    }
+
+    fn step_replied(&mut self, turn: &mut Turn, message: &SentMessage, outcome: SendOutcome) {
+        let step = step_of(message.kind);
+        match outcome {
+            SendOutcome::Reply(reply) => self.step_answered(turn, message, *reply),
+            SendOutcome::ConnectFailed => {
+                self.holds.disprove(&message.server, message.attempt);
+                self.recover(turn, step, Cause::new(Evidence::ConnectFailed));
+            }
+            SendOutcome::Lost => self.recover(turn, step, Cause::new(Evidence::Silent)),
+        }
+    }
+
+    fn step_answered(&mut self, turn: &mut Turn, message: &SentMessage, reply: AgentReply) {
+        match (message.kind, reply.body) {
+            (SendKind::Reserve, ReplyBody::Reserved(reserved)) => {
+                self.reserved(turn, reserved, reply.state.incarnation);
+            }
+            (SendKind::Prefill, ReplyBody::Prefilled(prefilled)) => {
+                self.prefilled(turn, prefilled);
+            }
+            (kind, ReplyBody::Failed(failure)) => {
+                let cause = Cause::from_failure(&failure);
+                if cause.refusal.is_some() {
+                    self.holds.disprove(&message.server, message.attempt);
+                }
+                self.recover(turn, step_of(kind), cause);
+            }
+            (kind, _) => self.recover(turn, step_of(kind), Cause::new(Evidence::EngineFailed)),
+        }
+    }
+
+    fn reserved(&mut self, turn: &mut Turn, reserved: Reserved, incarnation: Incarnation) {
+        self.attempt.incarnation = incarnation;
+        self.attempt.lease_ends_at = Some(turn.now + reserved.expires_in_us);
+        self.attempt.repeat_count = 0;
+        turn.report(&self.attempt.decode, None);
+        self.advance(turn);
+    }
+
+    fn prefilled(&mut self, turn: &mut Turn, prefilled: Prefilled) {
+        self.attempt.prefilled = Some(prefilled);
+        self.attempt.repeat_count = 0;
+        turn.report(&self.attempt.prefill, None);
+        self.advance(turn);
+    }
+
+    /// An answer to a message that the call no longer waits for. What it says is held belongs to
+    /// nobody, unless the current attempt still uses the same place.
+    fn late_reply(&mut self, turn: &mut Turn, message: &SentMessage, outcome: &SendOutcome) {
+        let SendOutcome::Reply(reply) = outcome else {
+            return;
+        };
+        if self.holds.is_in_use(&message.server, message.attempt) {
+            return;
+        }
+        match &reply.body {
+            ReplyBody::Reserved(_) => {}
+            ReplyBody::Prefilled(prefilled) => {
+                self.count_waste(turn, prefilled, Evidence::TimedOut);
+            }
+            _ => return,
+        }
+        self.release(turn, &message.server, message.attempt);
+    }
+
+    pub(super) fn release(&mut self, turn: &mut Turn, server: &BackendServerId, attempt: Attempt) {
+        if self.holds.begin_release(server, attempt) {
+            self.send_release(turn, server, attempt, false);
+        }
+    }
+
+    pub(super) fn send_release(
+        &mut self,
+        turn: &mut Turn,
+        server: &BackendServerId,
+        attempt: Attempt,
+        fresh: bool,
+    ) {
+        let deadline = turn.now + self.config.message_timeout_us;
+        let send = self.sends.add(SendKind::Release, server, attempt, deadline);
+        turn.push(CallAction::Send {
+            send,
+            server: server.clone(),
+            request: self.release_message(attempt),
+            fresh,
+        });
+    }
+
+    fn release_replied(&mut self, turn: &mut Turn, message: &SentMessage, outcome: &SendOutcome) {
+        let is_released = matches!(outcome, SendOutcome::Reply(_));
+        if is_released {
+            self.holds.settle(&message.server, message.attempt);
+        } else {
+            self.release_lost(turn, message);
+        }
+    }
+
+    pub(super) fn release_lost(&mut self, turn: &mut Turn, message: &SentMessage) {
+        let at = turn.now + self.config.repeat_pause_us;
+        let max_count = self.config.repeats_max_count;
+        self.holds
+            .plan_repeat(&message.server, message.attempt, at, max_count);
+    }
+}
+
+/// Step that a message belongs to.
+pub(super) fn step_of(kind: SendKind) -> Step {
+    match kind {
+        SendKind::Reserve => Step::Reserve,
+        _ => Step::Prefill,
+    }
+}
--- /dev/null
+++ b/crates/entry-core/tests/application_good_path.rs
@@ -0,0 +1,20 @@
+//! The good path of an application call.
+
+mod common;
+
+use common::Driver;
+
+/// Guards against a non-idempotent call that runs without a permit, and against an idempotent one
+/// that pays a round trip for a permit it does not need.
+#[yare::parameterized(
+    idempotent_runs = { true, None, "start; service s", "run_call#0 s/1" },
+    idempotent_ends = { true, None, "start; service s; done 0", "report s ok; respond" },
+    asks_permit = { false, None, "start; service s", "issue_permit#0 s/1" },
+    runs_with_permit = { false, None, "start; service s; permit 0 1", "run_call#1 s/1" },
+    ends = { false, None, "start; service s; permit 0 1; done 1", "report s ok; respond" },
+    key_replayed = { false, Some("k"), "start; service s; replayed 0", "report s ok; respond" },
+)]
+fn step_by_step(is_idempotent: bool, key: Option<&str>, script: &str, expected: &str) {
+    let mut driver = Driver::application(is_idempotent, key);
+    assert_eq!(driver.run(script), expected);
+}
--- /dev/null
+++ b/crates/entry-core/tests/common/mod.rs
@@ -0,0 +1,275 @@
+//! Drives a call with a script and renders its actions as text.
+//!
+//! A script is a list of steps separated by `;`. Replies name their send, stream events their
+//! stream. `wait N` advances the clock by N ms and delivers `Deadline`.
+// Each test binary uses a part of this module.
+#![allow(dead_code)]
+
+use std::fmt::Debug;
+use std::str::FromStr;
+
+use cuminlead_entry_core::{
+    ApplicationCall, ApplicationRequest, Call, CallAction, CallConfig, CallEvent, CallStreamRef,
+    ModelCall, ModelRequest, SendOutcome, SendRef,
+};
+use cuminlead_protocol::*;
+use cuminlead_retry::Evidence;
+use cuminlead_routing::{NoRoute, Route, RouteKind};
+use cuminlead_types::*;
+
+/// Incarnation of agents unless a script says otherwise.
+pub(crate) const INCARNATION: Incarnation = Incarnation(7);
+
+pub(crate) fn parse<T: FromStr>(text: &str) -> T
+where
+    T::Err: Debug,
+{
+    text.parse().expect("valid text in a script")
+}
+
+pub(crate) fn model_request() -> ModelRequest {
+    ModelRequest {
+        id: RequestId(1),
+        prompt: "p".repeat(400),
+        output_max_tokens: Tokens(10),
+        first_token_us: DurationUs::from_ms(2_000),
+        ..ModelRequest::default()
+    }
+}
+
+pub(crate) fn application_request(is_idempotent: bool, key: Option<&str>) -> ApplicationRequest {
+    ApplicationRequest {
+        id: RequestId(2),
+        is_idempotent,
+        key: key.map(parse),
+        ..ApplicationRequest::default()
+    }
+}
+
+/// A call, its clock and the script that drives it.
+pub(crate) struct Driver {
+    pub(crate) call: Box<dyn Call>,
+    pub(crate) now: TimeUs,
+}
+
+impl Driver {
+    pub(crate) fn new(call: Box<dyn Call>) -> Self {
+        let now = TimeUs(1_000_000);
+        Self { call, now }
+    }
+
+    pub(crate) fn model(config: CallConfig) -> Self {
+        Self::new(Box::new(ModelCall::new(config, model_request())))
+    }
+
+    pub(crate) fn application(is_idempotent: bool, key: Option<&str>) -> Self {
+        let request = application_request(is_idempotent, key);
+        Self::new(Box::new(ApplicationCall::new(
+            CallConfig::default(),
+            request,
+        )))
+    }
+
+    pub(crate) fn handle(&mut self, event: CallEvent) -> Vec<CallAction> {
+        let mut actions = Vec::new();
+        self.call.handle(self.now, event, &mut actions);
+        actions
+    }
+
+    /// Runs all steps; returns the rendered actions of the last one.
+    pub(crate) fn run(&mut self, script: &str) -> String {
+        let mut last = Vec::new();
+        for step in script.split(';') {
+            let words: Vec<&str> = step.split_whitespace().collect();
+            if words[0] == "wait" {
+                self.now = self.now + DurationUs::from_ms(parse(words[1]));
+            }
+            last = self.handle(event(&words));
+        }
+        render(&last)
+    }
+}
+
+fn state(words: &[&str]) -> AgentState {
+    let incarnation = words
+        .iter()
+        .find_map(|word| word.strip_prefix("inc="))
+        .map_or(INCARNATION, parse);
+    AgentState {
+        incarnation,
+        ..AgentState::default()
+    }
+}
+
+fn event(words: &[&str]) -> CallEvent {
+    match words[0] {
+        "start" => CallEvent::Start,
+        "wait" => CallEvent::Deadline,
+        "gone" => CallEvent::CallerGone,
+        "pair" => CallEvent::Routed(Ok(Route::Pair {
+            region: parse("r"),
+            decode: parse(words[1]),
+            prefill: parse(words[2]),
+        })),
+        "prefill" => CallEvent::Routed(Ok(Route::Prefill(parse(words[1])))),
+        "service" => CallEvent::Routed(Ok(Route::Service(parse(words[1])))),
+        "noroute" => CallEvent::Routed(Err(NoRoute::NoServer)),
+        "nobudget" => CallEvent::Routed(Err(NoRoute::RetryBudget)),
+        "imported" | "chunk" | "beat" | "broken" => CallEvent::Stream {
+            stream: CallStreamRef(parse(words[1])),
+            event: stream_event(words),
+        },
+        "cut" => CallEvent::StreamLost {
+            stream: CallStreamRef(parse(words[1])),
+            evidence: parse(words[2]),
+        },
+        _ => CallEvent::Reply {
+            send: SendRef(parse(words[1])),
+            outcome: outcome(words),
+        },
+    }
+}
+
+fn stream_event(words: &[&str]) -> DecodeEvent {
+    match words[0] {
+        "imported" => DecodeEvent::Imported(state(words)),
+        "beat" => DecodeEvent::Heartbeat(state(words)),
+        "broken" => DecodeEvent::Failed {
+            state: state(words),
+            failure: failure(words[2]),
+        },
+        _ => DecodeEvent::Chunk(Chunk {
+            id: AttemptId {
+                request: RequestId(1),
+                attempt: parse(words[2]),
+            },
+            incarnation: state(words).incarnation,
+            sequence: parse(words[3]),
+            text: "word".to_string(),
+            tokens: Tokens(1),
+            finish: words.contains(&"stop").then_some(FinishReason::Stop),
+        }),
+    }
+}
+
+fn failure(word: &str) -> AgentFailure {
+    match word {
+        "engine" => AgentFailure::EngineFailed,
+        "transfer" => AgentFailure::TransferFailed,
+        "cancelled" => AgentFailure::Cancelled,
+        "unknown" => AgentFailure::OutcomeUnknown,
+        "service" => AgentFailure::ServiceFailed,
+        reason => AgentFailure::Refused(parse(reason)),
+    }
+}
+
+fn outcome(words: &[&str]) -> SendOutcome {
+    let body = match words[0] {
+        "lost" => return SendOutcome::Lost,
+        "noconn" => return SendOutcome::ConnectFailed,
+        "reserved" => ReplyBody::Reserved(Reserved {
+            expires_in_us: DurationUs::from_ms(8_000),
+        }),
+        "prefilled" => ReplyBody::Prefilled(Prefilled {
+            prompt_tokens: Tokens(100),
+            ..Prefilled::default()
+        }),
+        "released" => ReplyBody::Released,
+        "failed" => ReplyBody::Failed(failure(words[2])),
+        "permit" => ReplyBody::PermitIssued(PermitIssued {
+            permit: PermitId {
+                incarnation: INCARNATION,
+                number: parse(words[2]),
+            },
+            expires_in_us: DurationUs::from_ms(2_000),
+        }),
+        "replayed" => ReplyBody::KeyReplayed(HttpResponse::default()),
+        "keyrunning" => ReplyBody::KeyRunning,
+        "keyunknown" => ReplyBody::KeyUnknown,
+        "done" => ReplyBody::CallDone(HttpResponse::default()),
+        "voided" => ReplyBody::PermitOutcome(PermitOutcome::Voided),
+        "running" => ReplyBody::PermitOutcome(PermitOutcome::Running),
+        "answered" => ReplyBody::PermitOutcome(PermitOutcome::Done(HttpResponse::default())),
+        "unknown" => ReplyBody::PermitOutcome(PermitOutcome::Unknown),
+        other => panic!("unknown step {other}"),
+    };
+    SendOutcome::Reply(Box::new(AgentReply {
+        state: state(words),
+        body,
+    }))
+}
+
+/// Actions as text, separated by `; `.
+pub(crate) fn render(actions: &[CallAction]) -> String {
+    let texts: Vec<String> = actions.iter().map(render_action).collect();
+    texts.join("; ")
+}
+
+fn render_action(action: &CallAction) -> String {
+    match action {
+        CallAction::Route(need) => render_route(&need.kind, &need.excluded),
+        CallAction::Send {
+            send,
+            server,
+            request,
+            fresh,
+        } => {
+            let attempt = request.envelope().id.attempt;
+            format!("{request}#{} {server}/{attempt}{}", send.0, mark(*fresh))
+        }
+        CallAction::OpenStream {
+            stream,
+            server,
+            open,
+            fresh,
+        } => format!(
+            "{}#{} {server}/{}{}",
+            render_mode(&open.mode),
+            stream.0,
+            open.envelope.id.attempt,
+            mark(*fresh)
+        ),
+        CallAction::Control { stream, control } => match control {
+            DecodeControl::Acknowledge(next) => format!("ack#{} {next}", stream.0),
+            DecodeControl::Cancel => format!("cancel#{}", stream.0),
+        },
+        CallAction::CloseStream { stream } => format!("close#{}", stream.0),
+        CallAction::Deliver(delivery) => {
+            let end = if delivery.finish.is_some() {
+                " end"
+            } else {
+                ""
+            };
+            format!("deliver {}{end}", delivery.sequence)
+        }
+        CallAction::Respond(_) => "respond".to_string(),
+        CallAction::Fail(error) => format!("fail {} {}", error.outcome, error.code),
+        CallAction::Report { server, evidence } => {
+            let text = evidence.map_or("ok".to_string(), |e: Evidence| e.to_string());
+            format!("report {server} {text}")
+        }
+        CallAction::WastedPrefill { tokens, cause } => format!("wasted {tokens} {cause}"),
+        CallAction::Retried { evidence } => format!("retried {evidence}"),
+    }
+}
+
+fn render_route(kind: &RouteKind, excluded: &[BackendServerId]) -> String {
+    let name = match kind {
+        RouteKind::Pair(_) => "pair?",
+        RouteKind::Prefill { .. } => "prefill?",
+        RouteKind::Service { .. } => "service?",
+    };
+    let excluded: Vec<&str> = excluded.iter().map(BackendServerId::as_str).collect();
+    format!("{name} not[{}]", excluded.join(","))
+}
+
+fn render_mode(mode: &DecodeMode) -> String {
+    match mode {
+        DecodeMode::Start(start) => format!("start@{}", start.first_sequence),
+        DecodeMode::Resume(resume) => format!("resume@{}", resume.next_sequence),
+    }
+}
+
+fn mark(fresh: bool) -> &'static str {
+    if fresh { " fresh" } else { "" }
+}
