--- a/crates/entry-core/src/application.rs
+++ b/crates/entry-core/src/application.rs
@@ -19,6 +19,7 @@
 };
 
 use crate::call::{Call, CallAction, CallEvent};
+use crate::cause::Cause;
 use crate::config::CallConfig;
 use crate::sends::Sends;
 use crate::turn::Turn;
@@ -74,6 +75,7 @@
     limits: Limits,
     excluded: Vec<BackendServerId>,
     sends: Sends,
+    last_cause: Option<Cause>,
 }
 
 impl ApplicationCall {
@@ -90,6 +92,7 @@
             limits: Limits::default(),
             excluded: Vec::new(),
             sends: Sends::default(),
+            last_cause: None,
         }
     }
 
--- a/crates/entry-core/src/application/messages.rs
+++ b/crates/entry-core/src/application/messages.rs
@@ -2,7 +2,7 @@
 
 use cuminlead_protocol::{AgentRequest, AskPermit, Envelope, IssuePermit, RunCall};
 use cuminlead_routing::{RouteKind, RouteNeed};
-use cuminlead_types::{AttemptId, PermitId};
+use cuminlead_types::{AttemptId, IdempotencyKey, PermitId};
 
 use super::ApplicationCall;
 
@@ -26,7 +26,7 @@
         AgentRequest::IssuePermit(IssuePermit {
             envelope: self.envelope(),
             service: self.request.service.clone(),
-            key: self.request.key.clone(),
+            key: self.owned_key(),
             key_issued_at_ms: self.request.key_issued_at_ms,
         })
     }
@@ -47,12 +47,18 @@
         })
     }
 
+    /// Key that fixes the server. An idempotent call needs no owner, because it may run again.
+    pub(super) fn owned_key(&self) -> Option<IdempotencyKey> {
+        let key = self.request.key.clone();
+        key.filter(|_| !self.request.is_idempotent)
+    }
+
     pub(super) fn route_need(&self) -> RouteNeed {
         RouteNeed {
             customer: self.request.customer.clone(),
             kind: RouteKind::Service {
                 service: self.request.service.clone(),
-                key: self.request.key.clone(),
+                key: self.owned_key(),
             },
             allowed: self.request.servers.clone(),
             excluded: self.excluded.clone(),
--- a/crates/entry-core/src/application/recover.rs
+++ b/crates/entry-core/src/application/recover.rs
@@ -2,6 +2,7 @@
 
 use cuminlead_protocol::RefusalReason;
 use cuminlead_retry::{CallKind, Decision, Evidence, Step};
+use cuminlead_types::DurationUs;
 
 use super::ApplicationCall;
 use super::state::Phase;
@@ -12,9 +13,9 @@
 
 impl ApplicationCall {
     pub(super) fn recover(&mut self, turn: &mut Turn, step: Step, cause: Cause) {
-        self.report_failure(turn, step, cause);
+        self.last_cause = Some(cause);
         if cause.refusal == Some(RefusalReason::NotOwner) {
-            self.retry_elsewhere(turn, step, cause);
+            self.not_owner(turn, cause);
             return;
         }
         match decide(self.kind(), step, cause.evidence) {
@@ -22,6 +23,7 @@
             Decision::RetryElsewhere => self.retry_elsewhere(turn, step, cause),
             Decision::AskOwner | Decision::Resume => self.ask_owner(turn, step, cause),
             Decision::ReportNotRun | Decision::ReportUnknown | Decision::Stop => {
+                self.report_failure(turn, cause);
                 self.fail(turn, cause);
             }
         }
@@ -34,7 +36,7 @@
             return;
         }
         match (self.kind(), step) {
-            (_, Step::Permit) => {
+            (CallKind::NonIdempotent, Step::Permit) => {
                 self.count_retry(turn, cause);
                 self.send_permit(turn, true);
             }
@@ -46,24 +48,22 @@
         }
     }
 
-    /// Tries another server. Only the owner of a key may take a call with this key, so a new route
-    /// helps only when the lists differ.
     fn retry_elsewhere(&mut self, turn: &mut Turn, step: Step, cause: Cause) {
         if self.must_ask() {
             self.ask_owner(turn, step, cause);
             return;
         }
-        let is_owner_fixed = self.request.key.is_some() && !self.request.is_idempotent;
-        let has_other = !is_owner_fixed || cause.refusal == Some(RefusalReason::NotOwner);
-        if step == Step::Route || !has_other || !self.may_route(turn) {
+        self.report_failure(turn, cause);
+        // Only the owner of a key may take a call with this key.
+        let is_owner_fixed = self.owned_key().is_some();
+        if is_owner_fixed || !self.may_route(turn) {
             self.fail(turn, cause);
             return;
         }
-        if !is_owner_fixed && !self.excluded.contains(&self.server) {
+        if !self.excluded.contains(&self.server) {
             self.excluded.push(self.server.clone());
         }
         self.count_retry(turn, cause);
-        self.permit = None;
         self.route(turn);
     }
 
@@ -75,9 +75,13 @@
     /// Asks about the call at once after its answer was lost, and after a pause from then on.
     fn ask_owner(&mut self, turn: &mut Turn, step: Step, cause: Cause) {
         match self.phase {
-            Phase::Run(run) if self.permit.is_some() => self.send_ask(turn, run),
+            Phase::Run(run) if self.permit.is_some() => {
+                self.count_retry(turn, cause);
+                self.send_ask(turn, run);
+            }
             Phase::Ask { run, .. } => {
-                let at = turn.now + self.config.repeat_pause_us;
+                self.report_unreachable(turn, cause);
+                let at = turn.now + self.ask_pause(cause);
                 self.phase = Phase::AskPause { at, run };
             }
             _ if step == Step::Permit => self.retry_same(turn, step, cause),
@@ -85,22 +89,39 @@
         }
     }
 
-    fn may_route(&self, turn: &Turn) -> bool {
+    /// A call that runs is asked about less often than one whose owner did not answer.
+    fn ask_pause(&self, cause: Cause) -> DurationUs {
+        if cause.evidence == Evidence::StillRunning {
+            self.config.acknowledge_us
+        } else {
+            self.config.repeat_pause_us
+        }
+    }
+
+    pub(super) fn may_route(&self, turn: &Turn) -> bool {
         self.limits.route_count < self.config.attempts_max_count && turn.now < self.limits.ends_at
     }
 
-    fn count_retry(&self, turn: &mut Turn, cause: Cause) {
+    pub(super) fn count_retry(&self, turn: &mut Turn, cause: Cause) {
         turn.push(CallAction::Retried {
             evidence: cause.evidence,
         });
     }
 
-    fn report_failure(&self, turn: &mut Turn, step: Step, cause: Cause) {
-        let is_of_server = !matches!(
+    /// Reports a failure that made the call give up the server. Silence that a repeat or a question
+    /// may still resolve is not reported, because a slow service is not a failed one.
+    fn report_failure(&self, turn: &mut Turn, cause: Cause) {
+        let is_of_call = matches!(
             cause.evidence,
             Evidence::Voided | Evidence::StillRunning | Evidence::OutcomeUnknown
         );
-        if step != Step::Route && is_of_server {
+        if !is_of_call {
+            turn.report(&self.server, Some(cause.evidence));
+        }
+    }
+
+    fn report_unreachable(&self, turn: &mut Turn, cause: Cause) {
+        if cause.evidence == Evidence::ConnectFailed {
             turn.report(&self.server, Some(cause.evidence));
         }
     }
@@ -120,6 +141,7 @@
 
     fn check_pause(&mut self, turn: &mut Turn) {
         match self.phase {
+            Phase::RoutePause(at) if at <= turn.now => self.route(turn),
             Phase::KeyPause(at) if at <= turn.now => self.send_permit(turn, false),
             Phase::AskPause { at, run } if at <= turn.now => self.send_ask(turn, run),
             _ => {}
--- a/crates/entry-core/src/application/state.rs
+++ b/crates/entry-core/src/application/state.rs
@@ -12,6 +12,8 @@
     Created,
     /// A server.
     Route,
+    /// Time to ask for a server again, because the lists of entry and agent differ.
+    RoutePause(TimeUs),
     /// Answer to `IssuePermit`.
     Permit(SendRef),
     /// Time to ask for a permit again, because a call with the same key is running.
@@ -41,13 +43,15 @@
 pub(super) struct Proof {
     /// The last `RunCall` may have run.
     pub(super) is_last_open: bool,
-    /// An earlier `RunCall` was given up without proof, or a call with the same key may run.
-    pub(super) is_other_open: bool,
+    /// An earlier `RunCall` was given up without proof.
+    pub(super) is_earlier_open: bool,
+    /// A call with the same key may run or may have run.
+    pub(super) is_key_open: bool,
 }
 
 impl Proof {
     pub(super) fn may_have_run(self) -> bool {
-        self.is_last_open || self.is_other_open
+        self.is_last_open || self.is_earlier_open || self.is_key_open
     }
 }
 
--- a/crates/entry-core/src/application/steps.rs
+++ b/crates/entry-core/src/application/steps.rs
@@ -42,8 +42,7 @@
             return;
         }
         let Ok(Route::Service(server)) = result else {
-            let cause = Cause::new(Evidence::RefusedNotRun);
-            self.recover(turn, Step::Route, cause);
+            self.no_server(turn);
             return;
         };
         self.server = server;
@@ -54,6 +53,18 @@
         }
     }
 
+    /// No server is usable. A server that failed this call may work again, and asking it is better
+    /// than failing when there is no other.
+    fn no_server(&mut self, turn: &mut Turn) {
+        if self.excluded.is_empty() || !self.may_route(turn) {
+            let cause = self.last_cause.unwrap_or(Cause::NO_SERVER);
+            self.fail(turn, cause);
+            return;
+        }
+        self.excluded.clear();
+        self.route(turn);
+    }
+
     pub(super) fn send_permit(&mut self, turn: &mut Turn, fresh: bool) {
         self.permit = None;
         let request = self.permit_message();
@@ -63,7 +74,7 @@
     }
 
     pub(super) fn send_run(&mut self, turn: &mut Turn, fresh: bool) {
-        self.proof.is_other_open |= self.proof.is_last_open;
+        self.proof.is_earlier_open |= self.proof.is_last_open;
         self.proof.is_last_open = true;
         let request = self.run_message();
         let wait = match self.kind() {
@@ -144,6 +155,8 @@
 
     fn permit_issued(&mut self, turn: &mut Turn, issued: PermitIssued) {
         self.permit = Some(issued);
+        // A key whose call runs or ran is not given another permit.
+        self.proof.is_key_open = false;
         self.limits.repeat_count = 0;
         self.send_run(turn, false);
     }
@@ -215,7 +228,7 @@
 
     pub(super) fn pause_deadline(&self) -> Option<TimeUs> {
         match self.phase {
-            Phase::KeyPause(at) | Phase::AskPause { at, .. } => Some(at),
+            Phase::RoutePause(at) | Phase::KeyPause(at) | Phase::AskPause { at, .. } => Some(at),
             _ => None,
         }
     }
--- a/crates/entry-core/src/cause.rs
+++ b/crates/entry-core/src/cause.rs
@@ -53,6 +53,9 @@
         }
     }
 
+    /// No server was chosen, so nothing was sent.
+    pub(crate) const NO_SERVER: Self = Self::new(Evidence::RefusedNotRun);
+
     /// Error code for the caller.
     pub(crate) fn error_code(&self) -> ErrorCode {
         match self.refusal {
@@ -60,6 +63,15 @@
             None => evidence_code(self.evidence),
         }
     }
+
+    /// Reason in plain words.
+    pub(crate) fn message(&self) -> String {
+        match self.refusal {
+            Some(reason) => format!("refused by the backend server: {reason}"),
+            None if *self == Self::NO_SERVER => "no usable backend server".to_string(),
+            None => format!("no answer from the backend server: {}", self.evidence),
+        }
+    }
 }
 
 fn refusal_code(reason: RefusalReason) -> ErrorCode {
@@ -94,13 +106,3 @@
         Evidence::StaleLists => ErrorCode::OutsidePlan,
     }
 }
-
-impl Cause {
-    /// Reason in plain words.
-    pub(crate) fn message(&self) -> String {
-        match self.refusal {
-            Some(reason) => format!("refused by the backend server: {reason}"),
-            None => format!("backend server failed: {}", self.evidence),
-        }
-    }
-}
--- a/crates/entry-core/src/model.rs
+++ b/crates/entry-core/src/model.rs
@@ -16,6 +16,7 @@
 };
 
 use crate::call::{Call, CallAction, CallEvent};
+use crate::cause::Cause;
 use crate::config::CallConfig;
 use crate::sends::Sends;
 use crate::turn::Turn;
@@ -73,6 +74,7 @@
     holds: Holds,
     sends: Sends,
     stream_count: u64,
+    last_cause: Option<Cause>,
 }
 
 impl ModelCall {
@@ -89,6 +91,7 @@
             holds: Holds::default(),
             sends: Sends::default(),
             stream_count: 0,
+            last_cause: None,
         }
     }
 
--- a/crates/entry-core/src/model/ending.rs
+++ b/crates/entry-core/src/model/ending.rs
@@ -1,12 +1,12 @@
 //! The one ending of a model call.
 
-use cuminlead_protocol::Prefilled;
+use cuminlead_protocol::{FinishReason, Prefilled};
 use cuminlead_retry::Evidence;
-use cuminlead_types::TimeUs;
+use cuminlead_types::{TimeUs, Tokens};
 
 use super::ModelCall;
 use super::state::Phase;
-use crate::call::CallAction;
+use crate::call::{CallAction, Delivery};
 use crate::cause::Cause;
 use crate::error::{CallerError, Outcome};
 use crate::sends::SendKind;
@@ -24,6 +24,18 @@
         self.end(turn);
     }
 
+    /// Ends an answer that has its full length but lost its last chunk with its attempt.
+    pub(super) fn finish_at_length(&mut self, turn: &mut Turn, evidence: Evidence) {
+        self.abandon(turn, evidence);
+        turn.push(CallAction::Deliver(Delivery {
+            sequence: self.answer.next,
+            text: String::new(),
+            tokens: Tokens::ZERO,
+            finish: Some(FinishReason::Length),
+        }));
+        self.end(turn);
+    }
+
     /// Ends the call with an error.
     pub(super) fn fail(&mut self, turn: &mut Turn, cause: Cause) {
         if self.phase == Phase::Ended {
@@ -61,8 +73,9 @@
                 self.count_waste(turn, &prefilled, evidence);
             }
         }
+        let fresh = is_connection_doubtful(evidence);
         for hold in self.holds.in_use() {
-            self.release(turn, &hold.server, hold.attempt);
+            self.release(turn, &hold.server, hold.attempt, fresh);
         }
     }
 
@@ -88,10 +101,6 @@
         }
     }
 
-    pub(super) fn limits_cause(&self) -> Cause {
-        Cause::new(Evidence::RefusedNotRun)
-    }
-
     pub(super) fn time_limit(&self) -> Option<TimeUs> {
         let is_running = !matches!(self.phase, Phase::Created | Phase::Ended);
         is_running.then_some(self.limits.ends_at)
@@ -103,3 +112,8 @@
         }
     }
 }
+
+/// Whether a message should not go out on the present connection to the server.
+pub(super) fn is_connection_doubtful(evidence: Evidence) -> bool {
+    matches!(evidence, Evidence::Silent | Evidence::TimedOut)
+}
--- a/crates/entry-core/src/model/recover.rs
+++ b/crates/entry-core/src/model/recover.rs
@@ -1,14 +1,17 @@
 //! What follows a failure, by the retry table.
 
+use cuminlead_protocol::RefusalReason;
 use cuminlead_retry::{CallKind, Decision, Evidence, Step};
-use cuminlead_types::BackendServerId;
+use cuminlead_types::{BackendServerId, Tokens};
 
 use super::ModelCall;
+use super::ending::is_connection_doubtful;
 use super::state::Phase;
 use super::steps::step_of;
 use crate::call::CallAction;
 use crate::cause::Cause;
 use crate::decide::decide;
+use crate::sends::SendKind;
 use crate::turn::Turn;
 
 /// Imports of one KV cache before it is computed anew.
@@ -16,6 +19,7 @@
 
 impl ModelCall {
     pub(super) fn recover(&mut self, turn: &mut Turn, step: Step, cause: Cause) {
+        self.last_cause = Some(cause);
         match decide(CallKind::Model, step, cause.evidence) {
             Decision::RetrySame => self.retry_same(turn, step, cause),
             Decision::Resume | Decision::AskOwner => self.resume(turn, step, cause),
@@ -110,10 +114,15 @@
             self.count_waste(turn, &prefilled, evidence);
         }
         let server = self.attempt.prefill.clone();
-        self.release(turn, &server, self.attempt.number);
+        let fresh = is_connection_doubtful(evidence);
+        self.release(turn, &server, self.attempt.number, fresh);
     }
 
     pub(super) fn new_attempt(&mut self, turn: &mut Turn, cause: Cause) {
+        if self.is_answer_whole() {
+            self.finish_at_length(turn, cause.evidence);
+            return;
+        }
         if !self.may_route(turn) {
             self.fail(turn, cause);
             return;
@@ -124,6 +133,11 @@
         self.route_pair(turn);
     }
 
+    /// Whether the caller has all tokens and only lacks the end.
+    fn is_answer_whole(&self) -> bool {
+        self.answer.next.get() > 0 && self.output_left() == Tokens::ZERO
+    }
+
     /// A refusal leaves the first token due as before. After a fault the target is missed, and an
     /// agent would refuse the rest of a request that it could still complete.
     fn renew_due(&mut self, turn: &Turn, cause: Cause) {
@@ -135,7 +149,7 @@
         }
     }
 
-    fn may_route(&self, turn: &Turn) -> bool {
+    pub(super) fn may_route(&self, turn: &Turn) -> bool {
         self.limits.route_count < self.config.attempts_max_count && turn.now < self.limits.ends_at
     }
 
@@ -150,7 +164,9 @@
             return;
         };
         turn.report(&server, Some(cause.evidence));
-        if !self.excluded.contains(&server) {
+        // An unknown lease is mostly one that ran out while this entry paused; its server is fine.
+        let is_usable = cause.refusal == Some(RefusalReason::NoSuchLease);
+        if !is_usable && !self.excluded.contains(&server) {
             self.excluded.push(server);
         }
     }
@@ -167,7 +183,7 @@
     pub(super) fn check_deadlines(&mut self, turn: &mut Turn) {
         self.check_stream(turn);
         for message in self.sends.take_overdue(turn.now) {
-            if message.kind == crate::sends::SendKind::Release {
+            if message.kind == SendKind::Release {
                 self.release_lost(turn, &message);
             } else if self.is_current(message.send) {
                 let cause = Cause::new(Evidence::Silent);
--- a/crates/entry-core/src/model/steps.rs
+++ b/crates/entry-core/src/model/steps.rs
@@ -1,6 +1,6 @@
 //! The good path: route, reserve, prefill, open the stream.
 
-use cuminlead_protocol::{AgentReply, Prefilled, ReplyBody, Reserved};
+use cuminlead_protocol::{AgentFailure, AgentReply, Prefilled, ReplyBody, Reserved};
 use cuminlead_retry::{Evidence, Step};
 use cuminlead_routing::{NoRoute, Route, RouteKind};
 use cuminlead_types::{Attempt, BackendServerId, Incarnation};
@@ -59,23 +59,37 @@
                 self.advance(turn);
             }
             (Phase::RoutePrefill, Ok(Route::Prefill(server))) => self.use_prefill(turn, server),
-            (Phase::RoutePair, _) => self.fail_route(turn),
-            (Phase::RoutePrefill, Err(NoRoute::RetryBudget)) => self.fail_route(turn),
-            (Phase::RoutePrefill, _) => self.new_attempt(turn, Cause::new(Evidence::RefusedNotRun)),
+            (Phase::RoutePrefill | Phase::RoutePair, Err(NoRoute::RetryBudget)) => {
+                self.fail_route(turn);
+            }
+            (Phase::RoutePrefill, _) => self.new_attempt(turn, Cause::NO_SERVER),
+            (Phase::RoutePair, _) => self.no_pair(turn),
             _ => {}
         }
     }
 
+    /// No server is usable. A server that failed this call may work again, and asking it is better
+    /// than failing when there is no other.
+    fn no_pair(&mut self, turn: &mut Turn) {
+        if self.excluded.is_empty() || !self.may_route(turn) {
+            self.fail_route(turn);
+            return;
+        }
+        self.excluded.clear();
+        self.route_pair(turn);
+    }
+
+    /// Fails with the cause that made the route necessary, if there was one.
     fn fail_route(&mut self, turn: &mut Turn) {
-        let cause = self.limits_cause();
-        self.recover(turn, Step::Route, cause);
+        let cause = self.last_cause.unwrap_or(Cause::NO_SERVER);
+        self.fail(turn, cause);
     }
 
     /// Continues with another prefill server. A server given up in this attempt may still get the
     /// release that was sent to it, so it is used again only under a new attempt.
     fn use_prefill(&mut self, turn: &mut Turn, server: BackendServerId) {
         if self.holds.is_given_up(&server, self.attempt.number) {
-            self.new_attempt(turn, Cause::new(Evidence::RefusedNotRun));
+            self.new_attempt(turn, Cause::NO_SERVER);
             return;
         }
         self.attempt.prefill = server;
@@ -171,10 +185,12 @@
 
     fn step_replied(&mut self, turn: &mut Turn, message: &SentMessage, outcome: SendOutcome) {
         let step = step_of(message.kind);
+        if is_without_effect(&outcome) {
+            self.holds.disprove(&message.server, message.attempt);
+        }
         match outcome {
             SendOutcome::Reply(reply) => self.step_answered(turn, message, *reply),
             SendOutcome::ConnectFailed => {
-                self.holds.disprove(&message.server, message.attempt);
                 self.recover(turn, step, Cause::new(Evidence::ConnectFailed));
             }
             SendOutcome::Lost => self.recover(turn, step, Cause::new(Evidence::Silent)),
@@ -190,11 +206,7 @@
                 self.prefilled(turn, prefilled);
             }
             (kind, ReplyBody::Failed(failure)) => {
-                let cause = Cause::from_failure(&failure);
-                if cause.refusal.is_some() {
-                    self.holds.disprove(&message.server, message.attempt);
-                }
-                self.recover(turn, step_of(kind), cause);
+                self.recover(turn, step_of(kind), Cause::from_failure(&failure));
             }
             (kind, _) => self.recover(turn, step_of(kind), Cause::new(Evidence::EngineFailed)),
         }
@@ -218,6 +230,9 @@
     /// An answer to a message that the call no longer waits for. What it says is held belongs to
     /// nobody, unless the current attempt still uses the same place.
     fn late_reply(&mut self, turn: &mut Turn, message: &SentMessage, outcome: &SendOutcome) {
+        if is_without_effect(outcome) {
+            self.holds.disprove(&message.server, message.attempt);
+        }
         let SendOutcome::Reply(reply) = outcome else {
             return;
         };
@@ -231,12 +246,18 @@
             }
             _ => return,
         }
-        self.release(turn, &message.server, message.attempt);
+        self.release(turn, &message.server, message.attempt, false);
     }
 
-    pub(super) fn release(&mut self, turn: &mut Turn, server: &BackendServerId, attempt: Attempt) {
+    pub(super) fn release(
+        &mut self,
+        turn: &mut Turn,
+        server: &BackendServerId,
+        attempt: Attempt,
+        fresh: bool,
+    ) {
         if self.holds.begin_release(server, attempt) {
-            self.send_release(turn, server, attempt, false);
+            self.send_release(turn, server, attempt, fresh);
         }
     }
 
@@ -274,6 +295,17 @@
     }
 }
 
+/// Whether the message certainly had no effect.
+fn is_without_effect(outcome: &SendOutcome) -> bool {
+    match outcome {
+        SendOutcome::ConnectFailed => true,
+        SendOutcome::Lost => false,
+        SendOutcome::Reply(reply) => {
+            matches!(reply.body, ReplyBody::Failed(AgentFailure::Refused(_)))
+        }
+    }
+}
+
 /// Step that a message belongs to.
 pub(super) fn step_of(kind: SendKind) -> Step {
     match kind {
--- a/crates/entry-core/src/model/stream.rs
+++ b/crates/entry-core/src/model/stream.rs
@@ -70,7 +70,7 @@
         }
         self.attempt.is_imported = true;
         let server = self.attempt.prefill.clone();
-        self.release(turn, &server, self.attempt.number);
+        self.release(turn, &server, self.attempt.number, false);
     }
 
     /// Whether the agent is still the one that granted the place; otherwise the attempt is lost.
