--- /dev/null
+++ b/crates/entry-core/src/application/recover.rs
@@ -0,0 +1,150 @@
+//! What follows a failure, by the retry table.
+
+use cuminlead_protocol::RefusalReason;
+use cuminlead_retry::{CallKind, Decision, Evidence, Step};
+use cuminlead_types::DurationUs;
+
+use super::ApplicationCall;
+use super::state::Phase;
+use crate::call::CallAction;
+use crate::cause::Cause;
+use crate::decide::decide;
+use crate::turn::Turn;
+
+impl ApplicationCall {
+    pub(super) fn recover(&mut self, turn: &mut Turn, step: Step, cause: Cause) {
+        self.last_cause = Some(cause);
+        if cause.refusal == Some(RefusalReason::NotOwner) {
+            self.not_owner(turn, cause);
+            return;
+        }
+        match decide(self.kind(), step, cause.evidence) {
+            Decision::RetrySame => self.retry_same(turn, step, cause),
+            Decision::RetryElsewhere => self.retry_elsewhere(turn, step, cause),
+            Decision::AskOwner | Decision::Resume => self.ask_owner(turn, step, cause),
+            Decision::ReportNotRun | Decision::ReportUnknown | Decision::Stop => {
+                self.report_failure(turn, cause);
+                self.fail(turn, cause);
+            }
+        }
+    }
+
+    fn retry_same(&mut self, turn: &mut Turn, step: Step, cause: Cause) {
+        self.limits.repeat_count += 1;
+        if self.limits.repeat_count > self.config.repeats_max_count {
+            self.retry_elsewhere(turn, step, cause);
+            return;
+        }
+        match (self.kind(), step) {
+            (CallKind::NonIdempotent, Step::Permit) => {
+                self.count_retry(turn, cause);
+                self.send_permit(turn, true);
+            }
+            (CallKind::Idempotent, Step::Run) => {
+                self.count_retry(turn, cause);
+                self.send_run(turn, true);
+            }
+            _ => self.retry_elsewhere(turn, step, cause),
+        }
+    }
+
+    fn retry_elsewhere(&mut self, turn: &mut Turn, step: Step, cause: Cause) {
+        if self.must_ask() {
+            self.ask_owner(turn, step, cause);
+            return;
+        }
+        self.report_failure(turn, cause);
+        // Only the owner of a key may take a call with this key.
+        let is_owner_fixed = self.owned_key().is_some();
+        if is_owner_fixed || !self.may_route(turn) {
+            self.fail(turn, cause);
+            return;
+        }
+        if !self.excluded.contains(&self.server) {
+            self.excluded.push(self.server.clone());
+        }
+        self.count_retry(turn, cause);
+        self.route(turn);
+    }
+
+    /// Whether a call that may not be repeated was sent and its fate is not proven.
+    fn must_ask(&self) -> bool {
+        self.kind() == CallKind::NonIdempotent && self.proof.is_last_open
+    }
+
+    /// Asks about the call at once after its answer was lost, and after a pause from then on.
+    fn ask_owner(&mut self, turn: &mut Turn, step: Step, cause: Cause) {
+        match self.phase {
+            Phase::Run(run) if self.permit.is_some() => {
+                self.count_retry(turn, cause);
+                self.send_ask(turn, run);
+            }
+            Phase::Ask { run, .. } => {
+                self.report_unreachable(turn, cause);
+                let at = turn.now + self.ask_pause(cause);
+                self.phase = Phase::AskPause { at, run };
+            }
+            _ if step == Step::Permit => self.retry_same(turn, step, cause),
+            _ => self.fail(turn, cause),
+        }
+    }
+
+    /// A call that runs is asked about less often than one whose owner did not answer.
+    fn ask_pause(&self, cause: Cause) -> DurationUs {
+        if cause.evidence == Evidence::StillRunning {
+            self.config.acknowledge_us
+        } else {
+            self.config.repeat_pause_us
+        }
+    }
+
+    pub(super) fn may_route(&self, turn: &Turn) -> bool {
+        self.limits.route_count < self.config.attempts_max_count && turn.now < self.limits.ends_at
+    }
+
+    pub(super) fn count_retry(&self, turn: &mut Turn, cause: Cause) {
+        turn.push(CallAction::Retried {
+            evidence: cause.evidence,
+        });
+    }
+
+    /// Reports a failure that made the call give up the server. Silence that a repeat or a question
+    /// may still resolve is not reported, because a slow service is not a failed one.
+    fn report_failure(&self, turn: &mut Turn, cause: Cause) {
+        let is_of_call = matches!(
+            cause.evidence,
+            Evidence::Voided | Evidence::StillRunning | Evidence::OutcomeUnknown
+        );
+        if !is_of_call {
+            turn.report(&self.server, Some(cause.evidence));
+        }
+    }
+
+    fn report_unreachable(&self, turn: &mut Turn, cause: Cause) {
+        if cause.evidence == Evidence::ConnectFailed {
+            turn.report(&self.server, Some(cause.evidence));
+        }
+    }
+
+    pub(super) fn check_deadlines(&mut self, turn: &mut Turn) {
+        self.check_pause(turn);
+        for message in self.sends.take_overdue(turn.now) {
+            let step = match self.phase {
+                Phase::Permit(send) if send == message.send => Step::Permit,
+                Phase::Run(send) if send == message.send => Step::Run,
+                Phase::Ask { ask, .. } if ask == message.send => Step::Ask,
+                _ => continue,
+            };
+            self.recover(turn, step, Cause::new(Evidence::Silent));
+        }
+    }
+
+    fn check_pause(&mut self, turn: &mut Turn) {
+        match self.phase {
+            Phase::RoutePause(at) if at <= turn.now => self.route(turn),
+            Phase::KeyPause(at) if at <= turn.now => self.send_permit(turn, false),
+            Phase::AskPause { at, run } if at <= turn.now => self.send_ask(turn, run),
+            _ => {}
+        }
+    }
+}
