Wire admission and permits into the agent context

`AgentContext` had empty handlers.

`CallRef`, `StreamRef` and `ReleaseCause` move to admission, which needs them and is lower in the list of packages; agent-core re-exports them under their earlier paths. `AgentContext::new` has no time argument, so permits start with the first event; a later start only makes unknown keys be answered *unknown* for longer.

--- a/crates/agent-core/src/action.rs
+++ b/crates/agent-core/src/action.rs
@@ -1,8 +1,8 @@
 //! Actions that an agent decides on.
 
+pub use cuminlead_admission::ReleaseCause;
 use cuminlead_protocol::{AgentReply, DecodeEvent, EngineCommand, RefusalReason, ServiceCommand};
 use cuminlead_types::{AttemptId, CustomerId, PermitId, Tokens};
-use strum::{Display, EnumIter, IntoStaticStr};
 
 use crate::event::{CallRef, StreamRef};
 
@@ -75,23 +75,3 @@
         permit: PermitId,
     },
 }
-
-/// Why a lease or a KV cache was freed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Display, EnumIter, IntoStaticStr)]
-#[strum(serialize_all = "snake_case")]
-pub enum ReleaseCause {
-    /// The answer was delivered.
-    Finished,
-    /// The KV cache was imported by a decode engine.
-    Imported,
-    /// The entry released or cancelled the attempt.
-    Released,
-    /// The lease ended.
-    Expired,
-    /// No entry was attached for too long.
-    Orphaned,
-    /// The engine failed.
-    EngineFailed,
-    /// The transfer failed.
-    TransferFailed,
-}
--- /dev/null
+++ b/crates/agent-core/src/application.rs
@@ -0,0 +1,176 @@
+//! The path of application calls: permits, and calls forwarded to the service.
+
+use std::sync::Arc;
+
+use cuminlead_lists::Lists;
+use cuminlead_permits::RunOutcome;
+use cuminlead_protocol::{
+    AgentFailure, AskPermit, Envelope, HttpRequest, IssuePermit, PermitOutcome, RefusalReason,
+    ReplyBody, RunCall, RunRef, ServiceCommand, ServiceEvent,
+};
+use cuminlead_types::{Now, ServiceName, TimeUs};
+
+use crate::action::{AgentAction, AgentRecord};
+use crate::context::AgentContext;
+use crate::event::CallRef;
+
+impl AgentContext {
+    pub(crate) fn issue_permit(
+        &mut self,
+        now: Now,
+        call: CallRef,
+        message: &IssuePermit,
+        actions: &mut Vec<AgentAction>,
+    ) {
+        let issued = self.issue_checked(now, message);
+        let envelope = &message.envelope;
+        match issued {
+            Ok(ReplyBody::Failed(AgentFailure::Refused(reason))) | Err(reason) => {
+                self.refuse(now.mono_us, call, envelope, reason, actions);
+            }
+            Ok(body) => self.reply(now.mono_us, call, body, actions),
+        }
+    }
+
+    /// Runs a call under its permit, or an idempotent one directly.
+    ///
+    /// The permit proves that the plan was checked when it was issued.
+    pub(crate) fn run_call(
+        &mut self,
+        now: TimeUs,
+        call: CallRef,
+        message: RunCall,
+        actions: &mut Vec<AgentAction>,
+    ) {
+        let run = match message.permit {
+            Some(_) => self.start_under_permit(now, &message, actions),
+            None => self.start_without_permit(call, &message),
+        };
+        match run {
+            Ok(run) => self.forward_call(now, call, run, message.http, actions),
+            Err(reason) => self.refuse(now, call, &message.envelope, reason, actions),
+        }
+    }
+
+    /// Answers what became of a permit; needs no lists.
+    pub(crate) fn ask_permit(
+        &mut self,
+        now: TimeUs,
+        call: CallRef,
+        message: &AskPermit,
+        actions: &mut Vec<AgentAction>,
+    ) {
+        let unknown = ReplyBody::PermitOutcome(PermitOutcome::Unknown);
+        let permits = self.permits.as_mut();
+        let body = permits.map_or(unknown, |permits| permits.ask(now, message.permit));
+        self.reply(now, call, body, actions);
+    }
+
+    pub(crate) fn service_event(
+        &mut self,
+        now: TimeUs,
+        event: ServiceEvent,
+        actions: &mut Vec<AgentAction>,
+    ) {
+        let (run, outcome) = match event {
+            ServiceEvent::Answered { run, http } => (run, RunOutcome::Answered(http)),
+            ServiceEvent::NotSent { run } => (run, RunOutcome::NotSent),
+            ServiceEvent::Lost { run } => (run, RunOutcome::Lost),
+        };
+        let Some(ended) = self.runs.ended(run) else {
+            return;
+        };
+        let body = match run {
+            RunRef::Permit(permit) => {
+                if let Some(permits) = &mut self.permits {
+                    permits.finish(now, permit, &outcome);
+                }
+                body_under_permit(outcome)
+            }
+            RunRef::Message(_) => body_without_permit(outcome),
+        };
+        if let Some(call) = ended.call {
+            self.reply(now, call, body, actions);
+        }
+    }
+
+    fn issue_checked(
+        &mut self,
+        now: Now,
+        message: &IssuePermit,
+    ) -> Result<ReplyBody, RefusalReason> {
+        let lists = self.check_call(&message.envelope, &message.service)?;
+        let permits = self.permits.as_mut().ok_or(RefusalReason::Starting)?;
+        Ok(permits.issue(now, &lists, message))
+    }
+
+    fn start_under_permit(
+        &mut self,
+        now: TimeUs,
+        message: &RunCall,
+        actions: &mut Vec<AgentAction>,
+    ) -> Result<RunRef, RefusalReason> {
+        let permits = self.permits.as_mut().ok_or(RefusalReason::PermitInvalid)?;
+        let permit = permits.start(now, message)?;
+        let record = AgentRecord::PermitStarted { permit };
+        actions.push(AgentAction::Record(record));
+        Ok(RunRef::Permit(permit))
+    }
+
+    fn start_without_permit(
+        &self,
+        call: CallRef,
+        message: &RunCall,
+    ) -> Result<RunRef, RefusalReason> {
+        let lists = self.check_call(&message.envelope, &message.service)?;
+        let http = &message.http;
+        if lists.is_idempotent(&message.service, &http.method, &http.path) {
+            Ok(RunRef::Message(call.0))
+        } else {
+            Err(RefusalReason::PermitMissing)
+        }
+    }
+
+    /// Lists in force, when they permit new calls of the service here.
+    fn check_call(
+        &self,
+        envelope: &Envelope,
+        service: &ServiceName,
+    ) -> Result<Arc<Lists>, RefusalReason> {
+        if self.is_draining {
+            return Err(RefusalReason::Draining);
+        }
+        self.gate
+            .check_service(&self.poll, &envelope.customer, service)
+            .cloned()
+    }
+
+    fn forward_call(
+        &mut self,
+        now: TimeUs,
+        call: CallRef,
+        run: RunRef,
+        http: HttpRequest,
+        actions: &mut Vec<AgentAction>,
+    ) {
+        self.runs.started(now, run, call);
+        actions.push(AgentAction::Service(ServiceCommand { run, http }));
+    }
+}
+
+/// Answer to a call under a permit.
+fn body_under_permit(outcome: RunOutcome) -> ReplyBody {
+    match outcome {
+        RunOutcome::Answered(http) => ReplyBody::CallDone(http),
+        RunOutcome::NotSent => ReplyBody::PermitOutcome(PermitOutcome::Voided),
+        RunOutcome::Lost => ReplyBody::Failed(AgentFailure::OutcomeUnknown),
+    }
+}
+
+/// Answer to an idempotent call.
+fn body_without_permit(outcome: RunOutcome) -> ReplyBody {
+    match outcome {
+        RunOutcome::Answered(http) => ReplyBody::CallDone(http),
+        RunOutcome::NotSent | RunOutcome::Lost => ReplyBody::Failed(AgentFailure::ServiceFailed),
+    }
+}
--- a/crates/agent-core/src/config.rs
+++ b/crates/agent-core/src/config.rs
@@ -1,5 +1,7 @@
 //! Limits of an agent's decisions.
 
+use cuminlead_admission::AdmissionConfig;
+use cuminlead_permits::PermitsConfig;
 use cuminlead_types::{BackendServerId, DurationUs, Incarnation, KvPieces, Slots, TokensPerSecond};
 
 /// Limits of an agent's decisions; the defaults are those of `docs/design.md`.
@@ -61,4 +63,29 @@
             prefill_rate: TokensPerSecond(20_000),
         }
     }
+
+    pub(crate) fn admission(&self) -> AdmissionConfig {
+        AdmissionConfig {
+            incarnation: self.incarnation,
+            slots: self.slots,
+            pieces: self.pieces,
+            queue_max_count: usize::try_from(self.queue_max_count).unwrap_or(usize::MAX),
+            lease_max_us: self.lease_max_us,
+            orphan_us: self.orphan_us,
+            kv_hold_us: self.kv_hold_us,
+            answer_hold_us: self.answer_hold_us,
+            import_timeout_us: self.import_timeout_us,
+            heartbeat_us: self.heartbeat_us,
+            prefill_rate: self.prefill_rate,
+        }
+    }
+
+    pub(crate) fn permits(&self) -> PermitsConfig {
+        PermitsConfig {
+            permit_ttl_us: self.permit_ttl_us,
+            key_retention_us: self.key_retention_us,
+            key_staleness_us: self.key_staleness_us,
+            ..PermitsConfig::new(self.server.clone(), self.incarnation)
+        }
+    }
 }
--- a/crates/agent-core/src/event.rs
+++ b/crates/agent-core/src/event.rs
@@ -2,18 +2,11 @@
 
 use std::sync::Arc;
 
+pub use cuminlead_admission::{CallRef, StreamRef};
 use cuminlead_lists::Lists;
 use cuminlead_protocol::{AgentRequest, DecodeControl, DecodeOpen, EngineEvent, ServiceEvent};
 use cuminlead_types::Revision;
 
-/// Open message of an entry that waits for its reply.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct CallRef(pub u64);
-
-/// Open decode stream.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct StreamRef(pub u64);
-
 /// Something that happened to an agent.
 #[derive(Clone, Debug)]
 pub enum AgentEvent {
--- /dev/null
+++ b/crates/agent-core/src/model.rs
@@ -0,0 +1,140 @@
+//! The path of model calls: admission behind the agent's own checks.
+
+use cuminlead_admission::{AdmissionAction, AdmissionRecord, StreamNote, StreamRef, Terms};
+use cuminlead_protocol::{
+    DecodeEvent, EngineEvent, EngineRole, Envelope, ModelTarget, Prefill, RefusalReason, Reserve,
+};
+use cuminlead_types::{Priority, TimeUs};
+
+use crate::action::{AgentAction, AgentRecord};
+use crate::context::AgentContext;
+use crate::event::CallRef;
+
+impl AgentContext {
+    pub(crate) fn reserve(
+        &mut self,
+        now: TimeUs,
+        call: CallRef,
+        message: &Reserve,
+        actions: &mut Vec<AgentAction>,
+    ) {
+        match self.admit(&message.envelope, &message.target, EngineRole::Decode) {
+            Ok(terms) => {
+                self.admission
+                    .reserve(now, call, message, terms, &mut self.admitted);
+            }
+            Err(reason) => self.refuse(now, call, &message.envelope, reason, actions),
+        }
+    }
+
+    pub(crate) fn prefill(
+        &mut self,
+        now: TimeUs,
+        call: CallRef,
+        message: Prefill,
+        actions: &mut Vec<AgentAction>,
+    ) {
+        match self.admit(&message.envelope, &message.target, EngineRole::Prefill) {
+            Ok(terms) => {
+                self.admission
+                    .prefill(now, call, message, terms, &mut self.admitted);
+            }
+            Err(reason) => self.refuse(now, call, &message.envelope, reason, actions),
+        }
+    }
+
+    pub(crate) fn engine_event(&mut self, now: TimeUs, event: EngineEvent) {
+        match &event {
+            EngineEvent::Inventory(inventory) => self.poll.received(inventory.clone()),
+            EngineEvent::Unreachable => self.poll.lost(),
+            _ => {}
+        }
+        self.admission.engine_event(now, event, &mut self.admitted);
+    }
+
+    /// Turns what admission decided into actions; replies carry the state after the decision.
+    pub(crate) fn forward_admitted(&mut self, now: TimeUs, actions: &mut Vec<AgentAction>) {
+        let mut admitted = std::mem::take(&mut self.admitted);
+        for action in admitted.drain(..) {
+            self.forward(now, action, actions);
+        }
+        self.admitted = admitted;
+    }
+
+    fn forward(&self, now: TimeUs, action: AdmissionAction, actions: &mut Vec<AgentAction>) {
+        match action {
+            AdmissionAction::Reply { call, body } => self.reply(now, call, body, actions),
+            AdmissionAction::Send { stream, note } => self.send(now, stream, note, actions),
+            AdmissionAction::CloseStream { stream } => {
+                actions.push(AgentAction::CloseStream { stream });
+            }
+            AdmissionAction::Engine(command) => actions.push(AgentAction::Engine(command)),
+            AdmissionAction::Record(record) => {
+                actions.push(AgentAction::Record(record_of(record)));
+            }
+        }
+    }
+
+    fn send(
+        &self,
+        now: TimeUs,
+        stream: StreamRef,
+        note: StreamNote,
+        actions: &mut Vec<AgentAction>,
+    ) {
+        let event = match note {
+            StreamNote::Imported => DecodeEvent::Imported(self.state(now)),
+            StreamNote::Chunk(chunk) => DecodeEvent::Chunk(chunk),
+            StreamNote::Heartbeat => DecodeEvent::Heartbeat(self.state(now)),
+            StreamNote::Failed(failure) => DecodeEvent::Failed {
+                state: self.state(now),
+                failure,
+            },
+        };
+        actions.push(AgentAction::Send { stream, event });
+    }
+
+    /// Terms of a new attempt; a repeat of a known one was checked before.
+    fn admit(
+        &self,
+        envelope: &Envelope,
+        target: &ModelTarget,
+        role: EngineRole,
+    ) -> Result<Terms, RefusalReason> {
+        if self.admission.has_attempt(envelope.id) {
+            return Ok(Terms {
+                priority: Priority::ZERO,
+                weight: 1,
+            });
+        }
+        if self.is_draining {
+            return Err(RefusalReason::Draining);
+        }
+        self.gate
+            .check_model(&self.poll, &envelope.customer, target, role)
+    }
+}
+
+fn record_of(record: AdmissionRecord) -> AgentRecord {
+    match record {
+        AdmissionRecord::Refused {
+            id,
+            customer,
+            reason,
+        } => AgentRecord::Refused {
+            id,
+            customer,
+            reason,
+        },
+        AdmissionRecord::Released {
+            id,
+            cause,
+            wasted_prefill_tokens,
+        } => AgentRecord::Released {
+            id,
+            cause,
+            wasted_prefill_tokens,
+        },
+        AdmissionRecord::UnknownSequence { id } => AgentRecord::UnknownSequence { id },
+    }
+}
--- /dev/null
+++ b/crates/agent-core/src/poll.rs
@@ -0,0 +1,72 @@
+//! Reading of the engine's inventory.
+
+use cuminlead_protocol::{EngineInventory, EngineRole, LoadedModel, ModelTarget};
+use cuminlead_types::{DurationUs, TimeUs};
+
+/// When the inventory is read, and the latest one.
+#[derive(Debug)]
+pub struct InventoryPoll {
+    interval_us: DurationUs,
+    next_at: Option<TimeUs>,
+    latest: Option<EngineInventory>,
+}
+
+impl InventoryPoll {
+    /// Poll that has not started.
+    pub fn new(interval_us: DurationUs) -> Self {
+        Self {
+            interval_us,
+            next_at: None,
+            latest: None,
+        }
+    }
+
+    /// Starts reading; no effect when started already.
+    pub fn start(&mut self, now: TimeUs) {
+        self.next_at.get_or_insert(now);
+    }
+
+    /// Whether the inventory must be read now; the next time is one interval later.
+    pub fn take_due(&mut self, now: TimeUs) -> bool {
+        let is_due = self.next_at.is_some_and(|at| at <= now);
+        if is_due {
+            self.next_at = Some(now + self.interval_us);
+        }
+        is_due
+    }
+
+    /// Time at which the inventory must be read.
+    pub fn next_at(&self) -> Option<TimeUs> {
+        self.next_at
+    }
+
+    /// The engine reported its inventory.
+    pub fn received(&mut self, inventory: EngineInventory) {
+        self.latest = Some(inventory);
+    }
+
+    /// The engine does not answer; what it holds is unknown until the next inventory.
+    pub fn lost(&mut self) {
+        self.latest = None;
+    }
+
+    /// Whether an inventory is known.
+    pub fn is_known(&self) -> bool {
+        self.latest.is_some()
+    }
+
+    /// Whether the engine has the role and has loaded the model.
+    pub fn serves(&self, role: EngineRole, target: &ModelTarget) -> bool {
+        let Some(inventory) = &self.latest else {
+            return false;
+        };
+        let wanted = LoadedModel {
+            model: target.model.clone(),
+            version: target.version.clone(),
+        };
+        let adapter = target.adapter.as_ref();
+        inventory.role == role
+            && inventory.models.contains(&wanted)
+            && adapter.is_none_or(|adapter| inventory.adapters.contains(adapter))
+    }
+}
