Add the agent binary with its command line

The listening port is bound before anything else, because it is the lock on the host's slot. Ruled out: a lock file, since hosts have no disks.

--- a/crates/agent/src/backend/engine.rs
+++ b/crates/agent/src/backend/engine.rs
@@ -66,7 +66,10 @@
             http: config.into(),
             events: context.events,
         };
-        Box::new(Self { pool: context.pool, client: Arc::new(client) })
+        Box::new(Self {
+            pool: context.pool,
+            client: Arc::new(client),
+        })
     }
 }
 
@@ -93,14 +96,31 @@
 impl EngineClient {
     fn run(&self, command: EngineCommand) {
         match command {
-            EngineCommand::Prefill { id, target, priority, prompt } => {
+            EngineCommand::Prefill {
+                id,
+                target,
+                priority,
+                prompt,
+            } => {
                 self.prefill(id, &target, priority, prompt);
             }
-            EngineCommand::Decode { id, target, priority, kv, output_max_tokens } => {
+            EngineCommand::Decode {
+                id,
+                target,
+                priority,
+                kv,
+                output_max_tokens,
+            } => {
                 self.decode(id, &target, priority, kv, output_max_tokens);
             }
-            EngineCommand::ResumeDecode { id, received_tokens } => {
-                let body = ResumeBody { id: id.to_string(), received_tokens: received_tokens.0 };
+            EngineCommand::ResumeDecode {
+                id,
+                received_tokens,
+            } => {
+                let body = ResumeBody {
+                    id: id.to_string(),
+                    received_tokens: received_tokens.0,
+                };
                 let exchange = self.post("/v1/resume", &body, SEQUENCE_TIMEOUT);
                 self.read_decode(id, exchange);
             }
@@ -130,7 +150,11 @@
 
     fn prefill(&self, id: AttemptId, target: &ModelTarget, priority: Priority, prompt: String) {
         let target = TargetBody::new(target, priority);
-        let body = PrefillBody { id: id.to_string(), target, prompt };
+        let body = PrefillBody {
+            id: id.to_string(),
+            target,
+            prompt,
+        };
         let answer = match self.post("/v1/prefill", &body, SEQUENCE_TIMEOUT) {
             Exchange::Answered(mut response) if response.status().is_success() => {
                 response.body_mut().read_json::<PrefillAnswer>().ok()
@@ -140,7 +164,10 @@
         self.emit(match answer {
             Some(answer) => EngineEvent::PrefillDone {
                 id,
-                kv: KvHandle { address: self.address.clone(), handle: answer.handle },
+                kv: KvHandle {
+                    address: self.address.clone(),
+                    handle: answer.handle,
+                },
                 prompt_tokens: Tokens(answer.prompt_tokens),
                 cached_tokens: Tokens(answer.cached_tokens),
             },
@@ -201,10 +228,21 @@
                 self.emit(EngineEvent::ImportFailed { id });
                 true
             }
-            DecodeLine::Generated { first_token, text, tokens, finish } => {
+            DecodeLine::Generated {
+                first_token,
+                text,
+                tokens,
+                finish,
+            } => {
                 let finish = finish.as_deref().map(finish_reason);
                 let tokens = Tokens(tokens);
-                self.emit(EngineEvent::Generated { id, first_token, text, tokens, finish });
+                self.emit(EngineEvent::Generated {
+                    id,
+                    first_token,
+                    text,
+                    tokens,
+                    finish,
+                });
                 finish.is_some()
             }
         }
@@ -230,7 +268,10 @@
     }
 
     fn order(&self, fencing: FencingNumber, order: &EngineOrder) {
-        let body = OrderBody { fencing: fencing.to_string(), order: order.into() };
+        let body = OrderBody {
+            fencing: fencing.to_string(),
+            order: order.into(),
+        };
         let event = match self.post("/v1/orders", &body, ORDER_TIMEOUT) {
             Exchange::Answered(response) if response.status().is_success() => {
                 EngineEvent::OrderDone { fencing }
--- a/crates/agent/src/backend/engine_wire.rs
+++ b/crates/agent/src/backend/engine_wire.rs
@@ -115,11 +115,19 @@
             Some(LoadedModel { model, version })
         });
         EngineInventory {
-            sequences: self.sequences.iter().filter_map(|id| id.parse().ok()).collect(),
+            sequences: self
+                .sequences
+                .iter()
+                .filter_map(|id| id.parse().ok())
+                .collect(),
             total_pieces: KvPieces(self.total_pieces),
             role: self.role.parse().unwrap_or(EngineRole::Prefill),
             models: models.collect(),
-            adapters: self.adapters.iter().filter_map(|name| name.parse().ok()).collect(),
+            adapters: self
+                .adapters
+                .iter()
+                .filter_map(|name| name.parse().ok())
+                .collect(),
         }
     }
 }
@@ -156,12 +164,16 @@
                 version: Some(version.to_string()),
                 ..Self::default()
             },
-            EngineOrder::LoadAdapter { adapter } | EngineOrder::UnloadAdapter { adapter } => {
-                Self { kind, adapter: Some(adapter.to_string()), ..Self::default() }
-            }
-            EngineOrder::SetRole { role } => {
-                Self { kind, role: Some(role.to_string()), ..Self::default() }
-            }
+            EngineOrder::LoadAdapter { adapter } | EngineOrder::UnloadAdapter { adapter } => Self {
+                kind,
+                adapter: Some(adapter.to_string()),
+                ..Self::default()
+            },
+            EngineOrder::SetRole { role } => Self {
+                kind,
+                role: Some(role.to_string()),
+                ..Self::default()
+            },
         }
     }
 }
--- a/crates/agent/src/backend/mod.rs
+++ b/crates/agent/src/backend/mod.rs
@@ -48,7 +48,9 @@
 
 impl fmt::Debug for BackendContext {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("BackendContext").field("address", &self.address).finish_non_exhaustive()
+        f.debug_struct("BackendContext")
+            .field("address", &self.address)
+            .finish_non_exhaustive()
     }
 }
 
@@ -65,6 +67,8 @@
 
 /// Driver registered under a name.
 pub fn build(name: &str, context: BackendContext) -> Option<Box<dyn Backend>> {
-    let plugin = inventory::iter::<BackendPlugin>.into_iter().find(|plugin| plugin.name == name)?;
+    let plugin = inventory::iter::<BackendPlugin>
+        .into_iter()
+        .find(|plugin| plugin.name == name)?;
     Some((plugin.build)(context))
 }
--- a/crates/agent/src/backend/service.rs
+++ b/crates/agent/src/backend/service.rs
@@ -53,7 +53,10 @@
             http: config.into(),
             events: context.events,
         };
-        Box::new(Self { pool: context.pool, client: Arc::new(client) })
+        Box::new(Self {
+            pool: context.pool,
+            client: Arc::new(client),
+        })
     }
 }
 
@@ -73,7 +76,10 @@
 impl ServiceClient {
     fn run(&self, command: &ServiceCommand) {
         let event = match self.send(command) {
-            Ok(http) => ServiceEvent::Answered { run: command.run, http },
+            Ok(http) => ServiceEvent::Answered {
+                run: command.run,
+                http,
+            },
             Err(Failure::NotSent) => ServiceEvent::NotSent { run: command.run },
             Err(Failure::Lost) => ServiceEvent::Lost { run: command.run },
         };
@@ -89,15 +95,27 @@
         if !http.content_type.is_empty() {
             request = request.header(header::CONTENT_TYPE, &http.content_type);
         }
-        let request = request.body(http.body.clone()).map_err(|_| Failure::NotSent)?;
+        let request = request
+            .body(http.body.clone())
+            .map_err(|_| Failure::NotSent)?;
         let mut response = self.http.run(request).map_err(Failure::from)?;
         let content_type = response.headers().get(header::CONTENT_TYPE);
-        let content_type = content_type.and_then(|value| value.to_str().ok()).unwrap_or_default();
+        let content_type = content_type
+            .and_then(|value| value.to_str().ok())
+            .unwrap_or_default();
         let content_type = content_type.to_string();
         let status = response.status().as_u16();
-        let body = response.body_mut().with_config().limit(RESPONSE_MAX_BYTES).read_to_vec();
+        let body = response
+            .body_mut()
+            .with_config()
+            .limit(RESPONSE_MAX_BYTES)
+            .read_to_vec();
         let body = body.map_err(|_| Failure::Lost)?;
-        Ok(HttpResponse { status, content_type, body })
+        Ok(HttpResponse {
+            status,
+            content_type,
+            body,
+        })
     }
 }
 
@@ -116,6 +134,10 @@
 
 impl From<Error> for Failure {
     fn from(error: Error) -> Self {
-        if is_connect_failure(&error) { Self::NotSent } else { Self::Lost }
+        if is_connect_failure(&error) {
+            Self::NotSent
+        } else {
+            Self::Lost
+        }
     }
 }
--- a/crates/agent/src/controller.rs
+++ b/crates/agent/src/controller.rs
@@ -146,11 +146,19 @@
         self.parts.metrics.count(record);
         let log = &self.parts.log;
         match record {
-            AgentRecord::Refused { id, customer, reason } => {
+            AgentRecord::Refused {
+                id,
+                customer,
+                reason,
+            } => {
                 info!(log, "message refused"; "request" => %id, "customer" => %customer,
                     "reason" => %reason);
             }
-            AgentRecord::Released { id, cause, wasted_prefill_tokens } => {
+            AgentRecord::Released {
+                id,
+                cause,
+                wasted_prefill_tokens,
+            } => {
                 debug!(log, "attempt released"; "request" => %id, "cause" => %cause,
                     "wasted_prefill_tokens" => wasted_prefill_tokens.0);
             }
@@ -182,7 +190,10 @@
         if let Some(hosts) = update.hosts {
             self.parts.metrics.set_revision("hosts", hosts.revision);
             self.decide(now, AgentEvent::Hosts(hosts.revision));
-            let own = hosts.hosts.iter().find(|h| h.server.as_ref() == Some(&self.parts.server));
+            let own = hosts
+                .hosts
+                .iter()
+                .find(|h| h.server.as_ref() == Some(&self.parts.server));
             if own.is_some_and(|host| host.state == HostState::Leaving) {
                 self.drain(now);
             }
@@ -209,11 +220,19 @@
 
     fn handle(&mut self, now: Now, event: ControlEvent) {
         match event {
-            ControlEvent::Call { call, request, reply } => {
+            ControlEvent::Call {
+                call,
+                request,
+                reply,
+            } => {
                 self.calls.insert(call, reply);
                 self.decide(now, AgentEvent::Request { call, request });
             }
-            ControlEvent::Stream { stream, open, events } => {
+            ControlEvent::Stream {
+                stream,
+                open,
+                events,
+            } => {
                 self.streams.insert(stream, events);
                 self.decide(now, AgentEvent::StreamOpened { stream, open });
             }
--- /dev/null
+++ b/crates/agent/src/process.rs
@@ -0,0 +1,214 @@
+//! Start and stop of an agent.
+
+use std::net::TcpListener;
+use std::sync::Arc;
+
+use crossbeam::channel::{Sender, unbounded};
+use cuminlead_agent_core::{AgentConfig, AgentContext};
+use cuminlead_kernel::{Clock, WorkerPool, spawn_control};
+use cuminlead_process::cli::ProcessSettings;
+use cuminlead_process::feed::Feed;
+use cuminlead_process::platform::Platform;
+use cuminlead_process::secret::PeerSecret;
+use cuminlead_process::{StartError, admin, signal};
+use cuminlead_settings::AgentSettings;
+use cuminlead_telemetry::{Metrics, Tracing, log};
+use cuminlead_types::{Findings, Incarnation};
+use cuminlead_wire::MESSAGE_MAX_BYTES;
+use cuminlead_wire::proto::agent_server::AgentServer;
+use error_stack::{Report, ResultExt};
+use slog::{Logger, info};
+use tokio::runtime::Runtime;
+use tokio_stream::wrappers::TcpListenerStream;
+use tonic::transport::Server;
+
+use crate::backend::{self, BackendContext, BackendEvent};
+use crate::controller::{AgentController, AgentFlags, ControlEvent, ControllerParts};
+use crate::rpc::AgentRpc;
+use crate::status::{AgentAdmin, AgentMetrics};
+
+/// Threads of the runtime that carries messages; conversions take microseconds.
+const RUNTIME_THREADS: usize = 2;
+
+/// Places beyond the batch for prefill, cancel and inventory calls.
+const SPARE_CALLS: usize = 64;
+
+/// Settings of an agent on the command line.
+#[derive(Debug)]
+pub struct CheckedSettings(pub AgentSettings);
+
+impl std::fmt::Display for CheckedSettings {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+impl ProcessSettings for CheckedSettings {
+    fn parse_file(file: &str, text: &str) -> Result<Self, Findings> {
+        AgentSettings::parse(file, text).map(Self)
+    }
+}
+
+/// Runs an agent until it is asked to stop and holds nothing any more.
+pub fn run(settings: &CheckedSettings) -> Result<(), Report<StartError>> {
+    let settings = &settings.0;
+    // The port is the lock on the host's slot: the operating system frees it when a process dies.
+    let listener = TcpListener::bind(settings.peer_address())
+        .change_context(StartError::Bind)
+        .attach("another agent may hold the slot of this host")?;
+    let (log, _log_guard) = log::logger(
+        &settings.log_level().to_string(),
+        &settings.name().to_string(),
+    );
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(RUNTIME_THREADS)
+        .enable_all()
+        .build()
+        .change_context(StartError::Thread)?;
+    let tracing = {
+        let _context = runtime.enter();
+        let collector = settings
+            .collector_address()
+            .map(|address| address.to_string());
+        Tracing::new(collector.as_deref(), "cuminlead-agent").change_context(StartError::Tracing)?
+    };
+    let result = serve(settings, listener, &runtime, &log, &tracing);
+    tracing.shutdown();
+    result
+}
+
+fn serve(
+    settings: &AgentSettings,
+    listener: TcpListener,
+    runtime: &Runtime,
+    log: &Logger,
+    tracing: &Tracing,
+) -> Result<(), Report<StartError>> {
+    let clock = Clock::start();
+    let incarnation = Incarnation(clock.now().unix_ms.0);
+    let (control, events) = unbounded();
+    let mut metrics = Metrics::new("cuminlead_agent");
+    let agent_metrics = AgentMetrics::new(&mut metrics);
+    let flags = Arc::new(AgentFlags::default());
+    let feed = build_feed(settings, &control, &agent_metrics);
+    let source = AgentAdmin {
+        server: settings.server().clone(),
+        incarnation,
+        metrics,
+        flags: Arc::clone(&flags),
+        view: feed.view(),
+    };
+    let parts = ControllerParts {
+        server: settings.server().clone(),
+        context: AgentContext::new(config(settings, incarnation)),
+        feed,
+        backend: build_backend(settings, &control)?,
+        metrics: agent_metrics,
+        flags,
+        log: log.clone(),
+    };
+    let admin_address = admin::serve(*settings.admin_address(), Arc::new(source))?;
+    let peer_address = listener.local_addr().change_context(StartError::Bind)?;
+    let secret = PeerSecret::new(
+        settings
+            .peer_secret()
+            .as_ref()
+            .map(|secret| secret.expose()),
+    );
+    let rpc = AgentRpc::new(control.clone(), secret, tracing.clone());
+    start_rpc(runtime, listener, rpc)?;
+    runtime.spawn(forward_stop(control));
+    let controller = AgentController::new(parts);
+    let thread =
+        spawn_control("control", clock, controller, events).change_context(StartError::Thread)?;
+    println!("listening peer={peer_address} admin={admin_address}");
+    info!(log, "agent started"; "server" => %settings.server(), "incarnation" => incarnation.0,
+        "peer" => %peer_address, "admin" => %admin_address);
+    let ended = thread.join();
+    info!(log, "agent stopped"; "server" => %settings.server());
+    ended
+        .map(drop)
+        .map_err(|_| Report::new(StartError::Thread).attach("the control thread failed"))
+}
+
+fn build_feed(
+    settings: &AgentSettings,
+    control: &Sender<ControlEvent>,
+    metrics: &AgentMetrics,
+) -> Feed {
+    let platform = Platform::new(&settings.platform_address().to_string());
+    let control = control.clone();
+    let sender = move |event| {
+        // Nothing is left to report to when the control thread has ended.
+        let _ = control.send(ControlEvent::Feed(event));
+    };
+    Feed::new(platform, Arc::new(sender), metrics.common.clone())
+}
+
+fn build_backend(
+    settings: &AgentSettings,
+    control: &Sender<ControlEvent>,
+) -> Result<Box<dyn backend::Backend>, Report<StartError>> {
+    let control = control.clone();
+    let events = move |event| {
+        let event = match event {
+            BackendEvent::Engine(event) => ControlEvent::Engine(event),
+            BackendEvent::Service(event) => ControlEvent::Service(event),
+        };
+        // Nothing is left to report to when the control thread has ended.
+        let _ = control.send(event);
+    };
+    let calls_max_count = settings.slots_count().0 as usize + SPARE_CALLS;
+    let context = BackendContext {
+        address: settings.backend_address().to_string(),
+        pool: WorkerPool::new("backend", calls_max_count),
+        events: Box::new(events),
+    };
+    let name = settings.backend().to_string();
+    backend::build(&name, context)
+        .ok_or_else(|| Report::new(StartError::Plugin).attach(format!("backend={name}")))
+}
+
+fn start_rpc(
+    runtime: &Runtime,
+    listener: TcpListener,
+    rpc: AgentRpc,
+) -> Result<(), Report<StartError>> {
+    listener
+        .set_nonblocking(true)
+        .change_context(StartError::Bind)?;
+    let _context = runtime.enter();
+    let listener = tokio::net::TcpListener::from_std(listener).change_context(StartError::Bind)?;
+    let service = AgentServer::new(rpc)
+        .max_decoding_message_size(MESSAGE_MAX_BYTES)
+        .max_encoding_message_size(MESSAGE_MAX_BYTES);
+    let server = Server::builder().tcp_nodelay(true).add_service(service);
+    runtime.spawn(server.serve_with_incoming(TcpListenerStream::new(listener)));
+    Ok(())
+}
+
+async fn forward_stop(control: Sender<ControlEvent>) {
+    if signal::stop_requested().await.is_ok() {
+        // Nothing is left to stop when the control thread has ended.
+        let _ = control.send(ControlEvent::Stop);
+    }
+}
+
+fn config(settings: &AgentSettings, incarnation: Incarnation) -> AgentConfig {
+    let defaults = AgentConfig::new(settings.server().clone(), incarnation);
+    AgentConfig {
+        slots: *settings.slots_count(),
+        pieces: *settings.kv_pieces_count(),
+        queue_max_count: settings.queue_max_count().0,
+        lease_max_us: (*settings.lease_max_ms()).into(),
+        orphan_us: (*settings.orphan_ms()).into(),
+        kv_hold_us: (*settings.kv_hold_ms()).into(),
+        answer_hold_us: (*settings.answer_hold_ms()).into(),
+        import_timeout_us: (*settings.import_timeout_ms()).into(),
+        permit_ttl_us: (*settings.permit_ttl_ms()).into(),
+        key_retention_us: (*settings.key_retention_ms()).into(),
+        key_staleness_us: (*settings.key_staleness_ms()).into(),
+        prefill_rate: *settings.prefill_tokens_per_second(),
+        ..defaults
+    }
+}
--- a/crates/agent/src/rpc.rs
+++ b/crates/agent/src/rpc.rs
@@ -34,7 +34,12 @@
 impl AgentRpc {
     /// Service that sends events to the control thread.
     pub fn new(control: Sender<ControlEvent>, secret: PeerSecret, tracing: Tracing) -> Self {
-        Self { control, next_ref: Arc::default(), secret, tracing }
+        Self {
+            control,
+            next_ref: Arc::default(),
+            secret,
+            tracing,
+        }
     }
 
     fn next_ref(&self) -> u64 {
@@ -42,7 +47,9 @@
     }
 
     fn send(&self, event: ControlEvent) -> Result<(), Status> {
-        self.control.send(event).map_err(|_| Status::unavailable("the agent has stopped"))
+        self.control
+            .send(event)
+            .map_err(|_| Status::unavailable("the agent has stopped"))
     }
 }
 
@@ -56,7 +63,9 @@
     fn drop(&mut self) {
         if let Some(call) = self.call {
             // Nothing is left to report to when the control thread has ended.
-            let _ = self.control.send(ControlEvent::Agent(AgentEvent::CallDropped { call }));
+            let _ = self
+                .control
+                .send(ControlEvent::Agent(AgentEvent::CallDropped { call }));
         }
     }
 }
@@ -79,8 +88,15 @@
         request.envelope_mut().traceparent = span.traceparent().to_string();
         let call = CallRef(self.next_ref());
         let (reply, answered) = oneshot::channel();
-        let mut guard = DropGuard { control: self.control.clone(), call: Some(call) };
-        self.send(ControlEvent::Call { call, request, reply })?;
+        let mut guard = DropGuard {
+            control: self.control.clone(),
+            call: Some(call),
+        };
+        self.send(ControlEvent::Call {
+            call,
+            request,
+            reply,
+        })?;
         let reply: Result<AgentReply, _> = answered.await;
         guard.call = None;
         let reply = reply.map_err(|_| Status::unavailable("the agent has stopped"))?;
@@ -99,7 +115,11 @@
         let stream = StreamRef(self.next_ref());
         let span = self.tracing.hop("decode", &open.envelope.traceparent);
         let (events, receiver) = mpsc::unbounded_channel::<DecodeEvent>();
-        self.send(ControlEvent::Stream { stream, open, events })?;
+        self.send(ControlEvent::Stream {
+            stream,
+            open,
+            events,
+        })?;
         tokio::spawn(read_controls(self.control.clone(), stream, messages));
         let replies = UnboundedReceiverStream::new(receiver).map(move |event| {
             let _ = &span;
@@ -116,9 +136,9 @@
     let first = first.ok_or_else(|| Status::invalid_argument("the stream has no message"))?;
     match DecodeMessage::try_from(first).map_err(invalid)? {
         DecodeMessage::Open(open) => Ok(open),
-        DecodeMessage::Control(_) => {
-            Err(Status::invalid_argument("the first message neither starts nor resumes"))
-        }
+        DecodeMessage::Control(_) => Err(Status::invalid_argument(
+            "the first message neither starts nor resumes",
+        )),
     }
 }
 
@@ -131,7 +151,10 @@
         let Ok(DecodeMessage::Control(message)) = DecodeMessage::try_from(message) else {
             break;
         };
-        let event = AgentEvent::StreamControl { stream, control: message };
+        let event = AgentEvent::StreamControl {
+            stream,
+            control: message,
+        };
         if control.send(ControlEvent::Agent(event)).is_err() {
             return;
         }
--- a/crates/agent/src/status.rs
+++ b/crates/agent/src/status.rs
@@ -38,8 +38,10 @@
                 "wasted_prefill_tokens",
                 "Prompt tokens computed and not used by a decode, by cause",
             ),
-            unknown_sequences: metrics
-                .counter("unknown_sequences", "Engine sequences that the agent did not know"),
+            unknown_sequences: metrics.counter(
+                "unknown_sequences",
+                "Engine sequences that the agent did not know",
+            ),
             permits: metrics.counters("permits", "Permits by what became of them"),
         }
     }
@@ -50,7 +52,11 @@
             AgentRecord::Refused { reason, .. } => {
                 inc(&self.refusals, "reason", &reason.to_string(), 1);
             }
-            AgentRecord::Released { cause, wasted_prefill_tokens, .. } => {
+            AgentRecord::Released {
+                cause,
+                wasted_prefill_tokens,
+                ..
+            } => {
                 inc(&self.releases, "cause", &cause.to_string(), 1);
                 if wasted_prefill_tokens.0 > 0 {
                     let wasted = &self.wasted_prefill_tokens;
@@ -68,12 +74,17 @@
     /// Shows a revision in force.
     pub fn set_revision(&self, list: &str, revision: Revision) {
         let value = i64::try_from(revision.0).unwrap_or(i64::MAX);
-        self.common.revision.get_or_create(&Label::new("list", list)).set(value);
+        self.common
+            .revision
+            .get_or_create(&Label::new("list", list))
+            .set(value);
     }
 }
 
 fn inc(counters: &Counters, label: &'static str, value: &str, amount: u64) {
-    counters.get_or_create(&Label::new(label, value)).inc_by(amount);
+    counters
+        .get_or_create(&Label::new(label, value))
+        .inc_by(amount);
 }
 
 /// What the admin address of an agent reports.
--- /dev/null
+++ b/crates/process/src/cli.rs
@@ -0,0 +1,220 @@
+//! Command line of both binaries.
+//!
+//! Exit status: 0 when the command did what it was asked, 1 when something was found or failed,
+//! 2 when the command line is wrong.
+
+use std::fmt::Display;
+use std::fs;
+use std::process::ExitCode;
+
+use cuminlead_kernel::{PluginPoint, plugins_at};
+use cuminlead_lists::{Part, PartKey, Snapshot};
+use cuminlead_types::{Findings, Place, Revision};
+use error_stack::Report;
+use gumdrop::{Options, ParsingStyle};
+use strum::IntoEnumIterator;
+
+use crate::error::StartError;
+
+const EXIT_FOUND: u8 = 1;
+const EXIT_USAGE: u8 = 2;
+
+/// Options of both binaries.
+#[derive(Debug, Options)]
+pub struct CommandLine {
+    /// print this help
+    help: bool,
+
+    /// file with the settings of the process, in TOML
+    #[options(meta = "FILE")]
+    settings: Option<String>,
+
+    #[options(command)]
+    command: Option<Command>,
+}
+
+/// What to do.
+#[derive(Debug, Options)]
+enum Command {
+    /// run the process until it is asked to stop
+    Run(NoOptions),
+
+    /// check the settings and report every finding with file, line and key
+    Check(NoOptions),
+
+    /// print the effective settings; secrets are left out
+    Print(NoOptions),
+
+    /// check plans and allowances before they are published
+    CheckLists(ListOptions),
+
+    /// list the plug-ins in this binary
+    Plugins(NoOptions),
+
+    /// print the version
+    Version(NoOptions),
+}
+
+#[derive(Debug, Options)]
+struct NoOptions {
+    /// print this help
+    help: bool,
+}
+
+#[derive(Debug, Options)]
+struct ListOptions {
+    /// print this help
+    help: bool,
+
+    /// file with a part of the plans
+    #[options(meta = "FILE")]
+    plans: Vec<String>,
+
+    /// file with a part of the allowances
+    #[options(meta = "FILE")]
+    allowances: Vec<String>,
+}
+
+/// Settings of one of the binaries.
+pub trait ProcessSettings: Display + Sized {
+    /// Reads a settings file; `file` names it in findings.
+    fn parse_file(file: &str, text: &str) -> Result<Self, Findings>;
+}
+
+/// One of the two binaries.
+#[derive(Clone, Copy, Debug)]
+pub struct Program<S> {
+    /// Name of the binary.
+    pub name: &'static str,
+    /// Runs the process until it is asked to stop.
+    pub run: fn(&S) -> Result<(), Report<StartError>>,
+}
+
+/// Parses the command line and carries the command out.
+pub fn main<S: ProcessSettings>(program: &Program<S>) -> ExitCode {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let line = match CommandLine::parse_args(&arguments, ParsingStyle::AllOptions) {
+        Ok(line) => line,
+        Err(error) => {
+            eprintln!("{}: {error}; try --help", program.name);
+            return ExitCode::from(EXIT_USAGE);
+        }
+    };
+    if line.help_requested() || line.command.is_none() {
+        print_help(program.name, &line);
+        return ExitCode::from(if line.help_requested() { 0 } else { EXIT_USAGE });
+    }
+    carry_out(program, line)
+}
+
+fn print_help(name: &str, line: &CommandLine) {
+    println!(
+        "Usage: {name} --settings FILE COMMAND\n\n{}",
+        line.self_usage()
+    );
+    if let Some(commands) = line.self_command_list() {
+        println!("\nCommands:\n{commands}");
+    }
+    println!("\nExit status: 0 done, 1 something was found or failed, 2 wrong command line.");
+}
+
+fn carry_out<S: ProcessSettings>(program: &Program<S>, line: CommandLine) -> ExitCode {
+    match line.command {
+        Some(Command::Run(_)) => with_settings(program, line.settings, |settings| {
+            report((program.run)(settings).map_err(|error| format!("error={error:?}")))
+        }),
+        Some(Command::Check(_)) => with_settings(program, line.settings, |_| {
+            println!("no findings");
+            ExitCode::SUCCESS
+        }),
+        Some(Command::Print(_)) => with_settings(program, line.settings, |settings| {
+            print!("{settings}");
+            ExitCode::SUCCESS
+        }),
+        Some(Command::CheckLists(options)) => report(check_lists(&options)),
+        Some(Command::Plugins(_)) => {
+            print_plugins();
+            ExitCode::SUCCESS
+        }
+        Some(Command::Version(_)) | None => {
+            println!("{} {}", program.name, env!("CARGO_PKG_VERSION"));
+            ExitCode::SUCCESS
+        }
+    }
+}
+
+fn report(result: Result<(), String>) -> ExitCode {
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(text) => {
+            eprintln!("{}", text.trim_end());
+            ExitCode::from(EXIT_FOUND)
+        }
+    }
+}
+
+fn with_settings<S: ProcessSettings>(
+    program: &Program<S>,
+    file: Option<String>,
+    action: impl FnOnce(&S) -> ExitCode,
+) -> ExitCode {
+    let Some(file) = file else {
+        eprintln!("{}: this command needs --settings FILE", program.name);
+        return ExitCode::from(EXIT_USAGE);
+    };
+    let settings = read(&file).and_then(|text| S::parse_file(&file, &text));
+    match settings {
+        Ok(settings) => action(&settings),
+        Err(findings) => report(Err(findings.to_string())),
+    }
+}
+
+fn read(file: &str) -> Result<String, Findings> {
+    fs::read_to_string(file).map_err(|error| {
+        let mut findings = Findings::new();
+        let place = Place {
+            file: file.to_string(),
+            ..Place::default()
+        };
+        findings.add(place, format!("cannot be read: {error}"));
+        findings
+    })
+}
+
+fn check_lists(options: &ListOptions) -> Result<(), String> {
+    let plans = options.plans.iter().map(|file| ("plans", file));
+    let allowances = options.allowances.iter().map(|file| ("allowances", file));
+    let mut findings = Findings::new();
+    let mut parts = Vec::new();
+    for (kind, file) in plans.chain(allowances) {
+        match read(file) {
+            Ok(text) => {
+                let key = PartKey::new(format!("{kind}/{file}"));
+                parts.push(Part {
+                    key,
+                    revision: Revision(1),
+                    text,
+                });
+            }
+            Err(unreadable) => findings.extend(unreadable),
+        }
+    }
+    match Snapshot::new(Revision(1), parts).check() {
+        Ok(lists) if findings.is_empty() => {
+            let (customers, servers) = (lists.customers.len(), lists.servers.len());
+            println!("no findings: customers={customers} servers={servers}");
+            return Ok(());
+        }
+        Ok(_) => {}
+        Err(found) => findings.extend(found),
+    }
+    Err(findings.to_string())
+}
+
+fn print_plugins() {
+    for point in PluginPoint::iter() {
+        for plugin in plugins_at(point) {
+            println!("{point} {}: {}", plugin.name, plugin.summary);
+        }
+    }
+}
--- a/crates/process/src/lib.rs
+++ b/crates/process/src/lib.rs
@@ -3,6 +3,7 @@
 //! | module | holds |
 //! |---|---|
 //! | [`admin`] | the HTTP address for metrics, health and status |
+//! | [`cli`] | the command line of both binaries |
 //! | [`error`] | why a process cannot start |
 //! | [`feed`] | lists and hosts of this process, fed by platform and peers |
 //! | [`peer`] | the tonic service that hands lists to other processes |
@@ -11,6 +12,7 @@
 //! | [`signal`] | the signals that ask a process to stop |
 
 pub mod admin;
+pub mod cli;
 pub mod error;
 pub mod feed;
 pub mod peer;
--- a/crates/telemetry/src/log.rs
+++ b/crates/telemetry/src/log.rs
@@ -13,8 +13,9 @@
 /// Lines that may wait for the writing thread.
 const QUEUE_LINES: usize = 4_096;
 
-/// Logger of a process; the guard writes what is left when it is dropped.
-pub fn logger(level: Level, process: &str) -> (Logger, AsyncGuard) {
+/// Logger of a process at a named level, `info` when the name is unknown; the guard writes what is
+/// left when it is dropped.
+pub fn logger(level: &str, process: &str) -> (Logger, AsyncGuard) {
     let lines = Logfmt::new(io::stderr())
         .no_prefix()
         .print_level(true)
@@ -24,6 +25,7 @@
         .chan_size(QUEUE_LINES)
         .overflow_strategy(OverflowStrategy::DropAndReport)
         .build_with_guard();
+    let level = level.parse().unwrap_or(Level::Info);
     let filtered = queue.filter_level(level).ignore_res();
     let logger = Logger::root(filtered, o!("process" => process.to_string()));
     (logger, guard)
