Follow the retry table of cuminlead-retry and cover failures with cases

The local copy of the table is gone; both calls ask `cuminlead_retry::decide`. Two repeats stay below the table, because the table answers them with another server: a lost Reserve or Prefill is repeated over a fresh connection, where the agent joins it with the first one, and a failed import is tried once more into the place that the agent has returned to reserved. Treating the first lost message as a failed server was ruled out: with a queue wait of 5 s a server that only queues would lose its request after 2 s.

An answer `Cancelled` to RunCall counted as a refusal and so as proof that the call did not run; only refusals, failed connections and voided permits are proof now. A permit answer with KeyRunning before it no longer marks the call as possibly run.

--- a/crates/entry-core/src/application/recover.rs
+++ b/crates/entry-core/src/application/recover.rs
@@ -1,27 +1,26 @@
 //! What follows a failure, by the retry table.
 
 use cuminlead_protocol::RefusalReason;
-use cuminlead_retry::{CallKind, Decision, Evidence, Step};
+use cuminlead_retry::{CallKind, Decision, Evidence, Step, decide, may_have_run};
 use cuminlead_types::DurationUs;
 
 use super::ApplicationCall;
 use super::state::Phase;
-use crate::call::CallAction;
+use crate::call::{CallAction, SendRef};
 use crate::cause::Cause;
-use crate::decide::decide;
 use crate::turn::Turn;
 
 impl ApplicationCall {
     pub(super) fn recover(&mut self, turn: &mut Turn, step: Step, cause: Cause) {
         self.last_cause = Some(cause);
+        self.proof.is_last_open &= may_have_run(self.kind(), step, cause.evidence);
         if cause.refusal == Some(RefusalReason::NotOwner) {
             self.not_owner(turn, cause);
             return;
         }
         match decide(self.kind(), step, cause.evidence) {
-            Decision::RetrySame => self.retry_same(turn, step, cause),
-            Decision::RetryElsewhere => self.retry_elsewhere(turn, step, cause),
-            Decision::AskOwner | Decision::Resume => self.ask_owner(turn, step, cause),
+            Decision::RetryElsewhere | Decision::RetrySame => self.retry_elsewhere(turn, cause),
+            Decision::AskOwner | Decision::Resume => self.ask_owner(turn, cause),
             Decision::ReportNotRun | Decision::ReportUnknown | Decision::Stop => {
                 self.report_failure(turn, cause);
                 self.fail(turn, cause);
@@ -29,28 +28,23 @@
         }
     }
 
-    fn retry_same(&mut self, turn: &mut Turn, step: Step, cause: Cause) {
-        self.limits.repeat_count += 1;
-        if self.limits.repeat_count > self.config.repeats_max_count {
-            self.retry_elsewhere(turn, step, cause);
+    /// Repeats a lost request for a permit when no other server may take the call. A permit that
+    /// was issued and never arrived expires unused.
+    pub(super) fn permit_lost(&mut self, turn: &mut Turn) {
+        let cause = Cause::new(Evidence::Silent);
+        let has_repeats = self.limits.repeat_count < self.config.repeats_max_count;
+        if self.owned_key().is_none() || !has_repeats {
+            self.recover(turn, Step::Permit, cause);
             return;
         }
-        match (self.kind(), step) {
-            (CallKind::NonIdempotent, Step::Permit) => {
-                self.count_retry(turn, cause);
-                self.send_permit(turn, true);
-            }
-            (CallKind::Idempotent, Step::Run) => {
-                self.count_retry(turn, cause);
-                self.send_run(turn, true);
-            }
-            _ => self.retry_elsewhere(turn, step, cause),
-        }
+        self.limits.repeat_count += 1;
+        self.count_retry(turn, cause);
+        self.send_permit(turn, true);
     }
 
-    fn retry_elsewhere(&mut self, turn: &mut Turn, step: Step, cause: Cause) {
+    fn retry_elsewhere(&mut self, turn: &mut Turn, cause: Cause) {
         if self.must_ask() {
-            self.ask_owner(turn, step, cause);
+            self.ask_owner(turn, cause);
             return;
         }
         self.report_failure(turn, cause);
@@ -73,7 +67,7 @@
     }
 
     /// Asks about the call at once after its answer was lost, and after a pause from then on.
-    fn ask_owner(&mut self, turn: &mut Turn, step: Step, cause: Cause) {
+    fn ask_owner(&mut self, turn: &mut Turn, cause: Cause) {
         match self.phase {
             Phase::Run(run) if self.permit.is_some() => {
                 self.count_retry(turn, cause);
@@ -84,7 +78,6 @@
                 let at = turn.now + self.ask_pause(cause);
                 self.phase = Phase::AskPause { at, run };
             }
-            _ if step == Step::Permit => self.retry_same(turn, step, cause),
             _ => self.fail(turn, cause),
         }
     }
@@ -129,13 +122,17 @@
     pub(super) fn check_deadlines(&mut self, turn: &mut Turn) {
         self.check_pause(turn);
         for message in self.sends.take_overdue(turn.now) {
-            let step = match self.phase {
-                Phase::Permit(send) if send == message.send => Step::Permit,
-                Phase::Run(send) if send == message.send => Step::Run,
-                Phase::Ask { ask, .. } if ask == message.send => Step::Ask,
-                _ => continue,
-            };
-            self.recover(turn, step, Cause::new(Evidence::Silent));
+            self.overdue(turn, message.send);
+        }
+    }
+
+    fn overdue(&mut self, turn: &mut Turn, send: SendRef) {
+        let cause = Cause::new(Evidence::Silent);
+        match self.phase {
+            Phase::Permit(current) if current == send => self.permit_lost(turn),
+            Phase::Run(current) if current == send => self.recover(turn, Step::Run, cause),
+            Phase::Ask { ask, .. } if ask == send => self.recover(turn, Step::Ask, cause),
+            _ => {}
         }
     }
 
--- a/crates/entry-core/src/application/steps.rs
+++ b/crates/entry-core/src/application/steps.rs
@@ -136,7 +136,7 @@
             SendOutcome::ConnectFailed => {
                 self.recover(turn, Step::Permit, Cause::new(Evidence::ConnectFailed));
             }
-            SendOutcome::Lost => self.recover(turn, Step::Permit, Cause::new(Evidence::Silent)),
+            SendOutcome::Lost => self.permit_lost(turn),
         }
     }
 
@@ -147,7 +147,7 @@
             ReplyBody::KeyRunning => self.key_running(turn),
             ReplyBody::KeyUnknown => self.key_unknown(turn),
             ReplyBody::Failed(failure) => {
-                self.recover(turn, Step::Permit, Cause::from_failure(&failure));
+                self.recover(turn, Step::Permit, Cause::from_call_failure(&failure));
             }
             _ => self.recover(turn, Step::Permit, Cause::new(Evidence::EngineFailed)),
         }
@@ -165,7 +165,6 @@
         match outcome {
             SendOutcome::Reply(reply) => self.run_answered(turn, *reply),
             SendOutcome::ConnectFailed => {
-                self.proof.is_last_open = false;
                 self.recover(turn, Step::Run, Cause::new(Evidence::ConnectFailed));
             }
             SendOutcome::Lost => self.recover(turn, Step::Run, Cause::new(Evidence::Silent)),
@@ -175,14 +174,7 @@
     fn run_answered(&mut self, turn: &mut Turn, reply: AgentReply) {
         match reply.body {
             ReplyBody::CallDone(http) => self.respond(turn, http),
-            ReplyBody::Failed(failure) => {
-                let cause = Cause::from_failure(&failure);
-                if cause.refusal.is_some() {
-                    self.proof.is_last_open = false;
-                }
-                self.recover(turn, Step::Run, cause);
-            }
-            _ => self.recover(turn, Step::Run, Cause::new(Evidence::Silent)),
+            body => self.recover(turn, Step::Run, answer_cause(&body)),
         }
     }
 
@@ -203,7 +195,7 @@
                     self.respond(turn, http);
                     return;
                 }
-                body => self.ask_cause(body),
+                body => answer_cause(&body),
             },
             SendOutcome::ConnectFailed => Cause::new(Evidence::ConnectFailed),
             SendOutcome::Lost => Cause::new(Evidence::Silent),
@@ -211,21 +203,6 @@
         self.recover(turn, Step::Ask, cause);
     }
 
-    fn ask_cause(&mut self, body: ReplyBody) -> Cause {
-        match body {
-            ReplyBody::PermitOutcome(PermitOutcome::Voided) => {
-                self.proof.is_last_open = false;
-                Cause::new(Evidence::Voided)
-            }
-            ReplyBody::PermitOutcome(PermitOutcome::Running) => Cause::new(Evidence::StillRunning),
-            ReplyBody::PermitOutcome(PermitOutcome::Unknown) => {
-                Cause::new(Evidence::OutcomeUnknown)
-            }
-            // A refused question says nothing about the call.
-            _ => Cause::new(Evidence::Silent),
-        }
-    }
-
     pub(super) fn pause_deadline(&self) -> Option<TimeUs> {
         match self.phase {
             Phase::RoutePause(at) | Phase::KeyPause(at) | Phase::AskPause { at, .. } => Some(at),
@@ -233,3 +210,15 @@
         }
     }
 }
+
+/// What an answer without a response says about the call.
+fn answer_cause(body: &ReplyBody) -> Cause {
+    match body {
+        ReplyBody::PermitOutcome(PermitOutcome::Voided) => Cause::new(Evidence::Voided),
+        ReplyBody::PermitOutcome(PermitOutcome::Running) => Cause::new(Evidence::StillRunning),
+        ReplyBody::PermitOutcome(PermitOutcome::Unknown) => Cause::new(Evidence::OutcomeUnknown),
+        ReplyBody::Failed(failure) => Cause::from_call_failure(failure),
+        // An answer to another message says nothing about the call.
+        _ => Cause::new(Evidence::Silent),
+    }
+}
--- a/crates/entry-core/src/cause.rs
+++ b/crates/entry-core/src/cause.rs
@@ -41,6 +41,15 @@
         }
     }
 
+    /// Cause of a failure of an application call. Only a refusal proves that it did not run.
+    pub(crate) fn from_call_failure(failure: &AgentFailure) -> Self {
+        match failure {
+            AgentFailure::Refused(reason) => Self::from_refusal(*reason),
+            AgentFailure::ServiceFailed => Self::new(Evidence::EngineFailed),
+            _ => Self::new(Evidence::OutcomeUnknown),
+        }
+    }
+
     pub(crate) fn from_refusal(reason: RefusalReason) -> Self {
         let evidence = match reason {
             RefusalReason::Draining => Evidence::Draining,
--- a/crates/entry-core/src/config.rs
+++ b/crates/entry-core/src/config.rs
@@ -1,5 +1,6 @@
 //! Limits of a call's decisions.
 
+use cuminlead_retry::ATTEMPTS_MAX;
 use cuminlead_types::{DurationUs, TokensPerSecond};
 
 /// Limits of a call's decisions; the defaults are those of `docs/design.md`.
@@ -37,7 +38,7 @@
     fn default() -> Self {
         Self {
             request_max_us: DurationUs::from_ms(100_000),
-            attempts_max_count: 3,
+            attempts_max_count: ATTEMPTS_MAX,
             silence_us: DurationUs::from_ms(2_000),
             acknowledge_us: DurationUs::from_ms(1_000),
             message_timeout_us: DurationUs::from_ms(2_000),
--- a/crates/entry-core/src/lib.rs
+++ b/crates/entry-core/src/lib.rs
@@ -8,7 +8,6 @@
 pub mod call;
 mod cause;
 pub mod config;
-mod decide;
 pub mod error;
 pub mod model;
 mod sends;
--- a/crates/entry-core/src/model/recover.rs
+++ b/crates/entry-core/src/model/recover.rs
@@ -1,7 +1,7 @@
 //! What follows a failure, by the retry table.
 
 use cuminlead_protocol::RefusalReason;
-use cuminlead_retry::{CallKind, Decision, Evidence, Step};
+use cuminlead_retry::{CallKind, Decision, Evidence, Step, decide};
 use cuminlead_types::{BackendServerId, Tokens};
 
 use super::ModelCall;
@@ -10,19 +10,16 @@
 use super::steps::step_of;
 use crate::call::CallAction;
 use crate::cause::Cause;
-use crate::decide::decide;
 use crate::sends::SendKind;
 use crate::turn::Turn;
 
-/// Imports of one KV cache before it is computed anew.
-const IMPORTS_MAX_COUNT: u32 = 2;
-
 impl ModelCall {
     pub(super) fn recover(&mut self, turn: &mut Turn, step: Step, cause: Cause) {
         self.last_cause = Some(cause);
         match decide(CallKind::Model, step, cause.evidence) {
-            Decision::RetrySame => self.retry_same(turn, step, cause),
-            Decision::Resume | Decision::AskOwner => self.resume(turn, step, cause),
+            Decision::RetrySame | Decision::Resume | Decision::AskOwner => {
+                self.resume(turn, step, cause);
+            }
             Decision::RetryElsewhere => self.retry_elsewhere(turn, step, cause),
             Decision::ReportNotRun | Decision::ReportUnknown | Decision::Stop => {
                 self.report_failure(turn, step, cause);
@@ -31,22 +28,15 @@
         }
     }
 
-    fn retry_same(&mut self, turn: &mut Turn, step: Step, cause: Cause) {
-        match step {
-            Step::Reserve | Step::Prefill => self.repeat(turn, step, cause),
-            Step::Transfer if cause.is_transfer => self.import_again(turn, cause),
-            Step::Transfer | Step::Decode => self.resume(turn, step, cause),
-            _ => self.fail(turn, cause),
-        }
-    }
-
-    /// Sends the lost message again; agents join a repeat with the running one.
-    fn repeat(&mut self, turn: &mut Turn, step: Step, cause: Cause) {
-        self.attempt.repeat_count += 1;
-        if self.attempt.repeat_count > self.config.repeats_max_count {
-            self.retry_elsewhere(turn, step, cause);
+    /// Repeats a lost message over a fresh connection, where agents join it with the first one.
+    /// Only when that brings no answer either is the step itself judged by the table.
+    pub(super) fn message_lost(&mut self, turn: &mut Turn, step: Step) {
+        let cause = Cause::new(Evidence::Silent);
+        if self.attempt.repeat_count >= self.config.repeats_max_count {
+            self.recover(turn, step, cause);
             return;
         }
+        self.attempt.repeat_count += 1;
         self.count_retry(turn, cause);
         if step == Step::Reserve {
             self.send_reserve(turn, true);
@@ -55,27 +45,14 @@
         }
     }
 
-    fn import_again(&mut self, turn: &mut Turn, cause: Cause) {
-        self.attempt.import_count += 1;
-        if self.attempt.import_count >= IMPORTS_MAX_COUNT {
-            self.retry_elsewhere(turn, Step::Transfer, cause);
-            return;
-        }
-        self.count_retry(turn, cause);
-        self.close_stream(turn, false);
-        self.open_stream(turn, false);
-    }
-
+    /// Opens the stream again over a fresh connection. A message was repeated before already.
     fn resume(&mut self, turn: &mut Turn, step: Step, cause: Cause) {
-        if !matches!(self.phase, Phase::Stream(_)) {
-            self.retry_same(turn, step, cause);
-            return;
-        }
-        self.attempt.resume_count += 1;
-        if self.attempt.resume_count > self.config.repeats_max_count {
+        let is_stream = matches!(self.phase, Phase::Stream(_));
+        if !is_stream || self.attempt.resume_count >= self.config.repeats_max_count {
             self.retry_elsewhere(turn, step, cause);
             return;
         }
+        self.attempt.resume_count += 1;
         self.count_retry(turn, cause);
         self.close_stream(turn, false);
         self.open_stream(turn, true);
@@ -153,7 +130,7 @@
         self.limits.route_count < self.config.attempts_max_count && turn.now < self.limits.ends_at
     }
 
-    fn count_retry(&self, turn: &mut Turn, cause: Cause) {
+    pub(super) fn count_retry(&self, turn: &mut Turn, cause: Cause) {
         turn.push(CallAction::Retried {
             evidence: cause.evidence,
         });
@@ -186,8 +163,7 @@
             if message.kind == SendKind::Release {
                 self.release_lost(turn, &message);
             } else if self.is_current(message.send) {
-                let cause = Cause::new(Evidence::Silent);
-                self.recover(turn, step_of(message.kind), cause);
+                self.message_lost(turn, step_of(message.kind));
             }
         }
         for hold in self.holds.take_repeats(turn.now) {
--- a/crates/entry-core/src/model/state.rs
+++ b/crates/entry-core/src/model/state.rs
@@ -2,7 +2,7 @@
 
 use cuminlead_protocol::Prefilled;
 use cuminlead_types::{
-    Attempt, BackendServerId, Incarnation, RegionName, Sequence, TimeUs, Tokens,
+    Attempt, BackendServerId, DurationUs, Incarnation, RegionName, Sequence, TimeUs, Tokens,
 };
 
 use crate::call::{CallStreamRef, SendRef};
@@ -48,14 +48,16 @@
     pub(super) incarnation: Incarnation,
     /// When the granted place is given up by its agent; `None` while none is granted.
     pub(super) lease_ends_at: Option<TimeUs>,
+    /// Length of the granted lease.
+    pub(super) lease_us: DurationUs,
     pub(super) prefilled: Option<Prefilled>,
     pub(super) is_imported: bool,
     /// Whether a chunk of this attempt was delivered.
     pub(super) has_delivered: bool,
     /// Repeats of the message under way.
     pub(super) repeat_count: u32,
-    /// Imports of the present KV cache.
-    pub(super) import_count: u32,
+    /// Failed imports of the present KV cache.
+    pub(super) import_failed_count: u32,
     /// Streams in a row without a chunk.
     pub(super) resume_count: u32,
 }
--- a/crates/entry-core/src/model/steps.rs
+++ b/crates/entry-core/src/model/steps.rs
@@ -95,7 +95,8 @@
         self.attempt.prefill = server;
         self.attempt.prefilled = None;
         self.attempt.repeat_count = 0;
-        self.attempt.import_count = 0;
+        self.attempt.resume_count = 0;
+        self.attempt.import_failed_count = 0;
         self.advance(turn);
     }
 
@@ -193,7 +194,7 @@
             SendOutcome::ConnectFailed => {
                 self.recover(turn, step, Cause::new(Evidence::ConnectFailed));
             }
-            SendOutcome::Lost => self.recover(turn, step, Cause::new(Evidence::Silent)),
+            SendOutcome::Lost => self.message_lost(turn, step),
         }
     }
 
@@ -215,6 +216,7 @@
     fn reserved(&mut self, turn: &mut Turn, reserved: Reserved, incarnation: Incarnation) {
         self.attempt.incarnation = incarnation;
         self.attempt.lease_ends_at = Some(turn.now + reserved.expires_in_us);
+        self.attempt.lease_us = reserved.expires_in_us;
         self.attempt.repeat_count = 0;
         turn.report(&self.attempt.decode, None);
         self.advance(turn);
--- a/crates/entry-core/src/model/stream.rs
+++ b/crates/entry-core/src/model/stream.rs
@@ -10,6 +10,9 @@
 use crate::cause::Cause;
 use crate::turn::Turn;
 
+/// Imports of one KV cache before it is computed anew.
+const IMPORTS_MAX_COUNT: u32 = 2;
+
 impl ModelCall {
     pub(super) fn stream_event(
         &mut self,
@@ -126,7 +129,27 @@
         } else {
             Cause::from_failure(failure)
         };
-        self.recover(turn, self.stream_step(), cause);
+        if cause.is_transfer {
+            self.import_failed(turn, cause);
+        } else {
+            self.recover(turn, self.stream_step(), cause);
+        }
+    }
+
+    /// The agent has returned the place to reserved. The KV cache is still held, so one more import
+    /// is cheaper than another prefill.
+    fn import_failed(&mut self, turn: &mut Turn, cause: Cause) {
+        if let Phase::Stream(open) = &self.phase {
+            self.attempt.lease_ends_at = Some(open.acknowledged_at + self.attempt.lease_us);
+        }
+        self.attempt.import_failed_count += 1;
+        if self.attempt.import_failed_count >= IMPORTS_MAX_COUNT {
+            self.recover(turn, Step::Transfer, cause);
+            return;
+        }
+        self.count_retry(turn, cause);
+        self.close_stream(turn, false);
+        self.open_stream(turn, false);
     }
 
     pub(super) fn acknowledge(&mut self, turn: &mut Turn) {
--- /dev/null
+++ b/crates/entry-core/tests/model_failures.rs
@@ -0,0 +1,208 @@
+//! Failures of a model call: what the last step of each script makes the call do.
+
+mod common;
+
+use common::Driver;
+use cuminlead_entry_core::CallConfig;
+
+const RESERVED: &str = "start; pair d p; reserved 0";
+const OPEN: &str = "start; pair d p; reserved 0; prefilled 1";
+const DELIVERED: &str =
+    "start; pair d p; reserved 0; prefilled 1; imported 0; released 2; chunk 0 1 0";
+
+fn last(before: &str, step: &str) -> String {
+    let mut driver = Driver::model(CallConfig::default());
+    driver.run(before);
+    driver.run(step)
+}
+
+/// Guards against a lost or refused reservation that ends the call, that leaves a place held, or
+/// that is asked of the same server without end.
+#[yare::parameterized(
+    silent = { "start; pair d p", "wait 2000", "retried silent; reserve#1 d/1 fresh" },
+    cut = { "start; pair d p", "lost 0", "retried silent; reserve#1 d/1 fresh" },
+    silent_thrice = {
+        "start; pair d p; wait 2000; wait 2000", "wait 2000",
+        "report d silent; release#3 d/1 fresh; retried silent; pair? not[d]"
+    },
+    refused = {
+        "start; pair d p", "failed 0 queue_full",
+        "report d refused_not_run; retried refused_not_run; pair? not[d]"
+    },
+    not_connected = {
+        "start; pair d p", "noconn 0",
+        "report d connect_failed; retried connect_failed; pair? not[d]"
+    },
+    draining = { "start; pair d p", "failed 0 draining", "report d draining; retried draining; pair? not[d]" },
+    attempts_used_up = {
+        "start; pair d p; noconn 0; pair e p; noconn 1; pair f p", "noconn 2",
+        "report f connect_failed; fail not_run no_server"
+    },
+    none_left = { "start; pair d p; noconn 0", "noroute", "pair? not[]" },
+    budget_used_up = { "start; pair d p; failed 0 queue_full", "nobudget", "fail not_run overloaded" },
+    no_server = { "start", "noroute", "fail not_run no_server" },
+)]
+fn reserve(before: &str, step: &str, expected: &str) {
+    assert_eq!(last(before, step), expected);
+}
+
+/// Guards against a failed prefill that gives up the decode place although its lease lasts, and
+/// against one that keeps the place of a lease that has ended.
+#[yare::parameterized(
+    silent = { RESERVED, "wait 2005", "retried silent; prefill#2 p/1 fresh" },
+    engine_failed = {
+        RESERVED, "failed 1 engine",
+        "report p engine_failed; release#2 p/1; retried engine_failed; prefill? not[p]"
+    },
+    other_server = { "start; pair d p; reserved 0; noconn 1; prefill q", "prefilled 2", "report q ok; start@0#0 d/1" },
+    lease_over = {
+        "start; pair d p; reserved 0; wait 2005; wait 2005", "wait 3990",
+        "report p silent; release#4 d/1 fresh; release#5 p/1 fresh; retried silent; pair? not[p]"
+    },
+    given_up_server_again = {
+        "start; pair d p; reserved 0; failed 1 engine", "prefill p",
+        "release#3 d/1; retried refused_not_run; pair? not[p]"
+    },
+    no_other_server = {
+        "start; pair d p; reserved 0; noconn 1", "noroute",
+        "release#2 d/1; retried refused_not_run; pair? not[p]"
+    },
+)]
+fn prefill(before: &str, step: &str, expected: &str) {
+    assert_eq!(last(before, step), expected);
+}
+
+/// Guards against a stalled transfer that costs a prefill at once, or that is tried without end.
+#[yare::parameterized(
+    imports_again = { OPEN, "broken 0 transfer", "retried timed_out; close#0; start@0#1 d/1" },
+    prefills_again = {
+        "start; pair d p; reserved 0; prefilled 1; broken 0 transfer", "broken 1 transfer",
+        "report p timed_out; close#1; wasted 100 timed_out; release#2 p/1 fresh; retried timed_out; prefill? not[p]"
+    },
+    silent = { OPEN, "wait 2000", "retried silent; close#0; start@0#1 d/1 fresh" },
+    restarted = {
+        OPEN, "beat 0 inc=8",
+        "report d new_incarnation; cancel#0; close#0; wasted 100 new_incarnation; release#2 d/1; release#3 p/1; retried new_incarnation; pair? not[d]"
+    },
+)]
+fn transfer(before: &str, step: &str, expected: &str) {
+    assert_eq!(last(before, step), expected);
+}
+
+/// Guards against an answer that is computed again although a resumption brings the rest of it, and
+/// against a dead decode server that ends the answer.
+#[yare::parameterized(
+    silent = { DELIVERED, "wait 2000", "retried silent; close#0; resume@1#1 d/1 fresh" },
+    cut = { DELIVERED, "cut 0 silent", "retried silent; close#0; resume@1#1 d/1 fresh" },
+    gap = { DELIVERED, "chunk 0 1 2", "retried silent; close#0; resume@1#1 d/1 fresh" },
+    acknowledges = { DELIVERED, "wait 1000", "ack#0 1" },
+    lease_lost = {
+        "start; pair d p; reserved 0; prefilled 1; imported 0; released 2; chunk 0 1 0; wait 2000",
+        "broken 1 no_such_lease",
+        "report d refused_not_run; cancel#1; close#1; wasted 100 refused_not_run; release#3 d/1; retried refused_not_run; pair? not[]"
+    },
+    server_died = {
+        DELIVERED, "cut 0 connect_failed",
+        "report d connect_failed; cancel#0; close#0; wasted 100 connect_failed; release#3 d/1; retried connect_failed; pair? not[d]"
+    },
+)]
+fn decode(before: &str, step: &str, expected: &str) {
+    assert_eq!(last(before, step), expected);
+}
+
+/// Guards against late or crossed messages that reach the caller, and against late grants that stay
+/// held because their attempt is gone.
+#[yare::parameterized(
+    old_chunk = { DELIVERED, "chunk 0 1 0", "" },
+    chunk_of_other_attempt = { DELIVERED, "chunk 0 2 1", "" },
+    chunk_of_other_incarnation = { DELIVERED, "chunk 0 1 1 inc=6", "" },
+    chunk_of_old_stream = {
+        "start; pair d p; reserved 0; prefilled 1; imported 0; released 2; wait 2000", "chunk 0 1 0", ""
+    },
+    reply_of_repeated_message = { "start; pair d p; wait 2000", "reserved 0", "" },
+    second_reply = { RESERVED, "reserved 0", "" },
+    late_reserved = {
+        "start; pair d p; wait 2000; wait 2000; wait 2000; released 3", "reserved 0", "release#4 d/1"
+    },
+    late_prefilled = {
+        "start; pair d p; reserved 0; wait 2005; failed 2 engine; released 3", "prefilled 1",
+        "wasted 100 timed_out; release#4 p/1"
+    },
+)]
+fn late(before: &str, step: &str, expected: &str) {
+    assert_eq!(last(before, step), expected);
+}
+
+/// Guards against engine memory that stays held after the caller is gone or the time is over, and
+/// against work that starts beyond `request_max_us`.
+#[yare::parameterized(
+    gone_before_reserve = { "start", "gone", "" },
+    gone_in_reserve = { "start; pair d p", "gone", "release#1 d/1" },
+    gone_in_prefill = { RESERVED, "gone", "release#2 d/1; release#3 p/1" },
+    gone_in_decode = { DELIVERED, "gone", "cancel#0; close#0; release#3 d/1" },
+    routed_when_gone = { "start; gone", "pair d p", "" },
+    late_wake = { "start; pair d p", "wait 100000", "release#1 d/1 fresh; fail not_run timed_out" },
+    late_wake_in_decode = {
+        DELIVERED, "wait 100000",
+        "cancel#0; close#0; wasted 100 timed_out; release#3 d/1 fresh; fail incomplete timed_out"
+    },
+    release_repeated = { "start; pair d p; gone; wait 2000", "wait 500", "release#2 d/1 fresh" },
+)]
+fn ending(before: &str, step: &str, expected: &str) {
+    assert_eq!(last(before, step), expected);
+}
+
+/// Guards against an unconfirmed release that is dropped at once or kept for ever.
+#[test]
+fn release_is_repeated_twice() {
+    let mut driver = Driver::model(CallConfig::default());
+    driver.run("start; pair d p; gone");
+    for send in 1..=2 {
+        driver.run(&format!("lost {send}"));
+        assert!(!driver.call.is_ended());
+        driver.run("wait 500");
+    }
+    driver.run("lost 3; wait 2000");
+    assert!(driver.call.is_ended());
+}
+
+/// Guards against a new attempt that repeats delivered text, or whose chunks do not continue.
+#[test]
+fn continues_after_delivered_text() {
+    let mut driver = Driver::model(CallConfig::default());
+    driver.run(DELIVERED);
+    driver.run("cut 0 connect_failed; pair e q; reserved 4; prefilled 5");
+    let delivered = driver.run("chunk 1 2 1 stop");
+    let expected = "release#6 q/2; deliver 1 end; ack#1 2; close#1; report e ok";
+    assert_eq!(delivered, expected);
+}
+
+/// Guards against a new attempt for an answer that only lacks its end.
+#[test]
+fn full_length_ends_without_new_attempt() {
+    let mut driver = Driver::model(CallConfig::default());
+    driver.run(OPEN);
+    for sequence in 0..10 {
+        driver.run(&format!("chunk 0 1 {sequence}"));
+    }
+    let actions = driver.run("cut 0 connect_failed");
+    assert!(actions.ends_with("deliver 10 end"), "{actions}");
+}
+
+/// Guards against a baseline that reserves first and so does not measure what it is meant to.
+#[yare::parameterized(
+    prefills = { "start; pair d p", "prefill#0 p/1" },
+    reserves = { "start; pair d p; prefilled 0", "report p ok; reserve#1 d/1" },
+    opens = { "start; pair d p; prefilled 0; reserved 1", "report d ok; start@0#0 d/1" },
+    wastes = {
+        "start; pair d p; prefilled 0; failed 1 queue_full",
+        "report d refused_not_run; wasted 100 refused_not_run; release#2 p/1; retried refused_not_run; pair? not[d]"
+    },
+)]
+fn prefill_first(script: &str, expected: &str) {
+    let config = CallConfig {
+        prefill_first: true,
+        ..CallConfig::default()
+    };
+    assert_eq!(Driver::model(config).run(script), expected);
+}
