Add deltas of the host list

The whole host list has some 500 KB at the design scale and changes about once a minute, more than the 2 KB/s that control may use on a node, so processes exchange changed hosts only.

A new message was ruled out: the JSON text of a full delta is that of the host list, and other deltas add the fields since and removed. A list delta now states the sender's revision even when the receiver is ahead, because a receiver must not take it as confirmed at its own revision.

Conclusion: property tests with fixed seeds pass through the text form and end with the full list.

--- a/crates/lists/src/hosts_json.rs
+++ b/crates/lists/src/hosts_json.rs
@@ -8,10 +8,11 @@
 use std::net::SocketAddr;
 use std::str::FromStr;
 
-use cuminlead_types::{Findings, Place, Revision};
+use cuminlead_types::{Findings, HostId, Place, Revision};
 use serde_json::{Map, Value, json};
 use strum::VariantNames;
 
+use crate::host_store::HostDelta;
 use crate::hosts::{HostEntry, HostList, HostState, ProcessKind};
 
 /// Name of the host list in findings.
@@ -22,28 +23,85 @@
 
     fn from_str(text: &str) -> Result<Self, Self::Err> {
         let mut findings = Findings::new();
-        let list = match serde_json::from_str(text) {
-            Ok(document) => read_list(&document, &mut findings),
-            Err(error) => {
-                findings.add(syntax_place(&error), error.to_string());
-                None
-            }
-        };
+        let document = read_document(text, &mut findings);
+        let list = document.and_then(|document| read_list(&document, &mut findings));
         findings.into_result(list.unwrap_or_default())
     }
 }
 
+/// Text of a full delta is that of the host list; other deltas have `since` and `removed` too.
+impl FromStr for HostDelta {
+    type Err = Findings;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let mut findings = Findings::new();
+        let document = read_document(text, &mut findings);
+        let delta = document.and_then(|document| read_delta(&document, &mut findings));
+        findings.into_result(delta.unwrap_or_default())
+    }
+}
+
+impl fmt::Display for HostDelta {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{{\"revision\":{},", self.revision)?;
+        if !self.is_full {
+            let removed: Vec<&str> = self.removed.iter().map(HostId::as_str).collect();
+            write!(f, "\"since\":{},", self.from_revision)?;
+            write!(f, "\"removed\":{},", json!(removed))?;
+        }
+        write_hosts(f, &self.hosts)
+    }
+}
+
 impl fmt::Display for HostList {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{{\"revision\":{},\"hosts\":[", self.revision)?;
-        for (index, entry) in self.hosts.iter().enumerate() {
-            let separator = if index == 0 { "\n" } else { ",\n" };
-            write!(f, "{separator}{}", entry_json(entry))?;
+        write!(f, "{{\"revision\":{},", self.revision)?;
+        write_hosts(f, &self.hosts)
+    }
+}
+
+fn write_hosts(f: &mut fmt::Formatter<'_>, hosts: &[HostEntry]) -> fmt::Result {
+    write!(f, "\"hosts\":[")?;
+    for (index, entry) in hosts.iter().enumerate() {
+        let separator = if index == 0 { "\n" } else { ",\n" };
+        write!(f, "{separator}{}", entry_json(entry))?;
+    }
+    writeln!(f, "\n]}}")
+}
+
+fn read_document(text: &str, findings: &mut Findings) -> Option<Value> {
+    match serde_json::from_str(text) {
+        Ok(document) => Some(document),
+        Err(error) => {
+            findings.add(syntax_place(&error), error.to_string());
+            None
         }
-        writeln!(f, "\n]}}")
     }
 }
 
+fn read_delta(document: &Value, findings: &mut Findings) -> Option<HostDelta> {
+    let list = read_list(document, findings)?;
+    let since = document.get("since");
+    if since.is_some_and(|since| !since.is_u64()) {
+        add(findings, "since".to_string(), "expected a whole number");
+    }
+    let removed = document.get("removed").and_then(Value::as_array);
+    let mut hosts = Vec::new();
+    for item in removed.into_iter().flatten() {
+        match item.as_str().and_then(|text| text.parse().ok()) {
+            Some(host) => hosts.push(host),
+            None => add(findings, "removed".to_string(), "expected names of hosts"),
+        }
+    }
+    Some(HostDelta {
+        from_revision: Revision(since.and_then(Value::as_u64).unwrap_or(0)),
+        revision: list.revision,
+        is_full: since.is_none(),
+        hosts: list.hosts,
+        removed: hosts,
+    })
+}
+
 fn entry_json(entry: &HostEntry) -> Value {
     let mut object = json!({
         "host": entry.host.as_str(),
--- a/crates/lists/src/lib.rs
+++ b/crates/lists/src/lib.rs
@@ -8,8 +8,10 @@
 //! | [`lists`] | the checked lists in force and the questions asked of them |
 //! | [`keys`] | look-up of customers by key |
 //! | [`hosts`] | the platform's list of live and leaving hosts |
+//! | [`host_store`] | the host list in use in one process, and what changed since a revision |
 
 mod check;
+pub mod host_store;
 pub mod hosts;
 mod hosts_json;
 pub mod keys;
@@ -21,6 +23,7 @@
 pub mod store;
 mod text;
 
+pub use host_store::*;
 pub use hosts::*;
 pub use keys::*;
 pub use lists::*;
--- a/crates/lists/src/snapshot.rs
+++ b/crates/lists/src/snapshot.rs
@@ -93,7 +93,7 @@
         check_snapshot(self)
     }
 
-    /// What a process at `revision` lacks; empty when it is not behind.
+    /// What a process at `revision` lacks; without parts when it is not behind.
     pub fn delta_since(&self, revision: Revision) -> Delta {
         if revision >= self.revision {
             return self.delta(revision, false, Vec::new());
@@ -112,7 +112,7 @@
     fn delta(&self, from_revision: Revision, is_full: bool, parts: Vec<Part>) -> Delta {
         Delta {
             from_revision,
-            revision: self.revision.max(from_revision),
+            revision: self.revision,
             is_full,
             parts,
             removed: Vec::new(),
--- a/crates/lists/tests/hosts.rs
+++ b/crates/lists/tests/hosts.rs
@@ -1,6 +1,6 @@
 //! JSON text of the host list.
 
-use cuminlead_lists::{HostEntry, HostList, HostState, ProcessKind};
+use cuminlead_lists::{HostDelta, HostEntry, HostList, HostState, HostStore, ProcessKind};
 use cuminlead_types::Revision;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, RngSeed};
@@ -91,6 +91,15 @@
     })
 }
 
+fn sorted(store: &HostStore) -> Vec<HostEntry> {
+    let mut hosts = store
+        .list()
+        .map(|list| list.hosts.clone())
+        .unwrap_or_default();
+    hosts.sort_by(|a, b| a.host.cmp(&b.host));
+    hosts
+}
+
 proptest! {
     #![proptest_config(Config {
         rng_seed: RngSeed::Fixed(5),
@@ -105,4 +114,33 @@
         let list = HostList { revision: Revision(revision), hosts };
         prop_assert_eq!(list.to_string().parse::<HostList>(), Ok(list));
     }
+
+    /// Guards against a follower that keeps a removed host or misses a changed one after deltas
+    /// that passed through their text form.
+    #[test]
+    fn deltas_give_the_full_list(
+        lists in prop::collection::vec((entries(), any::<bool>()), 1..8),
+    ) {
+        let mut sender = HostStore::new();
+        let mut followers = vec![HostStore::new()];
+        for ((hosts, is_seen), revision) in lists.into_iter().zip(1..) {
+            let list = HostList { revision: Revision(revision), hosts };
+            let mut follower = HostStore::new();
+            follower.offer(list.clone());
+            followers.push(follower);
+            if is_seen {
+                sender.offer(list);
+            }
+        }
+        for follower in &mut followers {
+            if follower.revision() >= sender.revision() {
+                continue;
+            }
+            let delta = sender.delta_since(follower.revision()).to_string();
+            let delta: HostDelta = delta.parse().expect("delta");
+            prop_assert_eq!(follower.apply(&delta), Ok(()));
+            prop_assert_eq!(sorted(follower), sorted(&sender));
+            prop_assert_eq!(follower.revision(), sender.revision());
+        }
+    }
 }
