Add engine, service and platform stand-ins

Each stand-in is a library module with a thin example, so tests can start it in-process. A control address makes it stall, go silent, be stale, answer late or fail.

--- /dev/null
+++ b/crates/dev/examples/platform.rs
@@ -0,0 +1,27 @@
+//! Platform stand-in.
+
+use std::error::Error;
+use std::time::Duration;
+
+use cuminlead_dev::http::announce_and_wait;
+use cuminlead_dev::platform::{Platform, PlatformConfig};
+use gumdrop::Options;
+
+#[derive(Options)]
+struct Arguments {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "address to listen on", default = "127.0.0.1:0")]
+    address: String,
+    #[options(help = "age of the host list that is served", default = "0")]
+    hosts_lag_ms: u64,
+}
+
+fn main() -> Result<(), Box<dyn Error>> {
+    let arguments = Arguments::parse_args_default_or_exit();
+    let config = PlatformConfig {
+        address: arguments.address,
+        hosts_lag: Duration::from_millis(arguments.hosts_lag_ms),
+    };
+    announce_and_wait(Platform::start(&config)?)
+}
--- /dev/null
+++ b/crates/dev/examples/service.rs
@@ -0,0 +1,27 @@
+//! Plain service stand-in.
+
+use std::error::Error;
+use std::time::Duration;
+
+use cuminlead_dev::http::announce_and_wait;
+use cuminlead_dev::service::{Service, ServiceConfig};
+use gumdrop::Options;
+
+#[derive(Options)]
+struct Arguments {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "address to listen on", default = "127.0.0.1:0")]
+    address: String,
+    #[options(help = "time of one call", default = "2")]
+    work_ms: u64,
+}
+
+fn main() -> Result<(), Box<dyn Error>> {
+    let arguments = Arguments::parse_args_default_or_exit();
+    let config = ServiceConfig {
+        address: arguments.address,
+        work: Duration::from_millis(arguments.work_ms),
+    };
+    announce_and_wait(Service::start(&config)?)
+}
--- /dev/null
+++ b/crates/dev/src/engine/batch.rs
@@ -0,0 +1,145 @@
+//! Continuous batching: each step computes a part of one prompt and one token of each decode.
+
+use std::cmp::Reverse;
+use std::time::{Duration, Instant};
+
+use super::Engine;
+use super::reports::LoadReport;
+use super::state::{Sequence, State, Work};
+
+/// Prompt tokens computed in one step.
+const PREFILL_STEP_TOKENS: u64 = 512;
+
+/// Work of one step.
+#[derive(Default)]
+struct Step {
+    prefill: Option<String>,
+    prefill_tokens: u64,
+    decodes: Vec<String>,
+}
+
+impl Engine {
+    pub(super) fn run_batches(&self) {
+        loop {
+            self.behaviour.wait_while_stalled();
+            let step = self.next_step();
+            std::thread::sleep(self.duration(&step));
+            self.behaviour.wait_while_stalled();
+            let mut state = self.lock();
+            self.apply(&mut state, &step);
+            self.reports().record(Instant::now(), report(&state));
+            drop(state);
+            self.changed.notify_all();
+        }
+    }
+
+    fn next_step(&self) -> Step {
+        let mut state = self.lock();
+        loop {
+            let step = self.plan(&state);
+            if step.prefill.is_some() || !step.decodes.is_empty() {
+                return step;
+            }
+            self.reports().record(Instant::now(), report(&state));
+            state = self.wait(state);
+        }
+    }
+
+    fn plan(&self, state: &State) -> Step {
+        let mut step = Step::default();
+        let mut prefills = in_order(state, |work| matches!(work, Work::Prefill { .. })).into_iter();
+        if let Some(id) = prefills.next() {
+            if let Some(Work::Prefill { left }) = state.sequences.get(&id).map(|s| &s.work) {
+                step.prefill_tokens = PREFILL_STEP_TOKENS.min(*left);
+            }
+            step.prefill = Some(id);
+        }
+        step.decodes = in_order(state, |work| matches!(work, Work::Decode { .. }));
+        step.decodes.truncate(self.config.batch_max);
+        step
+    }
+
+    fn duration(&self, step: &Step) -> Duration {
+        let rate = self.config.prefill_tokens_per_second.max(1);
+        let prefill = Duration::from_micros(step.prefill_tokens * 1_000_000 / rate);
+        if step.decodes.is_empty() {
+            return prefill;
+        }
+        let count = u32::try_from(step.decodes.len()).unwrap_or(u32::MAX);
+        prefill + self.config.step + self.config.step_per_sequence * count
+    }
+
+    fn apply(&self, state: &mut State, step: &Step) {
+        if let Some(id) = &step.prefill {
+            self.apply_prefill(state, id, step.prefill_tokens);
+        }
+        for id in &step.decodes {
+            apply_decode(state, id);
+        }
+    }
+
+    fn apply_prefill(&self, state: &mut State, id: &str, tokens: u64) {
+        let Some(sequence) = state.sequences.get_mut(id) else {
+            return;
+        };
+        let Work::Prefill { left } = &mut sequence.work else {
+            return;
+        };
+        *left = left.saturating_sub(tokens);
+        let is_done = *left == 0;
+        state.counts.computed_tokens += tokens;
+        if is_done {
+            sequence.work = Work::Exported;
+            state.counts.prefills += 1;
+            state.counts.cached_tokens += sequence.cached_tokens;
+            let changes = state.cache.store(&sequence.prompt);
+            self.reports().add_changes(Instant::now(), &changes);
+        }
+    }
+}
+
+fn apply_decode(state: &mut State, id: &str) {
+    let Some(sequence) = state.sequences.get_mut(id) else {
+        return;
+    };
+    let Work::Decode {
+        generation,
+        emitted,
+    } = &mut sequence.work
+    else {
+        return;
+    };
+    if *emitted < generation.count {
+        *emitted += 1;
+        state.counts.generated_tokens += 1;
+    }
+    let generation = *generation;
+    if *emitted == generation.count {
+        state.counts.decodes += 1;
+        state.finish(id, generation);
+    }
+}
+
+/// Ids of the sequences with this kind of work: higher priority first, then earlier arrival.
+fn in_order(state: &State, is_wanted: fn(&Work) -> bool) -> Vec<String> {
+    let wanted = state
+        .sequences
+        .iter()
+        .filter(|pair| is_wanted(&pair.1.work));
+    let mut wanted: Vec<_> = wanted.collect();
+    wanted.sort_by_key(|pair| order_of(pair.1));
+    wanted.into_iter().map(|pair| pair.0.clone()).collect()
+}
+
+fn order_of(sequence: &Sequence) -> impl Ord + use<> {
+    (Reverse(sequence.priority), sequence.arrival)
+}
+
+fn report(state: &State) -> LoadReport {
+    LoadReport {
+        running: state.decoding_count(),
+        waiting: state.sequences.len() - state.decoding_count(),
+        free_pieces: state.free_pieces(),
+        pending_prompt_tokens: state.pending_prompt_tokens(),
+    }
+}
--- /dev/null
+++ b/crates/dev/src/engine/state.rs
@@ -0,0 +1,169 @@
+//! Sequences, memory and loaded weights of an engine.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Instant;
+
+use cuminlead_types::{FencingNumber, Tokens};
+use serde::Serialize;
+
+use super::cache::PrefixCache;
+use super::text::Generation;
+use super::{EngineConfig, FINISHED_HOLD};
+
+/// A version of a model.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+pub(super) struct LoadedModel {
+    pub(super) model: String,
+    pub(super) version: String,
+}
+
+/// What a sequence is doing.
+#[derive(Clone, Debug)]
+pub(super) enum Work {
+    /// Computes a prompt; `left` tokens are still to do.
+    Prefill { left: u64 },
+    /// Keeps the KV cache of a computed prompt for export.
+    Exported,
+    /// Imports a KV cache.
+    Importing,
+    /// Generates; `emitted` tokens are out.
+    Decode {
+        generation: Generation,
+        emitted: u64,
+    },
+}
+
+/// One sequence.
+#[derive(Clone, Debug)]
+pub(super) struct Sequence {
+    pub(super) priority: u8,
+    pub(super) arrival: u64,
+    pub(super) pieces: u32,
+    pub(super) prompt: String,
+    pub(super) prompt_tokens: u64,
+    pub(super) cached_tokens: u64,
+    pub(super) handle: String,
+    pub(super) work: Work,
+}
+
+/// Finished answer that can still be resumed.
+#[derive(Clone, Debug)]
+pub(super) struct Finished {
+    pub(super) generation: Generation,
+    pub(super) finished_at: Instant,
+}
+
+/// Work done since the start.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub(super) struct Counts {
+    pub(super) prefills: u64,
+    pub(super) computed_tokens: u64,
+    pub(super) cached_tokens: u64,
+    pub(super) decodes: u64,
+    pub(super) generated_tokens: u64,
+}
+
+/// State of an engine.
+pub(super) struct State {
+    pub(super) role: String,
+    pub(super) models: BTreeSet<LoadedModel>,
+    pub(super) adapters: BTreeSet<String>,
+    pub(super) highest: FencingNumber,
+    pub(super) sequences: BTreeMap<String, Sequence>,
+    pub(super) finished: BTreeMap<String, Finished>,
+    pub(super) total_pieces: u32,
+    pub(super) cache: PrefixCache,
+    pub(super) counts: Counts,
+    arrivals: u64,
+}
+
+impl State {
+    pub(super) fn new(config: &EngineConfig) -> Self {
+        let models = config.models.iter().filter_map(|m| m.split_once(':'));
+        Self {
+            role: config.role.clone(),
+            models: models
+                .map(|pair| LoadedModel {
+                    model: pair.0.to_string(),
+                    version: pair.1.to_string(),
+                })
+                .collect(),
+            adapters: config.adapters.iter().cloned().collect(),
+            highest: FencingNumber::default(),
+            sequences: BTreeMap::new(),
+            finished: BTreeMap::new(),
+            total_pieces: config.total_pieces,
+            cache: PrefixCache::new(config.cache_blocks),
+            counts: Counts::default(),
+            arrivals: 0,
+        }
+    }
+
+    pub(super) fn free_pieces(&self) -> u32 {
+        let used: u32 = self.sequences.values().map(|s| s.pieces).sum();
+        self.total_pieces.saturating_sub(used)
+    }
+
+    /// Adds a sequence; `None` when memory does not suffice.
+    pub(super) fn add(&mut self, id: &str, priority: u8, memory_tokens: u64) -> Option<()> {
+        let pieces = Tokens(memory_tokens).kv_pieces().get();
+        if pieces > self.free_pieces() {
+            return None;
+        }
+        self.arrivals += 1;
+        let sequence = Sequence {
+            priority,
+            arrival: self.arrivals,
+            pieces,
+            prompt: String::new(),
+            prompt_tokens: 0,
+            cached_tokens: 0,
+            handle: format!("kv-{}", self.arrivals),
+            work: Work::Importing,
+        };
+        self.sequences.insert(id.to_string(), sequence);
+        Some(())
+    }
+
+    /// Sets the memory of a sequence; false when memory does not suffice.
+    pub(super) fn resize(&mut self, id: &str, memory_tokens: u64) -> bool {
+        let pieces = Tokens(memory_tokens).kv_pieces().get();
+        let free = self.free_pieces();
+        let Some(sequence) = self.sequences.get_mut(id) else {
+            return false;
+        };
+        if pieces > free + sequence.pieces {
+            return false;
+        }
+        sequence.pieces = pieces;
+        true
+    }
+
+    /// Frees the memory of a finished decode and keeps its answer for a while.
+    pub(super) fn finish(&mut self, id: &str, generation: Generation) {
+        self.sequences.remove(id);
+        let finished_at = Instant::now();
+        self.finished
+            .retain(|_, old| finished_at.duration_since(old.finished_at) < FINISHED_HOLD);
+        let finished = Finished {
+            generation,
+            finished_at,
+        };
+        self.finished.insert(id.to_string(), finished);
+    }
+
+    /// Prompt tokens not yet computed.
+    pub(super) fn pending_prompt_tokens(&self) -> u64 {
+        let left = |sequence: &Sequence| match sequence.work {
+            Work::Prefill { left } => left,
+            _ => 0,
+        };
+        self.sequences.values().map(left).sum()
+    }
+
+    /// Number of decodes that have imported their cache.
+    pub(super) fn decoding_count(&self) -> usize {
+        let is_decoding = |sequence: &&Sequence| matches!(sequence.work, Work::Decode { .. });
+        self.sequences.values().filter(is_decoding).count()
+    }
+}
