--- /dev/null
+++ b/crates/entry/src/controller.rs
@@ -0,0 +1,300 @@
+//! The state owned by the entry's control thread.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::Instant;
+
+use crossbeam::channel::Sender;
+use cuminlead_entry_core::CallEvent;
+use cuminlead_kernel::Controller;
+use cuminlead_lists::{HostList, HostState, Lists, ProcessKind};
+use cuminlead_membership::Membership;
+use cuminlead_process::feed::{Feed, FeedEvent, FeedUpdate};
+use cuminlead_protocol::AgentState;
+use cuminlead_retry::Evidence;
+use cuminlead_routing::{RouteNeed, Router, Usability};
+use cuminlead_types::{
+    BackendServerId, Bytes, CustomerId, DurationUs, HostId, Now, RequestsPerSecond, TimeUs,
+};
+use slog::{Logger, info, warn};
+
+use crate::clients::Clients;
+use crate::rate::{PlanRate, RateLimits};
+use crate::status::EntryMetrics;
+
+/// Event for the entry's control thread.
+#[derive(Debug)]
+pub enum ControlEvent {
+    /// A call needs servers.
+    Route {
+        /// What it needs.
+        need: RouteNeed,
+        /// Where `CallEvent::Routed` goes.
+        reply: Sender<CallEvent>,
+    },
+    /// A customer's request came in.
+    Admit {
+        /// Customer.
+        customer: CustomerId,
+        /// Sustained rate of the plan.
+        rate: RequestsPerSecond,
+        /// Burst of the plan.
+        burst_requests: u32,
+        /// Whether the request is within the rate.
+        reply: Sender<bool>,
+    },
+    /// A reply carried the state of an agent.
+    Observed(AgentState),
+    /// A call has first-hand evidence about a server.
+    Report {
+        /// Server.
+        server: BackendServerId,
+        /// Failure, or none when the server did what it was asked.
+        evidence: Option<Evidence>,
+    },
+    /// An answer was handed to a caller.
+    Answered {
+        /// Server that made it.
+        server: BackendServerId,
+        /// Size of the answer.
+        size: Bytes,
+    },
+    /// The feed of lists and hosts reported something.
+    Feed(FeedEvent),
+    /// The process was asked to stop.
+    Stop,
+}
+
+/// State shared with the traffic threads and the admin address.
+#[derive(Debug, Default)]
+pub struct EntryFlags {
+    /// Whether the balancer may send requests here.
+    pub is_ready: AtomicBool,
+    /// Whether new requests are refused because the process stops.
+    pub is_refusing: AtomicBool,
+    /// Requests that are being served.
+    pub open_requests: AtomicU64,
+}
+
+/// Parts that a controller is built from.
+pub struct ControllerParts {
+    /// Host of this entry.
+    pub host: HostId,
+    /// Chooses servers.
+    pub router: Router,
+    /// Lists and hosts.
+    pub feed: Feed,
+    /// Connections to agents.
+    pub clients: Arc<Clients>,
+    /// Metrics.
+    pub metrics: EntryMetrics,
+    /// State shared with other threads.
+    pub flags: Arc<EntryFlags>,
+    /// Time between failing readiness and refusing requests.
+    pub drain_delay_us: DurationUs,
+    /// Longest time that running requests may take on shutdown.
+    pub drain_max_us: DurationUs,
+    /// Logger.
+    pub log: Logger,
+}
+
+/// State owned by the entry's control thread.
+pub struct EntryController {
+    parts: ControllerParts,
+    membership: Membership,
+    lists: Arc<Lists>,
+    hosts: Arc<HostList>,
+    rates: RateLimits,
+    entries_count: u32,
+    stop_asked_at_us: Option<TimeUs>,
+    is_done: bool,
+}
+
+/// Membership as the router asks for it.
+struct MembershipView<'a>(&'a Membership);
+
+impl Usability for MembershipView<'_> {
+    fn is_usable(&self, now: TimeUs, server: &BackendServerId) -> bool {
+        self.0.is_usable(now, server)
+    }
+
+    fn is_preferred(&self, now: TimeUs, server: &BackendServerId) -> bool {
+        self.0.is_preferred(now, server)
+    }
+}
+
+impl EntryController {
+    /// Controller that starts its feed.
+    pub fn new(parts: ControllerParts) -> Self {
+        parts.feed.start();
+        Self {
+            parts,
+            membership: Membership::new(),
+            lists: Arc::default(),
+            hosts: Arc::default(),
+            rates: RateLimits::default(),
+            entries_count: 1,
+            stop_asked_at_us: None,
+            is_done: false,
+        }
+    }
+
+    fn route(&mut self, now: Now, need: &RouteNeed, reply: &Sender<CallEvent>) {
+        let started = Instant::now();
+        let view = MembershipView(&self.membership);
+        let result = self.parts.router.route(now.mono_us, &view, need);
+        let busy_us = u64::try_from(started.elapsed().as_micros()).unwrap_or(u64::MAX);
+        self.parts.metrics.common.control_busy_us.inc_by(busy_us);
+        if let Err(reason) = result {
+            info!(self.parts.log, "no server for a call"; "customer" => %need.customer,
+                "reason" => ?reason);
+        }
+        // The call may have ended.
+        let _ = reply.send(CallEvent::Routed(result));
+    }
+
+    fn report(&mut self, now: Now, server: &BackendServerId, evidence: Option<Evidence>) {
+        let is_failure = evidence.is_some_and(is_server_failure);
+        if is_failure {
+            self.membership.record_failure(now.mono_us, server);
+        } else if evidence.is_none() {
+            self.membership.record_success(now.mono_us, server);
+        }
+        self.parts
+            .router
+            .finished(now.mono_us, server, evidence.is_none());
+    }
+
+    fn apply(&mut self, update: FeedUpdate, now: Now) {
+        if let Some(findings) = update.refused {
+            for finding in findings.iter() {
+                warn!(self.parts.log, "list snapshot refused"; "place" => %finding.place,
+                    "finding" => &finding.message);
+            }
+        }
+        if let Some(lists) = update.lists {
+            info!(self.parts.log, "lists in force"; "revision" => lists.revision.0);
+            self.parts.metrics.set_revision("lists", lists.revision);
+            self.rates
+                .retain(|customer| lists.customers.contains_key(customer));
+            self.lists = lists;
+            self.apply_to_router();
+        }
+        if let Some(hosts) = update.hosts {
+            self.parts.metrics.set_revision("hosts", hosts.revision);
+            self.membership.update_hosts(now.mono_us, &hosts);
+            self.parts.clients.update(&hosts);
+            self.entries_count = live_entries(&hosts);
+            self.hosts = hosts;
+            self.apply_to_router();
+        }
+        let is_ready = self.parts.feed.view().load().is_ready() && self.stop_asked_at_us.is_none();
+        self.parts.flags.is_ready.store(is_ready, Ordering::Relaxed);
+    }
+
+    fn apply_to_router(&mut self) {
+        self.parts
+            .router
+            .apply(Arc::clone(&self.lists), Arc::clone(&self.hosts));
+    }
+
+    fn stop(&mut self, now: Now) {
+        if self.stop_asked_at_us.is_none() {
+            info!(self.parts.log, "entry stopping"; "host" => %self.parts.host);
+            self.stop_asked_at_us = Some(now.mono_us);
+            self.parts.flags.is_ready.store(false, Ordering::Relaxed);
+        }
+    }
+
+    fn advance_stop(&mut self, now: Now) {
+        let Some(asked_at_us) = self.stop_asked_at_us else {
+            return;
+        };
+        let elapsed_us = now.mono_us.since(asked_at_us);
+        if elapsed_us < self.parts.drain_delay_us {
+            return;
+        }
+        self.parts.flags.is_refusing.store(true, Ordering::SeqCst);
+        let open_requests = self.parts.flags.open_requests.load(Ordering::SeqCst);
+        if open_requests == 0 || elapsed_us >= self.parts.drain_max_us {
+            info!(self.parts.log, "entry drained"; "open_requests" => open_requests);
+            self.is_done = true;
+        }
+    }
+}
+
+/// Whether the evidence speaks against the server and not against the request.
+fn is_server_failure(evidence: Evidence) -> bool {
+    match evidence {
+        Evidence::ConnectFailed
+        | Evidence::Silent
+        | Evidence::TimedOut
+        | Evidence::EngineFailed => true,
+        Evidence::RefusedNotRun
+        | Evidence::Draining
+        | Evidence::NewIncarnation
+        | Evidence::Voided
+        | Evidence::StillRunning
+        | Evidence::OutcomeUnknown
+        | Evidence::Cancelled
+        | Evidence::StaleLists => false,
+    }
+}
+
+fn live_entries(hosts: &HostList) -> u32 {
+    let live = hosts
+        .hosts
+        .iter()
+        .filter(|host| host.process == ProcessKind::Entry && host.state == HostState::Live);
+    u32::try_from(live.count()).unwrap_or(u32::MAX)
+}
+
+impl Controller for EntryController {
+    type Event = ControlEvent;
+
+    fn handle(&mut self, now: Now, event: ControlEvent) {
+        match event {
+            ControlEvent::Route { need, reply } => self.route(now, &need, &reply),
+            ControlEvent::Admit {
+                customer,
+                rate,
+                burst_requests,
+                reply,
+            } => {
+                let plan = PlanRate {
+                    rate,
+                    burst_requests,
+                    entries_count: self.entries_count,
+                };
+                // The caller's thread may have given up.
+                let _ = reply.send(self.rates.admit(now.mono_us, &customer, plan));
+            }
+            ControlEvent::Observed(state) => {
+                self.membership.record_report(now.mono_us, &state);
+                self.parts.router.observe(now.mono_us, &state);
+            }
+            ControlEvent::Report { server, evidence } => self.report(now, &server, evidence),
+            ControlEvent::Answered { server, size } => {
+                self.parts.router.count_answer(now.mono_us, &server, size);
+                self.parts.metrics.set_link(self.parts.router.link_use());
+            }
+            ControlEvent::Feed(event) => {
+                let update = self.parts.feed.handle(now.mono_us, event);
+                self.apply(update, now);
+            }
+            ControlEvent::Stop => self.stop(now),
+        }
+    }
+
+    fn tick(&mut self, now: Now) {
+        self.advance_stop(now);
+    }
+
+    fn next_deadline(&self) -> Option<TimeUs> {
+        self.stop_asked_at_us.map(|_| TimeUs::ZERO)
+    }
+
+    fn is_done(&self) -> bool {
+        self.is_done
+    }
+}
--- /dev/null
+++ b/crates/entry/src/http/answer.rs
@@ -0,0 +1,104 @@
+//! Bodies of answers: whole, streamed, errors.
+
+use astra::{Body, Response, ResponseBuilder};
+use cuminlead_entry_core::{CallerError, ErrorCode, Outcome};
+use cuminlead_types::{BackendServerId, RequestId};
+use serde_json::json;
+
+/// Header with the request id.
+pub const REQUEST_HEADER: &str = "x-cuminlead-request";
+
+/// Header with the servers that worked on the request.
+pub const SERVERS_HEADER: &str = "x-cuminlead-servers";
+
+const JSON: &str = "application/json";
+const EVENT_STREAM: &str = "text/event-stream";
+
+/// Error of a request that was refused before any work.
+pub fn refusal(code: ErrorCode, message: impl Into<String>) -> CallerError {
+    CallerError {
+        code,
+        outcome: Outcome::NotRun,
+        message: message.into(),
+    }
+}
+
+/// JSON text of an error.
+pub fn error_json(request: RequestId, error: &CallerError) -> String {
+    json!({
+        "error": {
+            "code": error.code.to_string(),
+            "message": error.message,
+            "outcome": error.outcome.to_string(),
+            "request_id": request.to_string(),
+        }
+    })
+    .to_string()
+}
+
+/// Response with an error.
+pub fn error(request: RequestId, error: &CallerError) -> Response {
+    let body = error_json(request, error);
+    build(
+        error.code.http_status(),
+        JSON,
+        request,
+        &[],
+        Body::new(body),
+    )
+}
+
+/// Response with a whole JSON answer.
+pub fn whole(request: RequestId, servers: &[BackendServerId], body: String) -> Response {
+    build(200, JSON, request, servers, Body::new(body))
+}
+
+/// Response with a stream of server-sent events.
+pub fn stream(request: RequestId, body: Body) -> Response {
+    build(200, EVENT_STREAM, request, &[], body)
+}
+
+/// Response of a service, passed on.
+pub fn passed_on(
+    request: RequestId,
+    servers: &[BackendServerId],
+    status: u16,
+    content_type: &str,
+    body: Vec<u8>,
+) -> Response {
+    build(status, content_type, request, servers, Body::new(body))
+}
+
+/// Names of servers as in [`SERVERS_HEADER`].
+pub fn server_names(servers: &[BackendServerId]) -> String {
+    let names: Vec<_> = servers.iter().map(BackendServerId::as_str).collect();
+    names.join(",")
+}
+
+fn build(
+    status: u16,
+    content_type: &str,
+    request: RequestId,
+    servers: &[BackendServerId],
+    body: Body,
+) -> Response {
+    let mut response = ResponseBuilder::new()
+        .status(status)
+        .header(REQUEST_HEADER, request.to_string())
+        .header("cache-control", "no-store");
+    if !content_type.is_empty() {
+        response = response.header("content-type", content_type);
+    }
+    if !servers.is_empty() {
+        response = response.header(SERVERS_HEADER, server_names(servers));
+    }
+    // Only a status or content type of a service can be invalid here.
+    response.body(body).unwrap_or_else(|_| bad_gateway())
+}
+
+fn bad_gateway() -> Response {
+    ResponseBuilder::new()
+        .status(502)
+        .body(Body::empty())
+        .unwrap_or_default()
+}
--- /dev/null
+++ b/crates/entry/src/http/handler.rs
@@ -0,0 +1,232 @@
+//! Checks that come before any work.
+//!
+//! Order of the checks: the process is not stopping, the address is known, the customer key is
+//! right, the body is within its limit and well formed, the plan allows the request, the customer
+//! is within the rate. The first that fails ends the request with `not_run`.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use arc_swap::{ArcSwap, Guard};
+use astra::{ConnectionInfo, Request, Response};
+use crossbeam::channel::bounded;
+use cuminlead_entry_core::{CallConfig, CallerError, ErrorCode};
+use cuminlead_lists::{Denial, Plan};
+use cuminlead_process::feed::FeedView;
+use cuminlead_types::{Bytes, CustomerId, EntryId, RequestId, ServiceName};
+use slog::{Logger, info};
+
+use crate::controller::{ControlEvent, EntryFlags};
+use crate::driver::DriverContext;
+use crate::http::answer::{self, refusal};
+use crate::http::chat::Shape;
+use crate::http::{model, service};
+
+const SERVICES_PREFIX: &str = "/v1/services/";
+
+/// What the traffic threads of an entry share.
+#[derive(Clone, Debug)]
+pub struct HttpContext {
+    /// This entry.
+    pub entry: EntryId,
+    /// What drivers share.
+    pub driver: DriverContext,
+    /// Lists, keys and hosts.
+    pub view: Arc<ArcSwap<FeedView>>,
+    /// State shared with the control thread.
+    pub flags: Arc<EntryFlags>,
+    /// Limits of calls.
+    pub calls: CallConfig,
+    /// Largest body.
+    pub body_max: Bytes,
+    /// Logger.
+    pub log: Logger,
+}
+
+/// A request past authentication.
+#[derive(Clone, Debug)]
+pub struct Caller {
+    /// Request.
+    pub request: RequestId,
+    /// Customer.
+    pub customer: CustomerId,
+    /// W3C trace context, or empty.
+    pub traceparent: String,
+}
+
+/// Counts a request as open until its answer is done.
+#[derive(Debug)]
+pub struct OpenRequest(Arc<EntryFlags>);
+
+impl OpenRequest {
+    fn new(flags: &Arc<EntryFlags>) -> Self {
+        flags.open_requests.fetch_add(1, Ordering::SeqCst);
+        Self(Arc::clone(flags))
+    }
+}
+
+impl Drop for OpenRequest {
+    fn drop(&mut self) {
+        self.0.open_requests.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+enum Address {
+    Model(Shape),
+    Service(ServiceName, String),
+}
+
+impl HttpContext {
+    /// Answers a request; never panics on input.
+    pub fn serve(&self, mut request: Request, _info: ConnectionInfo) -> Response {
+        let id = RequestId(rand::random());
+        // Counted before the check, so that a stopping entry cannot miss a request.
+        let open = OpenRequest::new(&self.flags);
+        match self.answer(id, &mut request, open) {
+            Ok(response) => response,
+            Err(error) => self.refuse(id, &error),
+        }
+    }
+
+    fn refuse(&self, id: RequestId, error: &CallerError) -> Response {
+        info!(self.log, "request refused"; "request" => %id, "code" => %error.code,
+            "outcome" => %error.outcome, "reason" => &error.message);
+        self.driver.metrics.count_error(error.code);
+        answer::error(id, error)
+    }
+
+    fn answer(
+        &self,
+        id: RequestId,
+        request: &mut Request,
+        open: OpenRequest,
+    ) -> Result<Response, CallerError> {
+        if self.flags.is_refusing.load(Ordering::SeqCst) {
+            return Err(refusal(ErrorCode::Stopping, "this entry is stopping"));
+        }
+        let address = address_of(request)?;
+        let view = self.view.load();
+        if !view.is_ready() {
+            return Err(refusal(ErrorCode::NoServer, "this entry has no lists yet"));
+        }
+        let caller = Caller {
+            request: id,
+            customer: authenticate(&view, request)?,
+            traceparent: header(request, "traceparent")
+                .unwrap_or_default()
+                .to_string(),
+        };
+        let body = read_body(request, self.body_max)?;
+        match address {
+            Address::Model(shape) => model::answer(self, &view, caller, shape, &body, open),
+            Address::Service(name, path) => {
+                service::answer(self, &view, caller, name, path, request, body)
+            }
+        }
+    }
+
+    /// Refuses a request over the rate of its plan.
+    pub fn check_rate(&self, customer: &CustomerId, plan: &Plan) -> Result<(), CallerError> {
+        let (reply, answered) = bounded(1);
+        let event = ControlEvent::Admit {
+            customer: customer.clone(),
+            rate: plan.rate,
+            burst_requests: plan.burst_requests,
+            reply,
+        };
+        let is_sent = self.driver.control.send(event).is_ok();
+        if is_sent && answered.recv().unwrap_or(false) {
+            Ok(())
+        } else {
+            Err(refusal(
+                ErrorCode::RateLimited,
+                "the customer is over the rate of its plan",
+            ))
+        }
+    }
+}
+
+/// Error for a request that the plan does not allow.
+pub fn denied(denial: Denial) -> CallerError {
+    let (code, message) = match denial {
+        Denial::UnknownCustomer => (ErrorCode::Unauthenticated, "unknown customer"),
+        Denial::UnknownModel => (ErrorCode::NotFound, "no such model"),
+        Denial::UnknownService => (ErrorCode::NotFound, "no such service"),
+        Denial::ModelOutsidePlan => (
+            ErrorCode::OutsidePlan,
+            "the customer's plan does not allow this model, adapter or version",
+        ),
+        Denial::ServiceOutsidePlan => (
+            ErrorCode::OutsidePlan,
+            "the customer's plan does not allow this service",
+        ),
+    };
+    refusal(code, message)
+}
+
+/// Text of a header, if it is there and readable.
+pub fn header<'a>(request: &'a Request, name: &str) -> Option<&'a str> {
+    request.headers().get(name)?.to_str().ok()
+}
+
+fn address_of(request: &Request) -> Result<Address, CallerError> {
+    let path = request.uri().path();
+    let shape = match path {
+        "/v1/chat/completions" => Some(Shape::Chat),
+        "/v1/completions" => Some(Shape::Text),
+        _ => None,
+    };
+    if let Some(shape) = shape {
+        if request.method() != "POST" {
+            return Err(refusal(ErrorCode::NotFound, "model calls use POST"));
+        }
+        return Ok(Address::Model(shape));
+    }
+    let not_found = || refusal(ErrorCode::NotFound, "no such address");
+    let rest = path.strip_prefix(SERVICES_PREFIX).ok_or_else(not_found)?;
+    let (name, service_path) = rest.split_once('/').ok_or_else(not_found)?;
+    let name = name.parse().map_err(|_| not_found())?;
+    let query = request
+        .uri()
+        .query()
+        .map(|query| format!("?{query}"))
+        .unwrap_or_default();
+    Ok(Address::Service(name, format!("/{service_path}{query}")))
+}
+
+fn authenticate(view: &Guard<Arc<FeedView>>, request: &Request) -> Result<CustomerId, CallerError> {
+    let key = header(request, "authorization").and_then(|value| value.strip_prefix("Bearer "));
+    let key = key.ok_or_else(|| {
+        refusal(
+            ErrorCode::Unauthenticated,
+            "the header Authorization has no Bearer key",
+        )
+    })?;
+    let customer = view.keys.find(key.trim().as_bytes());
+    customer
+        .cloned()
+        .ok_or_else(|| refusal(ErrorCode::Unauthenticated, "wrong customer key"))
+}
+
+fn read_body(request: &mut Request, body_max: Bytes) -> Result<Vec<u8>, CallerError> {
+    let too_large = || {
+        refusal(
+            ErrorCode::BodyTooLarge,
+            format!("the body is over the limit of {body_max} bytes"),
+        )
+    };
+    let declared: Option<u64> =
+        header(request, "content-length").and_then(|length| length.parse().ok());
+    if declared.is_some_and(|length| length > body_max.0) {
+        return Err(too_large());
+    }
+    let mut body = Vec::new();
+    for chunk in request.body_mut() {
+        let chunk = chunk.map_err(|_| refusal(ErrorCode::Malformed, "the body ended early"))?;
+        if (body.len() + chunk.len()) as u64 > body_max.0 {
+            return Err(too_large());
+        }
+        body.extend_from_slice(&chunk);
+    }
+    Ok(body)
+}
--- a/crates/lists/src/lists.rs
+++ b/crates/lists/src/lists.rs
@@ -230,6 +230,32 @@
         })
     }
 
+    /// What the customer's plan gives for a model when the caller leaves adapter or version to the
+    /// plan; the first allowance that agrees with what the caller named.
+    pub fn choose_model(
+        &self,
+        customer: &CustomerId,
+        model: &ModelName,
+        adapter: Option<&AdapterName>,
+        version: Option<&VersionName>,
+    ) -> Result<ModelGrant<'_>, Denial> {
+        if adapter.is_some() {
+            return self.check_model(customer, model, adapter, version);
+        }
+        let plan = self.plan_of(customer)?;
+        let allowed = self
+            .allowances
+            .get(&plan.name)
+            .map_or(&[][..], |a| &a.models);
+        let matching = allowed.iter().find(|entry| {
+            entry.model == *model && version.is_none_or(|version| entry.version == *version)
+        });
+        match matching {
+            Some(allowance) => Ok(ModelGrant { plan, allowance }),
+            None => self.check_model(customer, model, None, version),
+        }
+    }
+
     /// What the customer's plan gives for a service.
     pub fn check_service(
         &self,
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -144,6 +144,13 @@
         gauge
     }
 
+    /// Registers gauges with one label.
+    pub fn gauges(&mut self, name: &str, help: &str) -> Gauges {
+        let family = Gauges::default();
+        self.registry.register(name, help, family.clone());
+        family
+    }
+
     /// Registers latency histograms with one label.
     pub fn latencies(&mut self, name: &str, help: &str) -> Latencies {
         let family = Latencies::new_with_constructor(LatencyBuckets);
