Check the promises P1 to P8 over a record of observations

Whole-system tests need one judge that does not depend on the code under test. Observations are typed and print as one line each, so a run that failed can be kept as a file, and a finding names the line.

Before: the package was empty.

--- /dev/null
+++ b/crates/verifier/src/promises/p6_leaving.rs
@@ -0,0 +1,35 @@
+//! P6: a leaving server receives no new work after a few seconds.
+//!
+//! The time counts from the first source that reports it. Only a new incarnation ends it.
+
+use std::collections::BTreeMap;
+
+use cuminlead_types::{BackendServerId, TimeUs};
+
+use super::Input;
+use crate::observation::Observation;
+use crate::report::{Promise, Report};
+
+pub(super) fn check(input: &Input, report: &mut Report) {
+    let mut leaving: BTreeMap<&BackendServerId, TimeUs> = BTreeMap::new();
+    let leaving_us = input.bounds.leaving_us;
+    for (index, observed) in input.record.iter().enumerate() {
+        match &observed.what {
+            Observation::LeavingReported { server, .. } => {
+                leaving.entry(server).or_insert(observed.at);
+            }
+            Observation::ServerReturned { server } => {
+                leaving.remove(server);
+            }
+            Observation::WorkAccepted { server, id } => {
+                let reported_at = leaving.get(server);
+                if reported_at.is_some_and(|at| *at + leaving_us < observed.at) {
+                    let message =
+                        format!("accepted {id} over {leaving_us} us after it was leaving");
+                    report.add(Promise::P6, server, index, message);
+                }
+            }
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/verifier/src/record.rs
@@ -0,0 +1,103 @@
+//! Observations in order, and their text form.
+
+use std::fmt;
+use std::str::FromStr;
+
+use cuminlead_types::{Findings, Place, TimeUs};
+
+use crate::observation::{Observation, ParseObservationError};
+
+/// An observation and its time on the clock of the record.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Observed {
+    /// Time.
+    pub at: TimeUs,
+    /// What was observed.
+    pub what: Observation,
+}
+
+impl fmt::Display for Observed {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} {}", self.at, self.what)
+    }
+}
+
+impl FromStr for Observed {
+    type Err = ParseObservationError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let error = || ParseObservationError::new(text);
+        let (at, what) = text.split_once(' ').ok_or_else(error)?;
+        Ok(Self {
+            at: at.parse().map_err(|_| error())?,
+            what: what.parse()?,
+        })
+    }
+}
+
+/// Append-only list of observations.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Record {
+    observations: Vec<Observed>,
+}
+
+impl Record {
+    /// Empty record.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Appends an observation.
+    pub fn push(&mut self, at: TimeUs, what: Observation) {
+        self.observations.push(Observed { at, what });
+    }
+
+    /// Observations in order.
+    pub fn iter(&self) -> std::slice::Iter<'_, Observed> {
+        self.observations.iter()
+    }
+
+    /// Number of observations.
+    pub fn len(&self) -> usize {
+        self.observations.len()
+    }
+
+    /// Whether nothing was observed.
+    pub fn is_empty(&self) -> bool {
+        self.observations.is_empty()
+    }
+}
+
+impl fmt::Display for Record {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for observed in &self.observations {
+            writeln!(f, "{observed}")?;
+        }
+        Ok(())
+    }
+}
+
+impl FromStr for Record {
+    type Err = Findings;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let mut record = Self::new();
+        let mut findings = Findings::new();
+        for (index, line) in text.lines().enumerate() {
+            match line.parse() {
+                Ok(observed) => record.observations.push(observed),
+                Err(error) => findings.add(place_of_line(index), error.to_string()),
+            }
+        }
+        findings.into_result(record)
+    }
+}
+
+/// Place of an observation in the text form.
+pub(crate) fn place_of_line(index: usize) -> Place {
+    Place {
+        file: "record".to_string(),
+        line: u32::try_from(index + 1).unwrap_or(u32::MAX),
+        key: String::new(),
+    }
+}
