--- a/crates/process/src/feed.rs
+++ b/crates/process/src/feed.rs
@@ -1,33 +1,59 @@
 //! Lists and hosts of this process, fed by platform and peers.
 //!
-//! The feed belongs to the control thread; its jobs block on pool threads and report back as
-//! [`FeedEvent`]s. What it holds is also published as a [`FeedView`] for the peer service.
+//! The feed belongs to the control thread and carries out what `Distribution` decides. Calls to the
+//! platform block on pool threads; streams between processes run on the tokio runtime. Both report
+//! back as [`FeedEvent`]s. What the feed holds is also published as a [`FeedView`], so that traffic
+//! threads check plans without asking the control thread.
 
+use std::collections::HashMap;
+use std::fmt;
 use std::sync::Arc;
-use std::thread;
-use std::time::Duration;
 
 use arc_swap::ArcSwap;
+use cuminlead_distribution::{
+    Action, CallRef, Distribution, Event, FollowRef, FollowerRef, Identity, Revisions,
+    Source, Update,
+};
 use cuminlead_kernel::WorkerPool;
-use cuminlead_lists::{CustomerKeys, HostList, ListStore, Lists, Offer, Snapshot};
-use cuminlead_telemetry::CommonMetrics;
-use cuminlead_types::{Findings, Revision, TimeUs};
+use cuminlead_lists::{CustomerKeys, HostList, Lists};
+use cuminlead_telemetry::{CommonMetrics, Label};
+use cuminlead_types::{DurationUs, Findings, Revision, TimeUs};
+use cuminlead_wire::proto;
+use prost::Message;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use tokio::runtime::Handle;
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::AbortHandle;
 
-use crate::platform::{Platform, PlatformError};
+use crate::peer::PeerClient;
+use crate::platform::Platform;
 
-/// Interval between two readings of the host list.
-const HOSTS_INTERVAL: Duration = Duration::from_secs(1);
+/// Threads for calls to the platform: two watches and what was dropped but not yet answered.
+const PLATFORM_THREADS: usize = 8;
 
-/// Pause after the platform gave no answer.
-const PLATFORM_PAUSE: Duration = Duration::from_secs(1);
+/// Updates that may wait for one follower; one that is further behind is dropped and comes again.
+pub const FOLLOWER_QUEUE: usize = 16;
 
 /// Something that a job of the feed reports.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub enum FeedEvent {
-    /// The configuration service was read.
-    Config(Result<Snapshot, PlatformError>),
-    /// The host list was read.
-    Hosts(Result<HostList, PlatformError>),
+    /// Something that `Distribution` decides on.
+    Distribution(Event),
+    /// A peer began to follow this process.
+    Joined {
+        /// Revisions of the peer.
+        revisions: Revisions,
+        /// Where its updates go.
+        updates: mpsc::Sender<proto::PeerUpdate>,
+    },
+    /// A peer asks for what it lacks.
+    Pull {
+        /// Revisions of the peer.
+        revisions: Revisions,
+        /// Where the answer goes.
+        reply: oneshot::Sender<proto::PeerUpdate>,
+    },
 }
 
 /// Receiver of the feed's events; hands them to the control thread.
@@ -49,8 +75,8 @@
 /// What the feed holds, for other threads.
 #[derive(Clone, Debug, Default)]
 pub struct FeedView {
-    /// Snapshot in force.
-    pub snapshot: Option<Snapshot>,
+    /// Whether the process knows the newest lists that it could learn and may accept work.
+    pub is_ready: bool,
     /// Customer keys of the lists in force.
     pub keys: Arc<CustomerKeys>,
     /// Lists in force.
@@ -59,35 +85,60 @@
     pub hosts: Arc<HostList>,
     /// When the lists were last confirmed as the newest.
     pub confirmed_at_us: Option<TimeUs>,
+    /// Whether this process watches the platform itself.
+    pub is_reader: bool,
 }
 
-impl FeedView {
-    /// Whether lists and hosts are known, so that work can be accepted.
-    pub fn is_ready(&self) -> bool {
-        self.snapshot.is_some() && self.hosts.revision > Revision::ZERO
-    }
+/// Parts that a feed is built from.
+pub struct FeedParts {
+    /// This process.
+    pub identity: Identity,
+    /// Seed of the jitter.
+    pub seed: u64,
+    /// Platform.
+    pub platform: Platform,
+    /// Connections to peers.
+    pub peers: PeerClient,
+    /// Runtime of the streams between processes.
+    pub runtime: Handle,
+    /// Receiver of the feed's events.
+    pub sender: FeedSender,
+    /// Metrics.
+    pub metrics: CommonMetrics,
 }
 
 /// Lists and hosts of this process.
 pub struct Feed {
-    platform: Platform,
+    parts: FeedParts,
     pool: WorkerPool,
-    sender: FeedSender,
-    metrics: CommonMetrics,
-    store: ListStore,
+    distribution: Distribution,
+    follows: HashMap<FollowRef, AbortHandle>,
+    followers: HashMap<FollowerRef, mpsc::Sender<proto::PeerUpdate>>,
+    next_follower: u64,
+    /// Followers whose stream was found to be gone.
+    left: Vec<FollowerRef>,
     view: Arc<ArcSwap<FeedView>>,
 }
 
+impl fmt::Debug for Feed {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Feed").field("revisions", &self.distribution.revisions()).finish()
+    }
+}
+
 impl Feed {
     /// Feed that holds nothing yet.
-    pub fn new(platform: Platform, sender: FeedSender, metrics: CommonMetrics) -> Self {
+    pub fn new(parts: FeedParts) -> Self {
+        let rng = StdRng::seed_from_u64(parts.seed);
         Self {
-            platform,
-            pool: WorkerPool::new("feed", 4),
-            sender,
-            metrics,
-            store: ListStore::new(),
+            pool: WorkerPool::new("platform", PLATFORM_THREADS),
+            distribution: Distribution::new(parts.identity.clone(), rng),
+            follows: HashMap::new(),
+            followers: HashMap::new(),
+            next_follower: 0,
+            left: Vec::new(),
             view: Arc::default(),
+            parts,
         }
     }
 
@@ -96,97 +147,167 @@
         Arc::clone(&self.view)
     }
 
-    /// Starts reading the platform.
-    pub fn start(&self) {
-        self.read_config();
-        self.read_hosts();
-    }
-
-    fn read_config(&self) {
-        let (platform, sender) = (self.platform.clone(), Arc::clone(&self.sender));
-        let since = self.store.revision();
-        self.metrics.platform_calls.inc();
-        self.pool.execute(move || {
-            let answer = if since == Revision::ZERO {
-                platform.config()
-            } else {
-                platform.watch(since)
-            };
-            if answer.is_err() {
-                thread::sleep(PLATFORM_PAUSE);
-            }
-            sender(FeedEvent::Config(answer));
-        });
-    }
-
-    fn read_hosts(&self) {
-        let (platform, sender) = (self.platform.clone(), Arc::clone(&self.sender));
-        self.metrics.platform_calls.inc();
-        self.pool.execute(move || {
-            let answer = platform.hosts();
-            thread::sleep(HOSTS_INTERVAL);
-            sender(FeedEvent::Hosts(answer));
-        });
+    /// Starts to learn lists and hosts.
+    pub fn start(&mut self, now: TimeUs) -> FeedUpdate {
+        self.decide(now, Event::Start)
     }
 
     /// Takes an event in and says what changed.
     pub fn handle(&mut self, now: TimeUs, event: FeedEvent) -> FeedUpdate {
         match event {
-            FeedEvent::Config(answer) => {
-                let update = answer
-                    .map(|snapshot| self.offer(now, snapshot))
-                    .unwrap_or_default();
-                self.read_config();
-                update
+            FeedEvent::Distribution(event) => self.decide(now, event),
+            FeedEvent::Joined { revisions, updates } => {
+                let follower = FollowerRef(self.next_follower);
+                self.next_follower += 1;
+                self.followers.insert(follower, updates);
+                self.decide(now, Event::FollowerJoined { follower, revisions })
             }
-            FeedEvent::Hosts(answer) => {
-                let update = answer
-                    .map(|hosts| self.take_hosts(hosts))
-                    .unwrap_or_default();
-                self.read_hosts();
-                update
+            FeedEvent::Pull { revisions, reply } => {
+                let update = self.distribution.update_since(now, revisions);
+                // The asking peer may be gone.
+                let _ = reply.send(self.to_wire(&update));
+                FeedUpdate::default()
             }
         }
     }
 
-    fn offer(&mut self, now: TimeUs, snapshot: Snapshot) -> FeedUpdate {
+    /// Decides on the passing of time.
+    pub fn tick(&mut self, now: TimeUs) -> FeedUpdate {
+        self.decide(now, Event::Tick)
+    }
+
+    /// Time at which `tick` is needed at the latest.
+    pub fn next_deadline(&self) -> Option<TimeUs> {
+        self.distribution.next_deadline()
+    }
+
+    /// Time since the lists in force were confirmed as the newest.
+    pub fn confirmed_age(&self, now: TimeUs) -> DurationUs {
+        self.distribution.confirmed_age(now)
+    }
+
+    fn decide(&mut self, now: TimeUs, event: Event) -> FeedUpdate {
+        let mut actions = Vec::new();
+        self.distribution.handle(now, event, &mut actions);
         let mut update = FeedUpdate::default();
-        let is_current = snapshot.revision() == self.store.revision();
-        match self.store.offer(snapshot) {
-            Offer::Applied => {
-                update.lists = self.store.lists().cloned();
-                update.is_confirmed = true;
-            }
-            Offer::Older => update.is_confirmed = is_current,
-            Offer::Invalid(findings) => {
-                self.metrics.invalid_snapshots.inc();
-                update.refused = Some(findings);
-            }
+        for action in actions {
+            self.carry_out(action, &mut update);
         }
-        if update.is_confirmed {
-            self.publish(|view| view.confirmed_at_us = Some(now));
+        for follower in std::mem::take(&mut self.left) {
+            // Leaving causes no further action that could fail again.
+            self.distribution.handle(now, Event::FollowerLeft { follower }, &mut Vec::new());
         }
+        let age_ms = i64::try_from(self.confirmed_age(now).as_ms()).unwrap_or(i64::MAX);
+        self.parts.metrics.confirmed_age_ms.set(age_ms);
+        self.publish(now, &update);
         update
     }
 
-    fn take_hosts(&mut self, hosts: HostList) -> FeedUpdate {
-        if hosts.revision <= self.view.load().hosts.revision {
-            return FeedUpdate::default();
+    fn carry_out(&mut self, action: Action, update: &mut FeedUpdate) {
+        match action {
+            Action::WatchService { call, source, after, wait } => {
+                self.call_platform(call, source, after, wait);
+            }
+            Action::QueryService { call, source, after } => {
+                self.call_platform(call, source, after, DurationUs::ZERO);
+            }
+            // The call cannot be taken back; `Distribution` ignores its answer.
+            Action::StopWatching { .. } => {}
+            Action::FollowPeer { follow, peer, revisions } => {
+                let task = self.parts.peers.follow(
+                    peer.address,
+                    revisions,
+                    follow,
+                    Arc::clone(&self.parts.sender),
+                    self.parts.metrics.clone(),
+                );
+                let handle = self.parts.runtime.spawn(task).abort_handle();
+                self.follows.insert(follow, handle);
+            }
+            Action::StopFollowing { follow } => {
+                if let Some(task) = self.follows.remove(&follow) {
+                    task.abort();
+                }
+            }
+            Action::PullFromPeer { pull, peer, since } => {
+                let sender = Arc::clone(&self.parts.sender);
+                let asked = self.parts.peers.pull(peer.address, since, self.parts.metrics.clone());
+                self.parts.runtime.spawn(async move {
+                    let event = match asked.await {
+                        Some(update) => Event::PullReply { pull, update },
+                        None => Event::PullFailed { pull },
+                    };
+                    sender(FeedEvent::Distribution(event));
+                });
+            }
+            Action::SendUpdate { follower, update } => self.send_update(follower, &update),
+            Action::ApplyLists { lists, .. } => update.lists = Some(lists),
+            Action::ApplyHosts(hosts) => update.hosts = Some(hosts),
+            Action::Refused { findings, .. } => {
+                self.parts.metrics.invalid_snapshots.inc();
+                update.refused = Some(findings);
+            }
+            Action::Confirmed => update.is_confirmed = true,
+            Action::Ready => {}
         }
-        let hosts = Arc::new(hosts);
-        self.publish(|view| view.hosts = Arc::clone(&hosts));
-        FeedUpdate {
-            hosts: Some(hosts),
-            ..FeedUpdate::default()
+    }
+
+    fn call_platform(&self, call: CallRef, source: Source, after: Revision, wait: DurationUs) {
+        let platform = self.parts.platform.clone();
+        let sender = Arc::clone(&self.parts.sender);
+        self.parts.metrics.platform_calls.inc();
+        self.pool.execute(move || {
+            let answer = match source {
+                Source::Lists => platform.lists(after, wait.into()),
+                Source::Hosts => platform.hosts(after, wait.into()),
+            };
+            let event = match answer {
+                Ok(answer) => Event::Answered { call, answer },
+                Err(_) => Event::CallFailed { call },
+            };
+            sender(FeedEvent::Distribution(event));
+        });
+    }
+
+    fn send_update(&mut self, follower: FollowerRef, update: &Update) {
+        let message = self.to_wire(update);
+        let Some(updates) = self.followers.get(&follower) else {
+            return;
+        };
+        if updates.try_send(message).is_err() {
+            self.followers.remove(&follower);
+            self.left.push(follower);
         }
     }
 
-    fn publish(&self, change: impl FnOnce(&mut FeedView)) {
-        let mut view = FeedView::clone(&self.view.load());
-        view.snapshot = self.store.snapshot().cloned();
-        view.lists = self.store.lists().cloned().unwrap_or_default();
-        view.keys = self.store.keys().cloned().unwrap_or_default();
-        change(&mut view);
-        self.view.store(Arc::new(view));
+    fn to_wire(&self, update: &Update) -> proto::PeerUpdate {
+        let message = proto::PeerUpdate::from(update);
+        let sent = self.parts.metrics.control_bytes.get_or_create_owned(&Label::new("direction", "sent"));
+        sent.inc_by(message.encoded_len() as u64);
+        message
+    }
+
+    fn publish(&self, now: TimeUs, update: &FeedUpdate) {
+        let current = self.view.load();
+        let is_ready = self.distribution.is_ready();
+        let is_reader = self.distribution.is_watching();
+        let has_changed = update.lists.is_some()
+            || update.hosts.is_some()
+            || update.is_confirmed
+            || current.is_ready != is_ready
+            || current.is_reader != is_reader;
+        if !has_changed {
+            return;
+        }
+        let lists = self.distribution.lists();
+        let confirmed_at_us = if update.is_confirmed { Some(now) } else { current.confirmed_at_us };
+        self.view.store(Arc::new(FeedView {
+            is_ready,
+            keys: lists.keys().cloned().unwrap_or_default(),
+            lists: lists.lists().cloned().unwrap_or_default(),
+            hosts: self.distribution.hosts().cloned().unwrap_or_default(),
+            confirmed_at_us,
+            is_reader,
+        }));
     }
 }
--- a/crates/process/src/platform.rs
+++ b/crates/process/src/platform.rs
@@ -2,15 +2,17 @@
 //!
 //! The platform can be read and watched; this client has no call that writes.
 
-use std::time::Duration;
+use std::thread;
+use std::time::{Duration, Instant};
 
+use cuminlead_distribution::Answer;
 use cuminlead_lists::{HostList, Part, PartKey, Snapshot};
 use cuminlead_types::Revision;
 use serde::Deserialize;
 use ureq::Agent;
 
-/// Longest wait of one watch; short enough to notice a service that went silent.
-pub const WATCH_WAIT: Duration = Duration::from_secs(5);
+/// Interval between two readings of the host list, which cannot be watched.
+const HOSTS_INTERVAL: Duration = Duration::from_secs(1);
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
@@ -52,22 +54,34 @@
         }
     }
 
-    /// Present value of the lists.
-    pub fn config(&self) -> Result<Snapshot, PlatformError> {
-        self.snapshot("/v1/config?since=0", ANSWER_TIMEOUT)
+    /// Lists once they are newer than `after`, or what is published after `wait`.
+    pub fn lists(&self, after: Revision, wait: Duration) -> Result<Answer, PlatformError> {
+        let path = if wait.is_zero() {
+            "/v1/config?since=0".to_string()
+        } else {
+            format!("/v1/watch?since={after}&wait_ms={}", wait.as_millis())
+        };
+        let snapshot = self.snapshot(&path, wait + ANSWER_TIMEOUT)?;
+        let revision = snapshot.revision();
+        Ok(if revision > after { Answer::Lists(snapshot) } else { Answer::Unchanged { revision } })
     }
 
-    /// Value of the lists once it is newer than `since`, or the present one after [`WATCH_WAIT`].
-    pub fn watch(&self, since: Revision) -> Result<Snapshot, PlatformError> {
-        let path = format!("/v1/watch?since={since}&wait_ms={}", WATCH_WAIT.as_millis());
-        self.snapshot(&path, WATCH_WAIT + ANSWER_TIMEOUT)
-    }
-
-    /// Present host list.
-    pub fn hosts(&self) -> Result<HostList, PlatformError> {
-        self.get("/v1/hosts", ANSWER_TIMEOUT)?
-            .parse()
-            .map_err(|_| PlatformError)
+    /// Host list once it is newer than `after`, or what is published after `wait`.
+    pub fn hosts(&self, after: Revision, wait: Duration) -> Result<Answer, PlatformError> {
+        let until = Instant::now() + wait;
+        loop {
+            let hosts: HostList = match self.get("/v1/hosts", ANSWER_TIMEOUT)?.parse() {
+                Ok(hosts) => hosts,
+                Err(findings) => return Ok(Answer::Unreadable(findings)),
+            };
+            if hosts.revision > after {
+                return Ok(Answer::Hosts(hosts));
+            }
+            if Instant::now() + HOSTS_INTERVAL > until {
+                return Ok(Answer::Unchanged { revision: hosts.revision });
+            }
+            thread::sleep(HOSTS_INTERVAL);
+        }
     }
 
     fn snapshot(&self, path: &str, timeout: Duration) -> Result<Snapshot, PlatformError> {
--- /dev/null
+++ b/crates/wire/src/peer.rs
@@ -0,0 +1,124 @@
+//! Conversions of updates between processes.
+
+use cuminlead_distribution::{Revisions, Update};
+use cuminlead_lists::{Delta, HostDelta, HostEntry, Part, PartKey};
+use cuminlead_types::{DurationUs, Revision};
+
+use crate::error::{WireError, required};
+use crate::proto;
+
+impl From<&Update> for proto::PeerUpdate {
+    fn from(update: &Update) -> Self {
+        Self {
+            lists: Some(list_delta_to_wire(&update.lists)),
+            hosts: Some(host_delta_to_wire(&update.hosts)),
+            confirmed_age_us: update.confirmed_age.0,
+        }
+    }
+}
+
+impl TryFrom<proto::PeerUpdate> for Update {
+    type Error = WireError;
+
+    fn try_from(update: proto::PeerUpdate) -> Result<Self, WireError> {
+        Ok(Self {
+            lists: list_delta_from_wire(required("lists", update.lists)?),
+            hosts: host_delta_from_wire(required("hosts", update.hosts)?)?,
+            confirmed_age: DurationUs(update.confirmed_age_us),
+        })
+    }
+}
+
+impl From<&proto::PullRequest> for Revisions {
+    fn from(request: &proto::PullRequest) -> Self {
+        Self {
+            lists: Revision(request.lists_revision),
+            hosts: Revision(request.hosts_revision),
+        }
+    }
+}
+
+/// Message that asks a peer for what a process at `revisions` lacks.
+pub fn pull_request(host: &str, revisions: Revisions) -> proto::PullRequest {
+    proto::PullRequest {
+        host: host.to_string(),
+        lists_revision: revisions.lists.0,
+        hosts_revision: revisions.hosts.0,
+    }
+}
+
+fn list_delta_to_wire(delta: &Delta) -> proto::ListDelta {
+    let parts = delta.parts.iter().map(|part| proto::Part {
+        key: part.key.to_string(),
+        revision: part.revision.0,
+        text: part.text.clone(),
+    });
+    proto::ListDelta {
+        from_revision: delta.from_revision.0,
+        revision: delta.revision.0,
+        is_full: delta.is_full,
+        parts: parts.collect(),
+        removed: delta.removed.iter().map(ToString::to_string).collect(),
+    }
+}
+
+fn list_delta_from_wire(delta: proto::ListDelta) -> Delta {
+    let parts = delta.parts.into_iter().map(|part| Part {
+        key: PartKey::new(part.key),
+        revision: Revision(part.revision),
+        text: part.text,
+    });
+    Delta {
+        from_revision: Revision(delta.from_revision),
+        revision: Revision(delta.revision),
+        is_full: delta.is_full,
+        parts: parts.collect(),
+        removed: delta.removed.into_iter().map(PartKey::new).collect(),
+    }
+}
+
+fn host_delta_to_wire(delta: &HostDelta) -> proto::HostDelta {
+    proto::HostDelta {
+        from_revision: delta.from_revision.0,
+        revision: delta.revision.0,
+        is_full: delta.is_full,
+        hosts: delta.hosts.iter().map(host_to_wire).collect(),
+        removed: delta.removed.iter().map(ToString::to_string).collect(),
+    }
+}
+
+fn host_delta_from_wire(delta: proto::HostDelta) -> Result<HostDelta, WireError> {
+    let hosts: Result<_, WireError> = delta.hosts.into_iter().map(host_from_wire).collect();
+    let removed: Result<_, _> = delta.removed.iter().map(|host| host.parse()).collect();
+    Ok(HostDelta {
+        from_revision: Revision(delta.from_revision),
+        revision: Revision(delta.revision),
+        is_full: delta.is_full,
+        hosts: hosts?,
+        removed: removed?,
+    })
+}
+
+fn host_to_wire(entry: &HostEntry) -> proto::HostEntry {
+    proto::HostEntry {
+        host: entry.host.to_string(),
+        region: entry.region.to_string(),
+        availability_zone: entry.zone.to_string(),
+        state: entry.state.to_string(),
+        process: entry.process.to_string(),
+        address: entry.address.clone(),
+        server: entry.server.as_ref().map(ToString::to_string),
+    }
+}
+
+fn host_from_wire(entry: proto::HostEntry) -> Result<HostEntry, WireError> {
+    Ok(HostEntry {
+        host: entry.host.parse()?,
+        region: entry.region.parse()?,
+        zone: entry.availability_zone.parse()?,
+        state: entry.state.parse().map_err(|_| WireError::Invalid("state"))?,
+        process: entry.process.parse().map_err(|_| WireError::Invalid("process"))?,
+        address: entry.address,
+        server: entry.server.map(|server| server.parse()).transpose()?,
+    })
+}
