--- a/crates/retry/src/budget.rs
+++ b/crates/retry/src/budget.rs
@@ -33,7 +33,7 @@
     }
 
     /// Whether a retry would be allowed.
-    pub fn allows(&mut self, now: TimeUs) -> bool {
+    pub fn allows(&self, now: TimeUs) -> bool {
         let requests = self.requests.count(now, SLOTS - 1);
         let allowed = (requests / REQUESTS_PER_RETRY).max(RETRIES_MIN);
         self.retries.count(now, SLOTS) < allowed
@@ -63,10 +63,12 @@
         self.counts[index] = self.counts[index].saturating_add(1);
     }
 
-    fn count(&mut self, now: TimeUs, slots: usize) -> u32 {
-        self.advance(now);
+    /// Counts of the latest `slots` seconds.
+    fn count(&self, now: TimeUs, slots: usize) -> u32 {
+        let second = (now.get() / SLOT_US).max(self.newest);
         (0..slots as u64)
-            .filter_map(|age| self.newest.checked_sub(age))
+            .filter_map(|age| second.checked_sub(age))
+            .filter(|second| *second <= self.newest)
             .map(|second| self.counts[slot_index(second)])
             .fold(0, u32::saturating_add)
     }
--- /dev/null
+++ b/crates/routing/src/link.rs
@@ -0,0 +1,78 @@
+//! Volume and backlog of the paid links between regions.
+//!
+//! The links are slow, shared and paid by volume. The backlog estimates how long another prompt
+//! would wait; it drains at the rate that this entry may use.
+
+use std::collections::BTreeMap;
+
+use cuminlead_types::{BitsPerSecond, Bytes, DurationUs, RegionName, TimeUs};
+
+/// Bytes that went to or came from another region.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LinkUse {
+    /// Bytes of prompts.
+    pub prompt_bytes: Bytes,
+    /// Bytes of answers.
+    pub answer_bytes: Bytes,
+}
+
+/// Use of the links from the entry's region to the others.
+#[derive(Clone, Debug, Default)]
+pub struct Links {
+    rate: BitsPerSecond,
+    links: BTreeMap<RegionName, Link>,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Link {
+    used: LinkUse,
+    busy_until: TimeUs,
+}
+
+impl Links {
+    /// Unused links of a rate.
+    pub fn new(rate: BitsPerSecond) -> Self {
+        Self {
+            rate,
+            links: BTreeMap::new(),
+        }
+    }
+
+    /// Counts a prompt that is sent to a region.
+    pub fn count_prompt(&mut self, now: TimeUs, region: &RegionName, size: Bytes) {
+        let link = self.occupy(now, region, size);
+        link.used.prompt_bytes += size;
+    }
+
+    /// Counts part of an answer that came from a region.
+    pub fn count_answer(&mut self, now: TimeUs, region: &RegionName, size: Bytes) {
+        let link = self.occupy(now, region, size);
+        link.used.answer_bytes += size;
+    }
+
+    /// Time until a prompt of this size has crossed to a region.
+    pub fn delay(&self, now: TimeUs, region: &RegionName, size: Bytes) -> DurationUs {
+        let backlog = self
+            .links
+            .get(region)
+            .map_or(DurationUs::ZERO, |link| link.busy_until.since(now));
+        backlog.saturating_add(self.rate.time_for(size))
+    }
+
+    /// Use of all links together.
+    pub fn total(&self) -> LinkUse {
+        let mut total = LinkUse::default();
+        for link in self.links.values() {
+            total.prompt_bytes += link.used.prompt_bytes;
+            total.answer_bytes += link.used.answer_bytes;
+        }
+        total
+    }
+
+    fn occupy(&mut self, now: TimeUs, region: &RegionName, size: Bytes) -> &mut Link {
+        let time = self.rate.time_for(size);
+        let link = self.links.entry(region.clone()).or_default();
+        link.busy_until = link.busy_until.max(now) + time;
+        link
+    }
+}
--- a/crates/routing/src/need.rs
+++ b/crates/routing/src/need.rs
@@ -39,9 +39,13 @@
     pub customer: CustomerId,
     /// Kind of server needed.
     pub kind: RouteKind,
-    /// Servers that the plan allows.
+    /// Narrows the servers that the customer's plan allows under the router's lists; empty for all
+    /// of them.
+    ///
+    /// The router looks up the plan itself, because a list of 2,300 names in each request costs more
+    /// than the decision.
     pub allowed: Vec<BackendServerId>,
-    /// Servers that failed this call already.
+    /// Servers that failed this call already; without effect on the owner of a key.
     pub excluded: Vec<BackendServerId>,
     /// Whether this is a retry, which draws from the retry budget.
     pub is_retry: bool,
--- /dev/null
+++ b/crates/routing/src/ring.rs
@@ -0,0 +1,59 @@
+//! Consistent hashing over the servers of a pool.
+//!
+//! Every entry computes the same ring from the same lists, so prompts with the same beginning meet
+//! at the same servers, and a server that joins or leaves moves only its own share.
+
+use cuminlead_types::BackendServerId;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::servers::ServerKey;
+
+/// Seed of the points of servers. All entries must use the same one, because prompts with a common
+/// beginning are to meet at the same servers.
+pub const RING_HASH_SEED: u64 = 0x6375_6d69_6e72_696e;
+
+/// Points of each server. With eight, the largest share of a server is about twice the mean, which
+/// the choice among several candidates evens out.
+const POINTS_PER_SERVER: u64 = 8;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Point {
+    hash: u64,
+    server: ServerKey,
+}
+
+/// Servers in the order of their points, and in the order of the lists.
+#[derive(Clone, Debug, Default)]
+pub struct Ring {
+    points: Vec<Point>,
+    members: Vec<ServerKey>,
+}
+
+impl Ring {
+    /// Adds a server; [`Ring::finish`] is needed afterwards.
+    pub fn add(&mut self, server: ServerKey, id: &BackendServerId) {
+        self.members.push(server);
+        for number in 0..POINTS_PER_SERVER {
+            let seed = RING_HASH_SEED.wrapping_add(number);
+            let hash = xxh3_64_with_seed(id.as_str().as_bytes(), seed);
+            self.points.push(Point { hash, server });
+        }
+    }
+
+    /// Sorts the points.
+    pub fn finish(&mut self) {
+        self.points.sort_unstable();
+    }
+
+    /// Servers in the order of the lists.
+    pub fn members(&self) -> &[ServerKey] {
+        &self.members
+    }
+
+    /// Servers from a hash on, once around; a server appears once for each of its points.
+    pub fn from_hash(&self, hash: u64) -> impl Iterator<Item = ServerKey> {
+        let start = self.points.partition_point(|point| point.hash < hash);
+        let (before, after) = self.points.split_at(start);
+        after.iter().chain(before).map(|point| point.server)
+    }
+}
