Add the launcher of a whole system on loopback and the demo

The launcher starts platform, backend servers, agents and entries as processes with ports chosen by the system, publishes lists and hosts, signals single processes by id and ends everything that it started. It is a library so that process tests can use it as well.

--- /dev/null
+++ b/crates/dev/src/caller.rs
@@ -0,0 +1,169 @@
+//! Requests to entries, as callers send them.
+
+use std::io::{self, BufRead, BufReader};
+use std::time::{Duration, Instant};
+
+use serde_json::{Value, json};
+use ureq::http::Response;
+use ureq::{Agent, Body};
+
+const SERVERS_HEADER: &str = "x-cuminlead-servers";
+const REQUEST_HEADER: &str = "x-cuminlead-request";
+
+/// Caller of one entry.
+#[derive(Clone, Debug)]
+pub struct Caller {
+    agent: Agent,
+    address: String,
+    key: String,
+}
+
+/// What came back for one request.
+#[derive(Clone, Debug, Default)]
+pub struct Received {
+    /// Status code.
+    pub status: u16,
+    /// Text of the answer, or the body of an application call.
+    pub text: String,
+    /// Servers that the request passed.
+    pub servers: String,
+    /// Id of the request.
+    pub request: String,
+    /// Finish reason of a model answer.
+    pub finish: Option<String>,
+    /// Code of an error.
+    pub error_code: Option<String>,
+    /// Time until each part of the text arrived.
+    pub arrivals: Vec<Duration>,
+}
+
+impl Caller {
+    /// Caller with a customer's key; a request ends after `limit`.
+    pub fn new(address: &str, key: &str, limit: Duration) -> Self {
+        Self {
+            agent: crate::client::agent(limit),
+            address: address.to_string(),
+            key: key.to_string(),
+        }
+    }
+
+    /// Sends a model request and reads its streamed answer.
+    pub fn ask(&self, model: &str, prompt: &str, output_max: u64) -> io::Result<Received> {
+        let started_at = Instant::now();
+        let body = json!({
+            "model": model,
+            "messages": [{ "role": "user", "content": prompt }],
+            "max_tokens": output_max,
+            "stream": true,
+        });
+        let response = self.post("/v1/chat/completions", body)?;
+        let mut received = head(&response);
+        if received.status != 200 {
+            return read_plain(received, response);
+        }
+        read_stream(&mut received, response, started_at)?;
+        Ok(received)
+    }
+
+    /// Sends a call to a plain service.
+    pub fn call(&self, service: &str, path: &str, body: Value) -> io::Result<Received> {
+        let response = self.post(&format!("/v1/services/{service}{path}"), body)?;
+        read_plain(head(&response), response)
+    }
+
+    /// Sends a lookup to a plain service.
+    pub fn look_up(&self, service: &str, path: &str) -> io::Result<Received> {
+        let url = format!("http://{}/v1/services/{service}{path}", self.address);
+        let request = self.agent.get(&url);
+        let request = request.header("authorization", self.authorization());
+        let response = request.call().map_err(io::Error::other)?;
+        read_plain(head(&response), response)
+    }
+
+    fn post(&self, path: &str, body: Value) -> io::Result<Response<Body>> {
+        let url = format!("http://{}{path}", self.address);
+        let request = self.agent.post(&url);
+        let request = request.header("authorization", self.authorization());
+        request.send_json(body).map_err(io::Error::other)
+    }
+
+    fn authorization(&self) -> String {
+        format!("Bearer {}", self.key)
+    }
+}
+
+fn head(response: &Response<Body>) -> Received {
+    let header = |name: &str| {
+        let value = response.headers().get(name);
+        let text = value.and_then(|value| value.to_str().ok());
+        text.unwrap_or_default().to_string()
+    };
+    Received {
+        status: response.status().as_u16(),
+        servers: header(SERVERS_HEADER),
+        request: header(REQUEST_HEADER),
+        ..Received::default()
+    }
+}
+
+fn read_plain(mut received: Received, mut response: Response<Body>) -> io::Result<Received> {
+    let text = response.body_mut().read_to_string();
+    received.text = text.map_err(io::Error::other)?;
+    if received.status >= 400 {
+        received.error_code = error_code(&serde_json::from_str(&received.text).unwrap_or_default());
+    }
+    Ok(received)
+}
+
+fn read_stream(
+    received: &mut Received,
+    response: Response<Body>,
+    started_at: Instant,
+) -> io::Result<()> {
+    let reader = BufReader::new(response.into_body().into_reader());
+    for line in reader.lines() {
+        let line = line?;
+        if let Some(comment) = line.strip_prefix(':') {
+            read_comment(received, comment);
+        }
+        let Some(data) = line.strip_prefix("data:").map(str::trim) else {
+            continue;
+        };
+        let event: Value = serde_json::from_str(data).unwrap_or_default();
+        read_event(received, &event, started_at.elapsed());
+    }
+    Ok(())
+}
+
+fn read_event(received: &mut Received, event: &Value, elapsed: Duration) {
+    if let Some(code) = error_code(event) {
+        received.error_code = Some(code);
+    }
+    let choice = &event["choices"][0];
+    let text = choice["delta"]["content"].as_str().unwrap_or_default();
+    if !text.is_empty() {
+        received.text += text;
+        received.arrivals.push(elapsed);
+    }
+    if let Some(finish) = choice["finish_reason"].as_str() {
+        received.finish = Some(finish.to_string());
+    }
+}
+
+/// Reads `servers` and `request` of a comment; a stream that changed servers ends with one.
+fn read_comment(received: &mut Received, comment: &str) {
+    for word in comment.split_whitespace() {
+        let Some((name, value)) = word.split_once(['=', ':']) else {
+            continue;
+        };
+        match name {
+            "servers" | SERVERS_HEADER => received.servers = value.to_string(),
+            "request" | REQUEST_HEADER => received.request = value.to_string(),
+            _ => {}
+        }
+    }
+}
+
+fn error_code(body: &Value) -> Option<String> {
+    body["error"]["code"].as_str().map(str::to_string)
+}
--- /dev/null
+++ b/crates/dev/src/fleet/deployment.rs
@@ -0,0 +1,227 @@
+//! Sizes and places of both deployments (design 1.4).
+
+use std::str::FromStr;
+
+use crate::platform::HostRecord;
+
+/// Start of every host's name; the name of the process follows.
+pub const HOST_PREFIX: &str = "host-";
+
+/// Backend server and its place.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ServerPlace {
+    /// Id in the allowances.
+    pub id: String,
+    /// Kind.
+    pub kind: ServerKind,
+    /// Region.
+    pub region: String,
+    /// Availability zone.
+    pub zone: String,
+}
+
+/// Kind of a backend server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ServerKind {
+    /// Engine that computes prompts.
+    Prefill,
+    /// Engine that generates answers.
+    Decode,
+    /// Plain service.
+    Service,
+}
+
+/// Entry and its place.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EntryPlace {
+    /// Name.
+    pub name: String,
+    /// Region.
+    pub region: String,
+    /// Availability zone.
+    pub zone: String,
+}
+
+/// One deployment.
+#[derive(Clone, Debug)]
+pub struct Deployment {
+    /// Name.
+    pub name: &'static str,
+    /// Model of the engines.
+    pub model: &'static str,
+    /// Version of the model.
+    pub version: &'static str,
+    /// Adapter of the engines.
+    pub adapter: String,
+    /// Plain service.
+    pub service: &'static str,
+    /// Path of a call with an effect.
+    pub effect_path: &'static str,
+    /// Weight of wasted prefill and paid volume against goodput.
+    pub wasted_prefill_weight: f64,
+    /// Backend servers.
+    pub servers: Vec<ServerPlace>,
+    /// Entries.
+    pub entries: Vec<EntryPlace>,
+}
+
+impl ServerPlace {
+    /// Role of an engine; `None` for a service.
+    pub fn role(&self) -> Option<&'static str> {
+        match self.kind {
+            ServerKind::Prefill => Some("prefill"),
+            ServerKind::Decode => Some("decode"),
+            ServerKind::Service => None,
+        }
+    }
+
+    /// Name of the agent beside the server.
+    pub fn agent_name(&self) -> String {
+        format!("agent-{}", self.id)
+    }
+
+    /// Published host of the agent.
+    pub fn host_record(&self, address: String) -> HostRecord {
+        HostRecord {
+            host: format!("{HOST_PREFIX}{}", self.agent_name()),
+            region: self.region.clone(),
+            availability_zone: self.zone.clone(),
+            state: "live".to_string(),
+            process: "agent".to_string(),
+            address,
+            server: Some(self.id.clone()),
+        }
+    }
+}
+
+impl EntryPlace {
+    /// Published host of the entry.
+    pub fn host_record(&self, address: String) -> HostRecord {
+        HostRecord {
+            host: format!("{HOST_PREFIX}{}", self.name),
+            region: self.region.clone(),
+            availability_zone: self.zone.clone(),
+            state: "live".to_string(),
+            process: "entry".to_string(),
+            address,
+            server: None,
+        }
+    }
+}
+
+/// Unknown name of a deployment.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct UnknownDeployment(String);
+
+impl std::fmt::Display for UnknownDeployment {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(
+            f,
+            "no deployment {:?}; known: relojeria, bucaramanga",
+            self.0
+        )
+    }
+}
+
+impl std::error::Error for UnknownDeployment {}
+
+impl FromStr for Deployment {
+    type Err = UnknownDeployment;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text {
+            "relojeria" => Ok(relojeria()),
+            "bucaramanga" => Ok(bucaramanga()),
+            _ => Err(UnknownDeployment(text.to_string())),
+        }
+    }
+}
+
+/// Deployment with 8 engines and 3 counter servers, where goodput weighs more.
+pub fn relojeria() -> Deployment {
+    use ServerKind::{Decode, Prefill};
+    let litoral_a = Zone::new("litoral", "litoral-a");
+    let litoral_b = Zone::new("litoral", "litoral-b");
+    let cuyo_a = Zone::new("cuyo", "cuyo-a");
+    let mut servers = litoral_a.servers("notes", 1, &[Prefill, Decode, Prefill]);
+    servers.extend(litoral_b.servers("notes", 4, &[Decode, Prefill, Decode]));
+    servers.extend(cuyo_a.servers("notes", 7, &[Prefill, Decode]));
+    servers.extend(one_service_each(
+        "counter",
+        &[&litoral_a, &litoral_b, &cuyo_a],
+    ));
+    Deployment {
+        name: "relojeria",
+        model: "repair-notes",
+        version: "v1",
+        adapter: "kiosk".to_string(),
+        service: "counter",
+        effect_path: "/charges",
+        wasted_prefill_weight: 0.2,
+        servers,
+        entries: vec![litoral_a.entry(1), cuyo_a.entry(2)],
+    }
+}
+
+/// Deployment with 9 engines and 3 booking servers, where wasted prefill and paid volume weigh
+/// more.
+pub fn bucaramanga() -> Deployment {
+    use ServerKind::{Decode, Prefill};
+    let giron = Zone::new("oriente", "giron");
+    let piedecuesta = Zone::new("oriente", "piedecuesta");
+    let itagui = Zone::new("occidente", "itagui");
+    let mut servers = giron.servers("briefs", 1, &[Prefill, Decode, Decode]);
+    servers.extend(piedecuesta.servers("briefs", 4, &[Prefill, Decode, Prefill]));
+    servers.extend(itagui.servers("briefs", 7, &[Prefill, Decode, Decode]));
+    servers.extend(one_service_each(
+        "booking",
+        &[&giron, &piedecuesta, &itagui],
+    ));
+    Deployment {
+        name: "bucaramanga",
+        model: "case-briefs",
+        version: "v1",
+        adapter: "courts".to_string(),
+        service: "booking",
+        effect_path: "/bookings",
+        wasted_prefill_weight: 0.8,
+        servers,
+        entries: vec![giron.entry(1), itagui.entry(2)],
+    }
+}
+
+fn one_service_each(name: &str, zones: &[&Zone]) -> Vec<ServerPlace> {
+    let numbered = zones.iter().enumerate();
+    let places = numbered.map(|(at, zone)| zone.servers(name, at + 1, &[ServerKind::Service]));
+    places.flatten().collect()
+}
+
+struct Zone {
+    region: &'static str,
+    name: &'static str,
+}
+
+impl Zone {
+    fn new(region: &'static str, name: &'static str) -> Self {
+        Self { region, name }
+    }
+
+    fn servers(&self, name: &str, first: usize, kinds: &[ServerKind]) -> Vec<ServerPlace> {
+        let numbered = kinds.iter().enumerate();
+        let places = numbered.map(|(at, kind)| ServerPlace {
+            id: format!("{name}-{}", first + at),
+            kind: *kind,
+            region: self.region.to_string(),
+            zone: self.name.to_string(),
+        });
+        places.collect()
+    }
+
+    fn entry(&self, number: usize) -> EntryPlace {
+        EntryPlace {
+            name: format!("entry-{number}"),
+            region: self.region.to_string(),
+            zone: self.name.to_string(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/dev/src/fleet/mod.rs
@@ -0,0 +1,406 @@
+//! Launcher of a whole system on loopback: platform, backend servers, agents and entries.
+//!
+//! Every process gets a free port from the operating system and prints its addresses, so that
+//! several fleets can run side by side. The host list is published when all addresses are known.
+//! Settings, output and logs are files of one temporary directory.
+//!
+//! | module | holds |
+//! |---|---|
+//! | [`deployment`] | sizes and places of both deployments |
+//! | [`process`] | one started process and its signals |
+//! | `lists` | text of plans and allowances |
+//! | [`settings`] | text of settings files |
+
+pub mod deployment;
+mod lists;
+pub mod process;
+pub mod settings;
+
+use std::collections::BTreeMap;
+use std::fs;
+use std::io;
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::{Duration, Instant};
+
+use serde_json::json;
+
+use crate::client;
+use crate::platform::HostRecord;
+use deployment::{Deployment, EntryPlace, ServerPlace};
+use process::{Process, Program, Signal, binary, example};
+
+/// Key of the one published plans part.
+pub const PLANS_KEY: &str = "plans/base";
+/// Key of the one published allowances part.
+pub const ALLOWANCES_KEY: &str = "allowances/base";
+/// Customer that the plans name.
+pub const CUSTOMER: &str = "kiosks-norte";
+
+const CALL_LIMIT: Duration = Duration::from_secs(5);
+const POLL: Duration = Duration::from_millis(50);
+const PLATFORM_NAME: &str = "platform";
+
+/// What to start.
+#[derive(Clone, Debug)]
+pub struct FleetConfig {
+    /// Deployment.
+    pub deployment: Deployment,
+    /// Longest time until all entries are ready.
+    pub ready_max: Duration,
+    /// Longest time that an agent or entry may take to shut down.
+    pub shutdown_max: Duration,
+    /// Rate and burst of the customer's plan.
+    pub requests_per_second: u32,
+    /// First-token target of the plan.
+    pub first_token_ms: u64,
+    /// Between-tokens target of the plan.
+    pub between_tokens_ms: u64,
+    /// Further settings of all agents: key and TOML value.
+    pub agent_settings: BTreeMap<String, String>,
+    /// Further settings of all entries: key and TOML value.
+    pub entry_settings: BTreeMap<String, String>,
+    /// Further arguments of all engines.
+    pub engine_arguments: Vec<String>,
+    /// Age of the published host list.
+    pub hosts_lag_ms: u64,
+}
+
+impl FleetConfig {
+    /// Usual configuration of a deployment; entries drain faster than in operation, because no
+    /// balancer has to notice.
+    pub fn new(deployment: Deployment) -> Self {
+        let drain = ("drain_delay_ms".to_string(), "200".to_string());
+        Self {
+            deployment,
+            ready_max: Duration::from_secs(30),
+            shutdown_max: Duration::from_secs(20),
+            requests_per_second: 1_000,
+            first_token_ms: 2_000,
+            between_tokens_ms: 60,
+            agent_settings: BTreeMap::new(),
+            entry_settings: BTreeMap::from([drain]),
+            engine_arguments: Vec::new(),
+            hosts_lag_ms: 0,
+        }
+    }
+}
+
+/// Started system. Dropping it kills every process and removes the directory, unless it is kept.
+pub struct Fleet {
+    /// What was started.
+    pub config: FleetConfig,
+    /// Key of the customer.
+    pub key: String,
+    directory: PathBuf,
+    processes: BTreeMap<String, Process>,
+    leaving: Vec<String>,
+    is_kept: bool,
+}
+
+impl Fleet {
+    /// Starts everything and waits until all entries are ready.
+    pub fn start(config: FleetConfig) -> io::Result<Self> {
+        let mut fleet = Self::empty(config)?;
+        let started = fleet.start_all();
+        started.map_err(|error| fleet.explain(&error))?;
+        Ok(fleet)
+    }
+
+    /// Starts platform and backend servers only.
+    pub fn start_stand_ins(config: FleetConfig) -> io::Result<Self> {
+        let mut fleet = Self::empty(config)?;
+        let started = fleet.start_platform_and_servers();
+        started.map_err(|error| fleet.explain(&error))?;
+        Ok(fleet)
+    }
+
+    fn empty(config: FleetConfig) -> io::Result<Self> {
+        static FLEETS: AtomicU32 = AtomicU32::new(0);
+        let number = FLEETS.fetch_add(1, Ordering::Relaxed);
+        let name = format!("cuminlead-fleet-{}-{number}", std::process::id());
+        let directory = std::env::temp_dir().join(name);
+        fs::create_dir_all(&directory)?;
+        Ok(Self {
+            config,
+            key: format!("{:032x}", rand::random::<u128>()),
+            directory,
+            processes: BTreeMap::new(),
+            leaving: Vec::new(),
+            is_kept: false,
+        })
+    }
+
+    fn start_all(&mut self) -> io::Result<()> {
+        self.start_platform_and_servers()?;
+        self.publish_lists()?;
+        for place in self.config.deployment.servers.clone() {
+            self.spawn_agent(&place)?;
+        }
+        for place in self.config.deployment.entries.clone() {
+            self.spawn_entry(&place)?;
+        }
+        self.wait_until_listening()?;
+        self.publish_hosts()?;
+        self.wait_until_ready()
+    }
+
+    fn start_platform_and_servers(&mut self) -> io::Result<()> {
+        let lag = self.config.hosts_lag_ms.to_string();
+        let mut platform = Program::new(PLATFORM_NAME, example("platform"));
+        platform.arguments = vec!["--hosts-lag-ms".to_string(), lag];
+        self.spawn(&platform)?;
+        for place in self.config.deployment.servers.clone() {
+            self.spawn_server(&place)?;
+        }
+        self.wait_until_listening()
+    }
+
+    fn spawn_server(&mut self, place: &ServerPlace) -> io::Result<()> {
+        let deployment = &self.config.deployment;
+        let Some(role) = place.role() else {
+            return self.spawn(&Program::new(&place.id, example("service")));
+        };
+        let mut program = Program::new(&place.id, example("engine"));
+        let model = format!("{}:{}", deployment.model, deployment.version);
+        let arguments = ["--role", role, "--model", &model];
+        program.arguments.extend(arguments.map(str::to_string));
+        let adapter = ["--adapter", &deployment.adapter];
+        program.arguments.extend(adapter.map(str::to_string));
+        program
+            .arguments
+            .extend(self.config.engine_arguments.clone());
+        self.spawn(&program)
+    }
+
+    /// Starts the agent beside a backend server.
+    pub fn spawn_agent(&mut self, place: &ServerPlace) -> io::Result<()> {
+        let backend = self.address(&place.id, "address")?;
+        let platform = self.address(PLATFORM_NAME, "address")?;
+        let text = settings::agent(place, &backend, &platform, &self.config.agent_settings);
+        self.spawn_binary("cuminlead-agent", &place.agent_name(), &text)
+    }
+
+    /// Starts an entry.
+    pub fn spawn_entry(&mut self, place: &EntryPlace) -> io::Result<()> {
+        let platform = self.address(PLATFORM_NAME, "address")?;
+        let weight = self.config.deployment.wasted_prefill_weight;
+        let text = settings::entry(place, &platform, weight, &self.config.entry_settings);
+        self.spawn_binary("cuminlead-entry", &place.name, &text)
+    }
+
+    fn spawn_binary(&mut self, file: &str, name: &str, settings: &str) -> io::Result<()> {
+        let path = self.directory.join(format!("{name}.toml"));
+        fs::write(&path, settings)?;
+        let mut program = Program::new(name, binary(file));
+        let path = path.display().to_string();
+        program.arguments = vec!["--settings".to_string(), path, "run".to_string()];
+        self.spawn(&program)
+    }
+
+    fn spawn(&mut self, program: &Program) -> io::Result<()> {
+        let process = Process::start(program, &self.directory)?;
+        self.processes.insert(program.name.clone(), process);
+        Ok(())
+    }
+
+    /// Waits until every process has printed its addresses.
+    pub fn wait_until_listening(&mut self) -> io::Result<()> {
+        let deadline = Instant::now() + self.config.ready_max;
+        for process in self.processes.values_mut() {
+            process.wait_until_listening(deadline)?;
+        }
+        Ok(())
+    }
+
+    /// Waits until every running entry answers 200 on `/ready`.
+    pub fn wait_until_ready(&mut self) -> io::Result<()> {
+        let deadline = Instant::now() + self.config.ready_max;
+        for place in self.config.deployment.entries.clone() {
+            self.wait_until_entry_ready(&place.name, deadline)?;
+        }
+        Ok(())
+    }
+
+    fn wait_until_entry_ready(&mut self, name: &str, deadline: Instant) -> io::Result<()> {
+        let url = format!("http://{}/ready", self.address(name, "admin")?);
+        let agent = client::agent(CALL_LIMIT);
+        loop {
+            let seen = match client::get(&agent, &url) {
+                Ok(answer) if answer.status == 200 => return Ok(()),
+                Ok(answer) => format!("status {} {}", answer.status, answer.body),
+                Err(error) => error.to_string(),
+            };
+            if let Some(process) = self.processes.get_mut(name) {
+                process.check_running()?;
+            }
+            if Instant::now() >= deadline {
+                return Err(io::Error::other(format!("{name} is not ready: {seen}")));
+            }
+            std::thread::sleep(POLL);
+        }
+    }
+
+    /// Publishes plans and allowances of the configuration.
+    pub fn publish_lists(&self) -> io::Result<()> {
+        self.publish(PLANS_KEY, &lists::plans(&self.config, &self.key))?;
+        self.publish(ALLOWANCES_KEY, &lists::allowances(&self.config.deployment))
+    }
+
+    /// Publishes one part, as an operator does.
+    pub fn publish(&self, key: &str, text: &str) -> io::Result<()> {
+        let body = json!({ "key": key, "text": text });
+        self.control(PLATFORM_NAME, "/control/publish", &body)
+    }
+
+    /// Sets the mode of a stand-in.
+    pub fn set_mode(&self, stand_in: &str, mode: crate::behaviour::Mode) -> io::Result<()> {
+        self.control(stand_in, "/control", &json!({ "mode": mode }))
+    }
+
+    /// Publishes the host list with the present addresses.
+    pub fn publish_hosts(&self) -> io::Result<()> {
+        let hosts = json!({ "hosts": self.hosts()? });
+        self.control(PLATFORM_NAME, "/control/hosts", &hosts)
+    }
+
+    /// Publishes a process as leaving from now on.
+    pub fn publish_leaving(&mut self, name: &str) -> io::Result<()> {
+        self.leaving.push(name.to_string());
+        self.publish_hosts()
+    }
+
+    fn hosts(&self) -> io::Result<Vec<HostRecord>> {
+        let deployment = &self.config.deployment;
+        let mut hosts = Vec::new();
+        for place in &deployment.entries {
+            hosts.push(place.host_record(self.address(&place.name, "peer")?));
+        }
+        for place in &deployment.servers {
+            hosts.push(place.host_record(self.address(&place.agent_name(), "peer")?));
+        }
+        for record in &mut hosts {
+            let process = record.host.trim_start_matches(deployment::HOST_PREFIX);
+            if self.leaving.iter().any(|name| name == process) {
+                record.state = "leaving".to_string();
+            }
+        }
+        Ok(hosts)
+    }
+
+    fn control(&self, stand_in: &str, path: &str, body: &serde_json::Value) -> io::Result<()> {
+        let url = format!("http://{}{path}", self.address(stand_in, "address")?);
+        let answer = client::post(&client::agent(CALL_LIMIT), &url, body);
+        let answer = answer.map_err(io::Error::other)?;
+        if answer.status == 200 {
+            return Ok(());
+        }
+        let reason = format!(
+            "{stand_in}{path} answered {} {}",
+            answer.status, answer.body
+        );
+        Err(io::Error::other(reason))
+    }
+
+    /// Address that a process printed under a key.
+    pub fn address(&self, name: &str, key: &str) -> io::Result<String> {
+        let process = self.processes.get(name);
+        let address = process.and_then(|process| process.address(key));
+        address.ok_or_else(|| io::Error::other(format!("{name} has no {key} address")))
+    }
+
+    /// Started process.
+    pub fn process(&mut self, name: &str) -> io::Result<&mut Process> {
+        let process = self.processes.get_mut(name);
+        process.ok_or_else(|| io::Error::other(format!("no process {name}")))
+    }
+
+    /// All started processes by name.
+    pub fn processes(&self) -> impl Iterator<Item = &Process> {
+        self.processes.values()
+    }
+
+    /// Directory of settings, output and logs.
+    pub fn directory(&self) -> &Path {
+        &self.directory
+    }
+
+    /// Starts a stopped process again and waits for its new addresses; the host list is not
+    /// published.
+    pub fn restart(&mut self, name: &str) -> io::Result<()> {
+        let deadline = Instant::now() + self.config.ready_max;
+        let directory = self.directory.clone();
+        let process = self.process(name)?;
+        process.kill();
+        let mut fresh = Process::start(process.program(), &directory)?;
+        fresh.wait_until_listening(deadline)?;
+        self.processes.insert(name.to_string(), fresh);
+        Ok(())
+    }
+
+    /// Shuts down entries, then agents, then the stand-ins; collects everything that went wrong.
+    pub fn stop(mut self) -> io::Result<()> {
+        let deployment = self.config.deployment.clone();
+        let entries: Vec<String> = deployment.entries.iter().map(|p| p.name.clone()).collect();
+        let agents: Vec<String> = deployment.servers.iter().map(|p| p.agent_name()).collect();
+        let mut reasons = self.shut_down(&entries);
+        reasons.extend(self.shut_down(&agents));
+        for process in self.processes.values_mut() {
+            process.kill();
+        }
+        if reasons.is_empty() {
+            return Ok(());
+        }
+        Err(self.explain(&io::Error::other(reasons.join("; "))))
+    }
+
+    fn shut_down(&mut self, names: &[String]) -> Vec<String> {
+        let mut reasons = Vec::new();
+        for name in names {
+            if let Some(process) = self.processes.get_mut(name).filter(|p| !p.is_killed()) {
+                let sent = process.signal(Signal::Terminate);
+                reasons.extend(sent.err().map(|error| error.to_string()));
+            }
+        }
+        let deadline = Instant::now() + self.config.shutdown_max;
+        for name in names {
+            if let Some(process) = self.processes.get_mut(name).filter(|p| !p.is_killed()) {
+                let ended = process.wait_for_clean_end(deadline);
+                reasons.extend(ended.err().map(|error| error.to_string()));
+            }
+        }
+        reasons
+    }
+
+    /// Leaves all processes and the directory in place.
+    pub fn keep(mut self) {
+        self.is_kept = true;
+        for process in self.processes.values_mut() {
+            process.keep();
+        }
+    }
+
+    /// Error with the end of the logs of all agents and entries.
+    pub fn explain(&self, error: &io::Error) -> io::Error {
+        let mut text = error.to_string();
+        for process in self.processes.values() {
+            let tail = process.log_tail();
+            if !tail.is_empty() {
+                text += &format!("\n--- {} ---\n{tail}", process.name());
+            }
+        }
+        io::Error::other(text)
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        if self.is_kept {
+            return;
+        }
+        self.processes.clear();
+        if let Err(error) = fs::remove_dir_all(&self.directory) {
+            eprintln!("level=warning event=directory_not_removed reason=\"{error}\"");
+        }
+    }
+}
--- a/crates/dev/src/lib.rs
+++ b/crates/dev/src/lib.rs
@@ -8,10 +8,14 @@
 //! | [`engine`] | model engine |
 //! | [`service`] | plain service that counts its effects |
 //! | [`platform`] | configuration service and host list |
+//! | [`fleet`] | launcher of a whole system on loopback |
+//! | [`caller`] | requests to entries, as callers send them |
 
 pub mod behaviour;
+pub mod caller;
 pub mod client;
 pub mod engine;
+pub mod fleet;
 pub mod http;
 pub mod platform;
 pub mod service;
--- /dev/null
+++ b/crates/dev/tests/fleet.rs
@@ -0,0 +1,151 @@
+//! Launcher: generated files are valid, and processes are started, signalled and ended.
+
+use std::collections::BTreeMap;
+use std::path::Path;
+use std::time::Duration;
+
+use cuminlead_dev::behaviour::Mode;
+use cuminlead_dev::client;
+use cuminlead_dev::fleet::deployment::{Deployment, bucaramanga, relojeria};
+use cuminlead_dev::fleet::process::Signal;
+use cuminlead_dev::fleet::{ALLOWANCES_KEY, Fleet, FleetConfig, PLANS_KEY, settings};
+use cuminlead_lists::{Part, PartKey, Snapshot};
+use cuminlead_settings::{AgentSettings, EntrySettings};
+use cuminlead_types::Revision;
+use serde_json::{Value, json};
+use yare::parameterized;
+
+const ANSWER_LIMIT: Duration = Duration::from_secs(20);
+/// Time after which a paused process counts as not answering.
+const SILENCE_LIMIT: Duration = Duration::from_millis(500);
+
+fn get(fleet: &Fleet, name: &str, path: &str) -> Option<Value> {
+    get_within(ANSWER_LIMIT, fleet, name, path)
+}
+
+fn get_within(limit: Duration, fleet: &Fleet, name: &str, path: &str) -> Option<Value> {
+    let address = fleet.address(name, "address").expect("address");
+    let answer = client::get(&client::agent(limit), &format!("http://{address}{path}"));
+    answer.ok().map(|answer| answer.body)
+}
+
+/// Guards against lists that every process of the fleet refuses.
+#[parameterized(
+    of_relojeria = { relojeria() },
+    of_bucaramanga = { bucaramanga() },
+)]
+fn published_lists_are_valid(deployment: Deployment) {
+    let fleet = Fleet::start_stand_ins(FleetConfig::new(deployment)).expect("start");
+    fleet.publish_lists().expect("publish");
+    let config = get(&fleet, "platform", "/v1/config?since=0").expect("config");
+    let texts = config["parts"].as_array().expect("parts");
+    let parts = texts.iter().map(|part| Part {
+        key: PartKey::new(part["key"].as_str().expect("key")),
+        revision: Revision(part["revision"].as_u64().expect("revision")),
+        text: part["text"].as_str().expect("text").to_string(),
+    });
+    let snapshot = Snapshot::new(Revision(2), parts);
+    let keys: Vec<&str> = snapshot.parts().map(|part| part.key.as_str()).collect();
+    assert_eq!(keys, [ALLOWANCES_KEY, PLANS_KEY]);
+    let lists = snapshot.check().expect("valid lists");
+    assert_eq!(lists.servers.len(), fleet.config.deployment.servers.len());
+}
+
+/// Guards against settings files that both binaries refuse.
+#[parameterized(
+    of_relojeria = { relojeria() },
+    of_bucaramanga = { bucaramanga() },
+)]
+fn settings_files_are_valid(deployment: Deployment) {
+    let further = FleetConfig::new(deployment.clone()).entry_settings;
+    let platform = "127.0.0.1:8000";
+    for place in &deployment.servers {
+        let text = settings::agent(place, "127.0.0.1:9000", platform, &BTreeMap::new());
+        AgentSettings::parse("agent", &text).expect("valid agent settings");
+    }
+    for place in &deployment.entries {
+        let weight = deployment.wasted_prefill_weight;
+        let text = settings::entry(place, platform, weight, &further);
+        EntrySettings::parse("entry", &text).expect("valid entry settings");
+    }
+}
+
+/// Guards against a deployment in which a region cannot serve a model request alone.
+#[parameterized(
+    of_relojeria = { relojeria(), 8 },
+    of_bucaramanga = { bucaramanga(), 9 },
+)]
+fn every_region_has_both_roles(deployment: Deployment, engines_count: usize) {
+    let engines = || {
+        deployment
+            .servers
+            .iter()
+            .filter(|place| place.role().is_some())
+    };
+    assert_eq!(engines().count(), engines_count);
+    for region in engines().map(|place| &place.region) {
+        for role in ["prefill", "decode"] {
+            let has_role = engines().any(|p| p.region == *region && p.role() == Some(role));
+            assert!(has_role, "{region} has no {role} engine");
+        }
+    }
+}
+
+/// Guards against processes and files that outlive their fleet.
+#[test]
+fn dropped_fleet_leaves_nothing() {
+    let fleet = Fleet::start_stand_ins(FleetConfig::new(relojeria())).expect("start");
+    let directory = fleet.directory().to_path_buf();
+    let pids: Vec<u32> = fleet.processes().map(|process| process.pid()).collect();
+    assert_eq!(pids.len(), 1 + 8 + 3);
+    drop(fleet);
+    assert!(!directory.exists());
+    for pid in pids {
+        assert!(!Path::new(&format!("/proc/{pid}")).exists());
+    }
+}
+
+/// Guards against a pause that does not pause, and a restart that keeps the old process.
+#[test]
+fn process_is_paused_continued_and_restarted() {
+    let mut fleet = Fleet::start_stand_ins(FleetConfig::new(relojeria())).expect("start");
+    fleet
+        .process("notes-1")
+        .unwrap()
+        .signal(Signal::Stop)
+        .expect("stop");
+    let silent = get_within(SILENCE_LIMIT, &fleet, "notes-1", "/v1/inventory");
+    assert_eq!(silent, None);
+    fleet
+        .process("notes-1")
+        .unwrap()
+        .signal(Signal::Continue)
+        .expect("continue");
+    assert!(get(&fleet, "notes-1", "/v1/inventory").is_some());
+    let pid = fleet.process("notes-1").unwrap().pid();
+    fleet.restart("notes-1").expect("restart");
+    assert_ne!(fleet.process("notes-1").unwrap().pid(), pid);
+    let inventory = get(&fleet, "notes-1", "/v1/inventory").expect("inventory");
+    assert_eq!(inventory["adapters"], json!(["kiosk"]));
+}
+
+/// Guards against a mode that does not reach the stand-in.
+#[test]
+fn mode_is_set_by_name() {
+    let fleet = Fleet::start_stand_ins(FleetConfig::new(relojeria())).expect("start");
+    fleet.set_mode("counter-1", Mode::Fail).expect("set");
+    let failed = get(&fleet, "counter-1", "/effects").expect("answer");
+    assert_eq!(failed, json!({"error": "failing as told"}));
+}
+
+/// Guards against a start that waits for a process which has already ended.
+#[test]
+fn ended_process_is_reported_at_once() {
+    let mut config = FleetConfig::new(relojeria());
+    config.engine_arguments = vec!["--no-such-option".to_string()];
+    let error = Fleet::start_stand_ins(config)
+        .err()
+        .expect("no start")
+        .to_string();
+    assert!(error.contains("notes-1 ended with"), "{error}");
+}
