--- a/crates/dev/examples/demo.rs
+++ b/crates/dev/examples/demo.rs
@@ -117,7 +117,7 @@
 
 fn print_processes(fleet: &Fleet) {
     let mut pids = Vec::new();
-    for process in fleet.processes() {
+    for process in fleet.processes().filter(|process| !process.is_killed()) {
         let addresses = process.addresses().iter();
         let addresses: Vec<String> = addresses
             .map(|(key, value)| format!("{key}={value}"))
