--- a/crates/agent/src/controller.rs
+++ b/crates/agent/src/controller.rs
@@ -8,11 +8,12 @@
 use cuminlead_agent_core::{
     AgentAction, AgentContext, AgentEvent, AgentRecord, CallRef, StreamRef,
 };
+use cuminlead_distribution::{Event, Revisions};
 use cuminlead_kernel::Controller;
 use cuminlead_lists::{HostState, Lists};
 use cuminlead_process::feed::{Feed, FeedEvent, FeedUpdate};
 use cuminlead_protocol::{
-    AgentReply, AgentRequest, DecodeEvent, DecodeOpen, EngineEvent, ServiceEvent,
+    AgentReply, AgentRequest, DecodeEvent, DecodeOpen, EngineEvent, Envelope, ServiceEvent,
 };
 use cuminlead_types::{BackendServerId, Now, TimeUs};
 use slog::{Logger, debug, info, warn};
@@ -92,15 +93,31 @@
 
 impl AgentController {
     /// Controller that starts its feed.
-    pub fn new(parts: ControllerParts) -> Self {
-        parts.feed.start();
-        Self {
+    pub fn new(parts: ControllerParts, now: Now) -> Self {
+        let mut controller = Self {
             parts,
             calls: HashMap::new(),
             streams: HashMap::new(),
             actions: Vec::new(),
             is_drained: false,
-        }
+        };
+        let update = controller.parts.feed.start(now.mono_us);
+        controller.apply(now, update);
+        controller
+    }
+
+    /// Notes the revisions that a message of an entry carries.
+    fn see_revisions(&mut self, now: Now, envelope: &Envelope) {
+        let revisions = Revisions {
+            lists: envelope.lists_revision,
+            hosts: envelope.hosts_revision,
+        };
+        let event = FeedEvent::Distribution(Event::RevisionsSeen {
+            revisions,
+            peer: None,
+        });
+        let update = self.parts.feed.handle(now.mono_us, event);
+        self.apply(now, update);
     }
 
     fn decide(&mut self, now: Now, event: AgentEvent) {
@@ -198,12 +215,17 @@
                 self.drain(now);
             }
         }
+        self.update_ready();
+    }
+
+    fn update_ready(&self) {
+        let is_ready = self.parts.feed.view().load().is_ready;
+        self.parts.flags.is_ready.store(is_ready, Ordering::Relaxed);
     }
 
     fn apply_lists(&mut self, now: Now, lists: Arc<Lists>) {
         info!(self.parts.log, "lists in force"; "revision" => lists.revision.0);
         self.parts.metrics.set_revision("lists", lists.revision);
-        self.parts.flags.is_ready.store(true, Ordering::Relaxed);
         self.decide(now, AgentEvent::Lists(lists));
     }
 
@@ -225,6 +247,7 @@
                 request,
                 reply,
             } => {
+                self.see_revisions(now, request.envelope());
                 self.calls.insert(call, reply);
                 self.decide(now, AgentEvent::Request { call, request });
             }
@@ -256,14 +279,28 @@
     }
 
     fn tick(&mut self, now: Now) {
-        self.decide(now, AgentEvent::Tick);
+        if is_due(self.parts.feed.next_deadline(), now) {
+            let update = self.parts.feed.tick(now.mono_us);
+            self.apply(now, update);
+        }
+        if is_due(self.parts.context.next_deadline(), now) {
+            self.decide(now, AgentEvent::Tick);
+        }
     }
 
     fn next_deadline(&self) -> Option<TimeUs> {
-        self.parts.context.next_deadline()
+        let deadlines = [
+            self.parts.context.next_deadline(),
+            self.parts.feed.next_deadline(),
+        ];
+        deadlines.into_iter().flatten().min()
     }
 
     fn is_done(&self) -> bool {
         self.is_drained
     }
 }
+
+fn is_due(deadline: Option<TimeUs>, now: Now) -> bool {
+    deadline.is_some_and(|deadline| deadline <= now.mono_us)
+}
--- a/crates/agent/src/process.rs
+++ b/crates/agent/src/process.rs
@@ -5,9 +5,11 @@
 
 use crossbeam::channel::{Sender, unbounded};
 use cuminlead_agent_core::{AgentConfig, AgentContext};
+use cuminlead_distribution::Identity;
 use cuminlead_kernel::{Clock, WorkerPool, spawn_control};
 use cuminlead_process::cli::ProcessSettings;
-use cuminlead_process::feed::Feed;
+use cuminlead_process::feed::{Feed, FeedParts, FeedSender};
+use cuminlead_process::peer::{PeerClient, PeerRpc};
 use cuminlead_process::platform::Platform;
 use cuminlead_process::secret::PeerSecret;
 use cuminlead_process::{StartError, admin, signal};
@@ -16,6 +18,7 @@
 use cuminlead_types::{Findings, Incarnation};
 use cuminlead_wire::MESSAGE_MAX_BYTES;
 use cuminlead_wire::proto::agent_server::AgentServer;
+use cuminlead_wire::proto::peer_server::PeerServer;
 use error_stack::{Report, ResultExt};
 use slog::{Logger, info};
 use tokio::runtime::Runtime;
@@ -90,7 +93,20 @@
     let mut metrics = Metrics::new("cuminlead_agent");
     let agent_metrics = AgentMetrics::new(&mut metrics);
     let flags = Arc::new(AgentFlags::default());
-    let feed = build_feed(settings, &control, &agent_metrics);
+    let secret = PeerSecret::new(
+        settings
+            .peer_secret()
+            .as_ref()
+            .map(|secret| secret.expose()),
+    );
+    let sender = feed_sender(&control);
+    let feed = build_feed(
+        settings,
+        runtime,
+        Arc::clone(&sender),
+        secret.clone(),
+        &agent_metrics,
+    );
     let source = AgentAdmin {
         server: settings.server().clone(),
         incarnation,
@@ -109,16 +125,11 @@
     };
     let admin_address = admin::serve(*settings.admin_address(), Arc::new(source))?;
     let peer_address = listener.local_addr().change_context(StartError::Bind)?;
-    let secret = PeerSecret::new(
-        settings
-            .peer_secret()
-            .as_ref()
-            .map(|secret| secret.expose()),
-    );
+    let peer_rpc = PeerRpc::new(sender, secret.clone());
     let rpc = AgentRpc::new(control.clone(), secret, tracing.clone());
-    start_rpc(runtime, listener, rpc)?;
+    start_rpc(runtime, listener, rpc, peer_rpc)?;
     runtime.spawn(forward_stop(control));
-    let controller = AgentController::new(parts);
+    let controller = AgentController::new(parts, clock.now());
     let thread =
         spawn_control("control", clock, controller, events).change_context(StartError::Thread)?;
     println!("listening peer={peer_address} admin={admin_address}");
@@ -131,18 +142,34 @@
         .map_err(|_| Report::new(StartError::Thread).attach("the control thread failed"))
 }
 
+fn feed_sender(control: &Sender<ControlEvent>) -> FeedSender {
+    let control = control.clone();
+    Arc::new(move |event| {
+        // Nothing is left to report to when the control thread has ended.
+        let _ = control.send(ControlEvent::Feed(event));
+    })
+}
+
 fn build_feed(
     settings: &AgentSettings,
-    control: &Sender<ControlEvent>,
+    runtime: &Runtime,
+    sender: FeedSender,
+    secret: PeerSecret,
     metrics: &AgentMetrics,
 ) -> Feed {
-    let platform = Platform::new(&settings.platform_address().to_string());
-    let control = control.clone();
-    let sender = move |event| {
-        // Nothing is left to report to when the control thread has ended.
-        let _ = control.send(ControlEvent::Feed(event));
-    };
-    Feed::new(platform, Arc::new(sender), metrics.common.clone())
+    Feed::new(FeedParts {
+        identity: Identity {
+            host: settings.host().clone(),
+            region: settings.region().clone(),
+            zone: settings.availability_zone().clone(),
+        },
+        seed: rand::random(),
+        platform: Platform::new(&settings.platform_address().to_string()),
+        peers: PeerClient::new(settings.host().to_string(), secret),
+        runtime: runtime.handle().clone(),
+        sender,
+        metrics: metrics.common.clone(),
+    })
 }
 
 fn build_backend(
@@ -173,6 +200,7 @@
     runtime: &Runtime,
     listener: TcpListener,
     rpc: AgentRpc,
+    peer_rpc: PeerRpc,
 ) -> Result<(), Report<StartError>> {
     listener
         .set_nonblocking(true)
@@ -182,7 +210,10 @@
     let service = AgentServer::new(rpc)
         .max_decoding_message_size(MESSAGE_MAX_BYTES)
         .max_encoding_message_size(MESSAGE_MAX_BYTES);
-    let server = Server::builder().tcp_nodelay(true).add_service(service);
+    let server = Server::builder()
+        .tcp_nodelay(true)
+        .add_service(service)
+        .add_service(PeerServer::new(peer_rpc));
     runtime.spawn(server.serve_with_incoming(TcpListenerStream::new(listener)));
     Ok(())
 }
--- a/crates/entry/src/controller.rs
+++ b/crates/entry/src/controller.rs
@@ -5,6 +5,7 @@
 use std::time::Instant;
 
 use crossbeam::channel::Sender;
+use cuminlead_distribution::{Event, Peer, Revisions};
 use cuminlead_entry_core::CallEvent;
 use cuminlead_kernel::Controller;
 use cuminlead_lists::{HostList, HostState, Lists, ProcessKind};
@@ -17,11 +18,15 @@
     BackendServerId, Bytes, CustomerId, DurationUs, HostId, Now, RequestsPerSecond, TimeUs,
 };
 use slog::{Logger, info, warn};
+use tokio::sync::oneshot;
 
 use crate::clients::Clients;
 use crate::rate::{PlanRate, RateLimits};
 use crate::status::EntryMetrics;
 
+/// Interval at which a stopping entry looks whether its requests are answered.
+const STOP_CHECK_INTERVAL: DurationUs = DurationUs::from_ms(50);
+
 /// Event for the entry's control thread.
 #[derive(Debug)]
 pub enum ControlEvent {
@@ -41,7 +46,7 @@
         /// Burst of the plan.
         burst_requests: u32,
         /// Whether the request is within the rate.
-        reply: Sender<bool>,
+        reply: oneshot::Sender<bool>,
     },
     /// A reply carried the state of an agent.
     Observed(AgentState),
@@ -107,6 +112,7 @@
     rates: RateLimits,
     entries_count: u32,
     stop_asked_at_us: Option<TimeUs>,
+    stop_check_at_us: Option<TimeUs>,
     is_done: bool,
 }
 
@@ -125,9 +131,8 @@
 
 impl EntryController {
     /// Controller that starts its feed.
-    pub fn new(parts: ControllerParts) -> Self {
-        parts.feed.start();
-        Self {
+    pub fn new(parts: ControllerParts, now: Now) -> Self {
+        let mut controller = Self {
             parts,
             membership: Membership::new(),
             lists: Arc::default(),
@@ -135,8 +140,32 @@
             rates: RateLimits::default(),
             entries_count: 1,
             stop_asked_at_us: None,
+            stop_check_at_us: None,
             is_done: false,
-        }
+        };
+        let update = controller.parts.feed.start(now.mono_us);
+        controller.apply(update, now);
+        controller
+    }
+
+    /// Notes the state and the revisions that a reply of an agent carries.
+    fn observe(&mut self, now: Now, state: &AgentState) {
+        self.membership.record_report(now.mono_us, state);
+        self.parts.router.observe(now.mono_us, state);
+        let revisions = Revisions {
+            lists: state.lists_revision,
+            hosts: state.hosts_revision,
+        };
+        let peer = self.peer_of(&state.server);
+        let event = FeedEvent::Distribution(Event::RevisionsSeen { revisions, peer });
+        let update = self.parts.feed.handle(now.mono_us, event);
+        self.apply(update, now);
+    }
+
+    fn peer_of(&self, server: &BackendServerId) -> Option<Peer> {
+        let address = self.membership.address_of(server)?.to_string();
+        let host = self.membership.host_of(server)?.clone();
+        Some(Peer { host, address })
     }
 
     fn route(&mut self, now: Now, need: &RouteNeed, reply: &Sender<CallEvent>) {
@@ -188,7 +217,7 @@
             self.hosts = hosts;
             self.apply_to_router();
         }
-        let is_ready = self.parts.feed.view().load().is_ready() && self.stop_asked_at_us.is_none();
+        let is_ready = self.parts.feed.view().load().is_ready && self.stop_asked_at_us.is_none();
         self.parts.flags.is_ready.store(is_ready, Ordering::Relaxed);
     }
 
@@ -202,6 +231,7 @@
         if self.stop_asked_at_us.is_none() {
             info!(self.parts.log, "entry stopping"; "host" => %self.parts.host);
             self.stop_asked_at_us = Some(now.mono_us);
+            self.stop_check_at_us = Some(now.mono_us);
             self.parts.flags.is_ready.store(false, Ordering::Relaxed);
         }
     }
@@ -211,6 +241,7 @@
             return;
         };
         let elapsed_us = now.mono_us.since(asked_at_us);
+        self.stop_check_at_us = Some(now.mono_us + STOP_CHECK_INTERVAL);
         if elapsed_us < self.parts.drain_delay_us {
             return;
         }
@@ -269,10 +300,7 @@
                 // The caller's thread may have given up.
                 let _ = reply.send(self.rates.admit(now.mono_us, &customer, plan));
             }
-            ControlEvent::Observed(state) => {
-                self.membership.record_report(now.mono_us, &state);
-                self.parts.router.observe(now.mono_us, &state);
-            }
+            ControlEvent::Observed(state) => self.observe(now, &state),
             ControlEvent::Report { server, evidence } => self.report(now, &server, evidence),
             ControlEvent::Answered { server, size } => {
                 self.parts.router.count_answer(now.mono_us, &server, size);
@@ -287,11 +315,24 @@
     }
 
     fn tick(&mut self, now: Now) {
+        if self
+            .parts
+            .feed
+            .next_deadline()
+            .is_some_and(|deadline| deadline <= now.mono_us)
+        {
+            let update = self.parts.feed.tick(now.mono_us);
+            self.apply(update, now);
+        }
         self.advance_stop(now);
     }
 
     fn next_deadline(&self) -> Option<TimeUs> {
-        self.stop_asked_at_us.map(|_| TimeUs::ZERO)
+        let stop = self.stop_check_at_us;
+        [stop, self.parts.feed.next_deadline()]
+            .into_iter()
+            .flatten()
+            .min()
     }
 
     fn is_done(&self) -> bool {
--- a/crates/entry/src/driver.rs
+++ b/crates/entry/src/driver.rs
@@ -77,9 +77,9 @@
 
 impl CallDriver {
     /// Driver of a call that was just accepted.
-    pub fn start(context: DriverContext, call: Box<dyn Call>) -> Self {
+    pub fn new(context: DriverContext, call: Box<dyn Call>) -> Self {
         let (sender, events) = unbounded();
-        let mut driver = Self {
+        Self {
             context,
             call,
             events,
@@ -87,9 +87,12 @@
             streams: HashMap::new(),
             outputs: VecDeque::new(),
             servers: Vec::new(),
-        };
-        driver.handle(CallEvent::Start);
-        driver
+        }
+    }
+
+    /// Begins the call.
+    pub fn start(&mut self) {
+        self.handle(CallEvent::Start);
     }
 
     /// Servers that worked on the call so far.
--- a/crates/entry/src/http/answer.rs
+++ b/crates/entry/src/http/answer.rs
@@ -1,7 +1,9 @@
 //! Bodies of answers: whole, streamed, errors.
 
-use astra::{Body, Response, ResponseBuilder};
+use axum::body::Body;
+use axum::response::Response;
 use cuminlead_entry_core::{CallerError, ErrorCode, Outcome};
+use cuminlead_protocol::HttpResponse;
 use cuminlead_types::{BackendServerId, RequestId};
 use serde_json::json;
 
@@ -44,13 +46,13 @@
         JSON,
         request,
         &[],
-        Body::new(body),
+        Body::from(body),
     )
 }
 
 /// Response with a whole JSON answer.
 pub fn whole(request: RequestId, servers: &[BackendServerId], body: String) -> Response {
-    build(200, JSON, request, servers, Body::new(body))
+    build(200, JSON, request, servers, Body::from(body))
 }
 
 /// Response with a stream of server-sent events.
@@ -59,14 +61,14 @@
 }
 
 /// Response of a service, passed on.
-pub fn passed_on(
-    request: RequestId,
-    servers: &[BackendServerId],
-    status: u16,
-    content_type: &str,
-    body: Vec<u8>,
-) -> Response {
-    build(status, content_type, request, servers, Body::new(body))
+pub fn passed_on(request: RequestId, servers: &[BackendServerId], http: HttpResponse) -> Response {
+    build(
+        http.status,
+        &http.content_type,
+        request,
+        servers,
+        Body::from(http.body),
+    )
 }
 
 /// Names of servers as in [`SERVERS_HEADER`].
@@ -82,7 +84,7 @@
     servers: &[BackendServerId],
     body: Body,
 ) -> Response {
-    let mut response = ResponseBuilder::new()
+    let mut response = Response::builder()
         .status(status)
         .header(REQUEST_HEADER, request.to_string())
         .header("cache-control", "no-store");
@@ -97,7 +99,7 @@
 }
 
 fn bad_gateway() -> Response {
-    ResponseBuilder::new()
+    Response::builder()
         .status(502)
         .body(Body::empty())
         .unwrap_or_default()
--- a/crates/entry/src/http/handler.rs
+++ b/crates/entry/src/http/handler.rs
@@ -6,22 +6,30 @@
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
-use arc_swap::{ArcSwap, Guard};
-use astra::{ConnectionInfo, Request, Response};
-use crossbeam::channel::bounded;
+use arc_swap::ArcSwap;
+use axum::body::{Body, Bytes as BodyBytes};
+use axum::http::request::Parts;
+use axum::response::Response;
 use cuminlead_entry_core::{CallConfig, CallerError, ErrorCode};
 use cuminlead_lists::{Denial, Plan};
 use cuminlead_process::feed::FeedView;
 use cuminlead_types::{Bytes, CustomerId, EntryId, RequestId, ServiceName};
+use http_body_util::{BodyExt, Limited};
 use slog::{Logger, info};
+use tokio::sync::oneshot;
 
 use crate::controller::{ControlEvent, EntryFlags};
 use crate::driver::DriverContext;
 use crate::http::answer::{self, refusal};
 use crate::http::chat::Shape;
+use crate::http::service::ServiceTarget;
 use crate::http::{model, service};
 
+/// Longest time that a caller may take to send its body.
+const BODY_TIMEOUT: Duration = Duration::from_secs(30);
+
 const SERVICES_PREFIX: &str = "/v1/services/";
 
 /// What the traffic threads of an entry share.
@@ -39,6 +47,8 @@
     pub calls: CallConfig,
     /// Largest body.
     pub body_max: Bytes,
+    /// Most requests that are served at once.
+    pub open_max_count: u64,
     /// Logger.
     pub log: Logger,
 }
@@ -78,11 +88,12 @@
 
 impl HttpContext {
     /// Answers a request; never panics on input.
-    pub fn serve(&self, mut request: Request, _info: ConnectionInfo) -> Response {
+    pub async fn serve(self, request: axum::extract::Request) -> Response {
         let id = RequestId(rand::random());
-        // Counted before the check, so that a stopping entry cannot miss a request.
+        // Counted before the checks, so that a stopping entry cannot miss a request.
         let open = OpenRequest::new(&self.flags);
-        match self.answer(id, &mut request, open) {
+        let (head, body) = request.into_parts();
+        match self.answer(id, &head, body, open).await {
             Ok(response) => response,
             Err(error) => self.refuse(id, &error),
         }
@@ -95,39 +106,53 @@
         answer::error(id, error)
     }
 
-    fn answer(
+    async fn answer(
         &self,
         id: RequestId,
-        request: &mut Request,
+        head: &Parts,
+        body: Body,
         open: OpenRequest,
     ) -> Result<Response, CallerError> {
-        if self.flags.is_refusing.load(Ordering::SeqCst) {
-            return Err(refusal(ErrorCode::Stopping, "this entry is stopping"));
-        }
-        let address = address_of(request)?;
-        let view = self.view.load();
-        if !view.is_ready() {
+        self.check_capacity()?;
+        let address = address_of(head)?;
+        let view = self.view.load_full();
+        if !view.is_ready {
             return Err(refusal(ErrorCode::NoServer, "this entry has no lists yet"));
         }
         let caller = Caller {
             request: id,
-            customer: authenticate(&view, request)?,
-            traceparent: header(request, "traceparent")
-                .unwrap_or_default()
-                .to_string(),
+            customer: authenticate(&view, head)?,
+            traceparent: header(head, "traceparent").unwrap_or_default().to_string(),
         };
-        let body = read_body(request, self.body_max)?;
+        let body = read_body(head, body, self.body_max).await?;
         match address {
-            Address::Model(shape) => model::answer(self, &view, caller, shape, &body, open),
+            Address::Model(shape) => model::answer(self, &view, caller, shape, &body, open).await,
             Address::Service(name, path) => {
-                service::answer(self, &view, caller, name, path, request, body)
+                let target = ServiceTarget {
+                    service: name,
+                    path,
+                };
+                service::answer(self, &view, caller, target, head, &body, open).await
             }
         }
     }
 
+    fn check_capacity(&self) -> Result<(), CallerError> {
+        if self.flags.is_refusing.load(Ordering::SeqCst) {
+            return Err(refusal(ErrorCode::Stopping, "this entry is stopping"));
+        }
+        if self.flags.open_requests.load(Ordering::SeqCst) > self.open_max_count {
+            return Err(refusal(
+                ErrorCode::Overloaded,
+                "this entry serves too many requests",
+            ));
+        }
+        Ok(())
+    }
+
     /// Refuses a request over the rate of its plan.
-    pub fn check_rate(&self, customer: &CustomerId, plan: &Plan) -> Result<(), CallerError> {
-        let (reply, answered) = bounded(1);
+    pub async fn check_rate(&self, customer: &CustomerId, plan: &Plan) -> Result<(), CallerError> {
+        let (reply, answered) = oneshot::channel();
         let event = ControlEvent::Admit {
             customer: customer.clone(),
             rate: plan.rate,
@@ -135,7 +160,7 @@
             reply,
         };
         let is_sent = self.driver.control.send(event).is_ok();
-        if is_sent && answered.recv().unwrap_or(false) {
+        if is_sent && answered.await.unwrap_or(false) {
             Ok(())
         } else {
             Err(refusal(
@@ -165,19 +190,19 @@
 }
 
 /// Text of a header, if it is there and readable.
-pub fn header<'a>(request: &'a Request, name: &str) -> Option<&'a str> {
-    request.headers().get(name)?.to_str().ok()
+pub fn header<'a>(head: &'a Parts, name: &str) -> Option<&'a str> {
+    head.headers.get(name)?.to_str().ok()
 }
 
-fn address_of(request: &Request) -> Result<Address, CallerError> {
-    let path = request.uri().path();
+fn address_of(head: &Parts) -> Result<Address, CallerError> {
+    let path = head.uri.path();
     let shape = match path {
         "/v1/chat/completions" => Some(Shape::Chat),
         "/v1/completions" => Some(Shape::Text),
         _ => None,
     };
     if let Some(shape) = shape {
-        if request.method() != "POST" {
+        if head.method != "POST" {
             return Err(refusal(ErrorCode::NotFound, "model calls use POST"));
         }
         return Ok(Address::Model(shape));
@@ -186,16 +211,16 @@
     let rest = path.strip_prefix(SERVICES_PREFIX).ok_or_else(not_found)?;
     let (name, service_path) = rest.split_once('/').ok_or_else(not_found)?;
     let name = name.parse().map_err(|_| not_found())?;
-    let query = request
-        .uri()
+    let query = head
+        .uri
         .query()
         .map(|query| format!("?{query}"))
         .unwrap_or_default();
     Ok(Address::Service(name, format!("/{service_path}{query}")))
 }
 
-fn authenticate(view: &Guard<Arc<FeedView>>, request: &Request) -> Result<CustomerId, CallerError> {
-    let key = header(request, "authorization").and_then(|value| value.strip_prefix("Bearer "));
+fn authenticate(view: &FeedView, head: &Parts) -> Result<CustomerId, CallerError> {
+    let key = header(head, "authorization").and_then(|value| value.strip_prefix("Bearer "));
     let key = key.ok_or_else(|| {
         refusal(
             ErrorCode::Unauthenticated,
@@ -208,7 +233,7 @@
         .ok_or_else(|| refusal(ErrorCode::Unauthenticated, "wrong customer key"))
 }
 
-fn read_body(request: &mut Request, body_max: Bytes) -> Result<Vec<u8>, CallerError> {
+async fn read_body(head: &Parts, body: Body, body_max: Bytes) -> Result<BodyBytes, CallerError> {
     let too_large = || {
         refusal(
             ErrorCode::BodyTooLarge,
@@ -216,17 +241,19 @@
         )
     };
     let declared: Option<u64> =
-        header(request, "content-length").and_then(|length| length.parse().ok());
+        header(head, "content-length").and_then(|length| length.parse().ok());
     if declared.is_some_and(|length| length > body_max.0) {
         return Err(too_large());
     }
-    let mut body = Vec::new();
-    for chunk in request.body_mut() {
-        let chunk = chunk.map_err(|_| refusal(ErrorCode::Malformed, "the body ended early"))?;
-        if (body.len() + chunk.len()) as u64 > body_max.0 {
-            return Err(too_large());
-        }
-        body.extend_from_slice(&chunk);
+    let limit = usize::try_from(body_max.0).unwrap_or(usize::MAX);
+    let collected = tokio::time::timeout(BODY_TIMEOUT, Limited::new(body, limit).collect()).await;
+    match collected {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => Err(too_large()),
+        Ok(Err(_)) => Err(refusal(ErrorCode::Malformed, "the body ended early")),
+        Err(_) => Err(refusal(
+            ErrorCode::Malformed,
+            "the body took too long to arrive",
+        )),
     }
-    Ok(body)
 }
--- a/crates/entry/src/http/model.rs
+++ b/crates/entry/src/http/model.rs
@@ -1,20 +1,26 @@
 //! Model calls.
 //!
-//! The traffic thread waits a short time for the first part of the answer, so that a refusal comes
-//! as an HTTP status. After that a streamed answer begins: while it has no part to send it sends
-//! comments, which is how a caller that went away is noticed, and a later error is sent as an event.
+//! A traffic thread drives the call and sends the parts of the answer to the connection's task. The
+//! task waits a short time for the first part, so that a refusal comes as an HTTP status; after
+//! that a streamed answer begins and a later error is sent as an event. A caller that went away is
+//! noticed when the connection's task drops its end of the channel.
 
-use std::collections::VecDeque;
-use std::io::{self, Read};
-use std::time::{Duration, Instant};
+use std::sync::Arc;
+use std::time::Duration;
 
-use astra::{Body, Response};
+use axum::body::Body;
+use axum::response::Response;
+use bytes::Bytes as BodyBytes;
 use cuminlead_entry_core::{CallerError, ErrorCode, ModelCall, ModelRequest};
 use cuminlead_lists::ModelGrant;
 use cuminlead_process::feed::FeedView;
 use cuminlead_protocol::{FinishReason, ModelTarget};
+use cuminlead_telemetry::HopSpan;
 use cuminlead_types::{Bytes, DurationUs, TimeUs, Tokens};
 use slog::info;
+use tokio::sync::mpsc;
+use tokio_stream::StreamExt;
+use tokio_stream::wrappers::UnboundedReceiverStream;
 
 use crate::controller::ControlEvent;
 use crate::driver::{CallDriver, Output};
@@ -25,16 +31,23 @@
 /// Wait for a first part before a streamed answer begins.
 const FIRST_WAIT: Duration = Duration::from_millis(200);
 
-/// Interval of comments on a streamed answer without parts.
-const COMMENT_INTERVAL: Duration = Duration::from_millis(500);
+/// Interval at which a traffic thread looks whether its caller is still there.
+const CALLER_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Longest wait for the next part of an answer that is not streamed; calls end on their own before.
-const WHOLE_WAIT: Duration = Duration::from_secs(120);
+/// Part of an answer on its way to the connection's task.
+enum Part {
+    /// Server-sent events.
+    Events(String),
+    /// Whole answer.
+    Whole(Response),
+    /// The request ended with an error.
+    Error(CallerError),
+}
 
 /// Answers a model call.
-pub fn answer(
+pub async fn answer(
     context: &HttpContext,
-    view: &FeedView,
+    view: &Arc<FeedView>,
     caller: Caller,
     shape: Shape,
     body: &[u8],
@@ -50,14 +63,42 @@
         .take_prompt(shape)
         .map_err(|message| refusal(ErrorCode::Malformed, message))?;
     let grant = choose(view, &caller, &body)?;
-    context.check_rate(&caller.customer, grant.plan)?;
+    context.check_rate(&caller.customer, grant.plan).await?;
     let mut span = context
         .driver
         .tracing
         .hop("model_call", &caller.traceparent);
     span.attribute("cuminlead.request", caller.request.to_string());
-    let prompt_tokens = Tokens::estimate(&prompt);
-    let request = ModelRequest {
+    let task = AnswerTask {
+        progress: Progress::new(context, &caller, &grant, Tokens::estimate(&prompt)),
+        shape: AnswerShape {
+            shape,
+            request: caller.request,
+            model: body.model.clone(),
+            created_s: context.driver.clock.now().unix_ms.0 / 1_000,
+        },
+        is_streamed: body.stream,
+        text: String::new(),
+        _span: span,
+    };
+    let request = request(context, view, &caller, &grant, &body, prompt, &task);
+    let call = ModelCall::new(context.calls.clone(), request);
+    let driver = CallDriver::new(context.driver.clone(), Box::new(call));
+    let (sender, receiver) = mpsc::unbounded_channel();
+    tokio::task::spawn_blocking(move || task.run(driver, &sender));
+    respond(&caller, body.stream, receiver, open).await
+}
+
+fn request(
+    context: &HttpContext,
+    view: &FeedView,
+    caller: &Caller,
+    grant: &ModelGrant<'_>,
+    body: &ModelBody,
+    prompt: String,
+    task: &AnswerTask,
+) -> ModelRequest {
+    ModelRequest {
         id: caller.request,
         entry: context.entry.clone(),
         customer: caller.customer.clone(),
@@ -73,45 +114,57 @@
         first_token_us: grant.plan.first_token_us,
         lists_revision: view.lists.revision,
         hosts_revision: view.hosts.revision,
-        traceparent: span.traceparent().to_string(),
-    };
-    let call = ModelCall::new(context.calls.clone(), request);
-    let driver = CallDriver::start(context.driver.clone(), Box::new(call));
-    let progress = Progress {
-        context: context.clone(),
-        caller,
-        first_target_us: grant.plan.first_token_us,
-        between_target_us: grant.plan.between_tokens_us,
-        started_at_us: context.driver.clock.mono(),
-        first_at_us: None,
-        last_at_us: TimeUs::ZERO,
-        prompt_tokens,
-        output_tokens: Tokens::ZERO,
-        output_bytes: Bytes::ZERO,
-    };
-    let answer_shape = AnswerShape {
-        shape,
-        request: progress.caller.request,
-        model: body.model,
-        created_s: context.driver.clock.now().unix_ms.0 / 1_000,
-    };
-    let stream = AnswerStream {
-        driver: Some(driver),
-        progress,
-        shape: answer_shape,
-        pending: VecDeque::new(),
-        first: None,
-        is_done: false,
-        _open: open,
-        _span: span,
-    };
-    if body.stream {
-        stream.respond()
-    } else {
-        stream.respond_whole()
+        traceparent: task._span.traceparent().to_string(),
     }
 }
 
+async fn respond(
+    caller: &Caller,
+    is_streamed: bool,
+    mut parts: mpsc::UnboundedReceiver<Part>,
+    open: OpenRequest,
+) -> Result<Response, CallerError> {
+    let ended = || refusal(ErrorCode::BackendFailed, "the entry failed");
+    if !is_streamed {
+        return match parts.recv().await.ok_or_else(ended)? {
+            Part::Whole(response) => Ok(response.map(|body| hold_open(body, open))),
+            Part::Error(error) => Err(error),
+            Part::Events(_) => Err(ended()),
+        };
+    }
+    let first = match tokio::time::timeout(FIRST_WAIT, parts.recv()).await {
+        Ok(Some(Part::Error(error))) => return Err(error),
+        Ok(first) => first,
+        Err(_) => None,
+    };
+    let request = caller.request;
+    let rest = UnboundedReceiverStream::new(parts);
+    let body = tokio_stream::iter(first).chain(rest).map(move |part| {
+        let _ = &open;
+        let text = match part {
+            Part::Events(text) => text,
+            Part::Error(error) => {
+                format!(
+                    "event: error\ndata: {}\n\n",
+                    answer::error_json(request, &error)
+                )
+            }
+            Part::Whole(_) => String::new(),
+        };
+        Ok::<_, std::convert::Infallible>(BodyBytes::from(text))
+    });
+    Ok(answer::stream(request, Body::from_stream(body)))
+}
+
+/// Keeps a request counted as open until its body was sent.
+pub fn hold_open(body: Body, open: OpenRequest) -> Body {
+    let chunks = body.into_data_stream().map(move |chunk| {
+        let _ = &open;
+        chunk
+    });
+    Body::from_stream(chunks)
+}
+
 fn choose<'a>(
     view: &'a FeedView,
     caller: &Caller,
@@ -144,6 +197,26 @@
 }
 
 impl Progress {
+    fn new(
+        context: &HttpContext,
+        caller: &Caller,
+        grant: &ModelGrant<'_>,
+        prompt_tokens: Tokens,
+    ) -> Self {
+        Self {
+            context: context.clone(),
+            caller: caller.clone(),
+            first_target_us: grant.plan.first_token_us,
+            between_target_us: grant.plan.between_tokens_us,
+            started_at_us: context.driver.clock.mono(),
+            first_at_us: None,
+            last_at_us: TimeUs::ZERO,
+            prompt_tokens,
+            output_tokens: Tokens::ZERO,
+            output_bytes: Bytes::ZERO,
+        }
+    }
+
     fn add(&mut self, text: &str, tokens: Tokens) {
         let now = self.context.driver.clock.mono();
         self.first_at_us.get_or_insert(now);
@@ -177,148 +250,90 @@
             "first_token_ms" => first_token_us.as_ms(), "output_tokens" => self.output_tokens.0,
             "within_targets" => is_good);
     }
-
-    fn fail(&self, error: &CallerError) {
-        self.context.driver.metrics.count_error(error.code);
-        info!(self.context.log, "request failed"; "request" => %self.caller.request,
-            "customer" => %self.caller.customer, "code" => %error.code,
-            "outcome" => %error.outcome, "reason" => &error.message);
-    }
 }
 
-/// Answer of a model call while it is made; dropped by the server when the caller is gone.
-struct AnswerStream {
-    driver: Option<CallDriver>,
+/// Work of the traffic thread of a model call.
+struct AnswerTask {
     progress: Progress,
     shape: AnswerShape,
-    pending: VecDeque<u8>,
-    first: Option<Output>,
-    is_done: bool,
-    _open: OpenRequest,
-    _span: cuminlead_telemetry::HopSpan,
+    is_streamed: bool,
+    text: String,
+    _span: HopSpan,
 }
 
-impl AnswerStream {
-    fn respond(mut self) -> Result<Response, CallerError> {
-        self.first = self.next(FIRST_WAIT);
-        if let Some(Output::Error(error)) = self.first.take_if(|o| matches!(o, Output::Error(_))) {
-            self.is_done = true;
-            return Err(error);
-        }
-        Ok(answer::stream(
-            self.progress.caller.request,
-            Body::wrap_reader(self),
-        ))
-    }
-
-    fn respond_whole(mut self) -> Result<Response, CallerError> {
-        let mut text = String::new();
+impl AnswerTask {
+    fn run(mut self, mut driver: CallDriver, parts: &mpsc::UnboundedSender<Part>) {
+        driver.start();
         loop {
-            match self.next(WHOLE_WAIT) {
-                Some(Output::Delivery(delivery)) => {
-                    self.progress.add(&delivery.text, delivery.tokens);
-                    text.push_str(&delivery.text);
-                    if let Some(finish) = delivery.finish {
-                        return Ok(self.finish_whole(&text, finish));
-                    }
-                }
-                Some(Output::Error(error)) => {
-                    self.is_done = true;
-                    return Err(error);
-                }
-                Some(Output::Response(_)) => {}
-                None => return Err(refusal(ErrorCode::TimedOut, "no answer in time")),
+            let output = driver.next_output(CALLER_CHECK_INTERVAL);
+            if parts.is_closed() {
+                info!(self.progress.context.log, "caller gone";
+                    "request" => %self.progress.caller.request);
+                return driver.close(true);
+            }
+            if let Some(output) = output
+                && self.send(output, &driver, parts)
+            {
+                return driver.close(false);
             }
         }
     }
 
-    fn finish_whole(&mut self, text: &str, finish: FinishReason) -> Response {
-        self.is_done = true;
-        let usage = Usage {
-            prompt_tokens: self.progress.prompt_tokens,
-            output_tokens: self.progress.output_tokens,
-        };
-        let servers = self.driver.as_ref().map(|driver| driver.servers().to_vec());
-        if let Some(driver) = &self.driver {
-            self.progress.finish(driver);
-        }
-        let body = self.shape.whole(text, finish, usage);
-        answer::whole(
-            self.progress.caller.request,
-            &servers.unwrap_or_default(),
-            body,
-        )
-    }
-
-    fn next(&mut self, wait_max: Duration) -> Option<Output> {
-        if let Some(first) = self.first.take() {
-            return Some(first);
-        }
-        self.driver.as_mut()?.next_output(wait_max)
-    }
-
-    fn fill(&mut self) {
-        let asked_at = Instant::now();
-        match self.next(COMMENT_INTERVAL) {
-            Some(Output::Delivery(delivery)) => {
+    /// Sends a part of the answer; whether it was the last one. A caller that is gone is noticed by
+    /// the next check.
+    fn send(
+        &mut self,
+        output: Output,
+        driver: &CallDriver,
+        parts: &mpsc::UnboundedSender<Part>,
+    ) -> bool {
+        let (part, is_last) = match output {
+            Output::Delivery(delivery) => {
                 self.progress.add(&delivery.text, delivery.tokens);
-                self.write_event(&self.shape.chunk(&delivery.text, delivery.finish));
                 if delivery.finish.is_some() {
-                    self.finish_stream();
+                    self.progress.finish(driver);
+                }
+                if !self.is_streamed {
+                    self.text.push_str(&delivery.text);
+                    let Some(finish) = delivery.finish else {
+                        return false;
+                    };
+                    (Part::Whole(self.whole(driver, finish)), true)
+                } else {
+                    let events = self.events(driver, &delivery.text, delivery.finish);
+                    (Part::Events(events), delivery.finish.is_some())
                 }
             }
-            Some(Output::Error(error)) => {
-                self.progress.fail(&error);
-                let json = answer::error_json(self.progress.caller.request, &error);
-                self.pending
-                    .extend(format!("event: error\ndata: {json}\n\n").into_bytes());
-                self.is_done = true;
+            Output::Error(error) => {
+                info!(self.progress.context.log, "request failed";
+                    "request" => %self.progress.caller.request, "code" => %error.code,
+                    "outcome" => %error.outcome, "reason" => &error.message);
+                (Part::Error(error), true)
             }
-            Some(Output::Response(_)) => {}
-            None if asked_at.elapsed() >= COMMENT_INTERVAL => self.pending.extend(b": waiting\n\n"),
-            None => self.is_done = true,
-        }
+            Output::Response(_) => return false,
+        };
+        // A caller that is gone needs no answer.
+        let _ = parts.send(part);
+        is_last
     }
 
-    fn write_event(&mut self, data: &str) {
-        self.pending
-            .extend(format!("data: {data}\n\n").into_bytes());
+    fn whole(&self, driver: &CallDriver, finish: FinishReason) -> Response {
+        let usage = Usage {
+            prompt_tokens: self.progress.prompt_tokens,
+            output_tokens: self.progress.output_tokens,
+        };
+        let body = self.shape.whole(&self.text, finish, usage);
+        answer::whole(self.progress.caller.request, driver.servers(), body)
     }
 
-    fn finish_stream(&mut self) {
-        if let Some(driver) = &self.driver {
-            self.progress.finish(driver);
+    fn events(&self, driver: &CallDriver, text: &str, finish: Option<FinishReason>) -> String {
+        let mut events = format!("data: {}\n\n", self.shape.chunk(text, finish));
+        if finish.is_some() {
             let servers = answer::server_names(driver.servers());
             let request = self.progress.caller.request;
-            let comment = format!(": servers={servers} request={request}\n\n");
-            self.pending.extend(comment.into_bytes());
-        }
-        self.write_event("[DONE]");
-        self.is_done = true;
-    }
-}
-
-impl Read for AnswerStream {
-    fn read(&mut self, buffer: &mut [u8]) -> io::Result<usize> {
-        while self.pending.is_empty() {
-            if self.is_done {
-                return Ok(0);
-            }
-            self.fill();
-        }
-        self.pending.read(buffer)
-    }
-}
-
-impl Drop for AnswerStream {
-    fn drop(&mut self) {
-        let Some(driver) = self.driver.take() else {
-            return;
-        };
-        if !self.is_done {
-            info!(self.progress.context.log, "caller gone";
-                "request" => %self.progress.caller.request);
+            events.push_str(&format!(": servers={servers} request={request}\n\n"));
+            events.push_str("data: [DONE]\n\n");
         }
-        driver.close(!self.is_done);
+        events
     }
 }
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -2,13 +2,15 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::thread;
 
+use axum::serve::ListenerExt;
 use crossbeam::channel::{Sender, unbounded};
+use cuminlead_distribution::Identity;
 use cuminlead_entry_core::CallConfig;
 use cuminlead_kernel::{Clock, spawn_control};
 use cuminlead_process::cli::ProcessSettings;
-use cuminlead_process::feed::Feed;
+use cuminlead_process::feed::{Feed, FeedParts, FeedSender};
+use cuminlead_process::peer::{PeerClient, PeerRpc};
 use cuminlead_process::platform::Platform;
 use cuminlead_process::secret::PeerSecret;
 use cuminlead_process::{StartError, admin, signal};
@@ -16,10 +18,13 @@
 use cuminlead_settings::EntrySettings;
 use cuminlead_telemetry::{Metrics, Tracing, log};
 use cuminlead_types::Findings;
+use cuminlead_wire::proto::peer_server::PeerServer;
 use error_stack::{Report, ResultExt};
-use rand::Rng;
 use slog::{Logger, info};
+use tokio::net::{TcpListener, TcpStream};
 use tokio::runtime::Runtime;
+use tokio_stream::wrappers::TcpListenerStream;
+use tonic::transport::Server;
 
 use crate::clients::Clients;
 use crate::controller::{ControlEvent, ControllerParts, EntryController, EntryFlags};
@@ -53,6 +58,7 @@
         log::logger(&settings.log_level().to_string(), settings.name().as_str());
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(RUNTIME_THREADS)
+        .max_blocking_threads(settings.workers_max_count().0 as usize)
         .enable_all()
         .build()
         .change_context(StartError::Thread)?;
@@ -85,8 +91,15 @@
             .as_ref()
             .map(|secret| secret.expose()),
     );
-    let clients = Arc::new(Clients::new(secret));
-    let feed = build_feed(settings, &control, &entry_metrics);
+    let clients = Arc::new(Clients::new(secret.clone()));
+    let sender = feed_sender(&control);
+    let feed = build_feed(
+        settings,
+        runtime,
+        Arc::clone(&sender),
+        secret.clone(),
+        &entry_metrics,
+    );
     let view = feed.view();
     let driver = DriverContext {
         clock,
@@ -103,6 +116,7 @@
         flags: Arc::clone(&flags),
         calls: call_config(settings),
         body_max: *settings.body_max_bytes(),
+        open_max_count: settings.workers_max_count().0.into(),
         log: log.clone(),
     };
     let source = EntryAdmin {
@@ -123,11 +137,16 @@
         log: log.clone(),
     };
     let admin_address = admin::serve(*settings.admin_address(), Arc::new(source))?;
-    let callers_address = serve_callers(settings, http)?;
+    let peer_address = serve_peers(settings, runtime, PeerRpc::new(sender, secret))?;
+    let callers_address = serve_callers(settings, runtime, http)?;
     runtime.spawn(forward_stop(control));
-    let thread = spawn_control("control", clock, EntryController::new(parts), events)
-        .change_context(StartError::Thread)?;
-    let peer_address = settings.peer_address();
+    let thread = spawn_control(
+        "control",
+        clock,
+        EntryController::new(parts, clock.now()),
+        events,
+    )
+    .change_context(StartError::Thread)?;
     println!("listening peer={peer_address} admin={admin_address} callers={callers_address}");
     info!(log, "entry started"; "callers" => %callers_address, "admin" => %admin_address);
     let ended = thread.join();
@@ -139,32 +158,72 @@
 
 fn serve_callers(
     settings: &EntrySettings,
+    runtime: &Runtime,
     http: HttpContext,
 ) -> Result<SocketAddr, Report<StartError>> {
-    let workers = settings.workers_max_count().0 as usize;
-    let server = admin::bind(*settings.listen_address())?
-        .http1_only()
-        .max_workers(workers);
-    let bound = server.local_addr().change_context(StartError::Bind)?;
-    thread::Builder::new()
-        .name("callers".to_string())
-        .spawn(move || server.serve(move |request, info| http.serve(request, info)))
-        .change_context(StartError::Thread)?;
+    let listener = bind(runtime, *settings.listen_address())?;
+    let bound = listener.local_addr().change_context(StartError::Bind)?;
+    let serve = move |request| http.clone().serve(request);
+    let router = axum::Router::new().fallback(serve);
+    runtime.spawn(axum::serve(listener.tap_io(set_nodelay), router).into_future());
     Ok(bound)
 }
 
+fn bind(runtime: &Runtime, address: SocketAddr) -> Result<TcpListener, Report<StartError>> {
+    let bound = runtime.block_on(TcpListener::bind(address));
+    bound
+        .change_context(StartError::Bind)
+        .attach_with(|| format!("address={address}"))
+}
+
+/// Sends each streamed part at once; a socket that refuses the option only delays parts.
+fn set_nodelay(stream: &mut TcpStream) {
+    let _ = stream.set_nodelay(true);
+}
+
+fn feed_sender(control: &Sender<ControlEvent>) -> FeedSender {
+    let control = control.clone();
+    Arc::new(move |event| {
+        // Nothing is left to report to when the control thread has ended.
+        let _ = control.send(ControlEvent::Feed(event));
+    })
+}
+
 fn build_feed(
     settings: &EntrySettings,
-    control: &Sender<ControlEvent>,
+    runtime: &Runtime,
+    sender: FeedSender,
+    secret: PeerSecret,
     metrics: &EntryMetrics,
 ) -> Feed {
-    let platform = Platform::new(&settings.platform_address().to_string());
-    let control = control.clone();
-    let sender = move |event| {
-        // Nothing is left to report to when the control thread has ended.
-        let _ = control.send(ControlEvent::Feed(event));
-    };
-    Feed::new(platform, Arc::new(sender), metrics.common.clone())
+    Feed::new(FeedParts {
+        identity: Identity {
+            host: settings.host().clone(),
+            region: settings.region().clone(),
+            zone: settings.availability_zone().clone(),
+        },
+        seed: rand::random(),
+        platform: Platform::new(&settings.platform_address().to_string()),
+        peers: PeerClient::new(settings.host().to_string(), secret),
+        runtime: runtime.handle().clone(),
+        sender,
+        metrics: metrics.common.clone(),
+    })
+}
+
+/// Serves lists and hosts to other processes; returns the bound address.
+fn serve_peers(
+    settings: &EntrySettings,
+    runtime: &Runtime,
+    rpc: PeerRpc,
+) -> Result<SocketAddr, Report<StartError>> {
+    let listener = bind(runtime, *settings.peer_address())?;
+    let bound = listener.local_addr().change_context(StartError::Bind)?;
+    let server = Server::builder()
+        .tcp_nodelay(true)
+        .add_service(PeerServer::new(rpc));
+    runtime.spawn(server.serve_with_incoming(TcpListenerStream::new(listener)));
+    Ok(bound)
 }
 
 fn build_router(settings: &EntrySettings) -> Result<Router, Report<StartError>> {
@@ -174,7 +233,7 @@
         #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
         waste_weight_percent: percent as u64,
         link_rate: *settings.link_bits_per_second(),
-        ..RoutingConfig::new(settings.region().clone(), rand::rng().next_u64())
+        ..RoutingConfig::new(settings.region().clone(), rand::random())
     };
     Router::new(settings.routing_policy().as_str(), config).change_context(StartError::Plugin)
 }
--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -5,7 +5,8 @@
 use cuminlead_lists::{HostEntry, HostList, HostState};
 use cuminlead_protocol::AgentState;
 use cuminlead_types::{
-    AvailabilityZoneName, BackendServerId, DurationUs, Incarnation, RegionName, Revision, TimeUs,
+    AvailabilityZoneName, BackendServerId, DurationUs, HostId, Incarnation, RegionName, Revision,
+    TimeUs,
 };
 use strum::{Display, EnumIter, IntoStaticStr};
 
@@ -192,6 +193,11 @@
         self.published(server).map(|entry| &entry.zone)
     }
 
+    /// Host of the agent of a published server.
+    pub fn host_of(&self, server: &BackendServerId) -> Option<&HostId> {
+        self.published(server).map(|entry| &entry.host)
+    }
+
     /// Address of the agent of a published server.
     pub fn address_of(&self, server: &BackendServerId) -> Option<&str> {
         self.published(server).map(|entry| entry.address.as_str())
--- a/crates/process/src/cli.rs
+++ b/crates/process/src/cli.rs
@@ -10,7 +10,7 @@
 use cuminlead_kernel::{PluginPoint, plugins_at};
 use cuminlead_lists::{Part, PartKey, Snapshot};
 use cuminlead_types::{Findings, Place, Revision};
-use error_stack::Report;
+use error_stack::{AttachmentKind, FrameKind, Report};
 use gumdrop::{Options, ParsingStyle};
 use strum::IntoEnumIterator;
 
@@ -121,7 +121,7 @@
 fn carry_out<S: ProcessSettings>(program: &Program<S>, line: CommandLine) -> ExitCode {
     match line.command {
         Some(Command::Run(_)) => with_settings(program, line.settings, |settings| {
-            report((program.run)(settings).map_err(|error| format!("error={error:?}")))
+            report((program.run)(settings).map_err(|error| one_line(&error)))
         }),
         Some(Command::Check(_)) => with_settings(program, line.settings, |_| {
             println!("no findings");
@@ -143,6 +143,16 @@
     }
 }
 
+/// Contexts and attachments of an error in one line, the outermost first.
+fn one_line(error: &Report<StartError>) -> String {
+    let texts = error.frames().filter_map(|frame| match frame.kind() {
+        FrameKind::Context(context) => Some(context.to_string()),
+        FrameKind::Attachment(AttachmentKind::Printable(text)) => Some(text.to_string()),
+        FrameKind::Attachment(_) => None,
+    });
+    texts.collect::<Vec<_>>().join(": ")
+}
+
 fn report(result: Result<(), String>) -> ExitCode {
     match result {
         Ok(()) => ExitCode::SUCCESS,
--- a/crates/process/src/feed.rs
+++ b/crates/process/src/feed.rs
@@ -11,7 +11,7 @@
 
 use arc_swap::ArcSwap;
 use cuminlead_distribution::{
-    Action, CallRef, Distribution, Event, FollowRef, FollowerRef, Identity, Revisions,
+    Action, CallRef, Distribution, Event, FollowRef, FollowerRef, Identity, Peer, Revisions,
     Source, Update,
 };
 use cuminlead_kernel::WorkerPool;
@@ -42,6 +42,8 @@
     Distribution(Event),
     /// A peer began to follow this process.
     Joined {
+        /// Host of the peer.
+        host: String,
         /// Revisions of the peer.
         revisions: Revisions,
         /// Where its updates go.
@@ -122,7 +124,9 @@
 
 impl fmt::Debug for Feed {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("Feed").field("revisions", &self.distribution.revisions()).finish()
+        f.debug_struct("Feed")
+            .field("revisions", &self.distribution.revisions())
+            .finish()
     }
 }
 
@@ -156,11 +160,23 @@
     pub fn handle(&mut self, now: TimeUs, event: FeedEvent) -> FeedUpdate {
         match event {
             FeedEvent::Distribution(event) => self.decide(now, event),
-            FeedEvent::Joined { revisions, updates } => {
+            FeedEvent::Joined {
+                host,
+                revisions,
+                updates,
+            } => {
                 let follower = FollowerRef(self.next_follower);
                 self.next_follower += 1;
                 self.followers.insert(follower, updates);
-                self.decide(now, Event::FollowerJoined { follower, revisions })
+                let peer = self.peer_on(&host);
+                self.decide(
+                    now,
+                    Event::FollowerJoined {
+                        follower,
+                        revisions,
+                        peer,
+                    },
+                )
             }
             FeedEvent::Pull { revisions, reply } => {
                 let update = self.distribution.update_since(now, revisions);
@@ -186,6 +202,18 @@
         self.distribution.confirmed_age(now)
     }
 
+    fn peer_on(&self, host: &str) -> Option<Peer> {
+        let hosts = self.distribution.hosts()?;
+        let entry = hosts
+            .hosts
+            .iter()
+            .find(|entry| entry.host.as_str() == host)?;
+        Some(Peer {
+            host: entry.host.clone(),
+            address: entry.address.clone(),
+        })
+    }
+
     fn decide(&mut self, now: TimeUs, event: Event) -> FeedUpdate {
         let mut actions = Vec::new();
         self.distribution.handle(now, event, &mut actions);
@@ -195,7 +223,8 @@
         }
         for follower in std::mem::take(&mut self.left) {
             // Leaving causes no further action that could fail again.
-            self.distribution.handle(now, Event::FollowerLeft { follower }, &mut Vec::new());
+            self.distribution
+                .handle(now, Event::FollowerLeft { follower }, &mut Vec::new());
         }
         let age_ms = i64::try_from(self.confirmed_age(now).as_ms()).unwrap_or(i64::MAX);
         self.parts.metrics.confirmed_age_ms.set(age_ms);
@@ -205,15 +234,28 @@
 
     fn carry_out(&mut self, action: Action, update: &mut FeedUpdate) {
         match action {
-            Action::WatchService { call, source, after, wait } => {
+            Action::WatchService {
+                call,
+                source,
+                after,
+                wait,
+            } => {
                 self.call_platform(call, source, after, wait);
             }
-            Action::QueryService { call, source, after } => {
+            Action::QueryService {
+                call,
+                source,
+                after,
+            } => {
                 self.call_platform(call, source, after, DurationUs::ZERO);
             }
             // The call cannot be taken back; `Distribution` ignores its answer.
             Action::StopWatching { .. } => {}
-            Action::FollowPeer { follow, peer, revisions } => {
+            Action::FollowPeer {
+                follow,
+                peer,
+                revisions,
+            } => {
                 let task = self.parts.peers.follow(
                     peer.address,
                     revisions,
@@ -231,7 +273,10 @@
             }
             Action::PullFromPeer { pull, peer, since } => {
                 let sender = Arc::clone(&self.parts.sender);
-                let asked = self.parts.peers.pull(peer.address, since, self.parts.metrics.clone());
+                let asked = self
+                    .parts
+                    .peers
+                    .pull(peer.address, since, self.parts.metrics.clone());
                 self.parts.runtime.spawn(async move {
                     let event = match asked.await {
                         Some(update) => Event::PullReply { pull, update },
@@ -247,7 +292,7 @@
                 self.parts.metrics.invalid_snapshots.inc();
                 update.refused = Some(findings);
             }
-            Action::Confirmed => update.is_confirmed = true,
+            Action::Confirmed { .. } => update.is_confirmed = true,
             Action::Ready => {}
         }
     }
@@ -282,7 +327,11 @@
 
     fn to_wire(&self, update: &Update) -> proto::PeerUpdate {
         let message = proto::PeerUpdate::from(update);
-        let sent = self.parts.metrics.control_bytes.get_or_create_owned(&Label::new("direction", "sent"));
+        let sent = self
+            .parts
+            .metrics
+            .control_bytes
+            .get_or_create_owned(&Label::new("direction", "sent"));
         sent.inc_by(message.encoded_len() as u64);
         message
     }
@@ -300,7 +349,11 @@
             return;
         }
         let lists = self.distribution.lists();
-        let confirmed_at_us = if update.is_confirmed { Some(now) } else { current.confirmed_at_us };
+        let confirmed_at_us = if update.is_confirmed {
+            Some(now)
+        } else {
+            current.confirmed_at_us
+        };
         self.view.store(Arc::new(FeedView {
             is_ready,
             keys: lists.keys().cloned().unwrap_or_default(),
--- a/crates/process/src/peer.rs
+++ b/crates/process/src/peer.rs
@@ -46,9 +46,16 @@
     ) -> Result<Response<Self::FollowStream>, Status> {
         self.secret.check(&request)?;
         let revisions = Revisions::from(request.get_ref());
+        let host = request.into_inner().host;
         let (updates, receiver) = mpsc::channel(FOLLOWER_QUEUE);
-        (self.sender)(FeedEvent::Joined { revisions, updates });
-        Ok(Response::new(Box::pin(ReceiverStream::new(receiver).map(Ok))))
+        (self.sender)(FeedEvent::Joined {
+            host,
+            revisions,
+            updates,
+        });
+        Ok(Response::new(Box::pin(
+            ReceiverStream::new(receiver).map(Ok),
+        )))
     }
 
     async fn pull(
@@ -59,7 +66,9 @@
         let revisions = Revisions::from(request.get_ref());
         let (reply, answered) = oneshot::channel();
         (self.sender)(FeedEvent::Pull { revisions, reply });
-        let update = answered.await.map_err(|_| Status::unavailable("the process has stopped"))?;
+        let update = answered
+            .await
+            .map_err(|_| Status::unavailable("the process has stopped"))?;
         Ok(Response::new(update))
     }
 }
@@ -90,8 +99,13 @@
         async move {
             if let Some(mut updates) = client.open(&address, revisions).await {
                 while let Ok(Some(message)) = updates.message().await {
-                    let Some(update) = received(&metrics, message) else { break };
-                    sender(FeedEvent::Distribution(Event::FollowUpdate { follow, update }));
+                    let Some(update) = received(&metrics, message) else {
+                        break;
+                    };
+                    sender(FeedEvent::Distribution(Event::FollowUpdate {
+                        follow,
+                        update,
+                    }));
                 }
             }
             sender(FeedEvent::Distribution(Event::FollowLost { follow }));
@@ -111,7 +125,10 @@
                 let request = client.request(since);
                 client.connect(&address).await?.pull(request).await.ok()
             };
-            let reply = tokio::time::timeout(PULL_TIMEOUT, asked).await.ok().flatten()?;
+            let reply = tokio::time::timeout(PULL_TIMEOUT, asked)
+                .await
+                .ok()
+                .flatten()?;
             received(&metrics, reply.into_inner())
         }
     }
@@ -128,7 +145,11 @@
 
     async fn connect(&self, address: &str) -> Option<TonicClient<Channel>> {
         let endpoint = Endpoint::from_shared(format!("http://{address}")).ok()?;
-        let channel = endpoint.connect_timeout(CONNECT_TIMEOUT).connect().await.ok()?;
+        let channel = endpoint
+            .connect_timeout(CONNECT_TIMEOUT)
+            .connect()
+            .await
+            .ok()?;
         Some(TonicClient::new(channel).max_decoding_message_size(LISTS_MAX_BYTES))
     }
 
@@ -142,6 +163,9 @@
 fn received(metrics: &CommonMetrics, message: proto::PeerUpdate) -> Option<Update> {
     let bytes = message.encoded_len() as u64;
     let label = Label::new("direction", "received");
-    metrics.control_bytes.get_or_create_owned(&label).inc_by(bytes);
+    metrics
+        .control_bytes
+        .get_or_create_owned(&label)
+        .inc_by(bytes);
     Update::try_from(message).ok()
 }
--- a/crates/process/src/platform.rs
+++ b/crates/process/src/platform.rs
@@ -63,7 +63,11 @@
         };
         let snapshot = self.snapshot(&path, wait + ANSWER_TIMEOUT)?;
         let revision = snapshot.revision();
-        Ok(if revision > after { Answer::Lists(snapshot) } else { Answer::Unchanged { revision } })
+        Ok(if revision > after {
+            Answer::Lists(snapshot)
+        } else {
+            Answer::Unchanged { revision }
+        })
     }
 
     /// Host list once it is newer than `after`, or what is published after `wait`.
@@ -78,7 +82,9 @@
                 return Ok(Answer::Hosts(hosts));
             }
             if Instant::now() + HOSTS_INTERVAL > until {
-                return Ok(Answer::Unchanged { revision: hosts.revision });
+                return Ok(Answer::Unchanged {
+                    revision: hosts.revision,
+                });
             }
             thread::sleep(HOSTS_INTERVAL);
         }
--- a/crates/settings/src/entry.rs
+++ b/crates/settings/src/entry.rs
@@ -51,7 +51,7 @@
         /// request_max_ms.
         drain_max_ms: DurationMs = Default("120000") in 100..=900000;
         /// Routing policy, by the name of its plug-in.
-        routing_policy: RoutingPolicyName = Default("\"weighted\"");
+        routing_policy: RoutingPolicyName = Default("\"prefix-cost\"");
         /// Weight of wasted prefill and paid volume against goodput: 0.0 counts goodput only.
         wasted_prefill_weight: Fraction = Default("0.5");
         /// Bandwidth between regions, each way.
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -116,8 +116,14 @@
         host: entry.host.parse()?,
         region: entry.region.parse()?,
         zone: entry.availability_zone.parse()?,
-        state: entry.state.parse().map_err(|_| WireError::Invalid("state"))?,
-        process: entry.process.parse().map_err(|_| WireError::Invalid("process"))?,
+        state: entry
+            .state
+            .parse()
+            .map_err(|_| WireError::Invalid("state"))?,
+        process: entry
+            .process
+            .parse()
+            .map_err(|_| WireError::Invalid("process"))?,
         address: entry.address,
         server: entry.server.map(|server| server.parse()).transpose()?,
     })
