Make the permit and order tests reach more states

Keys in the differential test now carry plausible issue times and longer waits occur, and two order cases were added. Each of these changes to the code now fails a test.

--- a/crates/orders/tests/orders.rs
+++ b/crates/orders/tests/orders.rs
@@ -250,6 +250,28 @@
     );
     assert_eq!(orders.fenced_by().is_some(), stops);
     assert_eq!(orders.next(at(500_000), &Held::default()).is_none(), stops);
+    let again = orders.handle(at(500_000), &EngineEvent::OrderFenced { fencing, highest });
+    assert_eq!(again, None, "a takeover is reported once");
+}
+
+/// Guards against repeating a load before an inventory could show its effect, and against orders
+/// that build on the state of an engine that has since restarted.
+#[parameterized(done = { true }, unreachable = { false })]
+fn next_order_waits_for_an_inventory(is_done: bool) {
+    let mut orders = orders(1);
+    orders.want(at(0), Some(&duty(WantedRole::Prefill, &[1], &[])));
+    let (fencing, order) = sent(orders.next(at(0), &Held::default())).unwrap();
+    let failed = Some(OrderReport::Failed { order, failures: 1 });
+    let answer = match is_done {
+        true => EngineEvent::OrderDone { fencing },
+        false => EngineEvent::Unreachable,
+    };
+    let at_answer = orders.handle(at(0), &answer);
+    assert_eq!(orders.next(at(60_000), &Held::default()), None);
+    let inventory = EngineEvent::Inventory(EngineInventory::default());
+    let at_inventory = orders.handle(at(60_000), &inventory);
+    assert_eq!(at_answer.or(at_inventory), failed);
+    assert!(orders.next(at(70_000), &Held::default()).is_some());
 }
 
 /// Guards against one failing model that holds back the others.
--- a/crates/permits/tests/differential.rs
+++ b/crates/permits/tests/differential.rs
@@ -23,7 +23,8 @@
 struct Issue {
     request: u128,
     key: Option<u8>,
-    issued_ms: Option<u64>,
+    /// Age that the caller gives its key.
+    age_ms: Option<u64>,
 }
 
 #[derive(Clone, Debug)]
@@ -39,20 +40,21 @@
 
 fn op() -> impl Strategy<Value = Op> {
     let key = proptest::option::of(0..3_u8);
-    let issued_ms = proptest::option::of(0..60_u64);
-    let issue = (0..4_u128, key, issued_ms).prop_map(|(request, key, issued_ms)| Issue {
+    let age_ms = proptest::option::weighted(0.8, 0..8_u64);
+    let issue = (0..4_u128, key, age_ms).prop_map(|(request, key, age_ms)| Issue {
         request,
         key,
-        issued_ms,
+        age_ms,
     });
     prop_oneof![
         5 => issue.prop_map(Op::Issue),
         6 => (0..4_usize, 0..4_u128).prop_map(|(back, request)| Op::Start(back, request)),
         5 => (0..4_usize, 0..3_u8).prop_map(|(back, outcome)| Op::Finish(back, outcome)),
         3 => (0..9_usize).prop_map(Op::Ask),
-        1 => any::<bool>().prop_map(Op::Lists),
-        3 => Just(Op::Confirm),
-        5 => (0..3_000_u64).prop_map(Op::Wait),
+        1 => proptest::bool::weighted(0.2).prop_map(Op::Lists),
+        4 => Just(Op::Confirm),
+        5 => (0..1_500_u64).prop_map(Op::Wait),
+        1 => (0..15_000_u64).prop_map(Op::Wait),
     ]
 }
 
@@ -165,6 +167,11 @@
         }
     }
 
+    fn issued_ms(&self, issue: &Issue) -> Option<u64> {
+        let now_ms = self.at / 1_000 + 2;
+        issue.age_ms.map(|age| now_ms.saturating_sub(age))
+    }
+
     fn apply(&mut self, op: Op) {
         let number = |back: usize| self.logs.len().checked_sub(back + 1);
         match op {
@@ -191,7 +198,7 @@
         let mut message = IssuePermit {
             service: parse("s"),
             key: issue.key.map(|key| parse(&format!("k{key}"))),
-            key_issued_at_ms: issue.issued_ms.map(UnixMs),
+            key_issued_at_ms: self.issued_ms(issue).map(UnixMs),
             ..Default::default()
         };
         message.envelope.customer = parse("c");
@@ -251,7 +258,9 @@
             .changed
             .map_or(1, |at| 1 + at / 1_000 + STALENESS_US / 1_000);
         let trusted = trusted_ms..=self.at / 1_000 + 1;
-        let is_new = issue.issued_ms.is_some_and(|ms| trusted.contains(&ms));
+        let is_new = self
+            .issued_ms(issue)
+            .is_some_and(|ms| trusted.contains(&ms));
         (!is_old && !is_new).then_some(ReplyBody::KeyUnknown)
     }
 
