--- a/crates/entry-core/tests/model_failures.rs
+++ b/crates/entry-core/tests/model_failures.rs
@@ -95,6 +95,10 @@
     silent = { DELIVERED, "wait 2000", "retried silent; close#0; resume@1#1 d/1 fresh" },
     cut = { DELIVERED, "cut 0 silent", "retried silent; close#0; resume@1#1 d/1 fresh" },
     gap = { DELIVERED, "chunk 0 1 2", "retried silent; close#0; resume@1#1 d/1 fresh" },
+    silent_thrice = {
+        "start; pair d p; reserved 0; prefilled 1; imported 0; released 2; wait 2000; wait 2000", "wait 2000",
+        "report d silent; cancel#2; close#2; wasted 100 silent; release#3 d/1 fresh; retried silent; pair? not[d]"
+    },
     acknowledges = { DELIVERED, "wait 1000", "ack#0 1" },
     lease_lost = {
         "start; pair d p; reserved 0; prefilled 1; imported 0; released 2; chunk 0 1 0; wait 2000",
