--- a/crates/entry-core/src/application/messages.rs
+++ b/crates/entry-core/src/application/messages.rs
@@ -54,13 +54,19 @@
     }
 
     pub(super) fn route_need(&self) -> RouteNeed {
+        let key = self.owned_key();
+        // The owner follows from the lists in force, which may be newer than the request's.
+        let allowed = match key {
+            Some(_) => Vec::new(),
+            None => self.request.servers.clone(),
+        };
         RouteNeed {
             customer: self.request.customer.clone(),
             kind: RouteKind::Service {
                 service: self.request.service.clone(),
-                key: self.owned_key(),
+                key,
             },
-            allowed: self.request.servers.clone(),
+            allowed,
             excluded: self.excluded.clone(),
             is_retry: self.limits.route_count > 1,
         }
--- a/crates/entry-core/src/config.rs
+++ b/crates/entry-core/src/config.rs
@@ -1,7 +1,7 @@
 //! Limits of a call's decisions.
 
 use cuminlead_retry::ATTEMPTS_MAX;
-use cuminlead_types::{DurationUs, TokensPerSecond};
+use cuminlead_types::{DurationUs, Tokens, TokensPerSecond};
 
 /// Limits of a call's decisions; the defaults are those of `docs/design.md`.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -26,6 +26,8 @@
     pub run_timeout_us: DurationUs,
     /// Prefill rate of an engine, for estimates.
     pub prefill_rate: TokensPerSecond,
+    /// Tokens in one block of the prefix hashes; the same as in the routing settings.
+    pub prefix_block_tokens: Tokens,
     /// Time that a decode lease is asked for beyond the estimated prefill.
     pub lease_margin_us: DurationUs,
     /// Longest decode lease that an agent grants.
@@ -49,6 +51,7 @@
             repeat_pause_us: DurationUs::from_ms(500),
             run_timeout_us: DurationUs::from_ms(10_000),
             prefill_rate: TokensPerSecond(20_000),
+            prefix_block_tokens: Tokens(256),
             // Covers the longest wait in the prefill queue and one lost message.
             lease_margin_us: DurationUs::from_ms(8_000),
             lease_max_us: DurationUs::from_ms(30_000),
--- a/crates/entry-core/src/model.rs
+++ b/crates/entry-core/src/model.rs
@@ -5,6 +5,7 @@
 //! | `state` | what the call knows: phase, attempt, delivered text |
 //! | `holds` | what agents may hold for the call, and its release |
 //! | `messages` | messages to agents |
+//! | `prefix` | hashes of the prompt's leading blocks |
 //! | `steps` | the good path from route to stream |
 //! | `stream` | events of the decode stream |
 //! | `recover` | what follows a failure, by the retry table |
@@ -24,6 +25,7 @@
 mod ending;
 mod holds;
 mod messages;
+mod prefix;
 mod recover;
 mod state;
 mod steps;
@@ -66,6 +68,7 @@
 pub struct ModelCall {
     config: CallConfig,
     request: ModelRequest,
+    prefix_hashes: Vec<u64>,
     phase: Phase,
     attempt: AttemptState,
     answer: Answer,
@@ -80,9 +83,11 @@
 impl ModelCall {
     /// State of a request that was just accepted.
     pub fn new(config: CallConfig, request: ModelRequest) -> Self {
+        let prefix_hashes = prefix::hashes(&request.prompt, config.prefix_block_tokens);
         Self {
             config,
             request,
+            prefix_hashes,
             phase: Phase::Created,
             attempt: AttemptState::default(),
             answer: Answer::default(),
--- a/crates/entry-core/src/model/messages.rs
+++ b/crates/entry-core/src/model/messages.rs
@@ -92,12 +92,12 @@
     }
 
     pub(super) fn model_need(&self, now: TimeUs) -> ModelNeed {
-        let prompt = self.prompt();
+        let prompt_bytes = self.request.prompt.len() + self.answer.text.len();
         ModelNeed {
             target: self.request.target.clone(),
-            prefix_hashes: Vec::new(),
+            prefix_hashes: self.prefix_hashes.clone(),
             prompt_tokens: self.prompt_tokens(),
-            prompt_bytes: prompt.len() as u64,
+            prompt_bytes: prompt_bytes as u64,
             output_max_tokens: self.output_left(),
             due_us: self.due_in(now),
         }
--- /dev/null
+++ b/crates/entry-core/src/model/prefix.rs
@@ -0,0 +1,24 @@
+//! Hashes of the prompt's leading blocks.
+//!
+//! Routing compares them with those of earlier requests of the same entry process only, so the
+//! hasher of the standard library serves although its algorithm may change between releases.
+
+use std::hash::{DefaultHasher, Hasher};
+
+use cuminlead_types::Tokens;
+
+/// Bytes that `Tokens::estimate` takes for one token.
+const TOKEN_BYTES: u64 = 4;
+
+/// Hash of each whole leading block, covering all blocks before it.
+pub(super) fn hashes(prompt: &str, block_tokens: Tokens) -> Vec<u64> {
+    let block_bytes = block_tokens.get().saturating_mul(TOKEN_BYTES).max(1);
+    let block_bytes = usize::try_from(block_bytes).unwrap_or(usize::MAX);
+    let mut hasher = DefaultHasher::new();
+    let mut hashes = Vec::new();
+    for block in prompt.as_bytes().chunks_exact(block_bytes) {
+        hasher.write(block);
+        hashes.push(hasher.finish());
+    }
+    hashes
+}
