Renew a missed first-token target instead of sending no time left

A request whose entry paused, or that waited for its decode place beyond the target, sent due_us = 0, and every agent refuses that as CannotMeetTarget, with the place already reserved.

Renewing the target only after pauses was ruled out: the call cannot tell a pause from a long wait. `counts_against_server` tells drivers which reported evidence is a failure for membership.

--- a/crates/entry-core/src/call.rs
+++ b/crates/entry-core/src/call.rs
@@ -119,7 +119,8 @@
     Respond(HttpResponse),
     /// Hands an error to the caller; ends the answer.
     Fail(CallerError),
-    /// Reports first-hand evidence about a server to membership and routing.
+    /// Reports first-hand evidence about a server, once its part of the call is over, to membership
+    /// and routing; see [`counts_against_server`].
     Report {
         /// Server.
         server: BackendServerId,
@@ -140,6 +141,27 @@
     },
 }
 
+/// Whether evidence is a failure of the server for membership.
+///
+/// A server that refuses, drains or has just restarted answers, and the fate of a permit says
+/// nothing about it; counting these would put a busy server into back-off.
+pub const fn counts_against_server(evidence: Evidence) -> bool {
+    match evidence {
+        Evidence::ConnectFailed
+        | Evidence::Silent
+        | Evidence::TimedOut
+        | Evidence::EngineFailed => true,
+        Evidence::RefusedNotRun
+        | Evidence::Draining
+        | Evidence::NewIncarnation
+        | Evidence::Voided
+        | Evidence::StillRunning
+        | Evidence::OutcomeUnknown
+        | Evidence::Cancelled
+        | Evidence::StaleLists => false,
+    }
+}
+
 /// Part of an answer on its way to the caller.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Delivery {
--- a/crates/entry-core/src/model/messages.rs
+++ b/crates/entry-core/src/model/messages.rs
@@ -131,7 +131,13 @@
         length.min(self.config.lease_max_us)
     }
 
+    /// Time left until the first token is due. A request that has missed its target while it waited
+    /// gets the target anew, because an agent refuses whatever comes with no time left, and a late
+    /// answer is better for its caller than none.
     fn due_in(&self, now: TimeUs) -> DurationUs {
+        if self.limits.due_at <= now {
+            return self.request.first_token_us;
+        }
         self.limits.due_at.since(now)
     }
 
--- a/crates/entry-core/src/model/recover.rs
+++ b/crates/entry-core/src/model/recover.rs
@@ -115,8 +115,8 @@
         self.answer.next.get() > 0 && self.output_left() == Tokens::ZERO
     }
 
-    /// A refusal leaves the first token due as before. After a fault the target is missed, and an
-    /// agent would refuse the rest of a request that it could still complete.
+    /// A refusal leaves the first token due as before. A fault has cost time that the request needs,
+    /// and an agent would refuse it although it could still be completed.
     fn renew_due(&mut self, turn: &Turn, cause: Cause) {
         let is_refusal = cause.refusal.is_some();
         let is_new = self.answer.text.is_empty();
--- a/crates/entry-core/tests/common/mod.rs
+++ b/crates/entry-core/tests/common/mod.rs
@@ -101,7 +101,7 @@
     }
 }
 
-fn event(words: &[&str]) -> CallEvent {
+pub(crate) fn event(words: &[&str]) -> CallEvent {
     match words[0] {
         "start" => CallEvent::Start,
         "wait" => CallEvent::Deadline,
--- a/crates/entry-core/tests/model_failures.rs
+++ b/crates/entry-core/tests/model_failures.rs
@@ -3,7 +3,9 @@
 mod common;
 
 use common::Driver;
-use cuminlead_entry_core::CallConfig;
+use cuminlead_entry_core::{CallAction, CallConfig};
+use cuminlead_protocol::AgentRequest;
+use cuminlead_types::DurationUs;
 
 const RESERVED: &str = "start; pair d p; reserved 0";
 const OPEN: &str = "start; pair d p; reserved 0; prefilled 1";
@@ -210,3 +212,27 @@
     };
     assert_eq!(Driver::model(config).run(script), expected);
 }
+
+/// Guards against a request that waited long for its decode place, or whose entry paused, and that
+/// every prefill server then refuses because no time is left.
+#[yare::parameterized(
+    in_time = { 500, 1_500 },
+    missed = { 2_500, 2_000 },
+)]
+fn missed_target_is_renewed(waited_ms: u64, due_ms: u64) {
+    let mut driver = Driver::model(CallConfig::default());
+    driver.run("start; pair d p");
+    driver.now = driver.now + DurationUs::from_ms(waited_ms);
+    let actions = driver.handle(common::event(&["reserved", "0"]));
+    match actions.as_slice() {
+        [
+            CallAction::Send {
+                request: AgentRequest::Prefill(prefill),
+                ..
+            },
+        ] => {
+            assert_eq!(prefill.due_us, DurationUs::from_ms(due_ms));
+        }
+        actions => panic!("unexpected actions {actions:?}"),
+    }
+}
