--- a/crates/entry-core/src/model/messages.rs
+++ b/crates/entry-core/src/model/messages.rs
@@ -92,12 +92,12 @@
     }
 
     pub(super) fn model_need(&self, now: TimeUs) -> ModelNeed {
-        let prompt = self.prompt();
+        let prompt_bytes = self.request.prompt.len() + self.answer.text.len();
         ModelNeed {
             target: self.request.target.clone(),
-            prefix_hashes: Vec::new(),
+            prefix_hashes: self.prefix_hashes.clone(),
             prompt_tokens: self.prompt_tokens(),
-            prompt_bytes: prompt.len() as u64,
+            prompt_bytes: prompt_bytes as u64,
             output_max_tokens: self.output_left(),
             due_us: self.due_in(now),
         }
@@ -131,7 +131,13 @@
         length.min(self.config.lease_max_us)
     }
 
+    /// Time left until the first token is due. A request that has missed its target while it waited
+    /// gets the target anew, because an agent refuses whatever comes with no time left, and a late
+    /// answer is better for its caller than none.
     fn due_in(&self, now: TimeUs) -> DurationUs {
+        if self.limits.due_at <= now {
+            return self.request.first_token_us;
+        }
         self.limits.due_at.since(now)
     }
 
--- a/crates/entry-core/tests/model_failures.rs
+++ b/crates/entry-core/tests/model_failures.rs
@@ -3,7 +3,9 @@
 mod common;
 
 use common::Driver;
-use cuminlead_entry_core::CallConfig;
+use cuminlead_entry_core::{CallAction, CallConfig};
+use cuminlead_protocol::AgentRequest;
+use cuminlead_types::DurationUs;
 
 const RESERVED: &str = "start; pair d p; reserved 0";
 const OPEN: &str = "start; pair d p; reserved 0; prefilled 1";
@@ -95,6 +97,10 @@
     silent = { DELIVERED, "wait 2000", "retried silent; close#0; resume@1#1 d/1 fresh" },
     cut = { DELIVERED, "cut 0 silent", "retried silent; close#0; resume@1#1 d/1 fresh" },
     gap = { DELIVERED, "chunk 0 1 2", "retried silent; close#0; resume@1#1 d/1 fresh" },
+    silent_thrice = {
+        "start; pair d p; reserved 0; prefilled 1; imported 0; released 2; wait 2000; wait 2000", "wait 2000",
+        "report d silent; cancel#2; close#2; wasted 100 silent; release#3 d/1 fresh; retried silent; pair? not[d]"
+    },
     acknowledges = { DELIVERED, "wait 1000", "ack#0 1" },
     lease_lost = {
         "start; pair d p; reserved 0; prefilled 1; imported 0; released 2; chunk 0 1 0; wait 2000",
@@ -193,7 +199,7 @@
 #[yare::parameterized(
     prefills = { "start; pair d p", "prefill#0 p/1" },
     reserves = { "start; pair d p; prefilled 0", "report p ok; reserve#1 d/1" },
-    opens = { "start; pair d p; prefilled 0; reserved 1", "report d ok; start@0#0 d/1" },
+    opens = { "start; pair d p; prefilled 0; reserved 1", "start@0#0 d/1" },
     wastes = {
         "start; pair d p; prefilled 0; failed 1 queue_full",
         "report d refused_not_run; wasted 100 refused_not_run; release#2 p/1; retried refused_not_run; pair? not[d]"
@@ -206,3 +212,27 @@
     };
     assert_eq!(Driver::model(config).run(script), expected);
 }
+
+/// Guards against a request that waited long for its decode place, or whose entry paused, and that
+/// every prefill server then refuses because no time is left.
+#[yare::parameterized(
+    in_time = { 500, 1_500 },
+    missed = { 2_500, 2_000 },
+)]
+fn missed_target_is_renewed(waited_ms: u64, due_ms: u64) {
+    let mut driver = Driver::model(CallConfig::default());
+    driver.run("start; pair d p");
+    driver.now = driver.now + DurationUs::from_ms(waited_ms);
+    let actions = driver.handle(common::event(&["reserved", "0"]));
+    match actions.as_slice() {
+        [
+            CallAction::Send {
+                request: AgentRequest::Prefill(prefill),
+                ..
+            },
+        ] => {
+            assert_eq!(prefill.due_us, DurationUs::from_ms(due_ms));
+        }
+        actions => panic!("unexpected actions {actions:?}"),
+    }
+}
