Test admission against a naive version

Admission had no tests. A naive version keeps one plain list of attempts and is ticked every 250 ms; the real one is ticked only at its own deadlines, so a missed or useless deadline shows as a difference. The same run checks capacity, chunk order, refused attempts and that everything is free 30 s after the last message.

The target check is now strict (done before due), so that a request turns late at its due time and not one microsecond after it.

--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -84,7 +84,7 @@
         match &self.purpose {
             Purpose::Prefill { .. } => {
                 let done_at = backlog.start_at(now) + backlog.time_for(self.prompt_tokens);
-                done_at <= self.due_at
+                done_at < self.due_at
             }
             Purpose::Reserve { .. } => now < self.due_at,
         }
@@ -93,9 +93,7 @@
     /// First time at which [`Self::can_meet_target`] turns false by the passing of time.
     pub fn late_at(&self, backlog: &Backlog) -> TimeUs {
         match &self.purpose {
-            Purpose::Prefill { .. } => {
-                self.due_at - backlog.time_for(self.prompt_tokens) + DurationUs(1)
-            }
+            Purpose::Prefill { .. } => self.due_at - backlog.time_for(self.prompt_tokens),
             Purpose::Reserve { .. } => self.due_at,
         }
     }
--- /dev/null
+++ b/crates/admission/tests/differential.rs
@@ -0,0 +1,429 @@
+//! Admission against a naive version, on random sequences of events.
+
+mod support;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use cuminlead_admission::{
+    Admission, AdmissionAction as Action, CallRef, StreamNote, StreamRef, Terms,
+};
+use cuminlead_protocol::{
+    AgentFailure, DecodeControl, DecodeMode, EngineCommand, EngineEvent, EngineInventory, Prefill,
+    ReplyBody, Reserve,
+};
+use cuminlead_types::{AttemptId, DurationUs, KV_PIECE_TOKENS, Priority, Sequence, TimeUs, Tokens};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, RngSeed, TestRunner};
+use support::naive::{Ask, Naive};
+use support::{config, envelope, generated, id, ms, prefill_done};
+
+/// Step of the naive version; all times in the events are multiples of it.
+const STEP_US: DurationUs = DurationUs(250_000);
+/// Bound of P1: engine memory of a request that is gone is free after this time.
+const GONE_FREE_US: DurationUs = DurationUs(30_000_000);
+const SEED: u64 = 0x5eed_ad15;
+const CASES: u32 = 400;
+
+#[derive(Clone, Debug)]
+enum Op {
+    Wait(u64),
+    Ask(Ask),
+    Release(u128),
+    DropCall(u64),
+    Start {
+        number: u128,
+        kv: u8,
+    },
+    Resume {
+        number: u128,
+        next: u64,
+    },
+    Acknowledge {
+        stream: u64,
+        next: u64,
+    },
+    Cancel(u64),
+    Close(u64),
+    PrefillDone(u128),
+    Imported(u128),
+    ImportFailed(u128),
+    Generated {
+        number: u128,
+        first: u64,
+        is_last: bool,
+    },
+    StreamLost(u128),
+    Failed(u128),
+    Inventory {
+        mask: u8,
+    },
+    Unreachable,
+    Drain,
+}
+
+fn ask() -> impl Strategy<Value = Ask> {
+    let size = (0..6_u128, any::<bool>(), 1..8_u64);
+    let limits = (0..3_u8, 0..3_u8, 0..20_u64, 0..40_u64, any::<bool>());
+    (size, limits).prop_map(|(size, limits)| {
+        let (number, is_prefill, pieces) = size;
+        let (customer, priority, wait_steps, due_steps, is_long) = limits;
+        Ask {
+            id: id(number),
+            customer: format!("c{customer}"),
+            call: 0,
+            is_prefill,
+            priority,
+            weight: u32::from(customer) + 1,
+            prompt: format!("prompt {number}"),
+            prompt_tokens: Tokens(KV_PIECE_TOKENS * pieces),
+            output_tokens: Tokens(if is_prefill { 0 } else { 40 }),
+            lease_us: DurationUs::from_ms(if is_long { 30_000 } else { 1_000 }),
+            due_us: DurationUs(STEP_US.0 * due_steps),
+            wait_us: DurationUs(STEP_US.0 * wait_steps),
+        }
+    })
+}
+
+fn op() -> impl Strategy<Value = Op> {
+    let number = || 0..6_u128;
+    prop_oneof![
+        12 => (1..6_u64).prop_map(Op::Wait),
+        1 => (20..130_u64).prop_map(Op::Wait),
+        20 => ask().prop_map(Op::Ask),
+        3 => number().prop_map(Op::Release),
+        2 => (0..4_u64).prop_map(Op::DropCall),
+        10 => (number(), 1..3_u8).prop_map(|(number, kv)| Op::Start { number, kv }),
+        4 => (number(), 0..5_u64).prop_map(|(number, next)| Op::Resume { number, next }),
+        8 => (0..3_u64, 0..5_u64).prop_map(|(stream, next)| Op::Acknowledge { stream, next }),
+        1 => (0..3_u64).prop_map(Op::Cancel),
+        2 => (0..3_u64).prop_map(Op::Close),
+        6 => number().prop_map(Op::PrefillDone),
+        8 => number().prop_map(Op::Imported),
+        5 => number().prop_map(Op::ImportFailed),
+        16 => (number(), 0..4_u64, prop::bool::weighted(0.2))
+            .prop_map(|(number, first, is_last)| Op::Generated { number, first, is_last }),
+        1 => number().prop_map(Op::StreamLost),
+        1 => number().prop_map(Op::Failed),
+        4 => any::<u8>().prop_map(|mask| Op::Inventory { mask }),
+        1 => Just(Op::Unreachable),
+        1 => prop::bool::weighted(0.1).prop_map(|is| if is { Op::Drain } else { Op::Wait(1) }),
+    ]
+}
+
+/// What the checks remember of one stream.
+struct Stream {
+    resumed_at: Option<u64>,
+    next: Option<u64>,
+}
+
+struct Pair {
+    now: TimeUs,
+    real: Admission,
+    naive: Naive,
+    calls: u64,
+    streams: u64,
+    asked: BTreeMap<CallRef, AttemptId>,
+    accepted: BTreeSet<AttemptId>,
+    in_engine: BTreeSet<AttemptId>,
+    delivered: BTreeMap<StreamRef, Stream>,
+}
+
+impl Pair {
+    fn new() -> Self {
+        Self {
+            now: ms(1_000),
+            real: Admission::new(config()),
+            naive: Naive::new(config()),
+            calls: 0,
+            streams: 0,
+            asked: BTreeMap::new(),
+            accepted: BTreeSet::new(),
+            in_engine: BTreeSet::new(),
+            delivered: BTreeMap::new(),
+        }
+    }
+
+    /// Moves time: the naive version in small steps, the real one only at its deadlines.
+    fn wait(&mut self, steps: u64) {
+        for _ in 0..steps {
+            self.now = self.now + STEP_US;
+            let mut actions = Vec::new();
+            if let Some(at) = self.real.next_deadline()
+                && at <= self.now
+            {
+                assert_eq!(
+                    at, self.now,
+                    "a deadline lies between the steps or in the past"
+                );
+                self.real.tick(self.now, &mut actions);
+                assert!(
+                    !actions.is_empty(),
+                    "the tick at a deadline changed nothing"
+                );
+            }
+            self.naive.tick(self.now);
+            self.compare(actions);
+        }
+    }
+
+    fn apply(&mut self, op: &Op) {
+        let mut actions = Vec::new();
+        let now = self.now;
+        match op.clone() {
+            Op::Wait(steps) => self.wait(steps),
+            Op::Ask(mut ask) => {
+                ask.call = self.next_call(ask.id).0;
+                self.real_ask(&ask, &mut actions);
+                self.naive.ask(now, ask);
+            }
+            Op::Release(number) => {
+                let call = self.next_call(id(number));
+                let message = support::release(number);
+                self.real.release(now, call, &message, &mut actions);
+                self.naive.release(now, call, id(number));
+            }
+            Op::DropCall(back) => {
+                let call = CallRef(self.calls.saturating_sub(back));
+                self.real.call_dropped(now, call, &mut actions);
+                self.naive.call_dropped(now, call);
+            }
+            Op::Start { number, kv } => self.open(support::start(number, kv, 0), &mut actions),
+            Op::Resume { number, next } => self.open(support::resume(number, next), &mut actions),
+            Op::Acknowledge { stream, next } => {
+                let control = DecodeControl::Acknowledge(Sequence(next));
+                self.control(stream, control, &mut actions);
+            }
+            Op::Cancel(stream) => self.control(stream, DecodeControl::Cancel, &mut actions),
+            Op::Close(back) => {
+                let stream = StreamRef(self.streams.saturating_sub(back));
+                self.real.stream_closed(now, stream, &mut actions);
+                self.naive.closed(now, stream);
+            }
+            Op::Drain => {
+                self.real.drain(now, &mut actions);
+                self.naive.drain(now);
+            }
+            engine => {
+                let event = engine_event(&engine);
+                self.naive.engine(now, &event);
+                self.engine_forgets(&event);
+                self.real.engine_event(now, event, &mut actions);
+            }
+        }
+        self.compare(actions);
+    }
+
+    fn next_call(&mut self, id: AttemptId) -> CallRef {
+        self.calls += 1;
+        self.asked.insert(CallRef(self.calls), id);
+        CallRef(self.calls)
+    }
+
+    fn real_ask(&mut self, ask: &Ask, actions: &mut Vec<Action>) {
+        self.accepted.insert(ask.id);
+        let terms = Terms {
+            priority: Priority(ask.priority),
+            weight: ask.weight,
+        };
+        let envelope = envelope(ask.id.request.0, &ask.customer);
+        if ask.is_prefill {
+            let message = Prefill {
+                envelope,
+                prompt: ask.prompt.clone(),
+                prompt_tokens: ask.prompt_tokens,
+                due_us: ask.due_us,
+                wait_max_us: ask.wait_us,
+                ..Prefill::default()
+            };
+            let call = CallRef(ask.call);
+            self.real.prefill(self.now, call, message, terms, actions);
+        } else {
+            let message = Reserve {
+                envelope,
+                prompt_tokens: ask.prompt_tokens,
+                output_max_tokens: ask.output_tokens,
+                lease_us: ask.lease_us,
+                due_us: ask.due_us,
+                wait_max_us: ask.wait_us,
+                ..Reserve::default()
+            };
+            let call = CallRef(ask.call);
+            self.real.reserve(self.now, call, &message, terms, actions);
+        }
+    }
+
+    fn open(&mut self, open: cuminlead_protocol::DecodeOpen, actions: &mut Vec<Action>) {
+        self.streams += 1;
+        let stream = StreamRef(self.streams);
+        let resumed_at = match &open.mode {
+            DecodeMode::Resume(resume) => Some(resume.next_sequence.0),
+            DecodeMode::Start(_) => None,
+        };
+        let seen = Stream {
+            resumed_at,
+            next: None,
+        };
+        self.delivered.insert(stream, seen);
+        self.naive.open(self.now, stream, &open);
+        self.real.stream_opened(self.now, stream, open, actions);
+    }
+
+    fn control(&mut self, back: u64, control: DecodeControl, actions: &mut Vec<Action>) {
+        let stream = StreamRef(self.streams.saturating_sub(back));
+        self.real.stream_control(self.now, stream, control, actions);
+        self.naive.control(self.now, stream, control);
+    }
+
+    fn engine_forgets(&mut self, event: &EngineEvent) {
+        match event {
+            EngineEvent::Generated {
+                id,
+                finish: Some(_),
+                ..
+            }
+            | EngineEvent::SequenceFailed { id } => {
+                self.in_engine.remove(id);
+            }
+            _ => {}
+        }
+    }
+
+    fn compare(&mut self, actions: Vec<Action>) {
+        self.check(&actions);
+        let naive = std::mem::take(&mut self.naive.out);
+        assert_eq!(visible(&actions), visible(&naive), "at {}", self.now);
+        let used = self.real.used();
+        assert_eq!(used.slots.0, self.naive.used_slots());
+        assert_eq!(used.pieces.0, self.naive.used_pieces());
+    }
+
+    fn check(&mut self, actions: &[Action]) {
+        let used = self.real.used();
+        let total = self.real.total();
+        assert!(used.slots <= total.slots && used.pieces <= total.pieces);
+        for action in actions {
+            match action {
+                Action::Reply {
+                    call,
+                    body: ReplyBody::Failed(AgentFailure::Refused(_)),
+                } => {
+                    let attempt = self.asked[call];
+                    if !self.real.has_attempt(attempt) {
+                        self.accepted.remove(&attempt);
+                    }
+                }
+                Action::Engine(
+                    EngineCommand::Prefill { id, .. } | EngineCommand::Decode { id, .. },
+                ) => {
+                    assert!(
+                        self.accepted.contains(id),
+                        "a refused attempt reached the engine"
+                    );
+                    self.in_engine.insert(*id);
+                }
+                Action::Engine(EngineCommand::Cancel { id }) => {
+                    self.in_engine.remove(id);
+                }
+                Action::Send {
+                    stream,
+                    note: StreamNote::Chunk(chunk),
+                } => {
+                    let seen = self.delivered.get_mut(stream).expect("was opened");
+                    let sequence = chunk.sequence.0;
+                    let expected = seen.next.or(seen.resumed_at);
+                    assert!(
+                        expected.is_none_or(|next| next == sequence),
+                        "gap or repeat"
+                    );
+                    seen.next = Some(sequence + 1);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// All entries are gone from now on.
+    fn everything_is_freed(&mut self) {
+        self.wait(GONE_FREE_US.0 / STEP_US.0);
+        assert!(
+            self.real.is_idle(),
+            "something is held for an entry that is gone"
+        );
+        assert_eq!(self.real.used(), Default::default());
+        assert!(
+            self.in_engine.is_empty(),
+            "the engine still holds a sequence"
+        );
+        assert_eq!(self.real.next_deadline(), None);
+    }
+}
+
+fn engine_event(op: &Op) -> EngineEvent {
+    match *op {
+        Op::PrefillDone(number) => prefill_done(number),
+        Op::Imported(number) => EngineEvent::Imported { id: id(number) },
+        Op::ImportFailed(number) => EngineEvent::ImportFailed { id: id(number) },
+        Op::Generated {
+            number,
+            first,
+            is_last,
+        } => generated(number, first, is_last),
+        Op::StreamLost(number) => EngineEvent::StreamLost { id: id(number) },
+        Op::Failed(number) => EngineEvent::SequenceFailed { id: id(number) },
+        Op::Inventory { mask } => EngineEvent::Inventory(EngineInventory {
+            sequences: (0..8)
+                .filter(|bit| mask & (1 << bit) != 0)
+                .map(|bit| id(bit as u128))
+                .collect(),
+            ..EngineInventory::default()
+        }),
+        _ => EngineEvent::Unreachable,
+    }
+}
+
+/// Everything but the records, sorted, with the order kept within each stream.
+fn visible(actions: &[Action]) -> Vec<String> {
+    let mut streams: BTreeMap<StreamRef, Vec<String>> = BTreeMap::new();
+    let mut lines = Vec::new();
+    for action in actions {
+        match action {
+            Action::Send { stream, .. } | Action::CloseStream { stream } => {
+                streams
+                    .entry(*stream)
+                    .or_default()
+                    .push(format!("{action:?}"));
+            }
+            Action::Record(_) => {}
+            _ => lines.push(format!("{action:?}")),
+        }
+    }
+    lines.extend(streams.into_values().map(|sent| sent.join("; ")));
+    lines.sort();
+    lines
+}
+
+/// Guards against a decision of admission that differs from the naive version (a wrong order in
+/// the queue, a deadline that is missed or too early), capacity over the limit, memory held for an
+/// entry that is gone, a refused attempt that reaches the engine, and gaps or repeats of chunks.
+#[test]
+fn decides_like_the_naive_version() {
+    let mut runner = TestRunner::new(Config {
+        cases: CASES,
+        failure_persistence: None,
+        rng_algorithm: RngAlgorithm::ChaCha,
+        rng_seed: RngSeed::Fixed(SEED),
+        ..Config::default()
+    });
+    let ops = prop::collection::vec(op(), 1..120);
+    let result = runner.run(&ops, |ops| {
+        let mut pair = Pair::new();
+        for op in &ops {
+            pair.apply(op);
+        }
+        pair.everything_is_freed();
+        Ok(())
+    });
+    if let Err(error) = result {
+        panic!("{error}");
+    }
+}
--- /dev/null
+++ b/crates/admission/tests/support/naive/decode.rs
@@ -0,0 +1,291 @@
+//! Streams and engine events of the naive version.
+
+use cuminlead_admission::{AdmissionAction as Action, StreamNote, StreamRef};
+use cuminlead_protocol::{
+    AgentFailure, Chunk, DecodeControl, DecodeMode, DecodeOpen, DecodeStart, EngineCommand,
+    EngineEvent, Prefilled, RefusalReason, ReplyBody,
+};
+use cuminlead_types::{AttemptId, Priority, Sequence, TimeUs};
+
+use super::{Item, Naive, Step, refused};
+use crate::support::INCARNATION;
+
+impl Naive {
+    pub(crate) fn open(&mut self, now: TimeUs, stream: StreamRef, open: &DecodeOpen) {
+        self.tick(now);
+        if let Err(reason) = self.try_open(now, stream, open) {
+            self.send(stream, StreamNote::Failed(refused(reason)));
+            self.close(Some(stream));
+        }
+        self.grant(now);
+    }
+
+    fn try_open(
+        &mut self,
+        now: TimeUs,
+        stream: StreamRef,
+        open: &DecodeOpen,
+    ) -> Result<(), RefusalReason> {
+        let id = open.envelope.id;
+        let index = self.find(id).ok_or(RefusalReason::NoSuchLease)?;
+        let item = &mut self.items[index];
+        match &open.mode {
+            DecodeMode::Start(start) if item.step == Step::Reserved => {
+                self.import(now, index, stream, start);
+            }
+            DecodeMode::Start(start)
+                if item.step == Step::Importing && item.start.kv != start.kv =>
+            {
+                let replaced = item.stream;
+                self.close(replaced);
+                self.cancel(id);
+                self.import(now, index, stream, start);
+            }
+            DecodeMode::Start(_) if item.is_decode() => self.attach(now, index, stream),
+            DecodeMode::Resume(resume) if item.is_decode() => {
+                let next = resume.next_sequence.0;
+                if next < item.acknowledged || next > item.made() {
+                    return Err(RefusalReason::Malformed);
+                }
+                item.acknowledged = next;
+                self.attach(now, index, stream);
+                self.end_if_delivered(id);
+            }
+            _ => return Err(RefusalReason::NoSuchLease),
+        }
+        Ok(())
+    }
+
+    fn import(&mut self, now: TimeUs, index: usize, stream: StreamRef, start: &DecodeStart) {
+        let item = &mut self.items[index];
+        item.step = Step::Importing;
+        item.until = now + self.config.import_timeout_us;
+        item.heard = now;
+        item.sent = now;
+        item.start = start.clone();
+        item.stream = Some(stream);
+        item.chunks.clear();
+        item.acknowledged = start.first_sequence.0;
+        item.misses = 0;
+        self.out.push(Action::Engine(EngineCommand::Decode {
+            id: item.ask.id,
+            target: Default::default(),
+            priority: Priority(item.ask.priority),
+            kv: start.kv.clone(),
+            output_max_tokens: start.output_max_tokens.min(item.ask.output_tokens),
+        }));
+    }
+
+    fn attach(&mut self, now: TimeUs, index: usize, stream: StreamRef) {
+        let item = &mut self.items[index];
+        item.heard = now;
+        item.sent = now;
+        let replaced = item.stream.replace(stream);
+        let is_imported = item.step != Step::Importing;
+        let acknowledged = item.acknowledged;
+        let chunks = item.chunks.clone();
+        self.close(replaced);
+        if is_imported {
+            self.send(stream, StreamNote::Imported);
+        }
+        for chunk in chunks.into_iter().filter(|c| c.sequence.0 >= acknowledged) {
+            self.send(stream, StreamNote::Chunk(chunk));
+        }
+    }
+
+    fn end_if_delivered(&mut self, id: AttemptId) {
+        let index = self.find(id).expect("is held");
+        let item = &self.items[index];
+        if item.step == Step::Finished && item.acknowledged == item.made() {
+            let stream = self.items.remove(index).stream;
+            self.close(stream);
+        }
+    }
+
+    pub(crate) fn control(&mut self, now: TimeUs, stream: StreamRef, control: DecodeControl) {
+        self.tick(now);
+        let Some(item) = self.on_stream(stream) else {
+            return;
+        };
+        let id = item.ask.id;
+        if let DecodeControl::Acknowledge(next) = control {
+            item.heard = now;
+            if next.0 <= item.made() {
+                item.acknowledged = item.acknowledged.max(next.0);
+            }
+            self.end_if_delivered(id);
+        } else {
+            self.remember(now, id);
+            self.remove_where(now, AgentFailure::Cancelled, |i| i.ask.id == id);
+        }
+        self.grant(now);
+    }
+
+    pub(crate) fn closed(&mut self, now: TimeUs, stream: StreamRef) {
+        self.tick(now);
+        let Some(item) = self.on_stream(stream) else {
+            return;
+        };
+        item.stream = None;
+        if item.step == Step::Finished {
+            item.heard = now;
+        }
+    }
+
+    pub(crate) fn drain(&mut self, now: TimeUs) {
+        self.tick(now);
+        self.draining = true;
+        let failure = refused(RefusalReason::Draining);
+        self.remove_where(now, failure, |i| i.step == Step::Waiting);
+    }
+
+    pub(super) fn import_failed(&mut self, id: AttemptId) {
+        let Some(item) = self.decode(id).filter(|i| i.step == Step::Importing) else {
+            return;
+        };
+        item.step = Step::Reserved;
+        item.until = item.heard + item.ask.lease_us;
+        let stream = item.stream.take();
+        self.cancel(id);
+        if let Some(stream) = stream {
+            self.send(stream, StreamNote::Failed(AgentFailure::TransferFailed));
+        }
+        self.close(stream);
+    }
+
+    pub(crate) fn engine(&mut self, now: TimeUs, event: &EngineEvent) {
+        self.tick(now);
+        match event {
+            EngineEvent::PrefillDone { id, .. } => self.prefill_done(now, *id, event),
+            EngineEvent::Imported { id } => self.imported(now, *id),
+            EngineEvent::ImportFailed { id } => {
+                self.import_failed(*id);
+                self.tick(now);
+            }
+            EngineEvent::Generated { id, .. } => self.generated(now, *id, event),
+            EngineEvent::StreamLost { id } => {
+                let item = self.decode(*id).filter(|i| i.in_engine());
+                let received_tokens = item.map(|i| i.received());
+                self.out.extend(received_tokens.map(|received_tokens| {
+                    let id = *id;
+                    Action::Engine(EngineCommand::ResumeDecode {
+                        id,
+                        received_tokens,
+                    })
+                }));
+            }
+            EngineEvent::SequenceFailed { id } => {
+                let is_lost = |i: &Item| i.ask.id == *id && i.in_engine();
+                self.remove_where(now, AgentFailure::EngineFailed, is_lost);
+            }
+            EngineEvent::Inventory(inventory) => self.inventory(now, &inventory.sequences),
+            _ => {
+                self.remove_where(now, AgentFailure::EngineFailed, Item::holds_pieces);
+                let starting = refused(RefusalReason::Starting);
+                self.remove_where(now, starting, |i| i.step == Step::Waiting);
+            }
+        }
+        self.grant(now);
+    }
+
+    fn prefill_done(&mut self, now: TimeUs, id: AttemptId, event: &EngineEvent) {
+        let EngineEvent::PrefillDone {
+            kv,
+            prompt_tokens,
+            cached_tokens,
+            ..
+        } = event
+        else {
+            return;
+        };
+        let held_for_us = self.config.kv_hold_us;
+        let running = |i: &&mut Item| i.ask.id == id && i.step == Step::Prefilling;
+        let Some(item) = self.items.iter_mut().find(running) else {
+            return;
+        };
+        item.step = Step::Prefilled;
+        item.until = now + held_for_us;
+        item.prefilled = Prefilled {
+            kv: kv.clone(),
+            prompt_tokens: *prompt_tokens,
+            cached_tokens: *cached_tokens,
+            held_for_us,
+        };
+        let body = ReplyBody::Prefilled(item.prefilled.clone());
+        for call in std::mem::take(&mut item.calls) {
+            self.reply(call, body.clone());
+        }
+        self.prefill_over(now);
+    }
+
+    fn imported(&mut self, now: TimeUs, id: AttemptId) {
+        let Some(item) = self.decode(id).filter(|i| i.step == Step::Importing) else {
+            return;
+        };
+        item.step = Step::Generating;
+        if let Some(stream) = item.stream {
+            item.sent = now;
+            self.send(stream, StreamNote::Imported);
+        }
+    }
+
+    fn generated(&mut self, now: TimeUs, id: AttemptId, event: &EngineEvent) {
+        let EngineEvent::Generated {
+            first_token,
+            text,
+            tokens,
+            finish,
+            ..
+        } = event
+        else {
+            return;
+        };
+        self.imported(now, id);
+        let Some(item) = self.decode(id).filter(|i| i.in_engine()) else {
+            return;
+        };
+        if *first_token > item.received().0 {
+            return self.remove_where(now, AgentFailure::EngineFailed, |i| i.ask.id == id);
+        }
+        if *first_token < item.received().0 {
+            return;
+        }
+        let chunk = Chunk {
+            id,
+            incarnation: INCARNATION,
+            sequence: Sequence(item.made()),
+            text: text.clone(),
+            tokens: *tokens,
+            finish: *finish,
+        };
+        item.chunks.push(chunk.clone());
+        if finish.is_some() {
+            item.step = Step::Finished;
+            item.until = now;
+        }
+        if let Some(stream) = item.stream {
+            item.sent = now;
+            self.send(stream, StreamNote::Chunk(chunk));
+        }
+    }
+
+    fn inventory(&mut self, now: TimeUs, listed: &[AttemptId]) {
+        let held = self.items.iter().filter(|i| i.in_engine());
+        let held: Vec<AttemptId> = held.map(|i| i.ask.id).collect();
+        let unknown: Vec<_> = listed
+            .iter()
+            .filter(|id| !held.contains(id))
+            .copied()
+            .collect();
+        for id in unknown.iter().filter(|id| self.unknown.contains(id)) {
+            self.out
+                .push(Action::Engine(EngineCommand::Cancel { id: *id }));
+        }
+        self.unknown = unknown;
+        for item in &mut self.items {
+            let is_missing = item.in_engine() && !listed.contains(&item.ask.id);
+            item.misses = if is_missing { item.misses + 1 } else { 0 };
+        }
+        self.remove_where(now, AgentFailure::EngineFailed, |i| i.misses >= 2);
+    }
+}
