Test the agent context and fair share of idle customers

The case tables now cover idle customers, the checks against lists and inventory, permits, the end of calls and drain. The random test also checks that each message is answered exactly once.

--- a/crates/admission/tests/admission.rs
+++ b/crates/admission/tests/admission.rs
@@ -3,14 +3,11 @@
 mod support;
 
 use cuminlead_admission::{Admission, AdmissionAction as Action, CallRef, StreamNote, StreamRef};
-use cuminlead_protocol::{
-    AgentFailure, DecodeControl, EngineCommand, EngineEvent, EngineInventory, RefusalReason,
-    ReplyBody,
-};
-use cuminlead_types::{AttemptId, DurationUs, KvPieces, Sequence};
+use cuminlead_protocol::{AgentFailure, DecodeControl, EngineCommand, RefusalReason, ReplyBody};
+use cuminlead_types::{DurationUs, Sequence};
 use support::{
-    config, decoding, envelope, generated, id, ms, prefill, prefill_done, reserve, resume, start,
-    terms,
+    config, decoding, envelope, generated, id, inventory, ms, prefill, prefill_done, reserve,
+    resume, start, terms,
 };
 use yare::parameterized;
 
@@ -55,51 +52,59 @@
     StreamNote::Failed(failure)
 }
 
-fn inventory(sequences: &[AttemptId], total_pieces: u32) -> EngineEvent {
-    EngineEvent::Inventory(EngineInventory {
-        sequences: sequences.to_vec(),
-        total_pieces: KvPieces(total_pieces),
-        ..EngineInventory::default()
-    })
-}
-
 /// Guards against a queue whose order differs from the four criteria of the design.
 #[parameterized(
-    late_requests_come_last = { &[waiter("a", 9, 1, 500), waiter("b", 1, 1, 9_000)], &[1, 0] },
-    priority_comes_before_arrival = { &[waiter("a", 1, 1, 9_000), waiter("b", 2, 1, 9_000)], &[1, 0] },
-    arrival_decides_between_equals = { &[waiter("a", 1, 1, 9_000), waiter("b", 1, 1, 9_000)], &[0, 1] },
+    late_requests_come_last = { 0, &[waiter("a", 9, 1, 500), waiter("b", 1, 1, 9_000)], &[1, 0] },
+    priority_comes_before_arrival = {
+        0, &[waiter("a", 1, 1, 9_000), waiter("b", 2, 1, 9_000)], &[1, 0]
+    },
+    arrival_decides_between_equals = {
+        0, &[waiter("a", 1, 1, 9_000), waiter("b", 1, 1, 9_000)], &[0, 1]
+    },
     one_customer_does_not_take_all = {
-        &[waiter("a", 1, 1, 9_000), waiter("a", 1, 1, 9_000), waiter("b", 1, 1, 9_000)], &[0, 2, 1]
+        0, &[waiter("a", 1, 1, 9_000), waiter("a", 1, 1, 9_000), waiter("b", 1, 1, 9_000)],
+        &[0, 2, 1]
     },
     weight_gives_a_larger_share = {
+        0,
         &[
             waiter("a", 1, 1, 9_000), waiter("a", 1, 1, 9_000),
             waiter("b", 1, 2, 9_000), waiter("b", 1, 2, 9_000), waiter("b", 1, 2, 9_000),
         ],
         &[0, 2, 3, 1, 4]
     },
+    idling_earns_no_credit = {
+        3, &[waiter("b", 1, 1, 9_000), waiter("a", 1, 1, 9_000), waiter("b", 1, 1, 9_000)],
+        &[0, 1, 2]
+    },
 )]
-fn serves_in_order(waiters: &[Waiter], expected: &[u64]) {
+fn serves_in_order(served_before: u64, waiters: &[Waiter], expected: &[u64]) {
     let mut config = config();
     config.queue_max_count = 10;
     let mut admission = Admission::new(config);
     let mut actions = Vec::new();
-    let mut blocker = reserve(99, 6);
-    blocker.envelope = envelope(99, "blocker");
-    admission.reserve(ms(0), CallRef(99), &blocker, terms(1), &mut actions);
-    for (index, waiter) in (0_u8..).zip(waiters) {
-        let mut message = reserve(u128::from(index), 6);
-        message.envelope = envelope(u128::from(index), waiter.customer);
+    let mut ask = |admission: &mut Admission, number: u64, waiter: Waiter| {
+        let mut message = reserve(u128::from(number), 6);
+        message.envelope = envelope(u128::from(number), waiter.customer);
         message.due_us = DurationUs::from_ms(waiter.due_ms);
         let mut terms = terms(waiter.priority);
         terms.weight = waiter.weight;
-        let call = CallRef(u64::from(index));
-        admission.reserve(ms(0), call, &message, terms, &mut actions);
+        admission.reserve(ms(0), CallRef(number), &message, terms, &mut actions);
+    };
+    for number in 200..200 + served_before {
+        ask(&mut admission, number, waiter("a", 1, 1, 9_000));
+        let message = support::release(u128::from(number));
+        admission.release(ms(0), CallRef(1_000), &message, &mut Vec::new());
+    }
+    let holder = waiter("holder", 1, u32::MAX, 9_000);
+    ask(&mut admission, 99, holder);
+    for (number, waiter) in (0_u64..).zip(waiters) {
+        ask(&mut admission, number, *waiter);
     }
     let mut order = Vec::new();
     let mut holder = 99;
     for _ in waiters {
-        actions.clear();
+        let mut actions = Vec::new();
         let message = support::release(holder);
         admission.release(ms(1_000), CallRef(1_000), &message, &mut actions);
         let granted = actions.iter().find_map(|action| match action {
--- a/crates/admission/tests/differential.rs
+++ b/crates/admission/tests/differential.rs
@@ -8,14 +8,14 @@
     Admission, AdmissionAction as Action, CallRef, StreamNote, StreamRef, Terms,
 };
 use cuminlead_protocol::{
-    AgentFailure, DecodeControl, DecodeMode, EngineCommand, EngineEvent, EngineInventory, Prefill,
+    AgentFailure, DecodeControl, DecodeMode, DecodeOpen, EngineCommand, EngineEvent, Prefill,
     ReplyBody, Reserve,
 };
 use cuminlead_types::{AttemptId, DurationUs, KV_PIECE_TOKENS, Priority, Sequence, TimeUs, Tokens};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, RngSeed, TestRunner};
 use support::naive::{Ask, Naive};
-use support::{config, envelope, generated, id, ms, prefill_done};
+use support::{config, envelope, generated, id, inventory, ms, prefill_done, resume, start};
 
 /// Step of the naive version; all times in the events are multiples of it.
 const STEP_US: DurationUs = DurationUs(250_000);
@@ -30,34 +30,10 @@
     Ask(Ask),
     Release(u128),
     DropCall(u64),
-    Start {
-        number: u128,
-        kv: u8,
-    },
-    Resume {
-        number: u128,
-        next: u64,
-    },
-    Acknowledge {
-        stream: u64,
-        next: u64,
-    },
-    Cancel(u64),
+    Open(DecodeOpen),
+    Control(u64, DecodeControl),
     Close(u64),
-    PrefillDone(u128),
-    Imported(u128),
-    ImportFailed(u128),
-    Generated {
-        number: u128,
-        first: u64,
-        is_last: bool,
-    },
-    StreamLost(u128),
-    Failed(u128),
-    Inventory {
-        mask: u8,
-    },
-    Unreachable,
+    Engine(EngineEvent),
     Drain,
 }
 
@@ -84,29 +60,41 @@
     })
 }
 
+fn number() -> impl Strategy<Value = u128> {
+    0..6_u128
+}
+
+fn engine_event() -> impl Strategy<Value = EngineEvent> {
+    let token = (number(), 0..4_u64, prop::bool::weighted(0.2));
+    let listed = prop::sample::subsequence((0..8_u128).collect::<Vec<_>>(), 0..=8);
+    prop_oneof![
+        6 => number().prop_map(prefill_done),
+        8 => number().prop_map(|number| EngineEvent::Imported { id: id(number) }),
+        5 => number().prop_map(|number| EngineEvent::ImportFailed { id: id(number) }),
+        16 => token.prop_map(|(number, first, is_last)| generated(number, first, is_last)),
+        1 => number().prop_map(|number| EngineEvent::StreamLost { id: id(number) }),
+        1 => number().prop_map(|number| EngineEvent::SequenceFailed { id: id(number) }),
+        4 => listed.prop_map(|listed| inventory(&listed, 0)),
+        1 => Just(EngineEvent::Unreachable),
+    ]
+}
+
 fn op() -> impl Strategy<Value = Op> {
-    let number = || 0..6_u128;
+    let acknowledge =
+        |(stream, next)| Op::Control(stream, DecodeControl::Acknowledge(Sequence(next)));
     prop_oneof![
-        12 => (1..6_u64).prop_map(Op::Wait),
-        1 => (20..130_u64).prop_map(Op::Wait),
-        20 => ask().prop_map(Op::Ask),
-        3 => number().prop_map(Op::Release),
-        2 => (0..4_u64).prop_map(Op::DropCall),
-        10 => (number(), 1..3_u8).prop_map(|(number, kv)| Op::Start { number, kv }),
-        4 => (number(), 0..5_u64).prop_map(|(number, next)| Op::Resume { number, next }),
-        8 => (0..3_u64, 0..5_u64).prop_map(|(stream, next)| Op::Acknowledge { stream, next }),
-        1 => (0..3_u64).prop_map(Op::Cancel),
-        2 => (0..3_u64).prop_map(Op::Close),
-        6 => number().prop_map(Op::PrefillDone),
-        8 => number().prop_map(Op::Imported),
-        5 => number().prop_map(Op::ImportFailed),
-        16 => (number(), 0..4_u64, prop::bool::weighted(0.2))
-            .prop_map(|(number, first, is_last)| Op::Generated { number, first, is_last }),
-        1 => number().prop_map(Op::StreamLost),
-        1 => number().prop_map(Op::Failed),
-        4 => any::<u8>().prop_map(|mask| Op::Inventory { mask }),
-        1 => Just(Op::Unreachable),
-        1 => prop::bool::weighted(0.1).prop_map(|is| if is { Op::Drain } else { Op::Wait(1) }),
+        24 => (1..6_u64).prop_map(Op::Wait),
+        2 => (20..130_u64).prop_map(Op::Wait),
+        40 => ask().prop_map(Op::Ask),
+        6 => number().prop_map(Op::Release),
+        4 => (0..4_u64).prop_map(Op::DropCall),
+        20 => (number(), 1..3_u8).prop_map(|(number, kv)| Op::Open(start(number, kv, 0))),
+        8 => (number(), 0..5_u64).prop_map(|(number, next)| Op::Open(resume(number, next))),
+        16 => (0..3_u64, 0..5_u64).prop_map(acknowledge),
+        2 => (0..3_u64).prop_map(|stream| Op::Control(stream, DecodeControl::Cancel)),
+        4 => (0..3_u64).prop_map(Op::Close),
+        84 => engine_event().prop_map(Op::Engine),
+        1 => prop::bool::weighted(0.2).prop_map(|is| if is { Op::Drain } else { Op::Wait(1) }),
     ]
 }
 
@@ -184,16 +172,16 @@
             }
             Op::DropCall(back) => {
                 let call = CallRef(self.calls.saturating_sub(back));
+                self.asked.remove(&call);
                 self.real.call_dropped(now, call, &mut actions);
                 self.naive.call_dropped(now, call);
             }
-            Op::Start { number, kv } => self.open(support::start(number, kv, 0), &mut actions),
-            Op::Resume { number, next } => self.open(support::resume(number, next), &mut actions),
-            Op::Acknowledge { stream, next } => {
-                let control = DecodeControl::Acknowledge(Sequence(next));
-                self.control(stream, control, &mut actions);
+            Op::Open(open) => self.open(open, &mut actions),
+            Op::Control(back, control) => {
+                let stream = StreamRef(self.streams.saturating_sub(back));
+                self.real.stream_control(now, stream, control, &mut actions);
+                self.naive.control(now, stream, control);
             }
-            Op::Cancel(stream) => self.control(stream, DecodeControl::Cancel, &mut actions),
             Op::Close(back) => {
                 let stream = StreamRef(self.streams.saturating_sub(back));
                 self.real.stream_closed(now, stream, &mut actions);
@@ -203,8 +191,7 @@
                 self.real.drain(now, &mut actions);
                 self.naive.drain(now);
             }
-            engine => {
-                let event = engine_event(&engine);
+            Op::Engine(event) => {
                 self.naive.engine(now, &event);
                 self.engine_forgets(&event);
                 self.real.engine_event(now, event, &mut actions);
@@ -252,7 +239,7 @@
         }
     }
 
-    fn open(&mut self, open: cuminlead_protocol::DecodeOpen, actions: &mut Vec<Action>) {
+    fn open(&mut self, open: DecodeOpen, actions: &mut Vec<Action>) {
         self.streams += 1;
         let stream = StreamRef(self.streams);
         let resumed_at = match &open.mode {
@@ -268,12 +255,6 @@
         self.real.stream_opened(self.now, stream, open, actions);
     }
 
-    fn control(&mut self, back: u64, control: DecodeControl, actions: &mut Vec<Action>) {
-        let stream = StreamRef(self.streams.saturating_sub(back));
-        self.real.stream_control(self.now, stream, control, actions);
-        self.naive.control(self.now, stream, control);
-    }
-
     fn engine_forgets(&mut self, event: &EngineEvent) {
         match event {
             EngineEvent::Generated {
@@ -303,12 +284,10 @@
         assert!(used.slots <= total.slots && used.pieces <= total.pieces);
         for action in actions {
             match action {
-                Action::Reply {
-                    call,
-                    body: ReplyBody::Failed(AgentFailure::Refused(_)),
-                } => {
-                    let attempt = self.asked[call];
-                    if !self.real.has_attempt(attempt) {
+                Action::Reply { call, body } => {
+                    let attempt = self.asked.remove(call).expect("answered once");
+                    let is_refused = matches!(body, ReplyBody::Failed(AgentFailure::Refused(_)));
+                    if is_refused && !self.real.has_attempt(attempt) {
                         self.accepted.remove(&attempt);
                     }
                 }
@@ -355,29 +334,7 @@
             "the engine still holds a sequence"
         );
         assert_eq!(self.real.next_deadline(), None);
-    }
-}
-
-fn engine_event(op: &Op) -> EngineEvent {
-    match *op {
-        Op::PrefillDone(number) => prefill_done(number),
-        Op::Imported(number) => EngineEvent::Imported { id: id(number) },
-        Op::ImportFailed(number) => EngineEvent::ImportFailed { id: id(number) },
-        Op::Generated {
-            number,
-            first,
-            is_last,
-        } => generated(number, first, is_last),
-        Op::StreamLost(number) => EngineEvent::StreamLost { id: id(number) },
-        Op::Failed(number) => EngineEvent::SequenceFailed { id: id(number) },
-        Op::Inventory { mask } => EngineEvent::Inventory(EngineInventory {
-            sequences: (0..8)
-                .filter(|bit| mask & (1 << bit) != 0)
-                .map(|bit| id(bit as u128))
-                .collect(),
-            ..EngineInventory::default()
-        }),
-        _ => EngineEvent::Unreachable,
+        assert!(self.asked.is_empty(), "a message was never answered");
     }
 }
 
@@ -404,7 +361,8 @@
 
 /// Guards against a decision of admission that differs from the naive version (a wrong order in
 /// the queue, a deadline that is missed or too early), capacity over the limit, memory held for an
-/// entry that is gone, a refused attempt that reaches the engine, and gaps or repeats of chunks.
+/// entry that is gone, a refused attempt that reaches the engine, gaps or repeats of chunks, and
+/// messages that are answered twice or never.
 #[test]
 fn decides_like_the_naive_version() {
     let mut runner = TestRunner::new(Config {
--- a/crates/admission/tests/support/mod.rs
+++ b/crates/admission/tests/support/mod.rs
@@ -5,8 +5,8 @@
 
 use cuminlead_admission::{Admission, AdmissionAction, AdmissionConfig, CallRef, Terms};
 use cuminlead_protocol::{
-    DecodeMode, DecodeOpen, DecodeResume, DecodeStart, EngineEvent, Envelope, FinishReason,
-    KvHandle, Prefill, Release, Reserve,
+    DecodeMode, DecodeOpen, DecodeResume, DecodeStart, EngineEvent, EngineInventory, Envelope,
+    FinishReason, KvHandle, Prefill, Release, Reserve,
 };
 use cuminlead_types::{
     Attempt, AttemptId, DurationUs, Incarnation, KvPieces, Priority, RequestId, Sequence, Slots,
@@ -135,6 +135,14 @@
     }
 }
 
+pub(crate) fn inventory(listed: &[u128], total_pieces: u32) -> EngineEvent {
+    EngineEvent::Inventory(EngineInventory {
+        sequences: listed.iter().map(|number| id(*number)).collect(),
+        total_pieces: KvPieces(total_pieces),
+        ..EngineInventory::default()
+    })
+}
+
 /// Reserves, starts and imports one attempt on stream 1.
 pub(crate) fn decoding(admission: &mut Admission, number: u128) -> Vec<AdmissionAction> {
     let mut actions = Vec::new();
--- /dev/null
+++ b/crates/agent-core/tests/application.rs
@@ -0,0 +1,160 @@
+//! The path of application calls through an agent.
+
+mod support;
+
+use std::sync::Arc;
+
+use cuminlead_agent_core::{AgentAction, AgentEvent, AgentRecord, CallRef};
+use cuminlead_protocol::{
+    AgentFailure, AgentRequest, AskPermit, HttpResponse, PermitOutcome, RefusalReason, ReplyBody,
+    RunRef, ServiceCommand, ServiceEvent,
+};
+use cuminlead_types::PermitId;
+use support::{Agent, envelope, issue, lists, refused, replies, run};
+use yare::parameterized;
+
+fn permit(agent: &mut Agent, ms: u64) -> PermitId {
+    match agent.ask(ms, issue(1, "kiosks")).body {
+        ReplyBody::PermitIssued(issued) => issued.permit,
+        body => panic!("no permit: {body:?}"),
+    }
+}
+
+fn ask(permit: PermitId) -> AgentRequest {
+    AgentRequest::AskPermit(AskPermit {
+        envelope: envelope(1, "kiosks"),
+        permit,
+    })
+}
+
+fn forwarded(actions: &[AgentAction]) -> Vec<ServiceCommand> {
+    let commands = actions.iter().filter_map(|action| match action {
+        AgentAction::Service(command) => Some(command.clone()),
+        _ => None,
+    });
+    commands.collect()
+}
+
+fn answer() -> HttpResponse {
+    HttpResponse {
+        status: 200,
+        ..HttpResponse::default()
+    }
+}
+
+/// Guards against a non-idempotent call that runs without a permit, and against calls that the
+/// agent's own lists do not permit.
+#[parameterized(
+    idempotent = { "counter-1", run(1, None, "GET"), None },
+    without_permit = { "counter-1", run(1, None, "POST"), Some(RefusalReason::PermitMissing) },
+    permit_of_another_incarnation = {
+        "counter-1", run(1, Some(PermitId::default()), "POST"), Some(RefusalReason::PermitInvalid)
+    },
+    server_outside_plan = { "counter-2", run(1, None, "GET"), Some(RefusalReason::OutsidePlan) },
+    permit_outside_plan = { "counter-2", issue(1, "kiosks"), Some(RefusalReason::OutsidePlan) },
+    permit_for_unknown_customer = { "counter-1", issue(1, "nobody"), Some(RefusalReason::OutsidePlan) },
+)]
+fn checks_the_call(server: &str, request: AgentRequest, expected: Option<RefusalReason>) {
+    let mut agent = Agent::of_service(server);
+    let actions = agent.send(1, request);
+    let bodies: Vec<ReplyBody> = replies(&actions).into_iter().map(|r| r.body).collect();
+    let expected_bodies: Vec<ReplyBody> = expected.map(refused).into_iter().collect();
+    assert_eq!(bodies, expected_bodies);
+    assert_eq!(forwarded(&actions).is_empty(), expected.is_some());
+}
+
+/// Guards against an answer that says "not run" for a call that may have run, or the reverse.
+#[parameterized(
+    answered = { true, |run| ServiceEvent::Answered { run, http: answer() }, ReplyBody::CallDone(answer()) },
+    not_sent = { true, |run| ServiceEvent::NotSent { run }, ReplyBody::PermitOutcome(PermitOutcome::Voided) },
+    lost = { true, |run| ServiceEvent::Lost { run }, ReplyBody::Failed(AgentFailure::OutcomeUnknown) },
+    idempotent_answered = { false, |run| ServiceEvent::Answered { run, http: answer() }, ReplyBody::CallDone(answer()) },
+    idempotent_lost = { false, |run| ServiceEvent::Lost { run }, ReplyBody::Failed(AgentFailure::ServiceFailed) },
+)]
+fn reports_the_end_of_a_call(
+    has_permit: bool,
+    event: fn(RunRef) -> ServiceEvent,
+    expected: ReplyBody,
+) {
+    let mut agent = Agent::of_service("counter-1");
+    let used = has_permit.then(|| permit(&mut agent, 1));
+    let method = if has_permit { "POST" } else { "GET" };
+    let actions = agent.send(2, run(1, used, method));
+    let command = forwarded(&actions).pop().expect("the call is forwarded");
+    let actions = agent.handle(3, AgentEvent::Service(event(command.run)));
+    let bodies: Vec<ReplyBody> = replies(&actions).into_iter().map(|r| r.body).collect();
+    assert_eq!(bodies, [expected]);
+    let again = agent.handle(4, AgentEvent::Service(event(command.run)));
+    assert!(replies(&again).is_empty(), "a call is answered once");
+}
+
+/// Guards against a call that runs after its permit was reported as voided, and against one that
+/// runs twice under one permit.
+#[test]
+fn permit_starts_one_call_at_most() {
+    let mut agent = Agent::of_service("counter-1");
+    let voided = permit(&mut agent, 1);
+    let actions = agent.send(2, ask(voided));
+    let record = AgentRecord::PermitVoided { permit: voided };
+    assert!(actions.contains(&AgentAction::Record(record)));
+    let invalid = refused(RefusalReason::PermitInvalid);
+    assert_eq!(agent.ask(3, run(1, Some(voided), "POST")).body, invalid);
+    let used = permit(&mut agent, 4);
+    assert_eq!(
+        forwarded(&agent.send(5, run(1, Some(used), "POST"))).len(),
+        1
+    );
+    assert_eq!(agent.ask(6, run(1, Some(used), "POST")).body, invalid);
+    let running = ReplyBody::PermitOutcome(PermitOutcome::Running);
+    assert_eq!(agent.ask(7, ask(used)).body, running);
+}
+
+/// Guards against a permit that is used after its time, when the tick came late.
+#[test]
+fn late_tick_does_not_prolong_a_permit() {
+    let mut agent = Agent::of_service("counter-1");
+    let late = permit(&mut agent, 0);
+    let body = agent.ask(2_000, run(1, Some(late), "POST")).body;
+    assert_eq!(body, refused(RefusalReason::PermitInvalid));
+}
+
+/// Guards against a service agent that waits for an engine's inventory, and against work before
+/// its lists are known.
+#[test]
+fn service_agent_needs_only_lists() {
+    let mut agent = Agent::starting("counter-1");
+    let starting = refused(RefusalReason::Starting);
+    assert_eq!(agent.ask(0, run(1, None, "GET")).body, starting);
+    assert_eq!(agent.ask(0, issue(1, "kiosks")).body, starting);
+    agent.handle(1, AgentEvent::Lists(Arc::new(lists(5))));
+    assert_eq!(forwarded(&agent.send(2, run(1, None, "GET"))).len(), 1);
+    assert_eq!(agent.context.next_deadline(), None);
+}
+
+/// Guards against a drain that ends while a permit can still start a call or a call still runs.
+#[test]
+fn drain_waits_for_permits_and_calls() {
+    let mut agent = Agent::of_service("counter-1");
+    let used = permit(&mut agent, 1);
+    assert!(
+        !agent
+            .handle(2, AgentEvent::Drain)
+            .contains(&AgentAction::Drained)
+    );
+    assert_eq!(
+        agent.ask(3, issue(2, "kiosks")).body,
+        refused(RefusalReason::Draining)
+    );
+    let actions = agent.send(4, run(1, Some(used), "POST"));
+    let command = forwarded(&actions)
+        .pop()
+        .expect("a held permit is honoured");
+    // The caller is gone; the call still counts until the service has answered.
+    agent.handle(5, AgentEvent::CallDropped { call: CallRef(3) });
+    let answered = ServiceEvent::Answered {
+        run: command.run,
+        http: answer(),
+    };
+    let actions = agent.handle(6, AgentEvent::Service(answered));
+    assert_eq!(actions, [AgentAction::Drained]);
+}
--- /dev/null
+++ b/crates/agent-core/tests/model.rs
@@ -0,0 +1,180 @@
+//! The path of model calls through an agent.
+
+mod support;
+
+use std::sync::Arc;
+
+use cuminlead_agent_core::{AgentAction, AgentEvent, StreamRef};
+use cuminlead_protocol::{
+    AgentRequest, DecodeControl, DecodeEvent, DecodeMode, DecodeOpen, DecodeStart, EngineCommand,
+    EngineEvent, EngineRole, FinishReason, GetState, RefusalReason, Release, ReplyBody,
+};
+use cuminlead_types::{Sequence, TimeUs, Tokens};
+use support::{Agent, envelope, inventory, lists, prefill, refused, replies, reserve};
+use yare::parameterized;
+
+/// Guards against new work that the agent's own lists or engine do not permit.
+#[parameterized(
+    inside_plan = { "decode-1", reserve(1, "kiosks", "notes"), None },
+    prefill_at_a_prefill_engine = { "prefill-1", prefill(1, "kiosks", "notes"), None },
+    unknown_customer = { "decode-1", reserve(1, "nobody", "notes"), Some(RefusalReason::OutsidePlan) },
+    model_of_another_plan = { "decode-1", reserve(1, "kiosks", "other"), Some(RefusalReason::OutsidePlan) },
+    server_outside_plan = { "decode-2", reserve(1, "kiosks", "notes"), Some(RefusalReason::OutsidePlan) },
+    decode_at_a_prefill_engine = { "prefill-1", reserve(1, "kiosks", "notes"), Some(RefusalReason::NotServed) },
+    prefill_at_a_decode_engine = { "decode-1", prefill(1, "kiosks", "notes"), Some(RefusalReason::NotServed) },
+    model_outside_duty = { "decode-1", reserve(1, "kiosks", "unwanted"), Some(RefusalReason::NotServed) },
+    server_outside_lists = { "decode-9", reserve(1, "kiosks", "notes"), Some(RefusalReason::OutsidePlan) },
+    model_call_at_a_service = { "counter-1", reserve(1, "kiosks", "notes"), Some(RefusalReason::OutsidePlan) },
+)]
+fn checks_the_plan(server: &str, request: AgentRequest, expected: Option<RefusalReason>) {
+    let role = match server {
+        "prefill-1" => EngineRole::Prefill,
+        _ => EngineRole::Decode,
+    };
+    let mut agent = Agent::of_engine(server, role);
+    let actions = agent.send(1, request);
+    let bodies: Vec<ReplyBody> = replies(&actions).into_iter().map(|r| r.body).collect();
+    match expected {
+        Some(reason) => assert_eq!(bodies, [refused(reason)]),
+        None => assert!(
+            !bodies
+                .iter()
+                .any(|body| matches!(body, ReplyBody::Failed(_)))
+        ),
+    }
+    let command = |action: &AgentAction| matches!(action, AgentAction::Engine(_));
+    assert!(expected.is_none() || !actions.iter().any(command));
+}
+
+/// Guards against work that is accepted before lists and inventory are known, and against an
+/// engine that is trusted after it stopped answering.
+#[test]
+fn refuses_until_lists_and_inventory_are_known() {
+    let mut agent = Agent::starting("decode-1");
+    let starting = refused(RefusalReason::Starting);
+    assert_eq!(agent.ask(0, reserve(1, "kiosks", "notes")).body, starting);
+    let actions = agent.handle(1, AgentEvent::Lists(Arc::new(lists(5))));
+    assert!(actions.contains(&AgentAction::Engine(EngineCommand::ReadInventory)));
+    assert_eq!(agent.ask(2, reserve(1, "kiosks", "notes")).body, starting);
+    agent.handle(3, inventory(EngineRole::Decode));
+    let body = agent.ask(4, reserve(1, "kiosks", "notes")).body;
+    assert!(matches!(body, ReplyBody::Reserved(_)));
+    agent.handle(5, AgentEvent::Engine(EngineEvent::Unreachable));
+    assert_eq!(agent.ask(6, reserve(2, "kiosks", "notes")).body, starting);
+}
+
+/// Guards against an engine role that the lists want but the engine has not yet taken.
+#[test]
+fn engine_in_another_role_is_not_used() {
+    let mut agent = Agent::of_engine("decode-1", EngineRole::Prefill);
+    let body = agent.ask(1, reserve(1, "kiosks", "notes")).body;
+    assert_eq!(body, refused(RefusalReason::NotServed));
+}
+
+/// Guards against lists that revert to an earlier revision.
+#[test]
+fn older_lists_are_ignored() {
+    let mut agent = Agent::of_engine("decode-1", EngineRole::Decode);
+    agent.handle(1, AgentEvent::Lists(Arc::new(lists(4))));
+    let state = agent
+        .ask(2, AgentRequest::GetState(GetState::default()))
+        .state;
+    assert_eq!(state.lists_revision.0, 5);
+}
+
+/// Guards against replies whose state is older than the decision that they report.
+#[test]
+fn reply_carries_the_state_after_the_decision() {
+    let mut agent = Agent::of_engine("decode-1", EngineRole::Decode);
+    let reply = agent.ask(1, reserve(1, "kiosks", "notes"));
+    assert_eq!(reply.state.load.free_slots.0, 19);
+    assert_eq!(reply.state.load.free_pieces.0, 99);
+    assert_eq!(reply.state.load.running_count, 1);
+}
+
+/// Guards against an inventory that is read late, too often or never again.
+#[test]
+fn inventory_is_read_at_its_interval() {
+    let mut agent = Agent::of_engine("decode-1", EngineRole::Decode);
+    let mut read_at = Vec::new();
+    for _ in 0..3 {
+        let deadline = agent.context.next_deadline().expect("the next reading");
+        let actions = agent.handle(deadline.0 / 1_000, AgentEvent::Tick);
+        assert_eq!(actions, [AgentAction::Engine(EngineCommand::ReadInventory)]);
+        read_at.push(deadline);
+    }
+    assert_eq!(read_at, [2_000_000, 4_000_000, 6_000_000].map(TimeUs));
+}
+
+fn decode_start(number: u128) -> AgentEvent {
+    AgentEvent::StreamOpened {
+        stream: StreamRef(1),
+        open: DecodeOpen {
+            envelope: envelope(number, "kiosks"),
+            mode: DecodeMode::Start(DecodeStart {
+                output_max_tokens: Tokens(10),
+                ..DecodeStart::default()
+            }),
+        },
+    }
+}
+
+/// Guards against a drain that takes new work, cuts off a request in flight, or reports its end
+/// early, never or twice.
+#[test]
+fn drain_finishes_what_is_held() {
+    let mut agent = Agent::of_engine("decode-1", EngineRole::Decode);
+    agent.send(1, reserve(1, "kiosks", "notes"));
+    let actions = agent.handle(2, AgentEvent::Drain);
+    assert!(!actions.contains(&AgentAction::Drained));
+    let reply = agent.ask(3, reserve(2, "kiosks", "notes"));
+    assert_eq!(reply.body, refused(RefusalReason::Draining));
+    assert!(reply.state.draining);
+    agent.handle(4, decode_start(1));
+    let id = envelope(1, "kiosks").id;
+    agent.handle(5, AgentEvent::Engine(EngineEvent::Imported { id }));
+    let last = EngineEvent::Generated {
+        id,
+        first_token: 0,
+        text: "answer".to_string(),
+        tokens: Tokens(1),
+        finish: Some(FinishReason::Stop),
+    };
+    let actions = agent.handle(6, AgentEvent::Engine(last));
+    let chunk = |action: &AgentAction| {
+        matches!(
+            action,
+            AgentAction::Send {
+                event: DecodeEvent::Chunk(_),
+                ..
+            }
+        )
+    };
+    assert!(actions.iter().any(chunk));
+    assert!(!actions.contains(&AgentAction::Drained));
+    let control = DecodeControl::Acknowledge(Sequence(1));
+    let stream = StreamRef(1);
+    let actions = agent.handle(7, AgentEvent::StreamControl { stream, control });
+    assert_eq!(actions.last(), Some(&AgentAction::Drained));
+    let again = agent.handle(8, AgentEvent::Drain);
+    assert!(!again.contains(&AgentAction::Drained));
+}
+
+/// Guards against a repeat that is refused because the plan changed after its attempt began.
+#[test]
+fn repeat_is_answered_after_the_plan_ended() {
+    let mut agent = Agent::of_engine("decode-1", EngineRole::Decode);
+    agent.send(1, reserve(1, "kiosks", "notes"));
+    let mut changed = lists(6);
+    changed.allowances.clear();
+    agent.handle(2, AgentEvent::Lists(Arc::new(changed)));
+    let body = agent.ask(3, reserve(1, "kiosks", "notes")).body;
+    assert!(matches!(body, ReplyBody::Reserved(_)));
+    let body = agent.ask(4, reserve(2, "kiosks", "notes")).body;
+    assert_eq!(body, refused(RefusalReason::OutsidePlan));
+    let message = Release {
+        envelope: envelope(1, "kiosks"),
+    };
+    let body = agent.ask(5, AgentRequest::Release(message)).body;
+    assert_eq!(body, ReplyBody::Released);
+}
--- /dev/null
+++ b/crates/agent-core/tests/support/mod.rs
@@ -0,0 +1,248 @@
+//! An agent with its lists, for the tests.
+#![allow(dead_code)]
+
+use std::sync::Arc;
+
+use cuminlead_agent_core::{AgentAction, AgentConfig, AgentContext, AgentEvent, CallRef};
+use cuminlead_lists::{
+    Allowance, Customer, EngineDuty, Lists, ModelAllowance, ModelVersion, Plan, Server, ServerDuty,
+    ServiceAllowance, ServiceRoute, WantedRole,
+};
+use cuminlead_protocol::{
+    AgentReply, AgentRequest, EngineEvent, EngineInventory, EngineRole, Envelope, HttpRequest,
+    IssuePermit, LoadedModel, ModelTarget, Prefill, RefusalReason, ReplyBody, Reserve, RunCall,
+};
+use cuminlead_types::{
+    Attempt, AttemptId, DurationUs, Incarnation, KvPieces, Now, PermitId, Priority, RequestId,
+    Revision, TimeUs, Tokens, UnixMs,
+};
+
+pub(crate) const START_UNIX_MS: u64 = 1_700_000_000_000;
+
+/// Parses a name.
+pub(crate) fn name<T: std::str::FromStr>(text: &str) -> T {
+    let parsed = text.parse();
+    parsed.unwrap_or_else(|_| panic!("{text} is not valid"))
+}
+
+pub(crate) fn at(ms: u64) -> Now {
+    Now {
+        mono_us: TimeUs(ms * 1_000),
+        unix_ms: UnixMs(START_UNIX_MS + ms),
+    }
+}
+
+/// Lists with a prefill engine, a decode engine and a service; `other` is outside the plan.
+pub(crate) fn lists(revision: u64) -> Lists {
+    let plan = Plan {
+        name: name("standard"),
+        weight: 1,
+        ..Plan::default()
+    };
+    let customer = Customer {
+        id: name("kiosks"),
+        plan: plan.name.clone(),
+        ..Customer::default()
+    };
+    let servers = [
+        engine("prefill-1", WantedRole::Prefill),
+        engine("decode-1", WantedRole::Decode),
+        engine("decode-2", WantedRole::Decode),
+        service("counter-1"),
+        service("counter-2"),
+    ];
+    let allowance = Allowance {
+        models: vec![allowed("notes"), allowed("unwanted")],
+        services: vec![ServiceAllowance {
+            service: name("counter"),
+            servers: vec![name("counter-1")],
+        }],
+    };
+    let other = Allowance {
+        models: vec![allowed("other")],
+        ..Allowance::default()
+    };
+    Lists {
+        revision: Revision(revision),
+        customers: [(customer.id.clone(), customer)].into(),
+        allowances: [(plan.name.clone(), allowance), (name("premium"), other)].into(),
+        plans: [(plan.name.clone(), plan)].into(),
+        servers: servers.map(|server| (server.id.clone(), server)).into(),
+        routes: vec![ServiceRoute {
+            service: name("counter"),
+            method: "GET".to_string(),
+            path_prefix: "/stock".to_string(),
+            idempotent: true,
+        }],
+    }
+}
+
+fn engine(id: &str, role: WantedRole) -> Server {
+    let version = |model| ModelVersion {
+        model: name(model),
+        version: name("v1"),
+    };
+    Server {
+        id: name(id),
+        duty: ServerDuty::Engine(EngineDuty {
+            role,
+            models: vec![version("notes"), version("other"), version("unloaded")],
+            ..EngineDuty::default()
+        }),
+    }
+}
+
+fn service(id: &str) -> Server {
+    Server {
+        id: name(id),
+        duty: ServerDuty::Service(name("counter")),
+    }
+}
+
+fn allowed(model: &str) -> ModelAllowance {
+    ModelAllowance {
+        model: name(model),
+        version: name("v1"),
+        priority: Priority(3),
+        servers: vec![name("prefill-1"), name("decode-1")],
+        ..ModelAllowance::default()
+    }
+}
+
+pub(crate) fn inventory(role: EngineRole) -> AgentEvent {
+    let loaded = |model| LoadedModel {
+        model: name(model),
+        version: name("v1"),
+    };
+    AgentEvent::Engine(EngineEvent::Inventory(EngineInventory {
+        total_pieces: KvPieces(100),
+        role,
+        models: vec![loaded("notes"), loaded("other"), loaded("unwanted")],
+        ..EngineInventory::default()
+    }))
+}
+
+/// An agent and the time of its last event.
+pub(crate) struct Agent {
+    pub(crate) context: AgentContext,
+    calls: u64,
+}
+
+impl Agent {
+    /// Agent without lists.
+    pub(crate) fn starting(server: &str) -> Self {
+        let config = AgentConfig::new(name(server), Incarnation(START_UNIX_MS));
+        Self {
+            context: AgentContext::new(config),
+            calls: 0,
+        }
+    }
+
+    /// Agent of an engine that has lists and inventory.
+    pub(crate) fn of_engine(server: &str, role: EngineRole) -> Self {
+        let mut agent = Self::starting(server);
+        agent.handle(0, AgentEvent::Lists(Arc::new(lists(5))));
+        agent.handle(0, inventory(role));
+        agent
+    }
+
+    /// Agent of a service that has lists.
+    pub(crate) fn of_service(server: &str) -> Self {
+        let mut agent = Self::starting(server);
+        agent.handle(0, AgentEvent::Lists(Arc::new(lists(5))));
+        agent
+    }
+
+    pub(crate) fn handle(&mut self, ms: u64, event: AgentEvent) -> Vec<AgentAction> {
+        let mut actions = Vec::new();
+        self.context.handle(at(ms), event, &mut actions);
+        actions
+    }
+
+    pub(crate) fn send(&mut self, ms: u64, request: AgentRequest) -> Vec<AgentAction> {
+        self.calls += 1;
+        let call = CallRef(self.calls);
+        self.handle(ms, AgentEvent::Request { call, request })
+    }
+
+    /// Sends a message and returns its reply, which must come at once.
+    pub(crate) fn ask(&mut self, ms: u64, request: AgentRequest) -> AgentReply {
+        let actions = self.send(ms, request);
+        let reply = replies(&actions).into_iter().next();
+        reply.expect("answered at once")
+    }
+}
+
+pub(crate) fn replies(actions: &[AgentAction]) -> Vec<AgentReply> {
+    let replies = actions.iter().filter_map(|action| match action {
+        AgentAction::Reply { reply, .. } => Some(reply.clone()),
+        _ => None,
+    });
+    replies.collect()
+}
+
+pub(crate) fn refused(reason: RefusalReason) -> ReplyBody {
+    ReplyBody::Failed(cuminlead_protocol::AgentFailure::Refused(reason))
+}
+
+pub(crate) fn envelope(number: u128, customer: &str) -> Envelope {
+    Envelope {
+        id: AttemptId {
+            request: RequestId(number),
+            attempt: Attempt::FIRST,
+        },
+        customer: name(customer),
+        ..Envelope::default()
+    }
+}
+
+fn target(model: &str) -> ModelTarget {
+    ModelTarget {
+        model: name(model),
+        version: name("v1"),
+        adapter: None,
+    }
+}
+
+pub(crate) fn reserve(number: u128, customer: &str, model: &str) -> AgentRequest {
+    AgentRequest::Reserve(Reserve {
+        envelope: envelope(number, customer),
+        target: target(model),
+        prompt_tokens: Tokens(1_000),
+        output_max_tokens: Tokens(100),
+        lease_us: DurationUs::from_ms(10_000),
+        due_us: DurationUs::from_ms(10_000),
+        ..Reserve::default()
+    })
+}
+
+pub(crate) fn prefill(number: u128, customer: &str, model: &str) -> AgentRequest {
+    AgentRequest::Prefill(Prefill {
+        envelope: envelope(number, customer),
+        target: target(model),
+        prompt_tokens: Tokens(1_000),
+        due_us: DurationUs::from_ms(10_000),
+        ..Prefill::default()
+    })
+}
+
+pub(crate) fn issue(number: u128, customer: &str) -> AgentRequest {
+    AgentRequest::IssuePermit(IssuePermit {
+        envelope: envelope(number, customer),
+        service: name("counter"),
+        ..IssuePermit::default()
+    })
+}
+
+pub(crate) fn run(number: u128, permit: Option<PermitId>, method: &str) -> AgentRequest {
+    AgentRequest::RunCall(RunCall {
+        envelope: envelope(number, "kiosks"),
+        service: name("counter"),
+        permit,
+        http: HttpRequest {
+            method: method.to_string(),
+            path: "/stock/7".to_string(),
+            ..HttpRequest::default()
+        },
+    })
+}
