--- a/crates/wire/tests/round_trip.rs
+++ b/crates/wire/tests/round_trip.rs
@@ -2,6 +2,8 @@
 //!
 //! Guards against a field that is dropped or swapped in one direction of a conversion.
 
+#![allow(clippy::unwrap_used, reason = "test data is valid")]
+
 use cuminlead_protocol::*;
 use cuminlead_types::*;
 use cuminlead_wire::stream::DecodeMessage;
