Wire orders into the agent context

The agent sent no orders, and requests that waited when the lists changed were still granted under the old lists. Orders now run after every event, with the models and leases in use; waiting requests are checked again on new lists and inventories.

Lists that want a role or model back while an order that removes it is under way made the gate accept work that the engine was about to lose, because the latest inventory still showed it. Such work is refused as not served until an inventory read after the answer to the order has arrived. Asking for an inventory right after an order was ruled out: two readings close together would let a sequence that has just started count as missing twice.

A draining agent sends no further orders.

--- a/crates/admission/src/context.rs
+++ b/crates/admission/src/context.rs
@@ -1,6 +1,8 @@
 //! The context and the grant of places.
 
-use cuminlead_protocol::{AgentFailure, EngineCommand, LoadReport, RefusalReason, ReplyBody};
+use cuminlead_protocol::{
+    AgentFailure, EngineCommand, LoadReport, ModelTarget, RefusalReason, ReplyBody,
+};
 use cuminlead_types::{AttemptId, CustomerId, DurationUs, KvPieces, Priority, TimeUs, Tokens};
 
 use crate::action::{AdmissionAction, AdmissionRecord, CallRef, ReleaseCause, StreamNote};
@@ -100,6 +102,32 @@
         self.refuse_all_waiting(RefusalReason::Draining, actions);
     }
 
+    /// Models of the attempts that hold capacity of the engine.
+    pub fn held_targets(&self) -> impl Iterator<Item = &ModelTarget> {
+        let leases = self.leases.iter().map(|(_, lease)| lease);
+        let holding = leases.filter(|lease| lease.held != Capacity::default());
+        holding.map(|lease| &lease.target)
+    }
+
+    /// Refuses each waiting request for which `check` gives a reason, after new lists.
+    pub fn recheck_waiting(
+        &mut self,
+        now: TimeUs,
+        check: impl Fn(&Waiting) -> Option<RefusalReason>,
+        actions: &mut Vec<AdmissionAction>,
+    ) {
+        self.advance(now, actions);
+        let refused: Vec<(WaitKey, RefusalReason)> = self
+            .queue
+            .iter()
+            .filter_map(|(key, waiting)| Some((key, check(waiting)?)))
+            .collect();
+        for (key, reason) in refused {
+            self.refuse_waiting(key, reason, actions);
+        }
+        self.grant(now, actions);
+    }
+
     fn pending_prompt_tokens(&self, now: TimeUs) -> Tokens {
         let waiting = self.queue.iter().map(|(_, waiting)| match waiting.purpose {
             Purpose::Prefill { .. } => waiting.prompt_tokens,
--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -39,3 +39,4 @@
 pub use action::{AdmissionAction, AdmissionRecord, CallRef, ReleaseCause, StreamNote, StreamRef};
 pub use config::AdmissionConfig;
 pub use context::{Admission, Terms};
+pub use queue::{Purpose, Waiting};
--- a/crates/agent-core/src/action.rs
+++ b/crates/agent-core/src/action.rs
@@ -1,6 +1,7 @@
 //! Actions that an agent decides on.
 
 pub use cuminlead_admission::ReleaseCause;
+use cuminlead_orders::OrderReport;
 use cuminlead_protocol::{AgentReply, DecodeEvent, EngineCommand, RefusalReason, ServiceCommand};
 use cuminlead_types::{AttemptId, CustomerId, PermitId, Tokens};
 
@@ -64,6 +65,8 @@
         /// Attempt.
         id: AttemptId,
     },
+    /// An order to the engine failed, or another agent orders the engine.
+    Order(OrderReport),
     /// A permit was voided or expired before use.
     PermitVoided {
         /// Permit.
--- a/crates/agent-core/src/context.rs
+++ b/crates/agent-core/src/context.rs
@@ -4,6 +4,7 @@
 
 use cuminlead_admission::{Admission, AdmissionAction};
 use cuminlead_lists::Lists;
+use cuminlead_orders::{Orders, OrdersConfig};
 use cuminlead_permits::Permits;
 use cuminlead_protocol::{
     AgentFailure, AgentReply, AgentRequest, AgentState, EngineCommand, Envelope, LoadReport,
@@ -15,6 +16,7 @@
 use crate::config::AgentConfig;
 use crate::event::{AgentEvent, CallRef};
 use crate::gate::Gate;
+use crate::pending::PendingOrders;
 use crate::poll::InventoryPoll;
 use crate::runs::Runs;
 
@@ -27,10 +29,14 @@
     pub(crate) permits: Option<Permits>,
     pub(crate) gate: Gate,
     pub(crate) poll: InventoryPoll,
+    pub(crate) orders: Orders,
+    pub(crate) pending: PendingOrders,
     pub(crate) runs: Runs,
     pub(crate) hosts_revision: Revision,
     pub(crate) is_draining: bool,
     is_drained: bool,
+    /// Time of the last event.
+    handled_at: TimeUs,
     /// Buffer of admission's actions, kept between events.
     pub(crate) admitted: Vec<AdmissionAction>,
 }
@@ -43,10 +49,13 @@
             permits: None,
             gate: Gate::new(config.server.clone()),
             poll: InventoryPoll::new(config.inventory_us),
+            orders: Orders::new(OrdersConfig::new(config.incarnation)),
+            pending: PendingOrders::default(),
             runs: Runs::default(),
             hosts_revision: Revision::ZERO,
             is_draining: false,
             is_drained: false,
+            handled_at: TimeUs::ZERO,
             admitted: Vec::new(),
             config,
         }
@@ -71,10 +80,12 @@
 
     /// Decides on an event and appends the resulting actions.
     pub fn handle(&mut self, now: Now, event: AgentEvent, actions: &mut Vec<AgentAction>) {
+        self.handled_at = now.mono_us;
         self.expire(now, actions);
         self.dispatch(now, event, actions);
         self.forward_admitted(now.mono_us, actions);
         self.read_inventory_if_due(now.mono_us, actions);
+        self.order_if_due(now.mono_us, actions);
         self.record_voided(actions);
         self.report_drained(actions);
     }
@@ -82,10 +93,21 @@
     /// Time at which a `Tick` is needed at the latest.
     pub fn next_deadline(&self) -> Option<TimeUs> {
         let permits = self.permits.as_ref().and_then(Permits::next_deadline);
-        let deadlines = [self.admission.next_deadline(), permits, self.poll.next_at()];
+        let deadlines = [
+            self.admission.next_deadline(),
+            permits,
+            self.poll.next_at(),
+            self.next_order_at(),
+        ];
         deadlines.into_iter().flatten().min()
     }
 
+    fn next_order_at(&self) -> Option<TimeUs> {
+        let is_ordering = !self.is_draining;
+        let next_at = || self.orders.next_deadline(self.handled_at);
+        is_ordering.then(next_at).flatten()
+    }
+
     fn dispatch(&mut self, now: Now, event: AgentEvent, actions: &mut Vec<AgentAction>) {
         let mono_us = now.mono_us;
         match event {
@@ -107,7 +129,7 @@
                 self.admission
                     .stream_closed(mono_us, stream, &mut self.admitted);
             }
-            AgentEvent::Engine(event) => self.engine_event(mono_us, event),
+            AgentEvent::Engine(event) => self.engine_event(mono_us, event, actions),
             AgentEvent::Service(event) => self.service_event(mono_us, event, actions),
             AgentEvent::Lists(lists) => self.apply_lists(now, lists),
             AgentEvent::ListsConfirmed => {
@@ -161,6 +183,8 @@
         if self.gate.is_engine() {
             self.poll.start(now.mono_us);
         }
+        self.want_duty(now.mono_us);
+        self.recheck_waiting(now.mono_us);
     }
 
     /// Ends what is over, so that a late tick changes no decision.
@@ -170,6 +194,7 @@
             .permits
             .get_or_insert_with(|| Permits::new(now, config.permits()));
         permits.expire(now.mono_us);
+        self.expire_order(now.mono_us, actions);
         self.admission.tick(now.mono_us, &mut self.admitted);
         self.forward_admitted(now.mono_us, actions);
     }
--- a/crates/agent-core/src/gate.rs
+++ b/crates/agent-core/src/gate.rs
@@ -6,7 +6,8 @@
 use std::sync::Arc;
 
 use cuminlead_admission::Terms;
-use cuminlead_lists::{EngineDuty, Lists, ModelVersion, ServerDuty, WantedRole};
+use cuminlead_lists::{EngineDuty, Lists, ModelVersion, ServerDuty};
+use cuminlead_orders::difference::role_of;
 use cuminlead_protocol::{EngineRole, ModelTarget, RefusalReason};
 use cuminlead_types::{BackendServerId, CustomerId, Revision, ServiceName};
 
@@ -134,10 +135,3 @@
     let adapter = target.adapter.as_ref();
     duty.models.contains(&wanted) && adapter.is_none_or(|adapter| duty.adapters.contains(adapter))
 }
-
-fn role_of(wanted: WantedRole) -> EngineRole {
-    match wanted {
-        WantedRole::Prefill => EngineRole::Prefill,
-        WantedRole::Decode => EngineRole::Decode,
-    }
-}
--- a/crates/agent-core/src/lib.rs
+++ b/crates/agent-core/src/lib.rs
@@ -10,10 +10,12 @@
 //! | [`config`] | limits |
 //! | [`context`] | the context and its dispatch |
 //! | [`gate`] | checks of a request against the agent's own lists and engine |
+//! | [`pending`] | orders whose effect is not yet known |
 //! | [`poll`] | reading of the engine's inventory |
 //! | [`runs`] | application calls that are running |
 //!
-//! The private modules hold the two request paths, `model` and `application`.
+//! The private modules hold the paths of model calls (`model`), application calls
+//! (`application`) and orders (`ordering`).
 
 pub mod action;
 mod application;
@@ -22,6 +24,8 @@
 pub mod event;
 pub mod gate;
 mod model;
+mod ordering;
+pub mod pending;
 pub mod poll;
 pub mod runs;
 
--- a/crates/agent-core/src/model.rs
+++ b/crates/agent-core/src/model.rs
@@ -1,6 +1,8 @@
 //! The path of model calls: admission behind the agent's own checks.
 
-use cuminlead_admission::{AdmissionAction, AdmissionRecord, StreamNote, StreamRef, Terms};
+use cuminlead_admission::{
+    AdmissionAction, AdmissionRecord, Purpose, StreamNote, StreamRef, Terms, Waiting,
+};
 use cuminlead_protocol::{
     DecodeEvent, EngineEvent, EngineRole, Envelope, ModelTarget, Prefill, RefusalReason, Reserve,
 };
@@ -43,13 +45,39 @@
         }
     }
 
-    pub(crate) fn engine_event(&mut self, now: TimeUs, event: EngineEvent) {
+    /// Refuses waiting requests that the lists in force or the engine no longer permit.
+    pub(crate) fn recheck_waiting(&mut self, now: TimeUs) {
+        let gate = &self.gate;
+        let poll = &self.poll;
+        let check = |waiting: &Waiting| {
+            let role = match waiting.purpose {
+                Purpose::Prefill { .. } => EngineRole::Prefill,
+                Purpose::Reserve { .. } => EngineRole::Decode,
+            };
+            let checked = gate.check_model(poll, &waiting.customer, &waiting.target, role);
+            checked.err()
+        };
+        self.admission
+            .recheck_waiting(now, check, &mut self.admitted);
+    }
+
+    pub(crate) fn engine_event(
+        &mut self,
+        now: TimeUs,
+        event: EngineEvent,
+        actions: &mut Vec<AgentAction>,
+    ) {
+        self.order_event(now, &event, actions);
+        let is_inventory = matches!(event, EngineEvent::Inventory(_));
         match &event {
             EngineEvent::Inventory(inventory) => self.poll.received(inventory.clone()),
             EngineEvent::Unreachable => self.poll.lost(),
             _ => {}
         }
         self.admission.engine_event(now, event, &mut self.admitted);
+        if is_inventory {
+            self.recheck_waiting(now);
+        }
     }
 
     /// Turns what admission decided into actions; replies carry the state after the decision.
@@ -110,6 +138,9 @@
         if self.is_draining {
             return Err(RefusalReason::Draining);
         }
+        if self.pending.may_remove(target) {
+            return Err(RefusalReason::NotServed);
+        }
         self.gate
             .check_model(&self.poll, &envelope.customer, target, role)
     }
--- a/crates/agent-core/src/poll.rs
+++ b/crates/agent-core/src/poll.rs
@@ -1,13 +1,16 @@
 //! Reading of the engine's inventory.
 
-use cuminlead_protocol::{EngineInventory, EngineRole, LoadedModel, ModelTarget};
+use cuminlead_protocol::{EngineInventory, EngineRole, ModelTarget};
 use cuminlead_types::{DurationUs, TimeUs};
 
+use crate::pending::loaded;
+
 /// When the inventory is read, and the latest one.
 #[derive(Debug)]
 pub struct InventoryPoll {
     interval_us: DurationUs,
     next_at: Option<TimeUs>,
+    read_at: Option<TimeUs>,
     latest: Option<EngineInventory>,
 }
 
@@ -17,6 +20,7 @@
         Self {
             interval_us,
             next_at: None,
+            read_at: None,
             latest: None,
         }
     }
@@ -31,6 +35,7 @@
         let is_due = self.next_at.is_some_and(|at| at <= now);
         if is_due {
             self.next_at = Some(now + self.interval_us);
+            self.read_at = Some(now);
         }
         is_due
     }
@@ -40,6 +45,11 @@
         self.next_at
     }
 
+    /// Time at which the inventory was last asked for.
+    pub fn read_at(&self) -> Option<TimeUs> {
+        self.read_at
+    }
+
     /// The engine reported its inventory.
     pub fn received(&mut self, inventory: EngineInventory) {
         self.latest = Some(inventory);
@@ -60,13 +70,9 @@
         let Some(inventory) = &self.latest else {
             return false;
         };
-        let wanted = LoadedModel {
-            model: target.model.clone(),
-            version: target.version.clone(),
-        };
         let adapter = target.adapter.as_ref();
         inventory.role == role
-            && inventory.models.contains(&wanted)
+            && inventory.models.contains(&loaded(target))
             && adapter.is_none_or(|adapter| inventory.adapters.contains(adapter))
     }
 }
