--- a/crates/agent/src/controller.rs
+++ b/crates/agent/src/controller.rs
@@ -11,6 +11,7 @@
 use cuminlead_distribution::{Event, Revisions};
 use cuminlead_kernel::Controller;
 use cuminlead_lists::{HostState, Lists};
+use cuminlead_orders::OrderReport;
 use cuminlead_process::feed::{Feed, FeedEvent, FeedUpdate};
 use cuminlead_protocol::{
     AgentReply, AgentRequest, DecodeEvent, DecodeOpen, EngineEvent, Envelope, ServiceEvent,
@@ -188,6 +189,12 @@
             AgentRecord::PermitStarted { permit } => {
                 debug!(log, "permit started"; "permit" => %permit);
             }
+            AgentRecord::Order(OrderReport::FencedOut { highest }) => {
+                warn!(log, "engine follows a later agent"; "highest" => %highest);
+            }
+            AgentRecord::Order(OrderReport::Failed { order, failures }) => {
+                warn!(log, "engine order failed"; "order" => %order, "failures" => failures);
+            }
         }
     }
 
--- a/crates/agent/src/status.rs
+++ b/crates/agent/src/status.rs
@@ -5,6 +5,7 @@
 
 use arc_swap::ArcSwap;
 use cuminlead_agent_core::AgentRecord;
+use cuminlead_orders::OrderReport;
 use cuminlead_process::admin::AdminSource;
 use cuminlead_process::feed::FeedView;
 use cuminlead_telemetry::metrics::Counters;
@@ -25,6 +26,7 @@
     wasted_prefill_tokens: Counters,
     unknown_sequences: Counter,
     permits: Counters,
+    order_failures: Counters,
 }
 
 impl AgentMetrics {
@@ -43,6 +45,10 @@
                 "Engine sequences that the agent did not know",
             ),
             permits: metrics.counters("permits", "Permits by what became of them"),
+            order_failures: metrics.counters(
+                "order_failures",
+                "Engine orders that had no effect, by cause",
+            ),
         }
     }
 
@@ -68,6 +74,12 @@
             }
             AgentRecord::PermitVoided { .. } => inc(&self.permits, "outcome", "voided", 1),
             AgentRecord::PermitStarted { .. } => inc(&self.permits, "outcome", "started", 1),
+            AgentRecord::Order(OrderReport::FencedOut { .. }) => {
+                inc(&self.order_failures, "cause", "fenced_out", 1);
+            }
+            AgentRecord::Order(OrderReport::Failed { .. }) => {
+                inc(&self.order_failures, "cause", "failed", 1);
+            }
         }
     }
 
