Keep a finished prefill when its decode place is lost

When the decode server died or lost the lease between reservation and import, the attempt was abandoned and its prompt computed again, although the KV cache is held for 10 s. The attempt now asks for another pair and, when the decode server is in the same region, reserves there under the same attempt and imports the held cache. A lease that ran out while the prefill waited or the entry paused is reserved anew before anything is computed or imported for it. The baseline mode still discards.

A new kind of route for a decode server alone was ruled out because the pair route answers the same question; the prefill server in its answer is ignored, and routing forgets that demand by itself.

--- a/crates/entry-core/src/model.rs
+++ b/crates/entry-core/src/model.rs
@@ -9,6 +9,7 @@
 //! | `steps` | the good path from route to stream |
 //! | `stream` | events of the decode stream |
 //! | `recover` | what follows a failure, by the retry table |
+//! | `reuse` | use of a finished prefill at another decode server |
 //! | `ending` | the one ending of the call |
 
 use cuminlead_protocol::ModelTarget;
@@ -27,6 +28,7 @@
 mod messages;
 mod prefix;
 mod recover;
+mod reuse;
 mod state;
 mod steps;
 mod stream;
--- a/crates/entry-core/src/model/state.rs
+++ b/crates/entry-core/src/model/state.rs
@@ -51,6 +51,8 @@
     /// Length of the granted lease.
     pub(super) lease_us: DurationUs,
     pub(super) prefilled: Option<Prefilled>,
+    /// Time until which the KV cache is held for import.
+    pub(super) prefill_held_until: TimeUs,
     pub(super) is_imported: bool,
     /// Whether a chunk of this attempt was delivered.
     pub(super) has_delivered: bool,
