Ask about a running call over the live connection

A call that the owner reports as running was asked about over a new connection each second, although the answer shows that the present one works. Only a question after a loss uses a fresh connection now.

--- a/crates/entry-core/src/application/recover.rs
+++ b/crates/entry-core/src/application/recover.rs
@@ -71,12 +71,14 @@
         match self.phase {
             Phase::Run(run) if self.permit.is_some() => {
                 self.count_retry(turn, cause);
-                self.send_ask(turn, run);
+                self.send_ask(turn, run, true);
             }
             Phase::Ask { run, .. } => {
                 self.report_unreachable(turn, cause);
                 let at = turn.now + self.ask_pause(cause);
-                self.phase = Phase::AskPause { at, run };
+                // An owner that answers does so over a live connection.
+                let fresh = cause.evidence != Evidence::StillRunning;
+                self.phase = Phase::AskPause { at, run, fresh };
             }
             _ => self.fail(turn, cause),
         }
@@ -140,7 +142,7 @@
         match self.phase {
             Phase::RoutePause(at) if at <= turn.now => self.route(turn),
             Phase::KeyPause(at) if at <= turn.now => self.send_permit(turn, false),
-            Phase::AskPause { at, run } if at <= turn.now => self.send_ask(turn, run),
+            Phase::AskPause { at, run, fresh } if at <= turn.now => self.send_ask(turn, run, fresh),
             _ => {}
         }
     }
--- a/crates/entry-core/src/application/state.rs
+++ b/crates/entry-core/src/application/state.rs
@@ -33,6 +33,8 @@
         at: TimeUs,
         /// The call in question.
         run: SendRef,
+        /// Whether the present connection is doubtful.
+        fresh: bool,
     },
     /// Nothing; the caller has the ending or is gone.
     Ended,
--- a/crates/entry-core/src/application/steps.rs
+++ b/crates/entry-core/src/application/steps.rs
@@ -85,13 +85,13 @@
         self.phase = Phase::Run(send);
     }
 
-    pub(super) fn send_ask(&mut self, turn: &mut Turn, run: SendRef) {
+    pub(super) fn send_ask(&mut self, turn: &mut Turn, run: SendRef, fresh: bool) {
         let Some(issued) = self.permit else {
             return;
         };
         let request = self.ask_message(issued.permit);
         let wait = self.config.message_timeout_us;
-        let ask = self.send(turn, SendKind::Ask, request, wait, true);
+        let ask = self.send(turn, SendKind::Ask, request, wait, fresh);
         self.phase = Phase::Ask { ask, run };
     }
 
