Compare other regions only when they can win

The round trip and the paid link are now compared with the best cost first, and a remote sample is smaller because it is looked at only in this case.

Ruled out: skipping other regions altogether while the own one is late, which would hold back requests that another region can still serve in time.

--- a/crates/routing/benches/route.rs
+++ b/crates/routing/benches/route.rs
@@ -80,12 +80,16 @@
     }
 }
 
-/// `due_us` of zero makes every estimate too late, so that all regions are compared.
+/// `due_us` of zero makes every estimate too late; the prompts are then taken to be empty for the
+/// link, so that it never fills and all regions are compared.
 fn print_percentiles(engines: usize, due_us: u64) {
     let mut load = Load::new(engines);
     for need in &mut load.needs {
         if let RouteKind::Pair(model) = &mut need.kind {
             model.due_us = DurationUs(due_us);
+            if due_us == 0 {
+                model.prompt_bytes = 0;
+            }
         }
     }
     let mut times_ns = Vec::new();
--- a/crates/routing/src/policies/prefix_cost.rs
+++ b/crates/routing/src/policies/prefix_cost.rs
@@ -31,6 +31,8 @@
 /// Candidates for a decode. When six in ten engines are full, a sample of sixteen finds no free
 /// place in about one of 3,500 decisions.
 const DECODE_CANDIDATES: usize = 16;
+/// Candidates for a decode in another region, which is compared only when the own one is late.
+const REMOTE_DECODE_CANDIDATES: usize = 6;
 /// Candidates for a call of a service.
 const SERVICE_CANDIDATES: usize = 4;
 
@@ -180,6 +182,9 @@
     ) -> Option<Pair<'a>> {
         let mut best: Option<ScoredPair<'a>> = None;
         for region in view.own_first(&pool.regions, |region| &region.region) {
+            if best.is_some_and(|best| best.cost <= remote_cost(view, region, need)) {
+                continue;
+            }
             let Some(scored) = best_pair(view, pool, region, need) else {
                 continue;
             };
@@ -244,6 +249,7 @@
     let decode = best_decode(view, region, prefill.candidate.record, need)?;
     let transfer = view.config.transfer_rate.time_for(need.prompt_tokens);
     let remote = remote_time(view, region, need);
+    let remote_cost = remote_cost(view, region, need).time_us;
     let add = DurationUs::saturating_add;
     let (first, second) = (prefill.estimate, decode.estimate);
     let pair_time = add(first.time_us, second.time_us);
@@ -257,7 +263,7 @@
         },
         cost: Cost {
             last_choices: prefill.cost().last_choices + decode.cost().last_choices,
-            time_us: add(add(pair_time, on_way), weighted(view, remote)),
+            time_us: add(add(pair_time, transfer), remote_cost),
         },
         first_token_us: add(pair_first_token, on_way),
     })
@@ -273,6 +279,15 @@
     view.config.cross_region_us.saturating_add(link)
 }
 
+/// Cost of using another region, whatever its servers: the least that a pair there can cost.
+fn remote_cost(view: &View<'_>, region: &RegionPool, need: &ModelNeed) -> Cost {
+    let remote = remote_time(view, region, need);
+    Cost {
+        last_choices: 0,
+        time_us: remote.saturating_add(weighted(view, remote)),
+    }
+}
+
 fn weighted(view: &View<'_>, time: DurationUs) -> DurationUs {
     DurationUs(time.get().saturating_mul(view.config.waste_weight_percent) / 100)
 }
@@ -322,7 +337,12 @@
             first_token_us: time_us,
         }
     });
-    best.look_at_sample(&region.decode, DECODE_CANDIDATES);
+    let count = if region.region == view.config.region {
+        DECODE_CANDIDATES
+    } else {
+        REMOTE_DECODE_CANDIDATES
+    };
+    best.look_at_sample(&region.decode, count);
     best.scored
 }
 
