Use a granted decode place even when its lease has no time left

An agent that decodes an attempt already answers a repeated Reserve with a lease of zero, and the call reserved again at once, without a bound but request_max_us. It now opens the stream, which joins the decode. A lease reserved anew during a silent prefill also no longer resets the count of repeats, which kept one silent server in use for the whole request.

The random world grants leases of zero now: the code before this change fails it ("the call does not end"), the code after passes, and so do three new cases.

--- a/crates/entry-core/src/application/recover.rs
+++ b/crates/entry-core/src/application/recover.rs
@@ -13,7 +13,9 @@
 impl ApplicationCall {
     pub(super) fn recover(&mut self, turn: &mut Turn, step: Step, cause: Cause) {
         self.last_cause = Some(cause);
-        self.proof.is_last_open &= may_have_run(self.kind(), step, cause.evidence);
+        if matches!(step, Step::Run | Step::Ask) {
+            self.proof.is_last_open &= may_have_run(self.kind(), step, cause.evidence);
+        }
         if cause.refusal == Some(RefusalReason::NotOwner) {
             self.not_owner(turn, cause);
             return;
--- a/crates/entry-core/src/model/steps.rs
+++ b/crates/entry-core/src/model/steps.rs
@@ -121,7 +121,13 @@
     pub(super) fn advance(&mut self, turn: &mut Turn) {
         if self.must_reserve(turn.now) {
             self.send_reserve(turn, false);
-        } else if self.attempt.prefilled.is_none() {
+        } else {
+            self.use_place(turn);
+        }
+    }
+
+    fn use_place(&mut self, turn: &mut Turn) {
+        if self.attempt.prefilled.is_none() {
             self.send_prefill(turn, false);
         } else {
             self.open_stream(turn, false);
@@ -236,11 +242,17 @@
     }
 
     fn reserved(&mut self, turn: &mut Turn, reserved: Reserved, incarnation: Incarnation) {
+        let is_first = self.attempt.lease_ends_at.is_none();
         self.attempt.incarnation = incarnation;
         self.attempt.lease_ends_at = Some(turn.now + reserved.expires_in_us);
         self.attempt.lease_us = reserved.expires_in_us;
-        self.attempt.repeat_count = 0;
-        self.advance(turn);
+        // A lease that is reserved anew during a silent prefill must not extend its repeats.
+        if is_first {
+            self.attempt.repeat_count = 0;
+        }
+        // The place is used even when no time is left on its lease: an agent answers so when it
+        // decodes the attempt already, and asking again would bring the same answer.
+        self.use_place(turn);
     }
 
     fn prefilled(&mut self, turn: &mut Turn, prefilled: Prefilled) {
--- a/crates/entry-core/tests/common/mod.rs
+++ b/crates/entry-core/tests/common/mod.rs
@@ -168,7 +168,7 @@
         "lost" => return SendOutcome::Lost,
         "noconn" => return SendOutcome::ConnectFailed,
         "reserved" => ReplyBody::Reserved(Reserved {
-            expires_in_us: DurationUs::from_ms(8_000),
+            expires_in_us: DurationUs::from_ms(if words.contains(&"over") { 0 } else { 8_000 }),
         }),
         "prefilled" => ReplyBody::Prefilled(Prefilled {
             prompt_tokens: Tokens(100),
--- a/crates/entry-core/tests/model_failures.rs
+++ b/crates/entry-core/tests/model_failures.rs
@@ -117,6 +117,9 @@
         "wasted 100 cancelled; release#2 d/1; release#3 p/1"
     },
     lease_over = { RESERVED, "wait 9000", "retried silent; reserve#2 d/1 fresh" },
+    lease_over_at_grant = { "start; pair d p", "reserved 0 over", "prefill#1 p/1" },
+    lease_over_at_import = { "start; pair d p; reserved 0 over", "prefilled 1", "report p ok; reserve#2 d/1" },
+    decodes_already = { "start; pair d p; reserved 0 over; prefilled 1", "reserved 2 over", "start@0#0 d/1" },
     lease_renewed = { "start; pair d p; reserved 0; wait 9000", "reserved 2", "prefill#3 p/1" },
 )]
 fn reuse(before: &str, step: &str, expected: &str) {
--- a/crates/entry-core/tests/random_model.rs
+++ b/crates/entry-core/tests/random_model.rs
@@ -224,7 +224,7 @@
             _ if self.released.contains(&place) => ReplyBody::Failed(AgentFailure::Cancelled),
             _ if is_refused => ReplyBody::Failed(AgentFailure::Refused(RefusalReason::QueueFull)),
             AgentRequest::Reserve(_) => ReplyBody::Reserved(Reserved {
-                expires_in_us: DurationUs::from_ms(8_000),
+                expires_in_us: DurationUs::from_ms(if pick.is_multiple_of(3) { 0 } else { 8_000 }),
             }),
             _ => ReplyBody::Prefilled(Prefilled {
                 prompt_tokens: Tokens(100),
@@ -345,7 +345,7 @@
             if self.route.is_some() {
                 self.answer_route(18);
             } else if !self.messages.is_empty() {
-                self.process(16);
+                self.process(18);
             } else if !self.replies.is_empty() {
                 self.deliver(0);
             } else {
