--- a/crates/entry-core/tests/model_failures.rs
+++ b/crates/entry-core/tests/model_failures.rs
@@ -117,6 +117,9 @@
         "wasted 100 cancelled; release#2 d/1; release#3 p/1"
     },
     lease_over = { RESERVED, "wait 9000", "retried silent; reserve#2 d/1 fresh" },
+    lease_over_at_grant = { "start; pair d p", "reserved 0 over", "prefill#1 p/1" },
+    lease_over_at_import = { "start; pair d p; reserved 0 over", "prefilled 1", "report p ok; reserve#2 d/1" },
+    decodes_already = { "start; pair d p; reserved 0 over; prefilled 1", "reserved 2 over", "start@0#0 d/1" },
     lease_renewed = { "start; pair d p; reserved 0; wait 9000", "reserved 2", "prefill#3 p/1" },
 )]
 fn reuse(before: &str, step: &str, expected: &str) {
@@ -133,6 +136,10 @@
         "start; pair d p; reserved 0; prefilled 1; imported 0; released 2; wait 2000; wait 2000", "wait 2000",
         "report d silent; cancel#2; close#2; wasted 100 silent; release#3 d/1 fresh; retried silent; pair? not[d]"
     },
+    transfer_failed_after_import = {
+        DELIVERED, "broken 0 transfer",
+        "report d engine_failed; cancel#0; close#0; wasted 100 engine_failed; release#3 d/1; retried engine_failed; pair? not[d]"
+    },
     acknowledges = { DELIVERED, "wait 1000", "ack#0 1" },
     lease_lost = {
         "start; pair d p; reserved 0; prefilled 1; imported 0; released 2; chunk 0 1 0; wait 2000",
