Add the distribution of revisions

A change must be in force everywhere within 9 s although the platform serves 2,000 calls/s only and readers, links and the platform fail.

Ruled out, each by a test that failed: confirming by heartbeats, whose time under way nobody knows, so that confirmations stay young in a circle of processes; readers without a ring among themselves, which a stale replica keeps behind; no deputies, since questions 10 s apart miss the bound once both readers of a zone are unreachable; and questions without a hint to the peer that is behind.

--- /dev/null
+++ b/crates/distribution/src/service.rs
@@ -0,0 +1,203 @@
+//! Calls to the platform.
+//!
+//! Each call is one action, whether it waits or not, so the rate of calls is decided here alone.
+
+use cuminlead_types::{DurationUs, Revision, TimeUs};
+use rand::RngExt;
+use rand::rngs::StdRng;
+use strum::IntoEnumIterator;
+
+use crate::action::{Action, Source};
+use crate::event::{CallRef, Revisions};
+use crate::limits::{
+    CALL_TIMEOUT, QUERY_INTERVAL_MIN, QUERY_JITTER_MAX, WATCH_INTERVAL_MIN, WATCH_RETRY, WATCH_WAIT,
+};
+
+/// Calls of one process to the platform.
+#[derive(Debug, Default)]
+pub(crate) struct ServiceCalls {
+    lists: Channel,
+    hosts: Channel,
+    next_call: u64,
+    is_watching: bool,
+    query_at: Option<TimeUs>,
+    queried_at: Option<TimeUs>,
+}
+
+/// Calls for one value; at most one is under way.
+#[derive(Debug, Default)]
+struct Channel {
+    call: Option<Call>,
+    next_watch_at: TimeUs,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Call {
+    id: CallRef,
+    sent_at: TimeUs,
+}
+
+/// How a call ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Outcome {
+    Answered,
+    Failed,
+}
+
+/// Call that ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Finished {
+    pub(crate) source: Source,
+    /// Time after which the answer was made.
+    pub(crate) sent_at: TimeUs,
+}
+
+impl ServiceCalls {
+    fn channel(&mut self, source: Source) -> &mut Channel {
+        match source {
+            Source::Lists => &mut self.lists,
+            Source::Hosts => &mut self.hosts,
+        }
+    }
+
+    /// Starts or ends watching.
+    pub(crate) fn set_watching(&mut self, is_watching: bool, actions: &mut Vec<Action>) {
+        if self.is_watching && !is_watching {
+            for source in Source::iter() {
+                self.stop_call(source, actions);
+            }
+        }
+        self.is_watching = is_watching;
+    }
+
+    pub(crate) fn is_watching(&self) -> bool {
+        self.is_watching
+    }
+
+    fn stop_call(&mut self, source: Source, actions: &mut Vec<Action>) {
+        if let Some(call) = self.channel(source).call.take() {
+            actions.push(Action::StopWatching { call: call.id });
+        }
+    }
+
+    /// Asks for a question at the next step, whatever the interval; only for a fresh process.
+    pub(crate) fn query_at_start(&mut self, now: TimeUs) {
+        self.query_at = Some(now);
+    }
+
+    /// Asks for a question after a jitter, within the interval.
+    pub(crate) fn request_query(&mut self, now: TimeUs, rng: &mut StdRng) {
+        if self.query_at.is_some() || self.is_watching {
+            return;
+        }
+        let jitter = DurationUs(rng.random_range(0..QUERY_JITTER_MAX.get()));
+        let earliest = self.queried_at.map(|at| at + QUERY_INTERVAL_MIN);
+        self.query_at = Some((now + jitter).max(earliest.unwrap_or_default()));
+    }
+
+    /// Withdraws a question that is not sent yet.
+    pub(crate) fn cancel_query(&mut self) {
+        self.query_at = None;
+    }
+
+    /// Whether a question is asked for or under way.
+    pub(crate) fn is_query_open(&self) -> bool {
+        self.query_at.is_some() || self.lists.call.is_some() || self.hosts.call.is_some()
+    }
+
+    /// Takes the end of a call; returns what was asked unless the call is not under way any more.
+    pub(crate) fn finish(
+        &mut self,
+        now: TimeUs,
+        id: CallRef,
+        outcome: Outcome,
+    ) -> Option<Finished> {
+        let source = Source::iter().find(|source| {
+            let call = self.channel(*source).call;
+            call.is_some_and(|call| call.id == id)
+        })?;
+        let channel = self.channel(source);
+        let call = channel.call.take()?;
+        channel.next_watch_at = match outcome {
+            Outcome::Answered => call.sent_at + WATCH_INTERVAL_MIN,
+            Outcome::Failed => now + WATCH_RETRY,
+        };
+        let finished = Finished {
+            source,
+            sent_at: call.sent_at,
+        };
+        Some(finished)
+    }
+
+    /// Sends the calls that are due. `known` are the revisions not to be sent again.
+    pub(crate) fn step(&mut self, now: TimeUs, known: Revisions, actions: &mut Vec<Action>) {
+        for source in Source::iter() {
+            self.expire(now, source, actions);
+        }
+        if self.is_watching {
+            self.query_at = None;
+            Source::iter().for_each(|source| self.watch(now, source, known, actions));
+        } else if self.query_at.is_some_and(|at| now >= at) {
+            self.query_at = None;
+            self.queried_at = Some(now);
+            Source::iter().for_each(|source| self.query(now, source, known, actions));
+        }
+    }
+
+    fn expire(&mut self, now: TimeUs, source: Source, actions: &mut Vec<Action>) {
+        let channel = self.channel(source);
+        if channel
+            .call
+            .is_some_and(|call| now.since(call.sent_at) > CALL_TIMEOUT)
+        {
+            channel.next_watch_at = now;
+            self.stop_call(source, actions);
+        }
+    }
+
+    fn watch(&mut self, now: TimeUs, source: Source, known: Revisions, actions: &mut Vec<Action>) {
+        let channel = self.channel(source);
+        if channel.call.is_some() || now < channel.next_watch_at {
+            return;
+        }
+        actions.push(Action::WatchService {
+            call: self.begin(now, source),
+            source,
+            after: revision_of(known, source),
+            wait: WATCH_WAIT,
+        });
+    }
+
+    fn query(&mut self, now: TimeUs, source: Source, known: Revisions, actions: &mut Vec<Action>) {
+        self.stop_call(source, actions);
+        actions.push(Action::QueryService {
+            call: self.begin(now, source),
+            source,
+            after: revision_of(known, source),
+        });
+    }
+
+    fn begin(&mut self, now: TimeUs, source: Source) -> CallRef {
+        self.next_call += 1;
+        let id = CallRef(self.next_call);
+        self.channel(source).call = Some(Call { id, sent_at: now });
+        id
+    }
+
+    /// Time of the next step.
+    pub(crate) fn next_deadline(&self) -> Option<TimeUs> {
+        let channels = [&self.lists, &self.hosts].into_iter();
+        let due = channels.filter_map(|channel| match channel.call {
+            Some(call) => Some(call.sent_at + CALL_TIMEOUT + DurationUs(1)),
+            None => self.is_watching.then_some(channel.next_watch_at),
+        });
+        due.chain(self.query_at).min()
+    }
+}
+
+fn revision_of(known: Revisions, source: Source) -> Revision {
+    match source {
+        Source::Lists => known.lists,
+        Source::Hosts => known.hosts,
+    }
+}
