--- a/crates/distribution/src/follow.rs
+++ b/crates/distribution/src/follow.rs
@@ -149,6 +149,8 @@
             self.end_trial(now, is_confirmed, actions);
         } else if was_confirmed && !is_confirmed {
             self.start_over(now);
+        } else if is_confirmed && !was_confirmed {
+            self.settle_on_held(now);
         }
         Some(sender)
     }
@@ -163,11 +165,15 @@
         stop(&mut self.held, actions);
         self.held = self.trial.take();
         if is_confirmed {
-            self.queue.clear();
-            self.return_at = now + RETURN_INTERVAL;
+            self.settle_on_held(now);
         }
     }
 
+    fn settle_on_held(&mut self, now: TimeUs) {
+        self.queue.clear();
+        self.return_at = now + RETURN_INTERVAL;
+    }
+
     /// A stream ended.
     pub(crate) fn lose(&mut self, now: TimeUs, id: FollowRef) {
         let is_id = |stream: &Stream| stream.id == id;
@@ -200,7 +206,7 @@
         if !is_due {
             return;
         }
-        if self.queue.is_empty() {
+        if !self.has_queued() {
             self.fill_queue(now);
         }
         if let Some(peer) = self.next_peer() {
@@ -254,7 +260,7 @@
         if self.trial.is_some() || is_settled {
             return None;
         }
-        let due_at = if !self.queue.is_empty() {
+        let due_at = if self.has_queued() {
             TimeUs::ZERO
         } else if self.is_seeking() {
             self.sweep_at
@@ -264,6 +270,12 @@
         Some(due_at.max(self.open_at))
     }
 
+    /// Whether a peer other than the held one is still to be tried.
+    fn has_queued(&self) -> bool {
+        let held = self.held.as_ref().map(|stream| &stream.peer);
+        self.queue.iter().any(|peer| held != Some(peer))
+    }
+
     /// Peers that failed come last, as they may have recovered.
     fn fill_queue(&mut self, now: TimeUs) {
         if !self.is_seeking() {
