Send the probes that end a server's back-off

Cause: a back-off ends only with an answered probe, and the entry never sent the probes that membership asked for, so a server stayed out of use for good after three failures in a row. A probe also carries no customer, which the conversion from the wire refused. Ruled out: ending a back-off by time alone, which sends a caller's request as the probe.

--- a/crates/entry/src/controller.rs
+++ b/crates/entry/src/controller.rs
@@ -57,6 +57,13 @@
         /// Failure, or none when the server did what it was asked.
         evidence: Option<Evidence>,
     },
+    /// A probe was answered or lost.
+    Probed {
+        /// Server.
+        server: BackendServerId,
+        /// Whether its agent answered.
+        is_answered: bool,
+    },
     /// An answer was handed to a caller.
     Answered {
         /// Server that made it.
@@ -81,6 +88,9 @@
     pub open_requests: AtomicU64,
 }
 
+/// Sends a probe to a server's agent, with the revisions known here.
+pub type ProbeSender = Box<dyn Fn(BackendServerId, Revisions) + Send>;
+
 /// Parts that a controller is built from.
 pub struct ControllerParts {
     /// Host of this entry.
@@ -91,6 +101,8 @@
     pub feed: Feed,
     /// Connections to agents.
     pub clients: Arc<Clients>,
+    /// Sends a probe and reports it as `ControlEvent::Probed`.
+    pub probe: ProbeSender,
     /// Metrics.
     pub metrics: EntryMetrics,
     /// State shared with other threads.
@@ -162,6 +174,13 @@
         self.apply(update, now);
     }
 
+    fn revisions(&self) -> Revisions {
+        Revisions {
+            lists: self.lists.revision,
+            hosts: self.hosts.revision,
+        }
+    }
+
     fn peer_of(&self, server: &BackendServerId) -> Option<Peer> {
         let address = self.membership.address_of(server)?.to_string();
         let host = self.membership.host_of(server)?.clone();
@@ -302,6 +321,13 @@
             }
             ControlEvent::Observed(state) => self.observe(now, &state),
             ControlEvent::Report { server, evidence } => self.report(now, &server, evidence),
+            ControlEvent::Probed {
+                server,
+                is_answered,
+            } => {
+                self.membership
+                    .record_probe(now.mono_us, &server, is_answered);
+            }
             ControlEvent::Answered { server, size } => {
                 self.parts.router.count_answer(now.mono_us, &server, size);
                 self.parts.metrics.set_link(self.parts.router.link_use());
@@ -324,6 +350,9 @@
             let update = self.parts.feed.tick(now.mono_us);
             self.apply(update, now);
         }
+        for server in self.membership.take_due_probes(now.mono_us) {
+            (self.parts.probe)(server, self.revisions());
+        }
         self.advance_stop(now);
     }
 
--- a/crates/entry/src/driver.rs
+++ b/crates/entry/src/driver.rs
@@ -9,16 +9,18 @@
 use std::time::{Duration, Instant};
 
 use crossbeam::channel::{Receiver, RecvTimeoutError, Sender, unbounded};
+use cuminlead_distribution::Revisions;
 use cuminlead_entry_core::{
     Call, CallAction, CallEvent, CallStreamRef, CallerError, Delivery, SendOutcome, SendRef,
 };
 use cuminlead_kernel::Clock;
 use cuminlead_protocol::{
-    AgentReply, AgentRequest, DecodeControl, DecodeEvent, DecodeOpen, HttpResponse,
+    AgentReply, AgentRequest, DecodeControl, DecodeEvent, DecodeOpen, Envelope, GetState,
+    HttpResponse,
 };
 use cuminlead_retry::Evidence;
 use cuminlead_telemetry::Tracing;
-use cuminlead_types::BackendServerId;
+use cuminlead_types::{BackendServerId, EntryId};
 use cuminlead_wire::proto;
 use tokio::runtime::Handle;
 use tokio::sync::mpsc;
@@ -33,6 +35,9 @@
 /// Longest time that a message or stream is carried; no request lasts longer.
 const CARRY_MAX: Duration = Duration::from_secs(110);
 
+/// Time after which a probe has failed.
+const PROBE_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Longest time that a call which ended is driven on to free what it holds.
 const SETTLE_MAX: Duration = Duration::from_secs(30);
 
@@ -272,6 +277,28 @@
     }
 }
 
+/// Sends a probe to a server's agent over a fresh connection, because the present one may be silent.
+pub fn probe(context: &DriverContext, entry: &EntryId, server: BackendServerId, seen: Revisions) {
+    let envelope = Envelope {
+        entry: entry.clone(),
+        lists_revision: seen.lists,
+        hosts_revision: seen.hosts,
+        ..Envelope::default()
+    };
+    let request = AgentRequest::GetState(GetState { envelope });
+    let context = context.clone();
+    context.runtime.clone().spawn(async move {
+        let carried = carry(&context, &server, request, true);
+        let outcome = tokio::time::timeout(PROBE_TIMEOUT, carried).await;
+        let is_answered = matches!(outcome, Ok(SendOutcome::Reply(_)));
+        // The control thread outlives its probes.
+        let _ = context.control.send(ControlEvent::Probed {
+            server,
+            is_answered,
+        });
+    });
+}
+
 async fn carry(
     context: &DriverContext,
     server: &BackendServerId,
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -28,7 +28,7 @@
 
 use crate::clients::Clients;
 use crate::controller::{ControlEvent, ControllerParts, EntryController, EntryFlags};
-use crate::driver::DriverContext;
+use crate::driver::{DriverContext, probe};
 use crate::http::handler::HttpContext;
 use crate::status::{EntryAdmin, EntryMetrics};
 
@@ -109,8 +109,10 @@
         metrics: entry_metrics.clone(),
         tracing: tracing.clone(),
     };
+    let probe_context = driver.clone();
+    let entry_id = settings.name().clone();
     let http = HttpContext {
-        entry: settings.name().clone(),
+        entry: entry_id.clone(),
         driver,
         view: Arc::clone(&view),
         flags: Arc::clone(&flags),
@@ -130,6 +132,7 @@
         router: build_router(settings)?,
         feed,
         clients,
+        probe: Box::new(move |server, seen| probe(&probe_context, &entry_id, server, seen)),
         metrics: entry_metrics,
         flags,
         drain_delay_us: (*settings.drain_delay_ms()).into(),
--- a/crates/wire/src/envelope.rs
+++ b/crates/wire/src/envelope.rs
@@ -2,8 +2,8 @@
 
 use cuminlead_protocol::{AgentState, Envelope, LoadReport};
 use cuminlead_types::{
-    Attempt, AttemptId, DurationUs, Incarnation, KvPieces, PermitId, RequestId, Revision, Slots,
-    Tokens,
+    Attempt, AttemptId, CustomerId, DurationUs, Incarnation, KvPieces, PermitId, RequestId,
+    Revision, Slots, Tokens,
 };
 
 use crate::error::{WireError, required};
@@ -47,7 +47,7 @@
                 request,
                 attempt: Attempt(envelope.attempt),
             },
-            customer: envelope.customer.parse()?,
+            customer: customer_from_wire(&envelope.customer)?,
             lists_revision: Revision(envelope.lists_revision),
             hosts_revision: Revision(envelope.hosts_revision),
             traceparent: envelope.traceparent,
@@ -55,6 +55,14 @@
     }
 }
 
+/// A probe serves no customer and leaves the field empty.
+fn customer_from_wire(customer: &str) -> Result<CustomerId, WireError> {
+    if customer.is_empty() {
+        return Ok(CustomerId::default());
+    }
+    Ok(customer.parse()?)
+}
+
 impl From<LoadReport> for proto::Load {
     fn from(load: LoadReport) -> Self {
         Self {
--- a/crates/wire/tests/round_trip.rs
+++ b/crates/wire/tests/round_trip.rs
@@ -87,6 +87,8 @@
         service: "counter".parse().unwrap(), permit: Some(PERMIT), http: http() }) },
     ask = { AgentRequest::AskPermit(AskPermit { envelope: envelope(), permit: PERMIT }) },
     state = { AgentRequest::GetState(GetState { envelope: envelope() }) },
+    probe = { AgentRequest::GetState(GetState { envelope: Envelope {
+        entry: "entry-1".parse().unwrap(), ..Envelope::default() } }) },
 )]
 fn request(message: AgentRequest) {
     let wire: proto::CallRequest = message.clone().into();
