--- /dev/null
+++ b/crates/dev/src/bench/caller.rs
@@ -0,0 +1,274 @@
+//! Requests, and what their callers receive.
+
+use std::collections::BTreeMap;
+
+use cuminlead_entry_core::{CallerError, Delivery, Outcome};
+use cuminlead_protocol::HttpResponse;
+use cuminlead_types::{BackendServerId, DurationUs, IdempotencyKey, RequestId, TimeUs, Tokens};
+use cuminlead_verifier::{AnswerDigest, Observation, Optional, RequestKind, RequestOutcome};
+use strum::{Display, EnumIter, EnumString, IntoStaticStr};
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::event::NodeId;
+use super::layout;
+use super::service::response_to;
+use super::world::World;
+use crate::engine::text;
+
+/// Path that a request takes.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Display,
+    EnumIter,
+    EnumString,
+    IntoStaticStr,
+)]
+#[strum(serialize_all = "snake_case")]
+pub enum PathKind {
+    /// Model call.
+    #[default]
+    Model,
+    /// Application call that may run again.
+    Idempotent,
+    /// Application call that may run once.
+    NonIdempotent,
+    /// Application call that may run once, with an idempotency key.
+    Keyed,
+}
+
+impl PathKind {
+    /// Kind of the request.
+    pub const fn request_kind(self) -> RequestKind {
+        match self {
+            Self::Model => RequestKind::Model,
+            Self::Idempotent => RequestKind::Idempotent,
+            Self::NonIdempotent | Self::Keyed => RequestKind::NonIdempotent,
+        }
+    }
+}
+
+/// Request of a caller.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RequestSpec {
+    /// Request.
+    pub request: RequestId,
+    /// Path.
+    pub path: PathKind,
+    /// Entry that it is sent to.
+    pub entry: NodeId,
+    /// Prompt of a model call.
+    pub prompt: String,
+    /// Most tokens of the answer of a model call.
+    pub output_max_tokens: Tokens,
+    /// Key of an application call.
+    pub key: Option<IdempotencyKey>,
+}
+
+impl RequestSpec {
+    /// Request with a prompt of this length that no other request has.
+    pub fn new(number: u64, path: PathKind, entry: NodeId, prompt_tokens: Tokens) -> Self {
+        let mut prompt = format!("prompt {number} ");
+        let length = usize::try_from(prompt_tokens.get() * 4).unwrap_or(usize::MAX);
+        while prompt.len() < length {
+            prompt.push('x');
+        }
+        let key = format!("key-{number}").parse().ok();
+        Self {
+            request: RequestId(u128::from(number)),
+            path,
+            entry,
+            prompt,
+            output_max_tokens: Tokens(6),
+            key: key.filter(|_| path == PathKind::Keyed),
+        }
+    }
+
+    fn right_answer(&self) -> AnswerDigest {
+        match self.path {
+            PathKind::Model => {
+                digest(text::answer(&self.prompt, self.output_max_tokens.get()).as_bytes())
+            }
+            _ => digest(&response_to(self.request).body),
+        }
+    }
+}
+
+/// How a request ended for its caller.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Ending {
+    /// Whole answer.
+    Answered,
+    /// Error.
+    Failed(Outcome),
+    /// The caller went away.
+    Gone,
+    /// The connection ended without an ending.
+    CutOff,
+}
+
+/// What a caller received.
+#[derive(Clone, Debug)]
+pub struct CallerResult {
+    /// Request.
+    pub spec: RequestSpec,
+    /// When the caller sent it.
+    pub sent_at: TimeUs,
+    /// First part of the answer.
+    pub first_at: Option<TimeUs>,
+    /// Last part of the answer.
+    pub last_at: Option<TimeUs>,
+    /// Longest time between two parts.
+    pub longest_gap_us: DurationUs,
+    /// Tokens received.
+    pub tokens: Tokens,
+    /// How it ended.
+    pub ending: Option<Ending>,
+    /// Message of the error.
+    pub error: String,
+    text: Vec<u8>,
+}
+
+/// Digest of a whole answer.
+fn digest(bytes: &[u8]) -> AnswerDigest {
+    AnswerDigest(xxh3_64(bytes))
+}
+
+/// What all callers received.
+pub type Results = BTreeMap<RequestId, CallerResult>;
+
+impl World {
+    pub(super) fn accepted(&mut self, spec: &RequestSpec) {
+        let service = (spec.path != PathKind::Model).then(|| layout::id(layout::SERVICE));
+        let process = self.places[spec.entry.0].host.clone();
+        self.observe(Observation::RequestAccepted {
+            request: spec.request,
+            process,
+            kind: spec.path.request_kind(),
+            customer: layout::id(layout::CUSTOMER),
+            service: Optional(service),
+            key: Optional(spec.key.clone()),
+            answer: Optional(Some(spec.right_answer())),
+        });
+    }
+
+    pub(super) fn sent(&mut self, spec: &RequestSpec) {
+        let result = CallerResult {
+            spec: spec.clone(),
+            sent_at: self.now,
+            first_at: None,
+            last_at: None,
+            longest_gap_us: DurationUs::ZERO,
+            tokens: Tokens::ZERO,
+            ending: None,
+            error: String::new(),
+            text: Vec::new(),
+        };
+        self.results.insert(spec.request, result);
+    }
+
+    /// Result of a request whose caller is still there.
+    fn listening(&mut self, request: RequestId) -> Option<&mut CallerResult> {
+        let result = self.results.get_mut(&request)?;
+        let is_gone = matches!(result.ending, Some(Ending::Gone | Ending::CutOff));
+        (!is_gone).then_some(result)
+    }
+
+    pub(super) fn delivered(&mut self, request: RequestId, delivery: &Delivery) {
+        let at = self.now + self.config.caller_latency_us;
+        let Some(result) = self.listening(request) else {
+            return;
+        };
+        let gap = result.last_at.map(|last| at.since(last));
+        result.longest_gap_us = result.longest_gap_us.max(gap.unwrap_or_default());
+        result.first_at.get_or_insert(at);
+        result.last_at = Some(at);
+        result.tokens += delivery.tokens;
+        result.text.extend_from_slice(delivery.text.as_bytes());
+        let answer = digest(&result.text);
+        let sequence = delivery.sequence;
+        self.observe(Observation::ChunkDelivered { request, sequence });
+        if delivery.finish.is_some() {
+            self.answered(request, answer);
+        }
+    }
+
+    pub(super) fn responded(&mut self, request: RequestId, http: &HttpResponse) {
+        let at = self.now + self.config.caller_latency_us;
+        let Some(result) = self.listening(request) else {
+            return;
+        };
+        result.first_at.get_or_insert(at);
+        result.last_at = Some(at);
+        self.answered(request, digest(&http.body));
+    }
+
+    fn answered(&mut self, request: RequestId, answer: AnswerDigest) {
+        let answer = Optional(Some(answer));
+        self.observe(Observation::AnswerEnded { request, answer });
+        self.end_for_caller(request, Ending::Answered);
+    }
+
+    pub(super) fn failed(&mut self, request: RequestId, error: &CallerError) {
+        let Some(result) = self.listening(request) else {
+            return;
+        };
+        result.error.clone_from(&error.message);
+        let outcome = match error.outcome {
+            Outcome::NotRun => RequestOutcome::NotRun,
+            Outcome::Unknown => RequestOutcome::Unknown,
+            Outcome::Incomplete => RequestOutcome::Incomplete,
+        };
+        self.observe(Observation::RequestFailed { request, outcome });
+        self.end_for_caller(request, Ending::Failed(error.outcome));
+    }
+
+    pub(super) fn end_for_caller(&mut self, request: RequestId, ending: Ending) {
+        if let Some(result) = self.results.get_mut(&request) {
+            result.ending.get_or_insert(ending);
+        }
+    }
+
+    /// The connections of all callers of an entry end.
+    pub(super) fn cut_off_callers(&mut self, entry: NodeId) {
+        let open = self.results.values();
+        let open = open.filter(|r| r.spec.entry == entry && r.ending.is_none());
+        let requests: Vec<RequestId> = open.map(|result| result.spec.request).collect();
+        for request in requests {
+            self.observe(Observation::CallerCutOff { request });
+            self.end_for_caller(request, Ending::CutOff);
+        }
+    }
+
+    pub(super) fn caller_leaves(&mut self, request: RequestId) {
+        let Some(result) = self.results.get(&request) else {
+            return;
+        };
+        if result.ending.is_some() {
+            return;
+        }
+        let entry = result.spec.entry;
+        self.observe(Observation::CallerGone { request });
+        self.end_for_caller(request, Ending::Gone);
+        let delay = self.config.caller_latency_us;
+        let event = super::event::ProcessEvent::CallerGone(request);
+        self.push_process(delay, entry, event);
+    }
+
+    /// Servers that the request uses at present.
+    pub fn servers_of(&self, request: RequestId) -> Vec<BackendServerId> {
+        let used = self.used.get(&request).cloned().unwrap_or_default();
+        let nodes = [used.decode, used.prefill, used.service];
+        let nodes = nodes.into_iter().flatten();
+        nodes
+            .filter_map(|node| self.places[node.0].server())
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/dev/src/bench/config.rs
@@ -0,0 +1,97 @@
+//! Settings of a run.
+
+use cuminlead_entry_core::CallConfig;
+use cuminlead_types::{DurationUs, KvPieces, Slots, TokensPerSecond};
+
+/// Settings of a run; the defaults are a small fleet with the latencies of `docs/design.md`.
+#[derive(Clone, Debug)]
+pub struct BenchConfig {
+    /// Seed of everything that varies between runs.
+    pub seed: u64,
+    /// Entries.
+    pub entries_count: usize,
+    /// Prefill engines in each region.
+    pub prefills_count: usize,
+    /// Decode engines in each region.
+    pub decodes_count: usize,
+    /// Servers of the plain service.
+    pub services_count: usize,
+    /// Regions; each has two availability zones.
+    pub regions_count: usize,
+    /// Routing policy.
+    pub policy: String,
+    /// Weight of wasted prefill against time to first token.
+    pub waste_weight_percent: u64,
+    /// Limits of the calls.
+    pub call: CallConfig,
+    /// Target for the time to first token in the plan.
+    pub first_token_us: DurationUs,
+    /// Target for the time between tokens in the plan.
+    pub between_tokens_us: DurationUs,
+    /// Whether the engines check fencing numbers.
+    pub is_fenced: bool,
+    /// One-way latency within an availability zone.
+    pub zone_latency_us: DurationUs,
+    /// One-way latency between availability zones of a region.
+    pub region_latency_us: DurationUs,
+    /// One-way latency between regions.
+    pub far_latency_us: DurationUs,
+    /// One-way latency between callers and entries.
+    pub caller_latency_us: DurationUs,
+    /// One-way latency between an agent and its back end.
+    pub backend_latency_us: DurationUs,
+    /// Time from a change of the lists until a process has it.
+    pub lists_delay_us: DurationUs,
+    /// Time from a change of the host list until a process has it.
+    pub hosts_delay_us: DurationUs,
+    /// Time that a process needs to start again.
+    pub restart_us: DurationUs,
+    /// Places in the batch of a decode engine.
+    pub slots: Slots,
+    /// KV pieces of an engine.
+    pub pieces: KvPieces,
+    /// Rate at which an engine computes prompts.
+    pub prefill_rate: TokensPerSecond,
+    /// Rate at which KV cache moves between engines.
+    pub transfer_rate: TokensPerSecond,
+    /// Time of a decode step with one sequence.
+    pub decode_step_us: DurationUs,
+    /// Longer decode step for each further sequence.
+    pub decode_slot_us: DurationUs,
+    /// Time that the plain service runs a call.
+    pub service_run_us: DurationUs,
+}
+
+impl Default for BenchConfig {
+    fn default() -> Self {
+        Self {
+            seed: 1,
+            entries_count: 2,
+            prefills_count: 2,
+            decodes_count: 2,
+            services_count: 2,
+            regions_count: 1,
+            policy: "prefix-cost".to_string(),
+            waste_weight_percent: 100,
+            call: CallConfig::default(),
+            first_token_us: DurationUs::from_ms(2_000),
+            between_tokens_us: DurationUs::from_ms(60),
+            is_fenced: true,
+            zone_latency_us: DurationUs(200),
+            region_latency_us: DurationUs(1_500),
+            far_latency_us: DurationUs::from_ms(20),
+            caller_latency_us: DurationUs::from_ms(3),
+            backend_latency_us: DurationUs(100),
+            lists_delay_us: DurationUs::from_ms(1_000),
+            hosts_delay_us: DurationUs::from_ms(2_000),
+            restart_us: DurationUs::from_ms(1_500),
+            slots: Slots(20),
+            pieces: KvPieces(256),
+            prefill_rate: TokensPerSecond(20_000),
+            transfer_rate: TokensPerSecond(1_000_000),
+            decode_step_us: DurationUs::from_ms(15),
+            decode_slot_us: DurationUs(300),
+            service_run_us: DurationUs::from_ms(20),
+        }
+    }
+}
--- /dev/null
+++ b/crates/dev/src/bench/engine.rs
@@ -0,0 +1,538 @@
+//! Fake model engine: prefill by rate, decode by steps, KV memory, export and import.
+//!
+//! A prefill engine computes one prompt at a time, by priority and arrival. Each running decode
+//! emits one token for each step; a step is longer when more sequences run. The text is that of the
+//! stand-in engine, a function of the prompt.
+
+use std::collections::BTreeMap;
+
+use cuminlead_protocol::{
+    EngineCommand, EngineEvent, EngineInventory, EngineOrder, EngineRole, FinishReason, KvHandle,
+    LoadedModel,
+};
+use cuminlead_types::{
+    AdapterName, AttemptId, BackendServerId, DurationUs, FencingNumber, KvPieces, Priority, Tokens,
+};
+use cuminlead_verifier::Observation;
+
+use super::event::{BackendEvent, NodeId, ProcessEvent};
+use super::step::Step;
+use super::world::World;
+use crate::engine::text::Generation;
+
+/// Time that an order takes.
+const ORDER_TIME: DurationUs = DurationUs::from_ms(500);
+
+/// What an engine holds and serves.
+#[derive(Debug)]
+pub struct Engine {
+    pub(super) server: BackendServerId,
+    role: EngineRole,
+    models: Vec<LoadedModel>,
+    adapters: Vec<AdapterName>,
+    is_fenced: bool,
+    highest: FencingNumber,
+    total_pieces: KvPieces,
+    pub(super) sequences: BTreeMap<AttemptId, Sequence>,
+    finished: BTreeMap<AttemptId, Finished>,
+    serials_count: u64,
+    /// Prompt tokens computed so far.
+    pub(super) computed_tokens: Tokens,
+}
+
+/// Sequence in the memory of an engine.
+#[derive(Debug)]
+pub struct Sequence {
+    serial: u64,
+    pieces: KvPieces,
+    priority: Priority,
+    /// Life of the agent that reads from it.
+    reader: Option<u64>,
+    work: Work,
+}
+
+#[derive(Debug)]
+enum Work {
+    Queued {
+        prompt: String,
+    },
+    Computing {
+        prompt: String,
+    },
+    Exported {
+        prompt: String,
+    },
+    Importing {
+        prompt: String,
+        output_max: Tokens,
+    },
+    Decoding {
+        generation: Generation,
+        emitted: u64,
+    },
+}
+
+#[derive(Debug)]
+struct Finished {
+    generation: Generation,
+}
+
+impl Engine {
+    /// Engine that holds nothing.
+    pub fn new(server: BackendServerId, role: EngineRole, model: LoadedModel) -> Self {
+        Self {
+            server,
+            role,
+            models: vec![model],
+            adapters: Vec::new(),
+            is_fenced: true,
+            highest: FencingNumber::default(),
+            total_pieces: KvPieces(256),
+            sequences: BTreeMap::new(),
+            finished: BTreeMap::new(),
+            serials_count: 0,
+            computed_tokens: Tokens::ZERO,
+        }
+    }
+
+    pub(super) fn with_limits(mut self, total_pieces: KvPieces, is_fenced: bool) -> Self {
+        self.total_pieces = total_pieces;
+        self.is_fenced = is_fenced;
+        self
+    }
+
+    fn inventory(&self) -> EngineInventory {
+        EngineInventory {
+            sequences: self.sequences.keys().copied().collect(),
+            total_pieces: self.total_pieces,
+            role: self.role,
+            models: self.models.clone(),
+            adapters: self.adapters.clone(),
+        }
+    }
+
+    fn free_pieces(&self) -> KvPieces {
+        let used = self.sequences.values().map(|s| s.pieces).sum();
+        self.total_pieces.saturating_sub(used)
+    }
+
+    fn add(&mut self, id: AttemptId, sequence: Sequence) -> bool {
+        let has_room = sequence.pieces <= self.free_pieces();
+        if has_room {
+            self.sequences.insert(id, sequence);
+        }
+        has_room
+    }
+
+    fn next_serial(&mut self) -> u64 {
+        self.serials_count += 1;
+        self.serials_count
+    }
+
+    fn is_computing(&self) -> bool {
+        let mut sequences = self.sequences.values();
+        sequences.any(|s| matches!(s.work, Work::Computing { .. }))
+    }
+
+    /// Prompt to compute next.
+    fn next_queued(&self) -> Option<AttemptId> {
+        let queued = self.sequences.iter();
+        let queued = queued.filter(|(_, s)| matches!(s.work, Work::Queued { .. }));
+        let first = queued.min_by_key(|(_, s)| [u64::MAX - u64::from(s.priority.get()), s.serial]);
+        first.map(|(id, _)| *id)
+    }
+
+    fn decoding_count(&self) -> u64 {
+        let sequences = self.sequences.values();
+        let decoding = sequences.filter(|s| matches!(s.work, Work::Decoding { .. }));
+        decoding.count() as u64
+    }
+
+    fn apply(&mut self, order: EngineOrder) {
+        match order {
+            EngineOrder::LoadModel { model, version } => {
+                self.models.push(LoadedModel { model, version });
+            }
+            EngineOrder::UnloadModel { model, version } => {
+                let removed = LoadedModel { model, version };
+                self.models.retain(|loaded| *loaded != removed);
+            }
+            EngineOrder::LoadAdapter { adapter } => self.adapters.push(adapter),
+            EngineOrder::UnloadAdapter { adapter } => self.adapters.retain(|a| *a != adapter),
+            EngineOrder::SetRole { role } => self.role = role,
+        }
+    }
+}
+
+impl World {
+    pub(super) fn engine_command(
+        &mut self,
+        node: NodeId,
+        agent_generation: u64,
+        command: EngineCommand,
+    ) {
+        let reader = Some(agent_generation);
+        match command {
+            EngineCommand::Prefill {
+                id,
+                priority,
+                prompt,
+                ..
+            } => {
+                let pieces = Tokens::estimate(&prompt).kv_pieces();
+                let work = Work::Queued { prompt };
+                self.add_sequence(node, id, priority, pieces, reader, work);
+                self.compute_next(node);
+            }
+            EngineCommand::Decode {
+                id,
+                priority,
+                kv,
+                output_max_tokens,
+                ..
+            } => self.import(node, id, priority, &kv, output_max_tokens, agent_generation),
+            EngineCommand::ResumeDecode {
+                id,
+                received_tokens,
+            } => self.resume_decode(node, id, received_tokens, agent_generation),
+            EngineCommand::Cancel { id } => {
+                self.engine_mut(node).finished.remove(&id);
+                self.free_sequence(node, id);
+            }
+            EngineCommand::ReadInventory => {
+                let inventory = self.engine_mut(node).inventory();
+                self.emit(node, reader, EngineEvent::Inventory(inventory));
+            }
+            EngineCommand::Order { fencing, order } => self.order(node, reader, fencing, order),
+        }
+    }
+
+    fn order(
+        &mut self,
+        node: NodeId,
+        reader: Option<u64>,
+        fencing: FencingNumber,
+        order: EngineOrder,
+    ) {
+        let engine = self.engine_mut(node);
+        let highest = engine.highest;
+        if engine.is_fenced && fencing <= highest {
+            self.emit(node, reader, EngineEvent::OrderFenced { fencing, highest });
+            return;
+        }
+        engine.highest = engine.highest.max(fencing);
+        engine.apply(order);
+        let event = ProcessEvent::Engine(EngineEvent::OrderDone { fencing });
+        self.push_process(ORDER_TIME, node, event);
+    }
+
+    /// Sends an event to the agent that reads; one of another life has lost its connection.
+    fn emit(&mut self, node: NodeId, reader: Option<u64>, event: EngineEvent) {
+        if reader == Some(self.nodes[node.0].generation) && self.nodes[node.0].is_running {
+            let delay = self.config.backend_latency_us;
+            self.push_process(delay, node, ProcessEvent::Engine(event));
+        }
+    }
+
+    fn add_sequence(
+        &mut self,
+        node: NodeId,
+        id: AttemptId,
+        priority: Priority,
+        pieces: KvPieces,
+        reader: Option<u64>,
+        work: Work,
+    ) -> bool {
+        let engine = self.engine_mut(node);
+        let serial = engine.next_serial();
+        let is_known = engine.sequences.contains_key(&id);
+        let sequence = Sequence {
+            serial,
+            pieces,
+            priority,
+            reader,
+            work,
+        };
+        let is_added = !is_known && engine.add(id, sequence);
+        let server = engine.server.clone();
+        if is_added {
+            self.observe(Observation::SequenceStarted { server, id });
+        } else {
+            self.emit(node, reader, EngineEvent::SequenceFailed { id });
+        }
+        is_added
+    }
+
+    fn free_sequence(&mut self, node: NodeId, id: AttemptId) {
+        let engine = self.engine_mut(node);
+        let server = engine.server.clone();
+        if let Some(sequence) = engine.sequences.remove(&id) {
+            self.observe(Observation::SequenceFreed { server, id });
+            let is_prefill = !matches!(
+                sequence.work,
+                Work::Decoding { .. } | Work::Importing { .. }
+            );
+            // The HTTP call of a prefill is answered when its sequence is cancelled.
+            if is_prefill && !matches!(sequence.work, Work::Exported { .. }) {
+                self.emit(node, sequence.reader, EngineEvent::SequenceFailed { id });
+            }
+            self.compute_next(node);
+        }
+    }
+
+    fn compute_next(&mut self, node: NodeId) {
+        let rate = self.config.prefill_rate;
+        let engine = self.engine_mut(node);
+        if engine.is_computing() {
+            return;
+        }
+        let Some(id) = engine.next_queued() else {
+            return;
+        };
+        let Some(sequence) = engine.sequences.get_mut(&id) else {
+            return;
+        };
+        if let Work::Queued { prompt } = &mut sequence.work {
+            let prompt = std::mem::take(prompt);
+            let time = rate.time_for(Tokens::estimate(&prompt));
+            let serial = sequence.serial;
+            sequence.work = Work::Computing { prompt };
+            self.push_backend(time, node, BackendEvent::SequenceStep { id, serial });
+            self.reached(Step::PrefillRunning, id.request);
+        }
+    }
+
+    fn import(
+        &mut self,
+        node: NodeId,
+        id: AttemptId,
+        priority: Priority,
+        kv: &KvHandle,
+        output_max: Tokens,
+        agent_generation: u64,
+    ) {
+        let reader = Some(agent_generation);
+        let Some(source) = self.export_of(kv) else {
+            self.emit(node, reader, EngineEvent::ImportFailed { id });
+            return;
+        };
+        let tokens = Tokens::estimate(&source.prompt);
+        let pieces = (tokens + output_max).kv_pieces();
+        let work = Work::Importing {
+            prompt: source.prompt,
+            output_max,
+        };
+        if !self.add_sequence(node, id, priority, pieces, reader, work) {
+            return;
+        }
+        let serial = self.engine_mut(node).serials_count;
+        let is_stalled = self.are_transfers_stalled || self.is_cut(source.node, node);
+        if !is_stalled {
+            let time = self.config.transfer_rate.time_for(tokens);
+            let time = time + self.latency(source.node, node);
+            self.push_backend(time, node, BackendEvent::SequenceStep { id, serial });
+        }
+        self.reached(Step::Transfer, id.request);
+    }
+
+    fn export_of(&self, kv: &KvHandle) -> Option<Export> {
+        let index = kv.address.parse().ok()?;
+        let node = NodeId(index);
+        if !self.backends.get(index)?.is_running {
+            return None;
+        }
+        let engine = self.engines.get(&node)?;
+        let mut sequences = engine.sequences.values();
+        sequences.find_map(|sequence| match &sequence.work {
+            Work::Exported { prompt } if sequence.serial.to_string() == kv.handle => Some(Export {
+                node,
+                prompt: prompt.clone(),
+            }),
+            _ => None,
+        })
+    }
+
+    pub(super) fn sequence_step(&mut self, node: NodeId, id: AttemptId, serial: u64) {
+        let engine = self.engine_mut(node);
+        let Some(sequence) = engine.sequences.get_mut(&id) else {
+            return;
+        };
+        if sequence.serial != serial {
+            return;
+        }
+        let reader = sequence.reader;
+        let is_importing = matches!(sequence.work, Work::Importing { .. });
+        if is_importing && self.are_transfers_stalled {
+            return;
+        }
+        let engine = self.engine_mut(node);
+        let Some(sequence) = engine.sequences.get_mut(&id) else {
+            return;
+        };
+        match &mut sequence.work {
+            Work::Computing { prompt } => {
+                let prompt = std::mem::take(prompt);
+                self.computed(node, id, serial, reader, prompt);
+            }
+            Work::Importing { prompt, output_max } => {
+                let generation = Generation::of(prompt, output_max.get());
+                let work = Work::Decoding {
+                    generation,
+                    emitted: 0,
+                };
+                sequence.work = work;
+                self.emit(node, reader, EngineEvent::Imported { id });
+                self.plan_token(node, id, serial);
+            }
+            Work::Decoding { .. } => self.generate(node, id, serial),
+            Work::Queued { .. } | Work::Exported { .. } => {}
+        }
+    }
+
+    fn computed(
+        &mut self,
+        node: NodeId,
+        id: AttemptId,
+        serial: u64,
+        reader: Option<u64>,
+        prompt: String,
+    ) {
+        let prompt_tokens = Tokens::estimate(&prompt);
+        let engine = self.engine_mut(node);
+        engine.computed_tokens += prompt_tokens;
+        if let Some(sequence) = engine.sequences.get_mut(&id) {
+            sequence.work = Work::Exported { prompt };
+        }
+        let kv = KvHandle {
+            address: node.0.to_string(),
+            handle: serial.to_string(),
+        };
+        let event = EngineEvent::PrefillDone {
+            id,
+            kv,
+            prompt_tokens,
+            cached_tokens: Tokens::ZERO,
+        };
+        self.emit(node, reader, event);
+        self.compute_next(node);
+    }
+
+    fn plan_token(&mut self, node: NodeId, id: AttemptId, serial: u64) {
+        let others = self.engine_mut(node).decoding_count().saturating_sub(1);
+        let longer = self.config.decode_slot_us.get() * others;
+        let time = self.config.decode_step_us + DurationUs(longer);
+        self.push_backend(time, node, BackendEvent::SequenceStep { id, serial });
+    }
+
+    fn generate(&mut self, node: NodeId, id: AttemptId, serial: u64) {
+        let engine = self.engine_mut(node);
+        let Some(sequence) = engine.sequences.get_mut(&id) else {
+            return;
+        };
+        let reader = sequence.reader;
+        let Work::Decoding {
+            generation,
+            emitted,
+        } = &mut sequence.work
+        else {
+            return;
+        };
+        let generation = *generation;
+        let first = *emitted;
+        *emitted += 1;
+        let is_last = *emitted >= generation.count;
+        self.emit(node, reader, generated(id, generation, first, first + 1));
+        if is_last {
+            let finished = Finished { generation };
+            self.engine_mut(node).finished.insert(id, finished);
+            self.free_sequence(node, id);
+        } else {
+            self.plan_token(node, id, serial);
+        }
+    }
+
+    fn resume_decode(
+        &mut self,
+        node: NodeId,
+        id: AttemptId,
+        received: Tokens,
+        agent_generation: u64,
+    ) {
+        let reader = Some(agent_generation);
+        let engine = self.engine_mut(node);
+        if let Some(finished) = engine.finished.get(&id) {
+            let generation = finished.generation;
+            let event = generated(id, generation, received.get(), generation.count);
+            self.emit(node, reader, event);
+            return;
+        }
+        let Some(sequence) = engine.sequences.get_mut(&id) else {
+            self.emit(node, reader, EngineEvent::SequenceFailed { id });
+            return;
+        };
+        sequence.reader = reader;
+        let Work::Decoding {
+            generation,
+            emitted,
+        } = &sequence.work
+        else {
+            return;
+        };
+        if *emitted > received.get() {
+            let event = generated(id, *generation, received.get(), *emitted);
+            self.emit(node, reader, event);
+        }
+    }
+
+    /// Ends an engine with all that it holds.
+    pub(super) fn end_engine(&mut self, node: NodeId) {
+        let Some(engine) = self.engines.get_mut(&node) else {
+            return;
+        };
+        let server = engine.server.clone();
+        let sequences = std::mem::take(&mut engine.sequences);
+        engine.finished.clear();
+        for (id, sequence) in sequences {
+            let event = match sequence.work {
+                Work::Queued { .. } | Work::Computing { .. } => EngineEvent::SequenceFailed { id },
+                Work::Exported { .. } => continue,
+                Work::Importing { .. } | Work::Decoding { .. } => EngineEvent::StreamLost { id },
+            };
+            self.emit(node, sequence.reader, event);
+        }
+        self.observe(Observation::EngineRestarted { server });
+    }
+
+    /// Answer to a command that finds no engine.
+    pub(super) fn engine_unreachable(&mut self, node: NodeId, reader: u64, command: EngineCommand) {
+        let event = match command {
+            EngineCommand::Prefill { id, .. }
+            | EngineCommand::Decode { id, .. }
+            | EngineCommand::ResumeDecode { id, .. } => EngineEvent::SequenceFailed { id },
+            EngineCommand::ReadInventory => EngineEvent::Unreachable,
+            EngineCommand::Order { fencing, .. } => EngineEvent::OrderFailed { fencing },
+            EngineCommand::Cancel { .. } => return,
+        };
+        self.emit(node, Some(reader), event);
+    }
+}
+
+struct Export {
+    node: NodeId,
+    prompt: String,
+}
+
+fn generated(id: AttemptId, generation: Generation, first: u64, end: u64) -> EngineEvent {
+    let is_last = end >= generation.count;
+    let reason = match generation.stops {
+        true => FinishReason::Stop,
+        false => FinishReason::Length,
+    };
+    EngineEvent::Generated {
+        id,
+        first_token: first,
+        text: generation.text(first, end),
+        tokens: Tokens(end - first),
+        finish: is_last.then_some(reason),
+    }
+}
--- /dev/null
+++ b/crates/dev/src/bench/entry.rs
@@ -0,0 +1,538 @@
+//! Entries: lists, membership and routing of the process, and its calls.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use cuminlead_entry_core::{
+    ApplicationCall, ApplicationRequest, Call, CallAction, CallEvent, CallStreamRef, CallerError,
+    ErrorCode, ModelCall, ModelRequest, Outcome, SendOutcome, SendRef, counts_against_server,
+};
+use cuminlead_lists::{HostList, HostStore, ListStore, Lists, Offer, Snapshot};
+use cuminlead_membership::Membership;
+use cuminlead_protocol::{
+    AgentRequest, AgentState, DecodeControl, Envelope, GetState, HttpRequest, ModelTarget,
+};
+use cuminlead_retry::Evidence;
+use cuminlead_routing::{NoRoute, Route, Router, RoutingConfig, Usability};
+use cuminlead_types::{BackendServerId, DurationUs, EntryId, RequestId, TimeUs, Tokens};
+
+use super::caller::{PathKind, RequestSpec};
+use super::carry::Origin;
+use super::event::{CarriedId, ConnectionId, NodeId, Packet, ProcessEvent};
+use super::layout;
+use super::service::path_of;
+use super::step::Step;
+use super::world::World;
+
+/// Longest time that an ended call is driven on to free what it holds; as in `driver.rs` of the
+/// entry.
+const SETTLE_MAX: DurationUs = DurationUs::from_ms(30_000);
+/// Time until a draining entry refuses new requests.
+const DRAIN_DELAY: DurationUs = DurationUs::from_ms(3_000);
+/// Interval at which a draining entry looks whether it is done.
+const DRAIN_CHECK: DurationUs = DurationUs::from_ms(50);
+
+/// State of an entry process.
+#[derive(Debug)]
+pub struct Entry {
+    id: EntryId,
+    router: Router,
+    pub(super) membership: Membership,
+    lists: ListStore,
+    hosts: HostStore,
+    /// Lists in force when a test lets the process take older ones.
+    older: Option<Arc<Lists>>,
+    pub(super) calls: BTreeMap<RequestId, Slot>,
+    pub(super) connections: BTreeMap<NodeId, ConnectionId>,
+    drain_asked_at: Option<TimeUs>,
+    timer_at: Option<TimeUs>,
+}
+
+/// Call and its streams.
+pub(super) struct Slot {
+    call: Box<dyn Call>,
+    pub(super) streams: BTreeMap<CallStreamRef, CarriedId>,
+    timer_at: Option<TimeUs>,
+    /// When the caller had an ending or was gone.
+    closed_at: Option<TimeUs>,
+}
+
+impl std::fmt::Debug for Slot {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Slot")
+            .field("timer_at", &self.timer_at)
+            .finish()
+    }
+}
+
+/// Servers that a request uses at present.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Used {
+    pub(super) decode: Option<NodeId>,
+    pub(super) prefill: Option<NodeId>,
+    pub(super) service: Option<NodeId>,
+}
+
+struct View<'a>(&'a Membership);
+
+impl Usability for View<'_> {
+    fn is_usable(&self, now: TimeUs, server: &BackendServerId) -> bool {
+        self.0.is_usable(now, server)
+    }
+
+    fn is_preferred(&self, now: TimeUs, server: &BackendServerId) -> bool {
+        self.0.is_preferred(now, server)
+    }
+}
+
+impl World {
+    pub(super) fn new_entry(&self, node: NodeId) -> Entry {
+        let place = &self.places[node.0];
+        let seed = self.config.seed.wrapping_add(node.0 as u64);
+        let config = RoutingConfig {
+            waste_weight_percent: self.config.waste_weight_percent,
+            prefill_rate: self.config.prefill_rate,
+            transfer_rate: self.config.transfer_rate,
+            ..RoutingConfig::new(place.region.clone(), seed)
+        };
+        let router = Router::new(&self.config.policy, config).expect("the policy is registered");
+        Entry {
+            id: layout::id(place.host.as_str()),
+            router,
+            membership: Membership::new(),
+            lists: ListStore::new(),
+            hosts: HostStore::new(),
+            older: None,
+            calls: BTreeMap::new(),
+            connections: BTreeMap::new(),
+            drain_asked_at: None,
+            timer_at: None,
+        }
+    }
+
+    pub(super) fn entry_event(&mut self, node: NodeId, event: ProcessEvent) {
+        match event {
+            ProcessEvent::Request(spec) => self.take_request(node, spec),
+            ProcessEvent::CallerGone(request) => {
+                self.close(node, request);
+                self.call_event(node, request, CallEvent::CallerGone);
+            }
+            ProcessEvent::CallTimer(request) => self.call_timer(node, request),
+            ProcessEvent::Packet { connection, packet } => {
+                if self.is_current(connection, node) {
+                    self.entry_packet(node, connection, *packet);
+                }
+            }
+            ProcessEvent::NotConnected(carried) => {
+                self.carried_ended(node, carried, SendOutcome::ConnectFailed);
+            }
+            ProcessEvent::Lost(carried) => self.carried_ended(node, carried, SendOutcome::Lost),
+            ProcessEvent::KeepAlive(connection) => self.keep_alive(connection),
+            ProcessEvent::Lists(snapshot) => self.entry_lists(node, snapshot),
+            ProcessEvent::Hosts(hosts) => self.entry_hosts(node, &hosts),
+            ProcessEvent::Timer => self.entry_timer(node),
+            ProcessEvent::Drain => self.drain_entry(node),
+            ProcessEvent::Confirmed
+            | ProcessEvent::Engine(_)
+            | ProcessEvent::InventoryTimeout(_)
+            | ProcessEvent::Service(_) => {}
+        }
+    }
+
+    fn entry_lists(&mut self, node: NodeId, snapshot: Snapshot) {
+        let takes_older = self.tamper.takes_older_lists();
+        let entry = self.entry_mut(node);
+        let offered = entry.lists.offer(snapshot.clone());
+        let is_forced = takes_older && matches!(offered, Offer::Older);
+        entry.older = if is_forced {
+            snapshot.check().ok().map(Arc::new)
+        } else {
+            None
+        };
+        if !is_forced && !matches!(offered, Offer::Applied) {
+            return;
+        }
+        if let Some(lists) = entry.in_force() {
+            let revision = lists.revision;
+            self.apply_to_router(node);
+            self.observe_lists(node, revision);
+        }
+    }
+
+    fn entry_hosts(&mut self, node: NodeId, hosts: &HostList) {
+        if !self.tamper.passes_hosts(hosts) {
+            return;
+        }
+        let now = self.now;
+        let entry = self.entry_mut(node);
+        if entry.hosts.offer(hosts.clone()) {
+            entry.membership.update_hosts(now, hosts);
+            self.apply_to_router(node);
+            self.plan_probes(node);
+        }
+    }
+
+    fn apply_to_router(&mut self, node: NodeId) {
+        let entry = self.entry_mut(node);
+        let lists = entry.in_force().unwrap_or_default();
+        let hosts = entry.hosts.list().cloned().unwrap_or_default();
+        entry.router.apply(lists, hosts);
+    }
+
+    fn take_request(&mut self, node: NodeId, spec: RequestSpec) {
+        self.accepted(&spec);
+        let request = spec.request;
+        let now = self.now;
+        let entry = self.entry_mut(node);
+        let is_refusing = entry
+            .drain_asked_at
+            .is_some_and(|at| now.since(at) >= DRAIN_DELAY);
+        let lists = entry.in_force().filter(|_| !is_refusing);
+        let Some(lists) = lists else {
+            let error = CallerError {
+                code: ErrorCode::Stopping,
+                outcome: Outcome::NotRun,
+                message: "the entry is starting or stopping".to_string(),
+            };
+            self.failed(request, &error);
+            return;
+        };
+        let call = self.new_call(node, &spec, &lists);
+        let call = self.tamper.wrap_call(call);
+        let slot = Slot {
+            call,
+            streams: BTreeMap::new(),
+            timer_at: None,
+            closed_at: None,
+        };
+        self.entry_mut(node).calls.insert(request, slot);
+        self.call_event(node, request, CallEvent::Start);
+    }
+
+    fn new_call(&self, node: NodeId, spec: &RequestSpec, lists: &Lists) -> Box<dyn Call> {
+        let entry = &self.entries[&node];
+        let hosts_revision = entry.membership.hosts_revision();
+        let customer = layout::id(layout::CUSTOMER);
+        if spec.path == PathKind::Model {
+            let model = layout::id(layout::MODEL);
+            let grant = lists.choose_model(&customer, &model, None, None);
+            let grant = grant.expect("the plan allows the model");
+            return Box::new(ModelCall::new(
+                self.config.call.clone(),
+                ModelRequest {
+                    id: spec.request,
+                    entry: entry.id.clone(),
+                    customer: customer.clone(),
+                    target: ModelTarget {
+                        model: grant.allowance.model.clone(),
+                        adapter: grant.allowance.adapter.clone(),
+                        version: grant.allowance.version.clone(),
+                    },
+                    priority: grant.allowance.priority,
+                    servers: Vec::new(),
+                    prompt: spec.prompt.clone(),
+                    output_max_tokens: spec.output_max_tokens,
+                    first_token_us: grant.plan.first_token_us,
+                    lists_revision: lists.revision,
+                    hosts_revision,
+                    traceparent: String::new(),
+                },
+            ));
+        }
+        let is_idempotent = spec.path == PathKind::Idempotent;
+        let method = if is_idempotent { "GET" } else { "POST" };
+        let service = layout::id(layout::SERVICE);
+        let path = path_of(is_idempotent, spec.request);
+        Box::new(ApplicationCall::new(
+            self.config.call.clone(),
+            ApplicationRequest {
+                id: spec.request,
+                entry: entry.id.clone(),
+                is_idempotent: lists.is_idempotent(&service, method, &path),
+                customer,
+                service,
+                servers: Vec::new(),
+                key: spec.key.clone(),
+                key_issued_at_ms: spec.key.as_ref().map(|_| self.unix_ms()),
+                http: HttpRequest {
+                    method: method.to_string(),
+                    path,
+                    ..HttpRequest::default()
+                },
+                lists_revision: lists.revision,
+                hosts_revision,
+                traceparent: String::new(),
+            },
+        ))
+    }
+
+    fn call_timer(&mut self, node: NodeId, request: RequestId) {
+        let now = self.now;
+        let Some(slot) = self.entry_mut(node).calls.get_mut(&request) else {
+            return;
+        };
+        slot.timer_at = None;
+        if slot.call.next_deadline().is_some_and(|at| at <= now) {
+            self.call_event(node, request, CallEvent::Deadline);
+        } else {
+            self.plan_call(node, request);
+        }
+    }
+
+    pub(super) fn call_event(&mut self, node: NodeId, request: RequestId, event: CallEvent) {
+        let mut events = vec![event];
+        while let Some(event) = events.pop() {
+            let now = self.now;
+            let Some(slot) = self.entry_mut(node).calls.get_mut(&request) else {
+                return;
+            };
+            let mut actions = Vec::new();
+            slot.call.handle(now, event, &mut actions);
+            for action in actions {
+                events.extend(self.carry_out(node, request, action));
+            }
+        }
+        self.plan_call(node, request);
+    }
+
+    /// Plans the next deadline, or drops a call that has ended.
+    fn plan_call(&mut self, node: NodeId, request: RequestId) {
+        let now = self.now;
+        let Some(slot) = self.entry_mut(node).calls.get_mut(&request) else {
+            return;
+        };
+        let is_settled = slot.closed_at.is_some_and(|at| now.since(at) >= SETTLE_MAX);
+        if slot.call.is_ended() || is_settled {
+            self.entry_mut(node).calls.remove(&request);
+            return;
+        }
+        let Some(at) = slot.call.next_deadline() else {
+            return;
+        };
+        if slot.timer_at.is_none_or(|planned| at < planned) {
+            slot.timer_at = Some(at);
+            let event = ProcessEvent::CallTimer(request);
+            self.push_process(at.since(now), node, event);
+        }
+    }
+
+    fn close(&mut self, node: NodeId, request: RequestId) {
+        let now = self.now;
+        if let Some(slot) = self.entry_mut(node).calls.get_mut(&request) {
+            slot.closed_at.get_or_insert(now);
+        }
+    }
+
+    fn carry_out(
+        &mut self,
+        node: NodeId,
+        request: RequestId,
+        action: CallAction,
+    ) -> Option<CallEvent> {
+        match action {
+            CallAction::Route(need) => {
+                let now = self.now;
+                let entry = self.entry_mut(node);
+                let view = View(&entry.membership);
+                let result = entry.router.route(now, &view, &need);
+                self.note_route(request, &result);
+                self.reached_route(request);
+                return Some(CallEvent::Routed(result));
+            }
+            CallAction::Send {
+                send,
+                server,
+                request: message,
+                fresh,
+            } => self.send_message(node, request, send, &server, message, fresh),
+            CallAction::OpenStream {
+                stream,
+                server,
+                open,
+                fresh,
+            } => {
+                let agent = self.node_of(&server);
+                let origin = Origin::Stream(request, stream);
+                let carried = self.carry(node, agent, origin, fresh, |id| Packet::Open(id, open));
+                let slot = self.entry_mut(node).calls.get_mut(&request);
+                if let Some(slot) = slot {
+                    slot.streams.insert(stream, carried);
+                }
+            }
+            CallAction::Control { stream, control } => {
+                if let Some(carried) = self.stream_of(node, request, stream) {
+                    self.post(carried, Packet::Control(carried, control));
+                    if matches!(control, DecodeControl::Acknowledge(_)) {
+                        self.reached(Step::Acknowledge, request);
+                    }
+                }
+            }
+            CallAction::CloseStream { stream } => {
+                if let Some(carried) = self.stream_of(node, request, stream) {
+                    self.post(carried, Packet::Close(carried));
+                    self.settle_carried(carried);
+                }
+            }
+            CallAction::Deliver(delivery) => {
+                let is_last = delivery.finish.is_some();
+                self.delivered(request, &delivery);
+                if is_last {
+                    self.close(node, request);
+                }
+                self.reached_chunk(request, delivery.sequence.get(), is_last);
+            }
+            CallAction::Respond(http) => {
+                self.responded(request, &http);
+                self.close(node, request);
+            }
+            CallAction::Fail(error) => {
+                self.failed(request, &error);
+                self.close(node, request);
+            }
+            CallAction::Report { server, evidence } => self.report(node, &server, evidence),
+            CallAction::WastedPrefill { tokens, .. } => self.wasted_tokens += tokens,
+            CallAction::Retried { .. } => self.retries_count += 1,
+        }
+        None
+    }
+
+    fn send_message(
+        &mut self,
+        node: NodeId,
+        request: RequestId,
+        send: SendRef,
+        server: &BackendServerId,
+        message: AgentRequest,
+        fresh: bool,
+    ) {
+        let agent = self.node_of(server);
+        let step = Step::of_message(&message);
+        let origin = Origin::Send(request, send);
+        self.carry(node, agent, origin, fresh, |id| Packet::Call(id, message));
+        if let Some(step) = step {
+            self.reached(step, request);
+        }
+    }
+
+    fn note_route(&mut self, request: RequestId, result: &Result<Route, NoRoute>) {
+        let used = self.used.get(&request).copied().unwrap_or_default();
+        let used = match result {
+            Ok(Route::Pair {
+                decode, prefill, ..
+            }) => Used {
+                decode: Some(self.node_of(decode)),
+                prefill: Some(self.node_of(prefill)),
+                ..used
+            },
+            Ok(Route::Prefill(prefill)) => Used {
+                prefill: Some(self.node_of(prefill)),
+                ..used
+            },
+            Ok(Route::Service(server)) => Used {
+                service: Some(self.node_of(server)),
+                ..used
+            },
+            Err(_) => used,
+        };
+        self.used.insert(request, used);
+    }
+
+    pub(super) fn entry_observe(&mut self, node: NodeId, state: &AgentState) {
+        let now = self.now;
+        let entry = self.entry_mut(node);
+        entry.membership.record_report(now, state);
+        entry.router.observe(now, state);
+        self.plan_probes(node);
+    }
+
+    fn report(&mut self, node: NodeId, server: &BackendServerId, evidence: Option<Evidence>) {
+        let now = self.now;
+        let entry = self.entry_mut(node);
+        match evidence {
+            None => entry.membership.record_success(now, server),
+            Some(evidence) if counts_against_server(evidence) => {
+                entry.membership.record_failure(now, server);
+            }
+            Some(_) => {}
+        }
+        entry.router.finished(now, server, evidence.is_none());
+        self.plan_probes(node);
+    }
+
+    pub(super) fn plan_probes(&mut self, node: NodeId) {
+        let now = self.now;
+        let entry = self.entry_mut(node);
+        let Some(at) = entry.membership.next_probe_at() else {
+            return;
+        };
+        if entry.timer_at.is_none_or(|planned| at < planned) {
+            entry.timer_at = Some(at);
+            self.push_process(at.since(now), node, ProcessEvent::Timer);
+        }
+    }
+
+    fn entry_timer(&mut self, node: NodeId) {
+        let now = self.now;
+        let entry = self.entry_mut(node);
+        entry.timer_at = None;
+        let id = entry.id.clone();
+        for server in entry.membership.take_due_probes(now) {
+            let agent = self.node_of(&server);
+            let envelope = Envelope {
+                entry: id.clone(),
+                ..Envelope::default()
+            };
+            let message = AgentRequest::GetState(GetState { envelope });
+            let origin = Origin::Probe(server);
+            self.carry(node, agent, origin, true, |id| Packet::Call(id, message));
+        }
+        self.plan_probes(node);
+        self.advance_drain(node);
+    }
+
+    fn drain_entry(&mut self, node: NodeId) {
+        let now = self.now;
+        let entry = self.entry_mut(node);
+        entry.drain_asked_at.get_or_insert(now);
+        self.advance_drain(node);
+    }
+
+    fn advance_drain(&mut self, node: NodeId) {
+        let now = self.now;
+        let stops_at_once = self.tamper.stops_at_once();
+        let entry = self.entry_mut(node);
+        let Some(asked_at) = entry.drain_asked_at else {
+            return;
+        };
+        let calls = entry.calls.values();
+        let open_count = calls.filter(|slot| slot.closed_at.is_none()).count();
+        let is_refusing = now.since(asked_at) >= DRAIN_DELAY;
+        if stops_at_once || (is_refusing && open_count == 0) {
+            let open_count = u32::try_from(open_count).unwrap_or(u32::MAX);
+            self.stop_process(node, open_count);
+        } else {
+            self.push_process(DRAIN_CHECK, node, ProcessEvent::Timer);
+        }
+    }
+
+    /// Prompt tokens that were computed and then discarded, as the entries count them.
+    pub fn wasted_tokens(&self) -> Tokens {
+        self.wasted_tokens
+    }
+}
+
+impl Entry {
+    fn in_force(&self) -> Option<Arc<Lists>> {
+        self.older.clone().or_else(|| self.lists.lists().cloned())
+    }
+
+    /// Snapshot in force, for peers that start.
+    pub(super) fn snapshot(&self) -> Option<Snapshot> {
+        self.lists.snapshot().cloned()
+    }
+
+    /// Calls that are still driven.
+    pub fn calls_count(&self) -> usize {
+        self.calls.len()
+    }
+}
--- /dev/null
+++ b/crates/dev/src/bench/fault.rs
@@ -0,0 +1,208 @@
+//! Faults and their healing.
+
+use cuminlead_types::{DurationUs, RequestId};
+use strum::{Display, EnumIter, EnumString, IntoStaticStr};
+
+use super::caller::PathKind;
+use super::event::{Event, Heal, NodeId, ProcessEvent};
+use super::platform::PlatformState;
+use super::world::World;
+
+/// Pause that is shorter than every lease and permit.
+const SHORT_PAUSE: DurationUs = DurationUs::from_ms(1_000);
+/// Pause that is longer than the longest lease (30 s) and every permit (2 s).
+const LONG_PAUSE: DurationUs = DurationUs::from_ms(35_000);
+/// Cut that is longer than orphaned decodes (5 s) and finished prefills (10 s) are held.
+const CUT: DurationUs = DurationUs::from_ms(15_000);
+/// Stall that outlasts two imports of 2 s each.
+const STALL: DurationUs = DurationUs::from_ms(6_000);
+/// Time that the configuration service is down or stale.
+const PLATFORM_FAULT: DurationUs = DurationUs::from_ms(20_000);
+/// Time from a first fault to a change of the lists.
+const CHANGE_AFTER: DurationUs = DurationUs::from_ms(1_000);
+
+/// Fault of `docs/design.md`, section 1.7, or an operation that must not be noticed.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Display,
+    EnumIter,
+    EnumString,
+    IntoStaticStr,
+)]
+#[strum(serialize_all = "snake_case")]
+pub enum Fault {
+    /// The entry dies and starts again.
+    EntryDeath,
+    /// The agent of the step dies and starts again.
+    AgentDeath,
+    /// The agent of the request's other engine dies and starts again.
+    OtherAgentDeath,
+    /// The engine of the step dies and starts again.
+    EngineDeath,
+    /// The request's other engine dies and starts again.
+    OtherEngineDeath,
+    /// The service dies and starts again.
+    ServiceDeath,
+    /// The entry pauses for less than leases and permits last.
+    EntryPauseShort,
+    /// The entry pauses for longer than leases and permits last.
+    EntryPauseLong,
+    /// The agent pauses for less than leases and permits last.
+    AgentPauseShort,
+    /// The agent pauses for longer than leases and permits last.
+    AgentPauseLong,
+    /// The engine pauses for less than leases last.
+    EnginePauseShort,
+    /// The engine pauses for longer than leases last.
+    EnginePauseLong,
+    /// The service pauses for less than permits last.
+    ServicePauseShort,
+    /// The service pauses for longer than permits last.
+    ServicePauseLong,
+    /// Entry and agent do not reach each other.
+    CutBoth,
+    /// The entry does not reach the agent.
+    CutToAgent,
+    /// The agent does not reach the entry.
+    CutToEntry,
+    /// The open connection is silent; a fresh one works.
+    SilentConnection,
+    /// Transfers of KV cache stall.
+    TransferStall,
+    /// The configuration service does not answer.
+    PlatformDown,
+    /// The configuration service serves an earlier revision.
+    PlatformStale,
+    /// The caller goes away.
+    CallerCancel,
+    /// The agent is shut down gracefully and replaced.
+    AgentDrain,
+    /// The host list says that the agent's host leaves; the agent is replaced.
+    HostLeaving,
+    /// The entry is shut down gracefully and replaced.
+    EntryDrain,
+}
+
+/// What a fault strikes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Targets {
+    /// Request whose step it is.
+    pub request: RequestId,
+    /// Entry of the request.
+    pub entry: NodeId,
+    /// Server that the step is about.
+    pub server: Option<NodeId>,
+    /// The other engine that the request uses.
+    pub other: Option<NodeId>,
+}
+
+impl Fault {
+    /// Whether the path has what the fault strikes.
+    pub const fn applies_to(self, path: PathKind) -> bool {
+        let is_model = matches!(path, PathKind::Model);
+        match self {
+            Self::OtherAgentDeath
+            | Self::EngineDeath
+            | Self::OtherEngineDeath
+            | Self::EnginePauseShort
+            | Self::EnginePauseLong
+            | Self::TransferStall => is_model,
+            Self::ServiceDeath | Self::ServicePauseShort | Self::ServicePauseLong => !is_model,
+            _ => true,
+        }
+    }
+}
+
+impl World {
+    pub(super) fn strike(&mut self, fault: Fault, targets: Targets) {
+        self.change_lists_in(CHANGE_AFTER);
+        match fault {
+            Fault::EntryDeath => self.kill(targets.entry),
+            Fault::EntryPauseShort => self.pause(targets.entry, SHORT_PAUSE),
+            Fault::EntryPauseLong => self.pause(targets.entry, LONG_PAUSE),
+            Fault::EntryDrain => self.ask_to_stop(targets.entry),
+            Fault::CallerCancel => self.caller_leaves(targets.request),
+            Fault::PlatformDown => self.fail_platform(PlatformState::Down),
+            Fault::PlatformStale => self.fail_platform(PlatformState::Stale),
+            Fault::TransferStall => {
+                self.are_transfers_stalled = true;
+                self.heal_in(STALL, Heal::Transfers);
+            }
+            Fault::OtherAgentDeath => self.strike_server(Fault::AgentDeath, targets, targets.other),
+            Fault::OtherEngineDeath => {
+                self.strike_server(Fault::EngineDeath, targets, targets.other);
+            }
+            _ => self.strike_server(fault, targets, targets.server),
+        }
+    }
+
+    fn strike_server(&mut self, fault: Fault, targets: Targets, server: Option<NodeId>) {
+        let Some(server) = server else {
+            return;
+        };
+        let entry = targets.entry;
+        match fault {
+            Fault::AgentDeath => self.kill(server),
+            Fault::EngineDeath | Fault::ServiceDeath => self.kill_backend(server),
+            Fault::AgentPauseShort => self.pause(server, SHORT_PAUSE),
+            Fault::AgentPauseLong => self.pause(server, LONG_PAUSE),
+            Fault::EnginePauseShort | Fault::ServicePauseShort => {
+                self.pause_backend(server, SHORT_PAUSE);
+            }
+            Fault::EnginePauseLong | Fault::ServicePauseLong => {
+                self.pause_backend(server, LONG_PAUSE);
+            }
+            Fault::CutBoth => {
+                self.cut_for(CUT, entry, server);
+                self.cut_for(CUT, server, entry);
+            }
+            Fault::CutToAgent => self.cut_for(CUT, entry, server),
+            Fault::CutToEntry => self.cut_for(CUT, server, entry),
+            Fault::SilentConnection => self.silence(entry, server),
+            Fault::AgentDrain => self.ask_to_stop(server),
+            Fault::HostLeaving => self.publish_leaving(server),
+            _ => debug_assert!(false, "{fault} strikes no server"),
+        }
+    }
+
+    fn cut_for(&mut self, time: DurationUs, from: NodeId, to: NodeId) {
+        self.cut(from, to);
+        self.heal_in(time, Heal::JoinWay { from, to });
+    }
+
+    fn fail_platform(&mut self, state: PlatformState) {
+        self.set_platform(state);
+        self.heal_in(PLATFORM_FAULT, Heal::Platform);
+    }
+
+    fn ask_to_stop(&mut self, node: NodeId) {
+        self.push_process(DurationUs::ZERO, node, ProcessEvent::Drain);
+    }
+
+    /// Plans the end of a fault.
+    pub(super) fn heal_in(&mut self, time: DurationUs, heal: Heal) {
+        self.heals_count += 1;
+        self.push(time, Event::Heal(heal));
+    }
+
+    pub(super) fn heal(&mut self, heal: Heal) {
+        self.heals_count -= 1;
+        match heal {
+            Heal::StartProcess(node) => self.start_process(node),
+            Heal::StartBackend(node) => self.backends[node.0].is_running = true,
+            Heal::ResumeProcess(node) => self.resume(node),
+            Heal::ResumeBackend(node) => self.resume_backend(node),
+            Heal::JoinWay { from, to } => self.join(from, to),
+            Heal::Transfers => self.are_transfers_stalled = false,
+            Heal::Platform => self.set_platform(PlatformState::Up),
+            Heal::PublishLive(node) => self.publish_live(node),
+        }
+    }
+}
--- /dev/null
+++ b/crates/dev/src/bench/layout.rs
@@ -0,0 +1,213 @@
+//! Hosts of a run, and the lists and the host list that describe them.
+
+use std::fmt::Write;
+
+use cuminlead_lists::{HostEntry, HostState, Part, PartKey, ProcessKind, Snapshot};
+use cuminlead_protocol::EngineRole;
+use cuminlead_types::{AvailabilityZoneName, BackendServerId, HostId, RegionName, Revision};
+
+use super::config::BenchConfig;
+
+/// Customer of all requests.
+pub const CUSTOMER: &str = "kiosks";
+/// Model of all model calls.
+pub const MODEL: &str = "notes";
+/// Version of the model.
+pub const VERSION: &str = "v1";
+/// Plain service.
+pub const SERVICE: &str = "counter";
+
+/// Place of a host and what runs on it.
+#[derive(Clone, Debug)]
+pub struct Place {
+    /// Host.
+    pub host: HostId,
+    /// Region.
+    pub region: RegionName,
+    /// Availability zone.
+    pub zone: AvailabilityZoneName,
+    /// Process and back end.
+    pub duty: Duty,
+}
+
+/// What runs on a host.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Duty {
+    /// Entry.
+    Entry,
+    /// Agent beside an engine.
+    Engine(EngineRole),
+    /// Agent beside a server of the plain service.
+    Service,
+}
+
+impl Place {
+    /// Backend server beside the agent.
+    pub fn server(&self) -> Option<BackendServerId> {
+        match self.duty {
+            Duty::Entry => None,
+            _ => Some(id(self.host.as_str())),
+        }
+    }
+
+    /// Line of the host list.
+    pub fn entry(&self, state: HostState) -> HostEntry {
+        let process = match self.duty {
+            Duty::Entry => ProcessKind::Entry,
+            _ => ProcessKind::Agent,
+        };
+        HostEntry {
+            host: self.host.clone(),
+            region: self.region.clone(),
+            zone: self.zone.clone(),
+            state,
+            process,
+            address: format!("{}:1", self.host),
+            server: self.server(),
+        }
+    }
+}
+
+/// Value of a name that the layout makes itself.
+pub fn id<T>(text: &str) -> T
+where
+    T: std::str::FromStr,
+    T::Err: std::fmt::Debug,
+{
+    text.parse().expect("names of the layout are valid")
+}
+
+/// Places of all hosts.
+pub fn places(config: &BenchConfig) -> Vec<Place> {
+    let mut places = Vec::new();
+    for region in 0..config.regions_count {
+        let counts = [
+            (
+                "prefill",
+                Duty::Engine(EngineRole::Prefill),
+                config.prefills_count,
+            ),
+            (
+                "decode",
+                Duty::Engine(EngineRole::Decode),
+                config.decodes_count,
+            ),
+        ];
+        for (name, duty, count) in counts {
+            add(&mut places, config, region, name, &duty, count);
+        }
+    }
+    let spread = [
+        ("counter", Duty::Service, config.services_count),
+        ("entry", Duty::Entry, config.entries_count),
+    ];
+    for (name, duty, count) in spread {
+        for number in 0..count {
+            let region = number % config.regions_count;
+            let zone = number / config.regions_count % 2;
+            let host = format!("{name}-{number}");
+            places.push(place(&host, region, zone, duty.clone()));
+        }
+    }
+    places
+}
+
+fn add(
+    places: &mut Vec<Place>,
+    config: &BenchConfig,
+    region: usize,
+    name: &str,
+    duty: &Duty,
+    count: usize,
+) {
+    for number in 0..count {
+        let host = match config.regions_count {
+            1 => format!("{name}-{number}"),
+            _ => format!("{name}-r{region}-{number}"),
+        };
+        places.push(place(&host, region, number % 2, duty.clone()));
+    }
+}
+
+fn place(host: &str, region: usize, zone: usize, duty: Duty) -> Place {
+    Place {
+        host: id(host),
+        region: id(&format!("region-{region}")),
+        zone: id(&format!("zone-{region}-{zone}")),
+        duty,
+    }
+}
+
+/// Lists at a revision; the burst of the plan tells revisions apart.
+pub fn snapshot(config: &BenchConfig, places: &[Place], revision: Revision) -> Snapshot {
+    let parts = [
+        part("plans/base", revision, plans(config, revision)),
+        part("allowances/base", revision, allowances(config, places)),
+    ];
+    Snapshot::new(revision, parts)
+}
+
+fn part(key: &str, revision: Revision, text: String) -> Part {
+    Part {
+        key: PartKey::new(key),
+        revision,
+        text,
+    }
+}
+
+fn plans(config: &BenchConfig, revision: Revision) -> String {
+    format!(
+        "schema = 1\n[[plan]]\nname = \"standard\"\nrequests_per_second = 10000\n\
+         burst_requests = {burst}\nfirst_token_ms = {first}\nbetween_tokens_ms = {between}\n\
+         weight = 1\n[[customer]]\nid = \"{CUSTOMER}\"\nplan = \"standard\"\n\
+         key_sha256 = \"{key:064x}\"\n",
+        burst = 10_000 + revision.get(),
+        first = config.first_token_us.as_ms(),
+        between = config.between_tokens_us.as_ms(),
+        key = 1,
+    )
+}
+
+fn allowances(config: &BenchConfig, places: &[Place]) -> String {
+    let mut text = "schema = 1\n".to_string();
+    for place in places {
+        text += &server(config, place);
+    }
+    text += &format!(
+        "[[route]]\nservice = \"{SERVICE}\"\nmethod = \"GET\"\npath_prefix = \"/stock\"\n\
+         idempotent = true\n[[allowance]]\nplan = \"standard\"\n\
+         [[allowance.model]]\nmodel = \"{MODEL}\"\nversion = \"{VERSION}\"\npriority = 5\n\
+         servers = {engines}\n[[allowance.service]]\nservice = \"{SERVICE}\"\n\
+         servers = {services}\n",
+        engines = quoted(places, |duty| matches!(duty, Duty::Engine(_))),
+        services = quoted(places, |duty| *duty == Duty::Service),
+    );
+    text
+}
+
+fn server(config: &BenchConfig, place: &Place) -> String {
+    let mut text = String::new();
+    let written = match &place.duty {
+        Duty::Entry => Ok(()),
+        Duty::Engine(role) => write!(
+            text,
+            "[[server]]\nid = \"{}\"\nkind = \"engine\"\nrole = \"{role}\"\n\
+             models = [{{ model = \"{MODEL}\", version = \"{VERSION}\" }}]\nadapters = []\n\
+             fenced = {}\n",
+            place.host, config.is_fenced,
+        ),
+        Duty::Service => write!(
+            text,
+            "[[server]]\nid = \"{}\"\nkind = \"service\"\nservice = \"{SERVICE}\"\n",
+            place.host,
+        ),
+    };
+    written.expect("writing to a String does not fail");
+    text
+}
+
+fn quoted(places: &[Place], is_wanted: fn(&Duty) -> bool) -> String {
+    let wanted = places.iter().filter(|place| is_wanted(&place.duty));
+    let quoted: Vec<String> = wanted.map(|place| format!("\"{}\"", place.host)).collect();
+    format!("[{}]", quoted.join(", "))
+}
--- /dev/null
+++ b/crates/dev/src/bench/mod.rs
@@ -0,0 +1,51 @@
+//! A deterministic driver of the product's decision code.
+//!
+//! One queue of events on virtual time runs entries (router, membership, calls) and agents
+//! ([`cuminlead_agent_core::AgentContext`]) as the processes do, with small fakes at their
+//! interfaces: model engines, plain services, the configuration service and the connections between
+//! hosts. The same seed and settings give the same run. Everything observable is appended to a
+//! [`cuminlead_verifier::Record`]. The fault matrix and load measurement use the driver.
+//!
+//! | module | holds |
+//! |---|---|
+//! | [`config`] | settings of a run |
+//! | [`layout`] | hosts, lists and host list |
+//! | [`queue`] | the event queue |
+//! | [`event`] | events and what travels on connections |
+//! | [`network`] | connections, cuts and silence |
+//! | [`engine`] | fake model engine |
+//! | [`service`] | fake plain service |
+//! | [`platform`] | fake configuration service and host list |
+//! | [`agent`] | agents |
+//! | [`entry`] | entries and their calls |
+//! | [`carry`] | messages and streams under way |
+//! | [`caller`] | requests and what their callers receive |
+//! | [`step`] | steps of the paths at which a fault can strike |
+//! | [`fault`] | faults and their healing |
+//! | [`tamper`] | places at which a test can remove a guard |
+//! | [`world`] | [`World`], which owns all of it |
+
+pub mod agent;
+pub mod caller;
+pub mod carry;
+pub mod config;
+pub mod engine;
+pub mod entry;
+pub mod event;
+pub mod fault;
+pub mod layout;
+pub mod network;
+pub mod platform;
+pub mod queue;
+pub mod service;
+pub mod step;
+pub mod tamper;
+pub mod world;
+
+pub use caller::{CallerResult, Ending, PathKind, RequestSpec};
+pub use config::BenchConfig;
+pub use event::NodeId;
+pub use fault::Fault;
+pub use step::Step;
+pub use tamper::Tamper;
+pub use world::World;
--- /dev/null
+++ b/crates/dev/src/bench/platform.rs
@@ -0,0 +1,137 @@
+//! Fake configuration service and host list.
+//!
+//! A change reaches each process a fixed delay after it was published. While the service is down it
+//! accepts no change and answers no process. While it is stale it serves the first revision again.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use cuminlead_lists::{HostList, HostState, Snapshot};
+use cuminlead_types::{DurationUs, Revision};
+use cuminlead_verifier::{LeavingSource, Observation};
+
+use super::event::{Event, NodeId, ProcessEvent};
+use super::layout;
+use super::world::World;
+
+/// Interval at which the service confirms the lists of each process.
+const CONFIRM_INTERVAL: DurationUs = DurationUs::from_ms(30_000);
+
+/// Whether the configuration service can be read, and what it serves.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum PlatformState {
+    /// It serves the newest revision.
+    #[default]
+    Up,
+    /// It does not answer.
+    Down,
+    /// It serves the first revision.
+    Stale,
+}
+
+/// What the platform publishes.
+#[derive(Debug, Default)]
+pub struct Platform {
+    /// State of the configuration service.
+    pub state: PlatformState,
+    pub(super) snapshots: Vec<Snapshot>,
+    pub(super) leaving: BTreeSet<NodeId>,
+    hosts_revision: Revision,
+    has_waiting_change: bool,
+}
+
+impl World {
+    pub(super) fn publish_lists(&mut self) {
+        if self.platform.state != PlatformState::Up {
+            self.platform.has_waiting_change = true;
+            return;
+        }
+        let revision = Revision(self.platform.snapshots.len() as u64 + 1);
+        let snapshot = layout::snapshot(&self.config, &self.places, revision);
+        self.platform.snapshots.push(snapshot);
+        self.observe(Observation::ListsPublished { revision });
+        for node in self.all_nodes() {
+            self.send_lists(node);
+        }
+    }
+
+    pub(super) fn send_lists(&mut self, node: NodeId) {
+        let snapshots = &self.platform.snapshots;
+        let served = match self.platform.state {
+            PlatformState::Up => snapshots.last(),
+            PlatformState::Down => None,
+            PlatformState::Stale => snapshots.first(),
+        };
+        let Some(snapshot) = served.cloned() else {
+            return;
+        };
+        let delay = self.config.lists_delay_us;
+        self.push_process(delay, node, ProcessEvent::Lists(snapshot));
+        if self.platform.state == PlatformState::Up {
+            self.push_process(delay, node, ProcessEvent::Confirmed);
+        }
+    }
+
+    /// The next confirmation follows while the service serves the newest revision.
+    pub(super) fn confirm_again(&mut self, node: NodeId) {
+        if self.platform.state == PlatformState::Up {
+            self.push_process(CONFIRM_INTERVAL, node, ProcessEvent::Confirmed);
+        }
+    }
+
+    pub(super) fn set_platform(&mut self, state: PlatformState) {
+        self.platform.state = state;
+        let is_up = state == PlatformState::Up;
+        for node in self.all_nodes() {
+            self.settle_isolation(node);
+            self.send_lists(node);
+        }
+        if is_up && std::mem::take(&mut self.platform.has_waiting_change) {
+            self.publish_lists();
+        }
+    }
+
+    pub(super) fn hosts(&self) -> Arc<HostList> {
+        let hosts = self.places.iter().enumerate().map(|(index, place)| {
+            let is_leaving = self.platform.leaving.contains(&NodeId(index));
+            let state = match is_leaving {
+                true => HostState::Leaving,
+                false => HostState::Live,
+            };
+            place.entry(state)
+        });
+        Arc::new(HostList {
+            revision: self.platform.hosts_revision,
+            hosts: hosts.collect(),
+        })
+    }
+
+    pub(super) fn publish_hosts(&mut self) {
+        self.platform.hosts_revision.0 += 1;
+        let hosts = self.hosts();
+        let delay = self.config.hosts_delay_us;
+        for node in self.all_nodes() {
+            self.push_process(delay, node, ProcessEvent::Hosts(Arc::clone(&hosts)));
+        }
+    }
+
+    pub(super) fn publish_leaving(&mut self, node: NodeId) {
+        self.platform.leaving.insert(node);
+        if let Some(server) = self.places[node.0].server() {
+            let source = LeavingSource::Published;
+            self.observe(Observation::LeavingReported { server, source });
+        }
+        self.publish_hosts();
+    }
+
+    pub(super) fn publish_live(&mut self, node: NodeId) {
+        if self.platform.leaving.remove(&node) {
+            self.publish_hosts();
+        }
+    }
+
+    /// Publishes a change after a delay.
+    pub fn change_lists_in(&mut self, delay: DurationUs) {
+        self.push(delay, Event::PublishLists);
+    }
+}
--- /dev/null
+++ b/crates/dev/src/bench/service.rs
@@ -0,0 +1,126 @@
+//! Fake plain service: runs calls and counts their effects.
+//!
+//! A call names its request in the path, so an effect can be told from another one. Half of the run
+//! time passes before the effect and half after it, so a death can fall on either side.
+
+use std::collections::BTreeMap;
+
+use cuminlead_protocol::{HttpResponse, RunRef, ServiceCommand, ServiceEvent};
+use cuminlead_types::{BackendServerId, DurationUs, RequestId};
+use cuminlead_verifier::Observation;
+
+use super::event::{BackendEvent, NodeId, ProcessEvent};
+use super::step::Step;
+use super::world::World;
+
+/// Server of the plain service.
+#[derive(Debug)]
+pub struct Service {
+    pub(super) server: BackendServerId,
+    running: BTreeMap<u64, Running>,
+    runs_count: u64,
+}
+
+#[derive(Clone, Debug)]
+struct Running {
+    agent_generation: u64,
+    run: RunRef,
+    request: RequestId,
+}
+
+impl Service {
+    /// Server that runs nothing.
+    pub fn new(server: BackendServerId) -> Self {
+        Self {
+            server,
+            running: BTreeMap::new(),
+            runs_count: 0,
+        }
+    }
+}
+
+/// Response of the service to a request.
+pub fn response_to(request: RequestId) -> HttpResponse {
+    HttpResponse {
+        status: 200,
+        content_type: "text/plain".to_string(),
+        body: format!("done {request}").into_bytes(),
+    }
+}
+
+/// Path of a call of a request.
+pub fn path_of(is_idempotent: bool, request: RequestId) -> String {
+    let name = if is_idempotent { "stock" } else { "book" };
+    format!("/{name}/{request}")
+}
+
+fn request_of(path: &str) -> RequestId {
+    let name = path.rsplit('/').next().unwrap_or_default();
+    name.parse().unwrap_or_default()
+}
+
+impl World {
+    pub(super) fn service_call(
+        &mut self,
+        node: NodeId,
+        agent_generation: u64,
+        command: ServiceCommand,
+    ) {
+        let request = request_of(&command.http.path);
+        let service = self.service_mut(node);
+        service.runs_count += 1;
+        let number = service.runs_count;
+        let running = Running {
+            agent_generation,
+            run: command.run,
+            request,
+        };
+        service.running.insert(number, running);
+        let run = self.config.service_run_us;
+        let half = DurationUs(run.get() / 2);
+        self.push_backend(half, node, BackendEvent::ServiceEffect(number));
+        self.push_backend(run, node, BackendEvent::ServiceAnswer(number));
+        self.reached_run(request, Step::RunStarted, Step::IdempotentRunStarted);
+    }
+
+    pub(super) fn service_effect(&mut self, node: NodeId, number: u64) {
+        let service = self.service_mut(node);
+        let server = service.server.clone();
+        if let Some(running) = service.running.get(&number) {
+            let request = running.request;
+            self.observe(Observation::ServiceRan { server, request });
+        }
+    }
+
+    pub(super) fn service_answer(&mut self, node: NodeId, number: u64) {
+        let Some(running) = self.service_mut(node).running.remove(&number) else {
+            return;
+        };
+        let event = ServiceEvent::Answered {
+            run: running.run,
+            http: response_to(running.request),
+        };
+        let request = running.request;
+        self.report_run(node, running.agent_generation, event);
+        self.reached_run(request, Step::RunAnswered, Step::IdempotentRunAnswered);
+    }
+
+    pub(super) fn end_service(&mut self, node: NodeId) {
+        let Some(service) = self.services.get_mut(&node) else {
+            return;
+        };
+        for running in std::mem::take(&mut service.running).into_values() {
+            let event = ServiceEvent::Lost { run: running.run };
+            self.report_run(node, running.agent_generation, event);
+        }
+    }
+
+    /// Sends an event to the agent that made the call, if it still lives.
+    pub(super) fn report_run(&mut self, node: NodeId, agent_generation: u64, event: ServiceEvent) {
+        let process = &self.nodes[node.0];
+        if process.is_running && process.generation == agent_generation {
+            let delay = self.config.backend_latency_us;
+            self.push_process(delay, node, ProcessEvent::Service(event));
+        }
+    }
+}
--- /dev/null
+++ b/crates/dev/src/bench/step.rs
@@ -0,0 +1,243 @@
+//! Steps of the paths at which a fault can strike.
+
+use cuminlead_protocol::AgentRequest;
+use cuminlead_types::RequestId;
+use strum::{Display, EnumIter, EnumString, IntoStaticStr};
+
+use super::caller::PathKind;
+use super::event::{Event, NodeId};
+use super::fault::{Fault, Targets};
+use super::world::World;
+
+/// Step of a path, in the order in which a request takes them.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Display,
+    EnumIter,
+    EnumString,
+    IntoStaticStr,
+)]
+#[strum(serialize_all = "snake_case")]
+pub enum Step {
+    /// The router has chosen a decode and a prefill server.
+    Route,
+    /// A reservation is sent.
+    ReserveSent,
+    /// The reservation is granted.
+    ReserveGranted,
+    /// A prefill is sent.
+    PrefillSent,
+    /// The engine computes the prompt.
+    PrefillRunning,
+    /// The engine has computed the prompt.
+    PrefillDone,
+    /// The decode engine imports the KV cache.
+    Transfer,
+    /// The caller gets the first chunk.
+    FirstChunk,
+    /// The caller gets a chunk between first and last.
+    MiddleChunk,
+    /// The prefill engine is told to free the KV cache.
+    Release,
+    /// The caller gets the last chunk.
+    LastChunk,
+    /// Chunks are acknowledged.
+    Acknowledge,
+    /// The router has chosen a server of the service.
+    ServiceRoute,
+    /// A permit is asked for.
+    PermitSent,
+    /// The permit is issued.
+    PermitIssued,
+    /// The call is sent under the permit.
+    RunSent,
+    /// The service has begun to run the call.
+    RunStarted,
+    /// The outcome of a permit is asked for.
+    Ask,
+    /// The service has answered.
+    RunAnswered,
+    /// An idempotent call is sent.
+    IdempotentRunSent,
+    /// The service has begun to run an idempotent call.
+    IdempotentRunStarted,
+    /// The service has answered an idempotent call.
+    IdempotentRunAnswered,
+}
+
+/// Server that a step is about.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum About {
+    Decode,
+    Prefill,
+    Service,
+}
+
+impl Step {
+    /// Paths that have the step.
+    pub const fn paths(self) -> &'static [PathKind] {
+        match self {
+            Self::Route
+            | Self::ReserveSent
+            | Self::ReserveGranted
+            | Self::PrefillSent
+            | Self::PrefillRunning
+            | Self::PrefillDone
+            | Self::Transfer
+            | Self::FirstChunk
+            | Self::MiddleChunk
+            | Self::Release
+            | Self::LastChunk
+            | Self::Acknowledge => &[PathKind::Model],
+            Self::ServiceRoute => &[
+                PathKind::Idempotent,
+                PathKind::NonIdempotent,
+                PathKind::Keyed,
+            ],
+            Self::PermitSent
+            | Self::PermitIssued
+            | Self::RunSent
+            | Self::RunStarted
+            | Self::Ask
+            | Self::RunAnswered => &[PathKind::NonIdempotent, PathKind::Keyed],
+            Self::IdempotentRunSent | Self::IdempotentRunStarted | Self::IdempotentRunAnswered => {
+                &[PathKind::Idempotent]
+            }
+        }
+    }
+
+    /// Whether the step only occurs when the service is slow to answer.
+    pub const fn needs_slow_service(self) -> bool {
+        matches!(self, Self::Ask)
+    }
+
+    /// Step at which a message is sent.
+    pub(super) const fn of_message(message: &AgentRequest) -> Option<Self> {
+        match message {
+            AgentRequest::Reserve(_) => Some(Self::ReserveSent),
+            AgentRequest::Prefill(_) => Some(Self::PrefillSent),
+            AgentRequest::Release(_) => Some(Self::Release),
+            AgentRequest::IssuePermit(_) => Some(Self::PermitSent),
+            AgentRequest::RunCall(run) if run.permit.is_some() => Some(Self::RunSent),
+            AgentRequest::RunCall(_) => Some(Self::IdempotentRunSent),
+            AgentRequest::AskPermit(_) => Some(Self::Ask),
+            AgentRequest::GetState(_) => None,
+        }
+    }
+
+    const fn about(self) -> About {
+        match self {
+            Self::PrefillSent | Self::PrefillRunning | Self::PrefillDone | Self::Release => {
+                About::Prefill
+            }
+            Self::Route
+            | Self::ReserveSent
+            | Self::ReserveGranted
+            | Self::Transfer
+            | Self::FirstChunk
+            | Self::MiddleChunk
+            | Self::LastChunk
+            | Self::Acknowledge => About::Decode,
+            _ => About::Service,
+        }
+    }
+}
+
+/// A fault at a step.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Strike {
+    /// Step.
+    pub step: Step,
+    /// Fault.
+    pub fault: Fault,
+}
+
+/// Faults that strike one request, each at its step and after the one before.
+#[derive(Clone, Debug, Default)]
+pub struct Plan {
+    target: RequestId,
+    waiting: Vec<Strike>,
+    struck_count: usize,
+}
+
+impl Plan {
+    /// Plan for a request.
+    pub fn new(target: RequestId, strikes: &[Strike]) -> Self {
+        let mut waiting = strikes.to_vec();
+        waiting.reverse();
+        Self {
+            target,
+            waiting,
+            struck_count: 0,
+        }
+    }
+
+    /// Faults that have struck.
+    pub fn struck_count(&self) -> usize {
+        self.struck_count
+    }
+}
+
+impl World {
+    /// Notes that a request has reached a step, and lets the planned faults strike.
+    pub(super) fn reached(&mut self, step: Step, request: RequestId) {
+        if self.plan.target != request {
+            return;
+        }
+        while self.plan.waiting.last().is_some_and(|s| s.step == step) {
+            if let Some(strike) = self.plan.waiting.pop() {
+                self.plan.struck_count += 1;
+                let targets = self.targets(step, request);
+                self.push_now(Event::Strike(strike.fault, targets));
+            }
+        }
+    }
+
+    fn targets(&self, step: Step, request: RequestId) -> Targets {
+        let used = self.used.get(&request).copied().unwrap_or_default();
+        let (server, other) = match step.about() {
+            About::Decode => (used.decode, used.prefill),
+            About::Prefill => (used.prefill, used.decode),
+            About::Service => (used.service, None),
+        };
+        let entry = self.results.get(&request).map(|result| result.spec.entry);
+        Targets {
+            request,
+            entry: entry.unwrap_or(NodeId(0)),
+            server,
+            other,
+        }
+    }
+
+    pub(super) fn reached_route(&mut self, request: RequestId) {
+        let path = self.results.get(&request).map(|result| result.spec.path);
+        match path {
+            Some(PathKind::Model) => self.reached(Step::Route, request),
+            _ => self.reached(Step::ServiceRoute, request),
+        }
+    }
+
+    pub(super) fn reached_run(&mut self, request: RequestId, step: Step, idempotent: Step) {
+        let path = self.results.get(&request).map(|result| result.spec.path);
+        match path {
+            Some(PathKind::Idempotent) => self.reached(idempotent, request),
+            _ => self.reached(step, request),
+        }
+    }
+
+    pub(super) fn reached_chunk(&mut self, request: RequestId, sequence: u64, is_last: bool) {
+        let step = match sequence {
+            _ if is_last => Step::LastChunk,
+            0 => Step::FirstChunk,
+            _ => Step::MiddleChunk,
+        };
+        self.reached(step, request);
+    }
+}
--- a/crates/dev/src/lib.rs
+++ b/crates/dev/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! | module | holds |
 //! |---|---|
+//! | [`bench`] | deterministic driver of the decision code |
 //! | [`behaviour`] | faults that a stand-in can be told to show |
 //! | [`http`] | the HTTP listener that all stand-ins share |
 //! | [`client`] | short JSON calls to stand-ins and processes |
@@ -12,6 +13,7 @@
 //! | [`caller`] | requests to entries, as callers send them |
 
 pub mod behaviour;
+pub mod bench;
 pub mod caller;
 pub mod client;
 pub mod engine;
