Verify the state of admission and reach more of it in tests

`Admission::verify` collects violations of the internal rules after each event.

When the engine reports fewer KV pieces than before, requests that can never fit are refused as too large: as first in the queue they would block it until their wait ends.

Cases cover what random events seldom reach: a grant by the passing of time alone, waiting requests under new lists, and drains that wait for idempotent calls or unused permits.

--- a/crates/admission/src/context.rs
+++ b/crates/admission/src/context.rs
@@ -355,10 +355,23 @@
         }
     }
 
-    pub(crate) fn set_total_pieces(&mut self, reported: KvPieces) {
-        if reported > KvPieces::ZERO {
-            self.ledger
-                .set_total_pieces(reported.min(self.config.pieces));
+    /// Takes the KV pieces that the engine reports; what can never fit any more is refused, because
+    /// it would block the queue.
+    pub(crate) fn set_total_pieces(
+        &mut self,
+        reported: KvPieces,
+        actions: &mut Vec<AdmissionAction>,
+    ) {
+        if reported == KvPieces::ZERO {
+            return;
+        }
+        let total = reported.min(self.config.pieces);
+        self.ledger.set_total_pieces(total);
+        let waiting = self.queue.iter();
+        let too_large = waiting.filter(|(_, waiting)| !self.ledger.can_ever_fit(waiting.need));
+        let keys: Vec<WaitKey> = too_large.map(|(key, _)| key).collect();
+        for key in keys {
+            self.refuse_waiting(key, RefusalReason::TooLarge, actions);
         }
     }
 }
--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -16,6 +16,7 @@
 //! | [`output`] | chunks that the entry has not acknowledged |
 //! | [`released`] | attempts that their entry has released |
 //! | [`context`] | the context and the grant of places |
+//! | [`verify`] | check of the internal state, for tests |
 //!
 //! The private modules implement the events of the context: arrival of messages, decode streams,
 //! engine events, inventory and expiry.
@@ -35,8 +36,10 @@
 pub mod queue;
 pub mod released;
 mod stream;
+pub mod verify;
 
 pub use action::{AdmissionAction, AdmissionRecord, CallRef, ReleaseCause, StreamNote, StreamRef};
 pub use config::AdmissionConfig;
 pub use context::{Admission, Terms};
 pub use queue::{Purpose, Waiting};
+pub use verify::Violation;
--- a/crates/admission/tests/admission.rs
+++ b/crates/admission/tests/admission.rs
@@ -110,6 +110,21 @@
     assert_eq!(order, expected);
 }
 
+/// Guards against a request that waits on although the passing of time alone put it first.
+#[test]
+fn late_first_request_lets_the_next_one_go() {
+    let mut admission = Admission::new(config());
+    let mut actions = Vec::new();
+    admission.reserve(ms(0), CallRef(1), &reserve(1, 1), terms(1), &mut actions);
+    let mut large = reserve(2, 6);
+    large.due_us = DurationUs::from_ms(500);
+    admission.reserve(ms(0), CallRef(2), &large, terms(9), &mut actions);
+    admission.reserve(ms(0), CallRef(3), &reserve(3, 1), terms(1), &mut actions);
+    assert_eq!(admission.next_deadline(), Some(ms(500)));
+    admission.tick(ms(500), &mut actions);
+    assert!(matches!(replied(&actions, 3), Some(ReplyBody::Reserved(_))));
+}
+
 /// Guards against work that is queued although it is certain to be refused or late.
 #[parameterized(
     larger_than_the_engine = { 7, 9_000, 0, Some(RefusalReason::TooLarge) },
--- a/crates/admission/tests/differential.rs
+++ b/crates/admission/tests/differential.rs
@@ -22,7 +22,14 @@
 /// Bound of P1: engine memory of a request that is gone is free after this time.
 const GONE_FREE_US: DurationUs = DurationUs(30_000_000);
 const SEED: u64 = 0x5eed_ad15;
-const CASES: u32 = 400;
+const CASES: u32 = 500;
+
+#[derive(Clone, Copy, Debug)]
+enum TokenKind {
+    Next,
+    Repeat,
+    AfterGap,
+}
 
 #[derive(Clone, Debug)]
 enum Op {
@@ -30,16 +37,22 @@
     Ask(Ask),
     Release(u128),
     DropCall(u64),
-    Open(DecodeOpen),
+    Start(u128, u8),
+    Resume(u128, u64),
     Control(u64, DecodeControl),
     Close(u64),
     Engine(EngineEvent),
+    Sequence(u128, fn(u128) -> EngineEvent),
+    /// Next token of an attempt, one that was generated before, or one after a gap.
+    Token(u128, TokenKind, bool),
     Drain,
 }
 
 fn ask() -> impl Strategy<Value = Ask> {
-    let size = (number(), any::<bool>(), 1..8_u64, any::<bool>());
-    let limits = (0..3_u8, 0..3_u8, 0..20_u64, 0..40_u64);
+    let pieces = prop_oneof![6 => 1..3_u64, 1 => 3..8_u64];
+    let size = (0..6_u128, prop::bool::weighted(0.45), pieces, any::<bool>());
+    let due_steps = prop_oneof![1 => 0..5_u64, 1 => 0..40_u64];
+    let limits = (0..3_u8, 0..3_u8, 0..20_u64, due_steps);
     (size, limits).prop_map(|(size, limits)| {
         let (number, is_prefill, pieces, is_long) = size;
         let (customer, priority, wait_steps, due_steps) = limits;
@@ -62,25 +75,40 @@
     })
 }
 
-fn number() -> impl Strategy<Value = u128> {
-    0..6_u128
+/// Attempt, most often one that is held at the time: see [`Pair::aim`].
+fn pick() -> impl Strategy<Value = u128> {
+    0..24_u128
+}
+
+fn sequence_event() -> impl Strategy<Value = fn(u128) -> EngineEvent> {
+    prop_oneof![
+        6 => Just(prefill_done as fn(u128) -> EngineEvent),
+        8 => Just((|number| EngineEvent::Imported { id: id(number) }) as fn(u128) -> EngineEvent),
+        3 => Just((|number| EngineEvent::ImportFailed { id: id(number) }) as fn(u128) -> EngineEvent),
+        1 => Just((|number| EngineEvent::StreamLost { id: id(number) }) as fn(u128) -> EngineEvent),
+        1 => Just((|number| EngineEvent::SequenceFailed { id: id(number) }) as fn(u128) -> EngineEvent),
+    ]
 }
 
 fn engine_event() -> impl Strategy<Value = EngineEvent> {
-    let token = (number(), 0..4_u64, prop::bool::weighted(0.2));
-    let listed = prop::sample::subsequence((0..8_u128).collect::<Vec<_>>(), 0..=8);
+    let listed = prop::sample::subsequence((0..8_u128).collect::<Vec<_>>(), 5..=8);
+    let pieces = prop_oneof![8 => Just(0), 1 => 1..8_u32];
     prop_oneof![
-        6 => number().prop_map(prefill_done),
-        8 => number().prop_map(|number| EngineEvent::Imported { id: id(number) }),
-        5 => number().prop_map(|number| EngineEvent::ImportFailed { id: id(number) }),
-        16 => token.prop_map(|(number, first, is_last)| generated(number, first, is_last)),
-        1 => number().prop_map(|number| EngineEvent::StreamLost { id: id(number) }),
-        1 => number().prop_map(|number| EngineEvent::SequenceFailed { id: id(number) }),
-        4 => listed.prop_map(|listed| inventory(&listed, 0)),
+        8 => (listed, pieces).prop_map(|(listed, pieces)| inventory(&listed, pieces)),
         1 => Just(EngineEvent::Unreachable),
     ]
 }
 
+fn token() -> impl Strategy<Value = Op> {
+    let kind = prop_oneof![
+        20 => Just(TokenKind::Next),
+        2 => Just(TokenKind::Repeat),
+        1 => Just(TokenKind::AfterGap),
+    ];
+    let token = (pick(), kind, prop::bool::weighted(0.2));
+    token.prop_map(|(number, kind, is_last)| Op::Token(number, kind, is_last))
+}
+
 fn op() -> impl Strategy<Value = Op> {
     let acknowledge =
         |(stream, next)| Op::Control(stream, DecodeControl::Acknowledge(Sequence(next)));
@@ -88,14 +116,16 @@
         24 => (1..6_u64).prop_map(Op::Wait),
         2 => (20..130_u64).prop_map(Op::Wait),
         40 => ask().prop_map(Op::Ask),
-        6 => number().prop_map(Op::Release),
+        4 => pick().prop_map(Op::Release),
         4 => (0..4_u64).prop_map(Op::DropCall),
-        20 => (number(), 1..3_u8).prop_map(|(number, kv)| Op::Open(start(number, kv, 0))),
-        8 => (number(), 0..5_u64).prop_map(|(number, next)| Op::Open(resume(number, next))),
+        20 => (pick(), 1..3_u8).prop_map(|(pick, kv)| Op::Start(pick, kv)),
+        12 => (pick(), 0..5_u64).prop_map(|(pick, next)| Op::Resume(pick, next)),
         16 => (0..3_u64, 0..5_u64).prop_map(acknowledge),
         2 => (0..3_u64).prop_map(|stream| Op::Control(stream, DecodeControl::Cancel)),
         4 => (0..3_u64).prop_map(Op::Close),
-        84 => engine_event().prop_map(Op::Engine),
+        36 => (pick(), sequence_event()).prop_map(|(pick, event)| Op::Sequence(pick, event)),
+        9 => engine_event().prop_map(Op::Engine),
+        40 => token(),
         1 => prop::bool::weighted(0.2).prop_map(|is| if is { Op::Drain } else { Op::Wait(1) }),
     ]
 }
@@ -111,6 +141,7 @@
     in_engine: BTreeSet<AttemptId>,
     /// Number of the next chunk of each stream, from the first one on.
     next_chunks: BTreeMap<StreamRef, Option<u64>>,
+    made_tokens: BTreeMap<AttemptId, u64>,
 }
 
 impl Pair {
@@ -125,6 +156,7 @@
             accepted: BTreeSet::new(),
             in_engine: BTreeSet::new(),
             next_chunks: BTreeMap::new(),
+            made_tokens: BTreeMap::new(),
         }
     }
 
@@ -161,7 +193,8 @@
                 self.real_ask(&ask, &mut actions);
                 self.naive.ask(now, ask);
             }
-            Op::Release(number) => {
+            Op::Release(pick) => {
+                let number = self.aim(pick);
                 let call = self.next_call(id(number));
                 let message = support::release(number);
                 self.real.release(now, call, &message, &mut actions);
@@ -173,7 +206,9 @@
                 self.real.call_dropped(now, call, &mut actions);
                 self.naive.call_dropped(now, call);
             }
-            Op::Open(open) => self.open(open, &mut actions),
+            Op::Start(pick, kv) => self.open(start(self.aim(pick), kv, 0), &mut actions),
+            Op::Resume(pick, next) => self.open(resume(self.aim(pick), next), &mut actions),
+            Op::Sequence(pick, event) => return self.apply(&Op::Engine(event(self.aim(pick)))),
             Op::Control(back, control) => {
                 let stream = StreamRef(self.streams.saturating_sub(back));
                 self.real.stream_control(now, stream, control, &mut actions);
@@ -188,6 +223,17 @@
                 self.real.drain(now, &mut actions);
                 self.naive.drain(now);
             }
+            Op::Token(pick, kind, is_last) => {
+                let number = self.aim(pick);
+                let made = self.made_tokens.entry(id(number)).or_default();
+                let first = match kind {
+                    TokenKind::Next => *made,
+                    TokenKind::Repeat => made.saturating_sub(1),
+                    TokenKind::AfterGap => *made + 1,
+                };
+                *made = (*made).max(first + 1);
+                return self.apply(&Op::Engine(generated(number, first, is_last)));
+            }
             Op::Engine(event) => {
                 self.engine_forgets(&event);
                 self.naive.engine(now, event.clone());
@@ -197,6 +243,17 @@
         self.compare(actions);
     }
 
+    /// Attempt for a number: a held one for numbers from 6 on, if there is one.
+    fn aim(&self, pick: u128) -> u128 {
+        let held: Vec<u128> = (0..6).filter(|n| self.real.has_attempt(id(*n))).collect();
+        let index = usize::try_from(pick).unwrap_or(0);
+        if pick < 6 || held.is_empty() {
+            pick % 6
+        } else {
+            held[index % held.len()]
+        }
+    }
+
     fn next_call(&mut self, id: AttemptId) -> CallRef {
         self.calls += 1;
         self.asked.insert(CallRef(self.calls), id);
@@ -258,9 +315,7 @@
     }
 
     fn check(&mut self, actions: &[Action]) {
-        let used = self.real.used();
-        let total = self.real.total();
-        assert!(used.slots <= total.slots && used.pieces <= total.pieces);
+        assert_eq!(self.real.verify(self.now), []);
         for action in actions {
             match action {
                 Action::Reply { call, body } => {
@@ -275,6 +330,7 @@
                 ) => {
                     assert!(self.accepted.contains(id), "not accepted");
                     self.in_engine.insert(*id);
+                    self.made_tokens.insert(*id, 0);
                 }
                 Action::Engine(EngineCommand::Cancel { id }) => {
                     self.in_engine.remove(id);
--- a/crates/admission/tests/support/naive.rs
+++ b/crates/admission/tests/support/naive.rs
@@ -14,7 +14,7 @@
     AgentFailure, Chunk, DecodeStart, EngineCommand, Prefilled, RefusalReason, ReplyBody, Reserve,
     Reserved,
 };
-use cuminlead_types::{AttemptId, CustomerId, DurationUs, Priority, TimeUs, Tokens};
+use cuminlead_types::{AttemptId, CustomerId, DurationUs, KvPieces, Priority, TimeUs, Tokens};
 
 /// Request for a place; one for a prefill has no output.
 #[derive(Clone, Debug, Default)]
@@ -118,6 +118,7 @@
     busy_until: TimeUs,
     arrivals: u64,
     draining: bool,
+    total_pieces: KvPieces,
     unknown: Vec<AttemptId>,
     pub(crate) out: Vec<Action>,
 }
@@ -125,7 +126,6 @@
 impl Naive {
     pub(crate) fn new(config: AdmissionConfig) -> Self {
         Self {
-            config,
             items: Vec::new(),
             released: Vec::new(),
             clocks: BTreeMap::new(),
@@ -133,8 +133,10 @@
             busy_until: TimeUs(0),
             arrivals: 0,
             draining: false,
+            total_pieces: config.pieces,
             unknown: Vec::new(),
             out: Vec::new(),
+            config,
         }
     }
 
@@ -262,7 +264,7 @@
                 return;
             };
             let pieces = self.used_pieces() + self.items[index].tokens().kv_pieces().0;
-            if self.used_slots() + 1 > self.config.slots.0 || pieces > self.config.pieces.0 {
+            if self.used_slots() + 1 > self.config.slots.0 || pieces > self.total_pieces.0 {
                 return;
             }
             self.place(now, begin, index);
@@ -319,7 +321,7 @@
         };
         let reason = if self.draining {
             RefusalReason::Draining
-        } else if item.tokens().kv_pieces() > self.config.pieces {
+        } else if item.tokens().kv_pieces() > self.total_pieces {
             RefusalReason::TooLarge
         } else if !self.in_time(now, &item) {
             RefusalReason::CannotMeetTarget
--- a/crates/admission/tests/support/naive/decode.rs
+++ b/crates/admission/tests/support/naive/decode.rs
@@ -5,7 +5,7 @@
     AgentFailure, Chunk, DecodeControl, DecodeMode, DecodeOpen, DecodeStart, EngineCommand,
     EngineEvent, Prefilled, RefusalReason, ReplyBody,
 };
-use cuminlead_types::{AttemptId, Priority, Sequence, TimeUs};
+use cuminlead_types::{AttemptId, KvPieces, Priority, Sequence, TimeUs};
 
 use super::{Item, Naive, Step, refused};
 use crate::support::INCARNATION;
@@ -216,7 +216,10 @@
                 let is_lost = |i: &Item| i.id == id && i.in_engine();
                 self.remove_where(now, AgentFailure::EngineFailed, is_lost);
             }
-            EngineEvent::Inventory(inventory) => self.inventory(now, &inventory.sequences),
+            EngineEvent::Inventory(inventory) => {
+                self.shrink(now, inventory.total_pieces);
+                self.inventory(now, &inventory.sequences);
+            }
             _ => {
                 self.remove_where(now, AgentFailure::EngineFailed, Item::holds_pieces);
                 let starting = refused(RefusalReason::Starting);
@@ -271,6 +274,15 @@
         Some(())
     }
 
+    fn shrink(&mut self, now: TimeUs, total: KvPieces) {
+        if total > KvPieces(0) {
+            let total = total.min(self.config.pieces);
+            self.total_pieces = total;
+            let is = |i: &Item| i.step == Step::Waiting && i.tokens().kv_pieces() > total;
+            self.remove_where(now, refused(RefusalReason::TooLarge), is);
+        }
+    }
+
     fn inventory(&mut self, now: TimeUs, listed: &[AttemptId]) {
         let held = self.items.iter().filter(|i| i.in_engine());
         let held: Vec<AttemptId> = held.map(|i| i.id).collect();
--- a/crates/agent-core/tests/application.rs
+++ b/crates/agent-core/tests/application.rs
@@ -109,13 +109,18 @@
     assert_eq!(agent.ask(7, ask(used)).body, running);
 }
 
-/// Guards against a permit that is used after its time, when the tick came late.
+/// Guards against a permit that is used after its time, when the tick came late, and against one
+/// that is never used and holds up a drain.
 #[test]
 fn late_tick_does_not_prolong_a_permit() {
     let mut agent = Agent::of_service("counter-1");
     let late = permit(&mut agent, 0);
     let body = agent.ask(2_000, run(1, Some(late), "POST")).body;
     assert_eq!(body, refused(RefusalReason::PermitInvalid));
+    permit(&mut agent, 3_000);
+    agent.handle(3_001, AgentEvent::Drain);
+    let actions = agent.handle(5_000, AgentEvent::Tick);
+    assert_eq!(actions.last(), Some(&AgentAction::Drained));
 }
 
 /// Guards against a service agent that waits for an engine's inventory, and against work before
@@ -136,6 +141,7 @@
 fn drain_waits_for_permits_and_calls() {
     let mut agent = Agent::of_service("counter-1");
     let used = permit(&mut agent, 1);
+    let idempotent = forwarded(&agent.send(1, run(2, None, "GET")));
     assert!(
         !agent
             .handle(2, AgentEvent::Drain)
@@ -150,11 +156,13 @@
         .pop()
         .expect("a held permit is honoured");
     // The caller is gone; the call still counts until the service has answered.
-    agent.handle(5, AgentEvent::CallDropped { call: CallRef(3) });
+    agent.handle(5, AgentEvent::CallDropped { call: CallRef(4) });
     let answered = ServiceEvent::Answered {
         run: command.run,
         http: answer(),
     };
-    let actions = agent.handle(6, AgentEvent::Service(answered));
-    assert_eq!(actions, [AgentAction::Drained]);
+    assert_eq!(agent.handle(6, AgentEvent::Service(answered)), []);
+    let run = idempotent[0].run;
+    let lost = AgentEvent::Service(ServiceEvent::Lost { run });
+    assert_eq!(agent.handle(7, lost).last(), Some(&AgentAction::Drained));
 }
--- a/crates/agent-core/tests/model.rs
+++ b/crates/agent-core/tests/model.rs
@@ -40,8 +40,9 @@
     request: AgentRequest,
     expected: Option<RefusalReason>,
 ) {
-    let mut agent = Agent::of_engine(server, role);
-    agent.handle(0, inventory(role, &["notes", "other", "unwanted"]));
+    let mut agent = Agent::of_service(server);
+    // The load of the model that is missing keeps the unload of the unwanted one back.
+    agent.handle(0, inventory(role, &["notes", "unwanted"]));
     let actions = agent.send(1, request);
     let bodies: Vec<ReplyBody> = replies(&actions).into_iter().map(|r| r.body).collect();
     match expected {
@@ -162,6 +163,23 @@
     assert!(!again.contains(&AgentAction::Drained));
 }
 
+/// Guards against a request that waited while its plan ended and is granted under the old lists.
+#[test]
+fn waiting_request_is_checked_against_new_lists() {
+    let mut agent = Agent::of_engine("decode-1", DECODE);
+    for number in 0..20 {
+        agent.send(1, reserve(number, "kiosks", "notes"));
+    }
+    assert!(replies(&agent.send(2, reserve(20, "kiosks", "notes"))).is_empty());
+    let mut changed = lists(6);
+    changed.allowances.clear();
+    let actions = agent.handle(3, AgentEvent::Lists(Arc::new(changed)));
+    assert_eq!(
+        replies(&actions)[0].body,
+        refused(RefusalReason::OutsidePlan)
+    );
+}
+
 /// Guards against a repeat that is refused because the plan changed after its attempt began.
 #[test]
 fn repeat_is_answered_after_the_plan_ended() {
--- a/crates/agent-core/tests/orders.rs
+++ b/crates/agent-core/tests/orders.rs
@@ -74,13 +74,13 @@
         agent.ask(9_000, reserve(2, "kiosks", "notes")).body,
         not_served
     );
-    assert_eq!(order(&agent.send(9_500, release(1))), None);
     agent.handle(10_500, AgentEvent::Tick);
     assert_eq!(
         agent.context.next_deadline().map(|at| at.0),
         Some(11_000_000)
     );
-    let actions = agent.handle(11_000, AgentEvent::Tick);
+    assert_eq!(order(&agent.handle(11_000, AgentEvent::Tick)), None);
+    let actions = agent.send(11_050, release(1));
     let (fencing, set_role) = order(&actions).expect("an order");
     assert_eq!(set_role, SET_PREFILL);
     agent.handle(11_100, changed(7, WantedRole::Decode, false));
--- a/crates/agent-core/tests/support/mod.rs
+++ b/crates/agent-core/tests/support/mod.rs
@@ -202,8 +202,9 @@
         target: target(model),
         prompt_tokens: Tokens(1_000),
         output_max_tokens: Tokens(100),
-        lease_us: DurationUs::from_ms(10_000),
+        lease_us: DurationUs::from_ms(20_000),
         due_us: DurationUs::from_ms(10_000),
+        wait_max_us: DurationUs::from_ms(5_000),
         ..Reserve::default()
     })
 }
