--- a/crates/dev/src/lib.rs
+++ b/crates/dev/src/lib.rs
@@ -1,1 +1,21 @@
 //! Stand-ins, demo, load and measuring tools.
+//!
+//! | module | holds |
+//! |---|---|
+//! | [`behaviour`] | faults that a stand-in can be told to show |
+//! | [`http`] | the HTTP listener that all stand-ins share |
+//! | [`client`] | short JSON calls to stand-ins and processes |
+//! | [`engine`] | model engine |
+//! | [`service`] | plain service that counts its effects |
+//! | [`platform`] | configuration service and host list |
+//! | [`fleet`] | launcher of a whole system on loopback |
+//! | [`caller`] | requests to entries, as callers send them |
+
+pub mod behaviour;
+pub mod caller;
+pub mod client;
+pub mod engine;
+pub mod fleet;
+pub mod http;
+pub mod platform;
+pub mod service;
--- /dev/null
+++ b/crates/entry/src/process.rs
@@ -0,0 +1,257 @@
+//! Start and stop of an entry.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use axum::serve::ListenerExt;
+use crossbeam::channel::{Sender, unbounded};
+use cuminlead_distribution::Identity;
+use cuminlead_entry_core::CallConfig;
+use cuminlead_kernel::{Clock, spawn_control};
+use cuminlead_process::cli::ProcessSettings;
+use cuminlead_process::feed::{Feed, FeedParts, FeedSender};
+use cuminlead_process::peer::{PeerClient, PeerRpc};
+use cuminlead_process::platform::Platform;
+use cuminlead_process::secret::PeerSecret;
+use cuminlead_process::{StartError, admin, signal};
+use cuminlead_routing::{Router, RoutingConfig};
+use cuminlead_settings::EntrySettings;
+use cuminlead_telemetry::{Metrics, Tracing, log};
+use cuminlead_types::Findings;
+use cuminlead_wire::proto::peer_server::PeerServer;
+use error_stack::{Report, ResultExt};
+use slog::{Logger, info};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::runtime::Runtime;
+use tokio_stream::wrappers::TcpListenerStream;
+use tonic::transport::Server;
+
+use crate::clients::Clients;
+use crate::controller::{ControlEvent, ControllerParts, EntryController, EntryFlags};
+use crate::driver::DriverContext;
+use crate::http::handler::HttpContext;
+use crate::status::{EntryAdmin, EntryMetrics};
+
+/// Threads of the runtime that carries messages.
+const RUNTIME_THREADS: usize = 2;
+
+/// Settings of an entry on the command line.
+#[derive(Debug)]
+pub struct CheckedSettings(pub EntrySettings);
+
+impl std::fmt::Display for CheckedSettings {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+impl ProcessSettings for CheckedSettings {
+    fn parse_file(file: &str, text: &str) -> Result<Self, Findings> {
+        EntrySettings::parse(file, text).map(Self)
+    }
+}
+
+/// Runs an entry until it is asked to stop and its requests are answered.
+pub fn run(settings: &CheckedSettings) -> Result<(), Report<StartError>> {
+    let settings = &settings.0;
+    let (log, _log_guard) =
+        log::logger(&settings.log_level().to_string(), settings.name().as_str());
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(RUNTIME_THREADS)
+        .max_blocking_threads(settings.workers_max_count().0 as usize)
+        .enable_all()
+        .build()
+        .change_context(StartError::Thread)?;
+    let tracing = {
+        let _context = runtime.enter();
+        let collector = settings
+            .collector_address()
+            .map(|address| address.to_string());
+        Tracing::new(collector.as_deref(), "cuminlead-entry").change_context(StartError::Tracing)?
+    };
+    let result = serve(settings, &runtime, &log, &tracing);
+    tracing.shutdown();
+    result
+}
+
+fn serve(
+    settings: &EntrySettings,
+    runtime: &Runtime,
+    log: &Logger,
+    tracing: &Tracing,
+) -> Result<(), Report<StartError>> {
+    let clock = Clock::start();
+    let (control, events) = unbounded();
+    let mut metrics = Metrics::new("cuminlead_entry");
+    let entry_metrics = EntryMetrics::new(&mut metrics);
+    let flags = Arc::new(EntryFlags::default());
+    let secret = PeerSecret::new(
+        settings
+            .peer_secret()
+            .as_ref()
+            .map(|secret| secret.expose()),
+    );
+    let clients = Arc::new(Clients::new(secret.clone()));
+    let sender = feed_sender(&control);
+    let feed = build_feed(
+        settings,
+        runtime,
+        Arc::clone(&sender),
+        secret.clone(),
+        &entry_metrics,
+    );
+    let view = feed.view();
+    let driver = DriverContext {
+        clock,
+        control: control.clone(),
+        runtime: runtime.handle().clone(),
+        clients: Arc::clone(&clients),
+        metrics: entry_metrics.clone(),
+        tracing: tracing.clone(),
+    };
+    let http = HttpContext {
+        entry: settings.name().clone(),
+        driver,
+        view: Arc::clone(&view),
+        flags: Arc::clone(&flags),
+        calls: call_config(settings),
+        body_max: *settings.body_max_bytes(),
+        open_max_count: settings.workers_max_count().0.into(),
+        log: log.clone(),
+    };
+    let source = EntryAdmin {
+        name: settings.name().clone(),
+        metrics,
+        flags: Arc::clone(&flags),
+        view,
+    };
+    let parts = ControllerParts {
+        host: settings.host().clone(),
+        router: build_router(settings)?,
+        feed,
+        clients,
+        metrics: entry_metrics,
+        flags,
+        drain_delay_us: (*settings.drain_delay_ms()).into(),
+        drain_max_us: (*settings.drain_max_ms()).into(),
+        log: log.clone(),
+    };
+    let admin_address = admin::serve(*settings.admin_address(), Arc::new(source))?;
+    let peer_address = serve_peers(settings, runtime, PeerRpc::new(sender, secret))?;
+    let callers_address = serve_callers(settings, runtime, http)?;
+    runtime.spawn(forward_stop(control));
+    let thread = spawn_control(
+        "control",
+        clock,
+        EntryController::new(parts, clock.now()),
+        events,
+    )
+    .change_context(StartError::Thread)?;
+    println!("listening peer={peer_address} admin={admin_address} callers={callers_address}");
+    info!(log, "entry started"; "callers" => %callers_address, "admin" => %admin_address);
+    let ended = thread.join();
+    info!(log, "entry stopped"; "host" => %settings.host());
+    ended
+        .map(drop)
+        .map_err(|_| Report::new(StartError::Thread).attach("the control thread failed"))
+}
+
+fn serve_callers(
+    settings: &EntrySettings,
+    runtime: &Runtime,
+    http: HttpContext,
+) -> Result<SocketAddr, Report<StartError>> {
+    let listener = bind(runtime, *settings.listen_address())?;
+    let bound = listener.local_addr().change_context(StartError::Bind)?;
+    let serve = move |request| http.clone().serve(request);
+    let router = axum::Router::new().fallback(serve);
+    runtime.spawn(axum::serve(listener.tap_io(set_nodelay), router).into_future());
+    Ok(bound)
+}
+
+fn bind(runtime: &Runtime, address: SocketAddr) -> Result<TcpListener, Report<StartError>> {
+    let bound = runtime.block_on(TcpListener::bind(address));
+    bound
+        .change_context(StartError::Bind)
+        .attach_with(|| format!("address={address}"))
+}
+
+/// Sends each streamed part at once; a socket that refuses the option only delays parts.
+fn set_nodelay(stream: &mut TcpStream) {
+    let _ = stream.set_nodelay(true);
+}
+
+fn feed_sender(control: &Sender<ControlEvent>) -> FeedSender {
+    let control = control.clone();
+    Arc::new(move |event| {
+        // Nothing is left to report to when the control thread has ended.
+        let _ = control.send(ControlEvent::Feed(event));
+    })
+}
+
+fn build_feed(
+    settings: &EntrySettings,
+    runtime: &Runtime,
+    sender: FeedSender,
+    secret: PeerSecret,
+    metrics: &EntryMetrics,
+) -> Feed {
+    Feed::new(FeedParts {
+        identity: Identity {
+            host: settings.host().clone(),
+            region: settings.region().clone(),
+            zone: settings.availability_zone().clone(),
+        },
+        seed: rand::random(),
+        platform: Platform::new(&settings.platform_address().to_string()),
+        peers: PeerClient::new(settings.host().to_string(), secret),
+        runtime: runtime.handle().clone(),
+        sender,
+        metrics: metrics.common.clone(),
+    })
+}
+
+/// Serves lists and hosts to other processes; returns the bound address.
+fn serve_peers(
+    settings: &EntrySettings,
+    runtime: &Runtime,
+    rpc: PeerRpc,
+) -> Result<SocketAddr, Report<StartError>> {
+    let listener = bind(runtime, *settings.peer_address())?;
+    let bound = listener.local_addr().change_context(StartError::Bind)?;
+    let server = Server::builder()
+        .tcp_nodelay(true)
+        .add_service(PeerServer::new(rpc));
+    runtime.spawn(server.serve_with_incoming(TcpListenerStream::new(listener)));
+    Ok(bound)
+}
+
+fn build_router(settings: &EntrySettings) -> Result<Router, Report<StartError>> {
+    let percent = (settings.wasted_prefill_weight().get() * 100.0).round();
+    let config = RoutingConfig {
+        // The setting is between 0 and 1.
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        waste_weight_percent: percent as u64,
+        link_rate: *settings.link_bits_per_second(),
+        ..RoutingConfig::new(settings.region().clone(), rand::random())
+    };
+    Router::new(settings.routing_policy().as_str(), config).change_context(StartError::Plugin)
+}
+
+fn call_config(settings: &EntrySettings) -> CallConfig {
+    CallConfig {
+        request_max_us: (*settings.request_max_ms()).into(),
+        attempts_max_count: settings.attempts_max_count().0,
+        silence_us: (*settings.silence_ms()).into(),
+        message_timeout_us: (*settings.message_timeout_ms()).into(),
+        wait_max_us: (*settings.wait_max_ms()).into(),
+        ..CallConfig::default()
+    }
+}
+
+async fn forward_stop(control: Sender<ControlEvent>) {
+    if signal::stop_requested().await.is_ok() {
+        // Nothing is left to stop when the control thread has ended.
+        let _ = control.send(ControlEvent::Stop);
+    }
+}
--- /dev/null
+++ b/crates/process/src/platform.rs
@@ -0,0 +1,115 @@
+//! The client of the configuration service and host list.
+//!
+//! The platform can be read and watched; this client has no call that writes.
+
+use std::thread;
+use std::time::{Duration, Instant};
+
+use cuminlead_distribution::Answer;
+use cuminlead_lists::{HostList, Part, PartKey, Snapshot};
+use cuminlead_types::Revision;
+use serde::Deserialize;
+use ureq::Agent;
+
+/// Interval between two readings of the host list, which cannot be watched.
+const HOSTS_INTERVAL: Duration = Duration::from_secs(1);
+
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
+const VALUE_MAX_BYTES: u64 = 64 * 1024 * 1024;
+
+/// Client of the platform.
+#[derive(Clone, Debug)]
+pub struct Platform {
+    base: String,
+    http: Agent,
+}
+
+/// The platform gave no usable answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PlatformError;
+
+#[derive(Debug, Deserialize)]
+struct ConfigAnswer {
+    revision: u64,
+    parts: Vec<PartAnswer>,
+}
+
+#[derive(Debug, Deserialize)]
+struct PartAnswer {
+    key: String,
+    revision: u64,
+    text: String,
+}
+
+impl Platform {
+    /// Client of the platform at an IP address and port.
+    pub fn new(address: &str) -> Self {
+        let config = Agent::config_builder()
+            .timeout_connect(Some(CONNECT_TIMEOUT))
+            .build();
+        Self {
+            base: format!("http://{address}"),
+            http: config.into(),
+        }
+    }
+
+    /// Lists once they are newer than `after`, or what is published after `wait`.
+    pub fn lists(&self, after: Revision, wait: Duration) -> Result<Answer, PlatformError> {
+        let path = if wait.is_zero() {
+            "/v1/config?since=0".to_string()
+        } else {
+            format!("/v1/watch?since={after}&wait_ms={}", wait.as_millis())
+        };
+        let snapshot = self.snapshot(&path, wait + ANSWER_TIMEOUT)?;
+        let revision = snapshot.revision();
+        Ok(if revision > after {
+            Answer::Lists(snapshot)
+        } else {
+            Answer::Unchanged { revision }
+        })
+    }
+
+    /// Host list once it is newer than `after`, or what is published after `wait`.
+    pub fn hosts(&self, after: Revision, wait: Duration) -> Result<Answer, PlatformError> {
+        let until = Instant::now() + wait;
+        loop {
+            let hosts: HostList = match self.get("/v1/hosts", ANSWER_TIMEOUT)?.parse() {
+                Ok(hosts) => hosts,
+                Err(findings) => return Ok(Answer::Unreadable(findings)),
+            };
+            if hosts.revision > after {
+                return Ok(Answer::Hosts(hosts));
+            }
+            if Instant::now() + HOSTS_INTERVAL > until {
+                return Ok(Answer::Unchanged {
+                    revision: hosts.revision,
+                });
+            }
+            thread::sleep(HOSTS_INTERVAL);
+        }
+    }
+
+    fn snapshot(&self, path: &str, timeout: Duration) -> Result<Snapshot, PlatformError> {
+        let text = self.get(path, timeout)?;
+        let answer: ConfigAnswer = serde_json::from_str(&text).map_err(|_| PlatformError)?;
+        let parts = answer.parts.into_iter().map(|part| Part {
+            key: PartKey::new(part.key),
+            revision: Revision(part.revision),
+            text: part.text,
+        });
+        Ok(Snapshot::new(Revision(answer.revision), parts))
+    }
+
+    fn get(&self, path: &str, timeout: Duration) -> Result<String, PlatformError> {
+        let request = self
+            .http
+            .get(format!("{}{path}", self.base))
+            .config()
+            .timeout_global(Some(timeout))
+            .build();
+        let mut response = request.call().map_err(|_| PlatformError)?;
+        let body = response.body_mut().with_config().limit(VALUE_MAX_BYTES);
+        body.read_to_string().map_err(|_| PlatformError)
+    }
+}
