Carry the age of a confirmation and hand a pull's revisions on

Cause: a confirmation learnt from a peer may be older than the message that carries it; the agent took it as of now and accepted keyed calls longer than the staleness time allows. A peer that pulls may also be ahead, and nobody asked it.

--- a/crates/agent-core/src/context.rs
+++ b/crates/agent-core/src/context.rs
@@ -132,9 +132,9 @@
             AgentEvent::Engine(event) => self.engine_event(mono_us, event, actions),
             AgentEvent::Service(event) => self.service_event(mono_us, event, actions),
             AgentEvent::Lists(lists) => self.apply_lists(now, lists),
-            AgentEvent::ListsConfirmed => {
+            AgentEvent::ListsConfirmed { age_us } => {
                 if let Some(permits) = &mut self.permits {
-                    permits.confirm_lists(mono_us);
+                    permits.confirm_lists(mono_us - age_us);
                 }
             }
             AgentEvent::Hosts(revision) => {
--- a/crates/agent-core/src/event.rs
+++ b/crates/agent-core/src/event.rs
@@ -5,7 +5,7 @@
 pub use cuminlead_admission::{CallRef, StreamRef};
 use cuminlead_lists::Lists;
 use cuminlead_protocol::{AgentRequest, DecodeControl, DecodeOpen, EngineEvent, ServiceEvent};
-use cuminlead_types::Revision;
+use cuminlead_types::{DurationUs, Revision};
 
 /// Something that happened to an agent.
 #[derive(Clone, Debug)]
@@ -48,7 +48,10 @@
     /// New lists are in force.
     Lists(Arc<Lists>),
     /// The lists in force were confirmed as the newest by the configuration service or a peer.
-    ListsConfirmed,
+    ListsConfirmed {
+        /// Time since then, at most.
+        age_us: DurationUs,
+    },
     /// A host list was read.
     Hosts(Revision),
     /// The process was asked to stop, or the host list says that the host is leaving.
--- a/crates/agent/src/controller.rs
+++ b/crates/agent/src/controller.rs
@@ -208,8 +208,8 @@
         if let Some(lists) = update.lists {
             self.apply_lists(now, lists);
         }
-        if update.is_confirmed {
-            self.decide(now, AgentEvent::ListsConfirmed);
+        if let Some(age_us) = update.confirmed_age_us {
+            self.decide(now, AgentEvent::ListsConfirmed { age_us });
         }
         if let Some(hosts) = update.hosts {
             self.parts.metrics.set_revision("hosts", hosts.revision);
--- a/crates/dev/src/bench/agent.rs
+++ b/crates/dev/src/bench/agent.rs
@@ -104,7 +104,12 @@
             ProcessEvent::Service(event) => self.decide(node, AgentEvent::Service(event)),
             ProcessEvent::Lists(snapshot) => self.agent_lists(node, snapshot),
             ProcessEvent::Confirmed => {
-                self.decide(node, AgentEvent::ListsConfirmed);
+                self.decide(
+                    node,
+                    AgentEvent::ListsConfirmed {
+                        age_us: DurationUs::ZERO,
+                    },
+                );
                 self.confirm_again(node);
             }
             ProcessEvent::Hosts(hosts) => {
--- a/crates/permits/src/history.rs
+++ b/crates/permits/src/history.rs
@@ -52,7 +52,7 @@
 
     /// Notes that the lists in force were confirmed as the newest.
     pub fn confirm(&mut self, now: TimeUs) {
-        self.confirmed = Some(now);
+        self.confirmed = self.confirmed.max(Some(now));
     }
 
     /// Whether the lists were confirmed recently enough to accept keyed calls.
--- a/crates/process/src/feed.rs
+++ b/crates/process/src/feed.rs
@@ -51,6 +51,8 @@
     },
     /// A peer asks for what it lacks.
     Pull {
+        /// Host of the peer.
+        host: String,
         /// Revisions of the peer.
         revisions: Revisions,
         /// Where the answer goes.
@@ -68,8 +70,8 @@
     pub lists: Option<Arc<Lists>>,
     /// Host list that is now known.
     pub hosts: Option<Arc<HostList>>,
-    /// Whether the lists in force were confirmed as the newest.
-    pub is_confirmed: bool,
+    /// Time since the lists in force were confirmed as the newest, when they were confirmed again.
+    pub confirmed_age_us: Option<DurationUs>,
     /// Findings of a snapshot that was refused.
     pub refused: Option<Findings>,
 }
@@ -178,11 +180,17 @@
                     },
                 )
             }
-            FeedEvent::Pull { revisions, reply } => {
+            FeedEvent::Pull {
+                host,
+                revisions,
+                reply,
+            } => {
                 let update = self.distribution.update_since(now, revisions);
                 // The asking peer may be gone.
                 let _ = reply.send(self.to_wire(&update));
-                FeedUpdate::default()
+                // The asking peer may be ahead.
+                let peer = self.peer_on(&host);
+                self.decide(now, Event::RevisionsSeen { revisions, peer })
             }
         }
     }
@@ -292,7 +300,7 @@
                 self.parts.metrics.invalid_snapshots.inc();
                 update.refused = Some(findings);
             }
-            Action::Confirmed { .. } => update.is_confirmed = true,
+            Action::Confirmed { age } => update.confirmed_age_us = Some(age),
             Action::Ready => {}
         }
     }
@@ -342,17 +350,16 @@
         let is_reader = self.distribution.is_watching();
         let has_changed = update.lists.is_some()
             || update.hosts.is_some()
-            || update.is_confirmed
+            || update.confirmed_age_us.is_some()
             || current.is_ready != is_ready
             || current.is_reader != is_reader;
         if !has_changed {
             return;
         }
         let lists = self.distribution.lists();
-        let confirmed_at_us = if update.is_confirmed {
-            Some(now)
-        } else {
-            current.confirmed_at_us
+        let confirmed_at_us = match update.confirmed_age_us {
+            Some(age_us) => Some(now - age_us),
+            None => current.confirmed_at_us,
         };
         self.view.store(Arc::new(FeedView {
             is_ready,
--- a/crates/process/src/peer.rs
+++ b/crates/process/src/peer.rs
@@ -64,8 +64,13 @@
     ) -> Result<Response<proto::PeerUpdate>, Status> {
         self.secret.check(&request)?;
         let revisions = Revisions::from(request.get_ref());
+        let host = request.into_inner().host;
         let (reply, answered) = oneshot::channel();
-        (self.sender)(FeedEvent::Pull { revisions, reply });
+        (self.sender)(FeedEvent::Pull {
+            host,
+            revisions,
+            reply,
+        });
         let update = answered
             .await
             .map_err(|_| Status::unavailable("the process has stopped"))?;
