--- a/crates/entry/src/controller.rs
+++ b/crates/entry/src/controller.rs
@@ -6,7 +6,7 @@
 
 use crossbeam::channel::Sender;
 use cuminlead_distribution::{Event, Peer, Revisions};
-use cuminlead_entry_core::CallEvent;
+use cuminlead_entry_core::{CallEvent, counts_against_server};
 use cuminlead_kernel::Controller;
 use cuminlead_lists::{HostList, HostState, Lists, ProcessKind};
 use cuminlead_membership::Membership;
@@ -202,7 +202,7 @@
     }
 
     fn report(&mut self, now: Now, server: &BackendServerId, evidence: Option<Evidence>) {
-        let is_failure = evidence.is_some_and(is_server_failure);
+        let is_failure = evidence.is_some_and(counts_against_server);
         if is_failure {
             self.membership.record_failure(now.mono_us, server);
         } else if evidence.is_none() {
@@ -273,24 +273,6 @@
     }
 }
 
-/// Whether the evidence speaks against the server and not against the request.
-fn is_server_failure(evidence: Evidence) -> bool {
-    match evidence {
-        Evidence::ConnectFailed
-        | Evidence::Silent
-        | Evidence::TimedOut
-        | Evidence::EngineFailed => true,
-        Evidence::RefusedNotRun
-        | Evidence::Draining
-        | Evidence::NewIncarnation
-        | Evidence::Voided
-        | Evidence::StillRunning
-        | Evidence::OutcomeUnknown
-        | Evidence::Cancelled
-        | Evidence::StaleLists => false,
-    }
-}
-
 fn live_entries(hosts: &HostList) -> u32 {
     let live = hosts
         .hosts
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -109,6 +109,7 @@
         metrics: entry_metrics.clone(),
         tracing: tracing.clone(),
     };
+    let router = build_router(settings)?;
     let probe_context = driver.clone();
     let entry_id = settings.name().clone();
     let http = HttpContext {
@@ -116,7 +117,10 @@
         driver,
         view: Arc::clone(&view),
         flags: Arc::clone(&flags),
-        calls: call_config(settings),
+        calls: CallConfig {
+            prefill_first: !router.reserves_first(),
+            ..call_config(settings)
+        },
         body_max: *settings.body_max_bytes(),
         open_max_count: settings.workers_max_count().0.into(),
         log: log.clone(),
@@ -129,7 +133,7 @@
     };
     let parts = ControllerParts {
         host: settings.host().clone(),
-        router: build_router(settings)?,
+        router,
         feed,
         clients,
         probe: Box::new(move |server, seen| probe(&probe_context, &entry_id, server, seen)),
--- a/crates/retry/src/table.rs
+++ b/crates/retry/src/table.rs
@@ -146,7 +146,7 @@
 
 /// Steps at engines: a repeat over a fresh connection joins the running prefill or decode.
 ///
-/// The agent has already imported twice when it reports a failed transfer, so a new prefill follows.
+/// The call itself repeats a failed import once before it asks the table, so a new prefill follows.
 fn decide_engine(evidence: Evidence) -> Decision {
     match evidence {
         Evidence::Silent | Evidence::StillRunning => Decision::Resume,
--- a/crates/wire/tests/round_trip.rs
+++ b/crates/wire/tests/round_trip.rs
@@ -4,6 +4,8 @@
 
 #![allow(clippy::unwrap_used, reason = "test data is valid")]
 
+use cuminlead_distribution::Update;
+use cuminlead_lists::{Delta, HostDelta, HostEntry, HostState, Part, PartKey, ProcessKind};
 use cuminlead_protocol::*;
 use cuminlead_types::*;
 use cuminlead_wire::stream::DecodeMessage;
@@ -164,3 +166,39 @@
 fn invalid(wire: proto::CallRequest, error: WireError) {
     assert_eq!(AgentRequest::try_from(wire), Err(error));
 }
+
+/// Guards against a part or host that is lost or changed on its way between processes.
+#[test]
+fn peer_update() {
+    let update = Update {
+        lists: Delta {
+            from_revision: Revision(1),
+            revision: Revision(2),
+            is_full: false,
+            parts: vec![Part {
+                key: PartKey::new("plans/base"),
+                revision: Revision(2),
+                text: "schema = 1".to_string(),
+            }],
+            removed: vec![PartKey::new("plans/old")],
+        },
+        hosts: HostDelta {
+            from_revision: Revision(3),
+            revision: Revision(4),
+            is_full: true,
+            hosts: vec![HostEntry {
+                host: "host-1".parse().unwrap(),
+                region: "litoral".parse().unwrap(),
+                zone: "litoral-a".parse().unwrap(),
+                state: HostState::Leaving,
+                process: ProcessKind::Agent,
+                address: "127.0.0.1:1".to_string(),
+                server: Some("notes-1".parse().unwrap()),
+            }],
+            removed: vec!["host-2".parse().unwrap()],
+        },
+        confirmed_age: DurationUs(5),
+    };
+    let wire = proto::PeerUpdate::from(&update);
+    assert_eq!(Update::try_from(wire), Ok(update));
+}
