Let readers grow with the square root of their zone

Cause: with two readers in a zone of 445 hosts each reader sends heartbeats to about 220 followers, an estimated 7 KB/s against the 2 KB/s that control may cost a node. Ruled out: longer heartbeats, because silence has to be noticed within 3 s for a change to be in force within 9 s; a tree of followers, because each level adds its own time to notice silence. Before: 2 readers a zone at any size. After: 21 readers with about 20 followers each at 445 hosts, 126 watches in all against 2,000 calls/s. Small zones keep two.

--- a/crates/distribution/src/election.rs
+++ b/crates/distribution/src/election.rs
@@ -1,9 +1,9 @@
 //! Which hosts read, and whom a process may follow.
 //!
 //! A platform of several replicas may serve some readers an old revision and tell them that
-//! nothing changed. Readers therefore follow each other in a ring, the first of each zone the
-//! second one and the second one the first of the next zone, so that one reader that is served the
-//! newest revision is enough for all.
+//! nothing changed. Readers therefore follow each other: the first of each zone the second one, the
+//! second one the first of the next zone, which makes a ring, and the others of a zone the first
+//! two. One reader that is served the newest revision is enough for all.
 //!
 //! Rendezvous hashing needs no agreement: processes with the same host list choose the same
 //! readers, and a changed host moves the choice of its own zone only. Processes with different
@@ -14,7 +14,7 @@
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::context::Identity;
-use crate::limits::{DEPUTIES_COUNT, READERS_COUNT};
+use crate::limits::{DEPUTIES_COUNT, READERS_COUNT, readers_count};
 
 /// Seed of the election, fixed so that all processes choose alike.
 pub const READER_SEED: u64 = 0x7265_6164_6572_7331;
@@ -44,11 +44,14 @@
 pub struct Candidates {
     /// Readers of the own zone, deputies of the own zone, readers of other zones.
     pub peers: Vec<Peer>,
-    /// Number of leading peers that the process prefers: for a follower the readers of its zone,
-    /// for a reader the next one of the ring, and readers of other zones when there is none.
+    /// Number of leading peers that the process prefers: for a follower two readers of its zone, for
+    /// a reader the next one of the ring or the first two, and readers of other zones when there is
+    /// none.
     pub primaries_count: usize,
     /// Rank of this process among the hosts of its zone, when it is a reader or a deputy.
     pub own_rank: Option<usize>,
+    /// Readers of the own zone.
+    pub readers_count: usize,
 }
 
 impl Candidates {
@@ -59,26 +62,24 @@
 
     /// Whether this process reads.
     pub fn is_reader(&self) -> bool {
-        self.own_rank.is_some_and(|rank| rank < READERS_COUNT)
+        self.own_rank.is_some_and(|rank| rank < self.readers_count)
     }
 
     /// Whether this process reads while it hears no confirmed reader.
     pub fn is_deputy(&self) -> bool {
-        self.own_rank.is_some_and(|rank| rank >= READERS_COUNT)
+        self.own_rank.is_some_and(|rank| rank >= self.readers_count)
     }
 }
 
 /// Readers of a zone.
 pub fn readers_of_zone<'a>(list: &'a HostList, zone: &AvailabilityZoneName) -> Vec<&'a HostEntry> {
-    ranked_hosts(list, zone, READERS_COUNT)
+    let mut hosts = ranked_hosts(list, zone);
+    hosts.truncate(readers_count(hosts.len()));
+    hosts
 }
 
 /// Live hosts of a zone by rank.
-fn ranked_hosts<'a>(
-    list: &'a HostList,
-    zone: &AvailabilityZoneName,
-    count: usize,
-) -> Vec<&'a HostEntry> {
+fn ranked_hosts<'a>(list: &'a HostList, zone: &AvailabilityZoneName) -> Vec<&'a HostEntry> {
     let live = |entry: &&HostEntry| entry.zone == *zone && entry.state == HostState::Live;
     let mut hosts: Vec<_> = list.hosts.iter().filter(live).collect();
     hosts.sort_by_cached_key(|entry| {
@@ -88,7 +89,6 @@
             host: &entry.host,
         }
     });
-    hosts.truncate(count);
     hosts
 }
 
@@ -109,11 +109,20 @@
 
 /// Peers of a process by the host list.
 pub fn candidates(list: &HostList, own: &Identity) -> Candidates {
-    let ranked = ranked_hosts(list, &own.zone, READERS_COUNT + DEPUTIES_COUNT);
+    let mut ranked = ranked_hosts(list, &own.zone);
+    let readers_count = readers_count(ranked.len());
+    ranked.truncate(readers_count + DEPUTIES_COUNT);
     let own_rank = ranked.iter().position(|entry| entry.host == own.host);
-    let (readers, deputies) = ranked.split_at(ranked.len().min(READERS_COUNT));
-    let mut peers = peers_of(readers, own);
-    let zone_readers_count = peers.len();
+    let (readers, deputies) = ranked.split_at(ranked.len().min(readers_count));
+    let is_reader = own_rank.is_some_and(|rank| rank < readers_count);
+    // Readers follow the first two, which are in the ring; others spread over all readers.
+    let followed = if is_reader {
+        &readers[..readers.len().min(READERS_COUNT)]
+    } else {
+        readers
+    };
+    let mut peers = peers_of(followed, own);
+    let zone_readers_count = peers.len().min(READERS_COUNT);
     peers.extend(peers_of(deputies, own));
     peers.extend(peers_of(&readers_of_other_zones(list, own), own));
     let primaries_count = match zone_readers_count {
@@ -124,6 +133,7 @@
         peers,
         primaries_count,
         own_rank,
+        readers_count,
     };
     if own_rank == Some(READERS_COUNT - 1) {
         prefer(&mut candidates, first_reader_of_next_zone(list, own));
@@ -149,7 +159,7 @@
         .filter(|zone| **zone != own.zone);
     let next = zones.clone().filter(|zone| **zone > own.zone).min();
     let zone = next.or_else(|| zones.min())?;
-    ranked_hosts(list, zone, 1).first().copied()
+    ranked_hosts(list, zone).first().copied()
 }
 
 fn peers_of(hosts: &[&HostEntry], own: &Identity) -> Vec<Peer> {
@@ -175,6 +185,6 @@
     zones.dedup();
     let others = zones.into_iter().filter(|zone| **zone != own.zone);
     others
-        .flat_map(|zone| ranked_hosts(list, zone, READERS_COUNT))
+        .flat_map(|zone| ranked_hosts(list, zone).into_iter().take(READERS_COUNT))
         .collect()
 }
--- a/crates/distribution/src/limits.rs
+++ b/crates/distribution/src/limits.rs
@@ -21,9 +21,24 @@
 
 use cuminlead_types::DurationUs;
 
-/// Readers of each availability zone; two, so that one may fail without a question to the
-/// platform.
+/// Fewest readers of an availability zone, and readers that a follower prefers; two, so that one may
+/// fail without a question to the platform.
 pub const READERS_COUNT: usize = 2;
+
+/// Readers of an availability zone with `hosts_count` live hosts.
+///
+/// A reader sends a heartbeat to each of its followers. With two readers for 445 hosts that would
+/// be 150 messages a second, above the 2 KB/s that control may cost a node. The square root keeps
+/// followers and the calls to the platform growing more slowly than the fleet: 6 zones of 445 hosts
+/// have 126 readers with about 20 followers each.
+pub const fn readers_count(hosts_count: usize) -> usize {
+    let root = hosts_count.isqrt();
+    if root > READERS_COUNT {
+        root
+    } else {
+        READERS_COUNT
+    }
+}
 /// Hosts of each zone that read while they hear no confirmed reader. A limit is needed because a
 /// fleet whose processes do not reach each other would otherwise watch as a whole.
 pub const DEPUTIES_COUNT: usize = 2;
