--- a/crates/dev/src/lib.rs
+++ b/crates/dev/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! | module | holds |
 //! |---|---|
+//! | [`bench`] | deterministic driver of the decision code |
 //! | [`behaviour`] | faults that a stand-in can be told to show |
 //! | [`http`] | the HTTP listener that all stand-ins share |
 //! | [`client`] | short JSON calls to stand-ins and processes |
@@ -10,12 +11,15 @@
 //! | [`platform`] | configuration service and host list |
 //! | [`fleet`] | launcher of a whole system on loopback |
 //! | [`caller`] | requests to entries, as callers send them |
+//! | [`relay`] | TCP relay that cuts connections |
 
 pub mod behaviour;
+pub mod bench;
 pub mod caller;
 pub mod client;
 pub mod engine;
 pub mod fleet;
 pub mod http;
 pub mod platform;
+pub mod relay;
 pub mod service;
--- a/crates/entry/src/controller.rs
+++ b/crates/entry/src/controller.rs
@@ -6,7 +6,7 @@
 
 use crossbeam::channel::Sender;
 use cuminlead_distribution::{Event, Peer, Revisions};
-use cuminlead_entry_core::CallEvent;
+use cuminlead_entry_core::{CallEvent, counts_against_server};
 use cuminlead_kernel::Controller;
 use cuminlead_lists::{HostList, HostState, Lists, ProcessKind};
 use cuminlead_membership::Membership;
@@ -57,6 +57,13 @@
         /// Failure, or none when the server did what it was asked.
         evidence: Option<Evidence>,
     },
+    /// A probe was answered or lost.
+    Probed {
+        /// Server.
+        server: BackendServerId,
+        /// Whether its agent answered.
+        is_answered: bool,
+    },
     /// An answer was handed to a caller.
     Answered {
         /// Server that made it.
@@ -81,6 +88,9 @@
     pub open_requests: AtomicU64,
 }
 
+/// Sends a probe to a server's agent, with the revisions known here.
+pub type ProbeSender = Box<dyn Fn(BackendServerId, Revisions) + Send>;
+
 /// Parts that a controller is built from.
 pub struct ControllerParts {
     /// Host of this entry.
@@ -91,6 +101,8 @@
     pub feed: Feed,
     /// Connections to agents.
     pub clients: Arc<Clients>,
+    /// Sends a probe and reports it as `ControlEvent::Probed`.
+    pub probe: ProbeSender,
     /// Metrics.
     pub metrics: EntryMetrics,
     /// State shared with other threads.
@@ -162,6 +174,13 @@
         self.apply(update, now);
     }
 
+    fn revisions(&self) -> Revisions {
+        Revisions {
+            lists: self.lists.revision,
+            hosts: self.hosts.revision,
+        }
+    }
+
     fn peer_of(&self, server: &BackendServerId) -> Option<Peer> {
         let address = self.membership.address_of(server)?.to_string();
         let host = self.membership.host_of(server)?.clone();
@@ -183,7 +202,7 @@
     }
 
     fn report(&mut self, now: Now, server: &BackendServerId, evidence: Option<Evidence>) {
-        let is_failure = evidence.is_some_and(is_server_failure);
+        let is_failure = evidence.is_some_and(counts_against_server);
         if is_failure {
             self.membership.record_failure(now.mono_us, server);
         } else if evidence.is_none() {
@@ -254,24 +273,6 @@
     }
 }
 
-/// Whether the evidence speaks against the server and not against the request.
-fn is_server_failure(evidence: Evidence) -> bool {
-    match evidence {
-        Evidence::ConnectFailed
-        | Evidence::Silent
-        | Evidence::TimedOut
-        | Evidence::EngineFailed => true,
-        Evidence::RefusedNotRun
-        | Evidence::Draining
-        | Evidence::NewIncarnation
-        | Evidence::Voided
-        | Evidence::StillRunning
-        | Evidence::OutcomeUnknown
-        | Evidence::Cancelled
-        | Evidence::StaleLists => false,
-    }
-}
-
 fn live_entries(hosts: &HostList) -> u32 {
     let live = hosts
         .hosts
@@ -302,6 +303,13 @@
             }
             ControlEvent::Observed(state) => self.observe(now, &state),
             ControlEvent::Report { server, evidence } => self.report(now, &server, evidence),
+            ControlEvent::Probed {
+                server,
+                is_answered,
+            } => {
+                self.membership
+                    .record_probe(now.mono_us, &server, is_answered);
+            }
             ControlEvent::Answered { server, size } => {
                 self.parts.router.count_answer(now.mono_us, &server, size);
                 self.parts.metrics.set_link(self.parts.router.link_use());
@@ -324,6 +332,9 @@
             let update = self.parts.feed.tick(now.mono_us);
             self.apply(update, now);
         }
+        for server in self.membership.take_due_probes(now.mono_us) {
+            (self.parts.probe)(server, self.revisions());
+        }
         self.advance_stop(now);
     }
 
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -28,7 +28,7 @@
 
 use crate::clients::Clients;
 use crate::controller::{ControlEvent, ControllerParts, EntryController, EntryFlags};
-use crate::driver::DriverContext;
+use crate::driver::{DriverContext, probe};
 use crate::http::handler::HttpContext;
 use crate::status::{EntryAdmin, EntryMetrics};
 
@@ -109,12 +109,18 @@
         metrics: entry_metrics.clone(),
         tracing: tracing.clone(),
     };
+    let router = build_router(settings)?;
+    let probe_context = driver.clone();
+    let entry_id = settings.name().clone();
     let http = HttpContext {
-        entry: settings.name().clone(),
+        entry: entry_id.clone(),
         driver,
         view: Arc::clone(&view),
         flags: Arc::clone(&flags),
-        calls: call_config(settings),
+        calls: CallConfig {
+            prefill_first: !router.reserves_first(),
+            ..call_config(settings)
+        },
         body_max: *settings.body_max_bytes(),
         open_max_count: settings.workers_max_count().0.into(),
         log: log.clone(),
@@ -127,9 +133,10 @@
     };
     let parts = ControllerParts {
         host: settings.host().clone(),
-        router: build_router(settings)?,
+        router,
         feed,
         clients,
+        probe: Box::new(move |server, seen| probe(&probe_context, &entry_id, server, seen)),
         metrics: entry_metrics,
         flags,
         drain_delay_us: (*settings.drain_delay_ms()).into(),
