Run the fault matrix with single faults and a sample of pairs

The bounds on engine memory leave out the time for which an engine, or for the longest pauses its agent, is paused: traces show the memory freed as soon as the process runs again, and nobody else can free it.

--- /dev/null
+++ b/crates/dev/src/bench/cell.rs
@@ -0,0 +1,274 @@
+//! Cells of the fault matrix: one request on a path, and the faults that strike it.
+//!
+//! After the faults have ended the run goes on until every time bound of `docs/design.md` has
+//! passed. Then engine memory must be empty, no call may be left at an entry, the same request sent
+//! afresh must be answered, and the record must keep all promises.
+
+use std::fmt;
+use std::str::FromStr;
+
+use cuminlead_types::{DurationUs, RequestId, TimeUs, Tokens};
+use cuminlead_verifier::{Bounds, verify};
+use strum::IntoEnumIterator;
+
+use super::caller::{Ending, PathKind, RequestSpec};
+use super::config::BenchConfig;
+use super::event::NodeId;
+use super::fault::Fault;
+use super::step::{Plan, Step, Strike};
+use super::tamper::Tamper;
+use super::world::World;
+
+/// Start of the request; later than the start of the processes by more than the 5 s after which a
+/// key is known to be new.
+const SENT_AT: TimeUs = TimeUs(8_000_000);
+/// Time during which other requests are sent, longer than a leaving server may get work.
+const OTHERS_TIME: DurationUs = DurationUs::from_ms(20_000);
+/// Interval of other requests.
+const OTHERS_INTERVAL: DurationUs = DurationUs::from_ms(2_500);
+/// Shortest time for faults; longer than the longest one lasts.
+const FAULTS_MIN: DurationUs = DurationUs::from_ms(50_000);
+/// Longest time for two faults and the recovery in between.
+const FAULTS_MAX: DurationUs = DurationUs::from_ms(260_000);
+/// Interval at which the end of the faults is looked for.
+const LOOK_INTERVAL: DurationUs = DurationUs::from_ms(5_000);
+/// Time after which every bound has passed: a request lasts 100 s at most, and its memory is free
+/// 30 s later.
+const SETTLE: DurationUs = DurationUs::from_ms(131_000);
+/// Time for the request that is sent afresh, and for its memory to be free.
+const FRESH: DurationUs = DurationUs::from_ms(35_000);
+/// Run time of a service that is slow enough for its outcome to be asked for (2 s).
+const SLOW_RUN: DurationUs = DurationUs::from_ms(2_800);
+
+const PROMPT: Tokens = Tokens(4_000);
+const TARGET: u64 = 1;
+const FRESH_TARGET: u64 = 2;
+const FIRST_OTHER: u64 = 100;
+
+/// Request on a path, and the faults that strike it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Cell {
+    /// Path of the request.
+    pub path: PathKind,
+    /// Faults in the order in which they strike.
+    pub strikes: Vec<Strike>,
+}
+
+impl fmt::Display for Cell {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.path)?;
+        for strike in &self.strikes {
+            write!(f, " {}:{}", strike.step, strike.fault)?;
+        }
+        Ok(())
+    }
+}
+
+/// Text that is not a cell.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ParseCellError(String);
+
+impl fmt::Display for ParseCellError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:?} is not a cell", self.0)
+    }
+}
+
+impl std::error::Error for ParseCellError {}
+
+impl FromStr for Cell {
+    type Err = ParseCellError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let error = || ParseCellError(text.to_string());
+        let mut words = text.split_whitespace();
+        let path = words.next().and_then(|word| word.parse().ok());
+        let mut strikes = Vec::new();
+        for word in words {
+            let (step, fault) = word.split_once(':').ok_or_else(error)?;
+            strikes.push(Strike {
+                step: step.parse().map_err(|_| error())?,
+                fault: fault.parse().map_err(|_| error())?,
+            });
+        }
+        Ok(Self {
+            path: path.ok_or_else(error)?,
+            strikes,
+        })
+    }
+}
+
+/// What came of a cell.
+#[derive(Clone, Debug)]
+pub struct CellReport {
+    /// Faults that struck.
+    pub struck_count: usize,
+    /// How the request ended for its caller.
+    pub ending: String,
+    /// Everything that is wrong, one finding each.
+    pub findings: Vec<String>,
+    /// Record as text.
+    pub record: String,
+}
+
+/// Faults that can strike a path at a step.
+fn strikes_of(path: PathKind, step: Step) -> impl Iterator<Item = Strike> {
+    let faults = Fault::iter().filter(move |fault| fault.applies_to(path));
+    faults.map(move |fault| Strike { step, fault })
+}
+
+fn steps_of(path: PathKind) -> impl Iterator<Item = Step> {
+    Step::iter().filter(move |step| step.paths().contains(&path))
+}
+
+/// All cells with one fault.
+pub fn singles() -> Vec<Cell> {
+    let mut cells = Vec::new();
+    for path in PathKind::iter() {
+        for step in steps_of(path) {
+            let strikes = strikes_of(path, step);
+            cells.extend(strikes.map(|strike| Cell {
+                path,
+                strikes: vec![strike],
+            }));
+        }
+    }
+    cells
+}
+
+/// All cells with two faults, the second one at the same or a later step.
+pub fn pairs() -> Vec<Cell> {
+    let mut cells = Vec::new();
+    for first in singles() {
+        let path = first.path;
+        let step = first.strikes[0].step;
+        for later in steps_of(path).filter(|later| *later >= step) {
+            cells.extend(strikes_of(path, later).map(|second| Cell {
+                path,
+                strikes: vec![first.strikes[0], second],
+            }));
+        }
+    }
+    cells
+}
+
+/// Paths and faults that make no cell, because the path has nothing that the fault strikes.
+pub fn not_applicable() -> Vec<String> {
+    let mut names = Vec::new();
+    for path in PathKind::iter() {
+        let faults = Fault::iter().filter(|fault| !fault.applies_to(path));
+        names.extend(faults.map(|fault| format!("{path}:{fault}")));
+    }
+    names
+}
+
+/// Settings for a cell.
+pub fn config_of(cell: &Cell, seed: u64) -> BenchConfig {
+    let mut config = BenchConfig {
+        seed,
+        ..BenchConfig::default()
+    };
+    if cell.strikes.iter().any(|s| s.step.needs_slow_service()) {
+        config.service_run_us = SLOW_RUN;
+    }
+    config
+}
+
+/// Runs a cell.
+pub fn run_cell(cell: &Cell, seed: u64, tamper: Box<dyn Tamper>) -> CellReport {
+    let mut world = World::new(config_of(cell, seed), tamper);
+    let entry = world.entry_nodes()[0];
+    let target = RequestSpec::new(TARGET, cell.path, entry, PROMPT);
+    world.set_plan(Plan::new(target.request, &cell.strikes));
+    world.send_at(SENT_AT, target);
+    send_others(&mut world);
+    run_faults(&mut world);
+    let mut findings = Vec::new();
+    let settled_at = world.now() + SETTLE;
+    world.run_until(settled_at);
+    check_empty(&world, "after the faults", &mut findings);
+    let fresh = RequestSpec::new(FRESH_TARGET, cell.path, entry, PROMPT);
+    let fresh_id = fresh.request;
+    world.send_at(settled_at, fresh);
+    world.run_until(settled_at + FRESH);
+    check_empty(&world, "after the fresh request", &mut findings);
+    check_fresh(&world, fresh_id, &mut findings);
+    let found = verify(world.record(), world.now(), &bounds_of(cell));
+    findings.extend(found.iter().map(ToString::to_string));
+    CellReport {
+        struck_count: world.plan().struck_count(),
+        ending: ending_of(&world),
+        findings,
+        record: world.record().to_string(),
+    }
+}
+
+/// Bounds of the design; those on engine memory leave out the time for which nobody can free it.
+fn bounds_of(cell: &Cell) -> Bounds {
+    let mut bounds = Bounds::default();
+    for strike in &cell.strikes {
+        bounds.free_us += strike.fault.memory_blocked_us();
+        bounds.cancel_us += strike.fault.cancel_blocked_us();
+    }
+    bounds
+}
+
+/// Other requests through the other entry, whose answers must not be mixed up with the target's.
+fn send_others(world: &mut World) {
+    let entries = world.entry_nodes();
+    let entry = entries.last().copied().unwrap_or(NodeId(0));
+    let count = OTHERS_TIME.get() / OTHERS_INTERVAL.get();
+    for number in 0..count {
+        let at = SENT_AT + DurationUs(number * OTHERS_INTERVAL.get());
+        let model = FIRST_OTHER + 2 * number;
+        world.send_at(at, RequestSpec::new(model, PathKind::Model, entry, PROMPT));
+        let spec = RequestSpec::new(model + 1, PathKind::NonIdempotent, entry, PROMPT);
+        world.send_at(at, spec);
+    }
+}
+
+fn run_faults(world: &mut World) {
+    world.run_until(SENT_AT + FAULTS_MIN);
+    let until = SENT_AT + FAULTS_MAX;
+    while world.now() < until && !is_over(world) {
+        world.run_until(world.now() + LOOK_INTERVAL);
+    }
+}
+
+fn is_over(world: &World) -> bool {
+    let results = world.results().values();
+    let are_ended = results.into_iter().all(|result| result.ending.is_some());
+    are_ended && world.is_healed()
+}
+
+fn check_empty(world: &World, when: &str, findings: &mut Vec<String>) {
+    let sequences_count = world.sequences_count();
+    if sequences_count > 0 {
+        findings.push(format!("{sequences_count} sequences in engines {when}"));
+    }
+    let calls_count = world.calls_count();
+    if calls_count > 0 {
+        findings.push(format!("{calls_count} calls left at entries {when}"));
+    }
+}
+
+fn ending_of(world: &World) -> String {
+    let results = world.results();
+    let target = results.get(&RequestId(u128::from(TARGET)));
+    match target.and_then(|result| result.ending.as_ref()) {
+        Some(Ending::Failed(outcome)) => outcome.to_string(),
+        Some(Ending::Answered) => "answered".to_string(),
+        Some(Ending::Gone) => "caller_gone".to_string(),
+        Some(Ending::CutOff) => "cut_off".to_string(),
+        None => "none".to_string(),
+    }
+}
+
+fn check_fresh(world: &World, request: RequestId, findings: &mut Vec<String>) {
+    let result = &world.results()[&request];
+    if result.ending != Some(Ending::Answered) {
+        let ending = &result.ending;
+        let error = &result.error;
+        findings.push(format!("the fresh request ended with {ending:?}: {error}"));
+    }
+}
--- a/crates/dev/src/bench/fault.rs
+++ b/crates/dev/src/bench/fault.rs
@@ -10,8 +10,14 @@
 
 /// Pause that is shorter than every lease and permit.
 const SHORT_PAUSE: DurationUs = DurationUs::from_ms(1_000);
-/// Pause that is longer than the longest lease (30 s) and every permit (2 s).
+/// Pause of an entry or a service that is longer than the longest lease (30 s) and every permit (2 s).
 const LONG_PAUSE: DurationUs = DurationUs::from_ms(35_000);
+/// Pause of an agent or an engine that is longer than decodes without their entry (5 s), finished
+/// prefills (10 s) and the leases that the calls ask for (8 s and the prefill) are held, and still
+/// lets the process free memory within the 30 s of P1.
+const LONG_SERVER_PAUSE: DurationUs = DurationUs::from_ms(25_000);
+/// Pause of an agent or an engine that is longer than every bound on engine memory.
+const LONGEST_SERVER_PAUSE: DurationUs = DurationUs::from_ms(45_000);
 /// Cut that is longer than orphaned decodes (5 s) and finished prefills (10 s) are held.
 const CUT: DurationUs = DurationUs::from_ms(15_000);
 /// Stall that outlasts two imports of 2 s each.
@@ -62,6 +68,10 @@
     EnginePauseShort,
     /// The engine pauses for longer than leases last.
     EnginePauseLong,
+    /// The agent pauses for longer than the bound on engine memory.
+    AgentPauseLongest,
+    /// The engine pauses for longer than the bound on engine memory.
+    EnginePauseLongest,
     /// The service pauses for less than permits last.
     ServicePauseShort,
     /// The service pauses for longer than permits last.
@@ -104,6 +114,26 @@
 }
 
 impl Fault {
+    /// Time for which nobody can free the memory of an engine, where it exceeds the bound for a
+    /// request that is gone: only the engine holds the memory, and only its agent orders it to be
+    /// freed.
+    pub const fn memory_blocked_us(self) -> DurationUs {
+        match self {
+            Self::AgentPauseLongest | Self::EnginePauseLongest => LONGEST_SERVER_PAUSE,
+            _ => DurationUs::ZERO,
+        }
+    }
+
+    /// Time for which an engine does not carry out a cancel that its agent has received.
+    pub const fn cancel_blocked_us(self) -> DurationUs {
+        match self {
+            Self::EnginePauseShort => SHORT_PAUSE,
+            Self::EnginePauseLong => LONG_SERVER_PAUSE,
+            Self::EnginePauseLongest => LONGEST_SERVER_PAUSE,
+            _ => DurationUs::ZERO,
+        }
+    }
+
     /// Whether the path has what the fault strikes.
     pub const fn applies_to(self, path: PathKind) -> bool {
         let is_model = matches!(path, PathKind::Model);
@@ -113,6 +143,7 @@
             | Self::OtherEngineDeath
             | Self::EnginePauseShort
             | Self::EnginePauseLong
+            | Self::EnginePauseLongest
             | Self::TransferStall => is_model,
             Self::ServiceDeath | Self::ServicePauseShort | Self::ServicePauseLong => !is_model,
             _ => true,
@@ -152,13 +183,14 @@
             Fault::AgentDeath => self.kill(server),
             Fault::EngineDeath | Fault::ServiceDeath => self.kill_backend(server),
             Fault::AgentPauseShort => self.pause(server, SHORT_PAUSE),
-            Fault::AgentPauseLong => self.pause(server, LONG_PAUSE),
+            Fault::AgentPauseLong => self.pause(server, LONG_SERVER_PAUSE),
+            Fault::AgentPauseLongest => self.pause(server, LONGEST_SERVER_PAUSE),
             Fault::EnginePauseShort | Fault::ServicePauseShort => {
                 self.pause_backend(server, SHORT_PAUSE);
             }
-            Fault::EnginePauseLong | Fault::ServicePauseLong => {
-                self.pause_backend(server, LONG_PAUSE);
-            }
+            Fault::EnginePauseLong => self.pause_backend(server, LONG_SERVER_PAUSE),
+            Fault::EnginePauseLongest => self.pause_backend(server, LONGEST_SERVER_PAUSE),
+            Fault::ServicePauseLong => self.pause_backend(server, LONG_PAUSE),
             Fault::CutBoth => {
                 self.cut_for(CUT, entry, server);
                 self.cut_for(CUT, server, entry);
--- a/crates/dev/src/bench/world.rs
+++ b/crates/dev/src/bench/world.rs
@@ -184,6 +184,11 @@
         self.engines.values().map(|e| e.sequences.len()).sum()
     }
 
+    /// Calls that entries still drive.
+    pub fn calls_count(&self) -> usize {
+        self.entries.values().map(Entry::calls_count).sum()
+    }
+
     /// Hosts of the entries.
     pub fn entry_nodes(&self) -> Vec<NodeId> {
         self.entries.keys().copied().collect()
