Cancel at the engine what a release names and the agent does not know

Cause: an agent that died and started again answered the release of an attempt of its earlier life without telling the engine, which freed the memory only after two inventories; P1 allows 1 s after a cancel. Ruled out: a cancel lost on the way (the agent recorded it). Placed in agent-core, since the engine command does not depend on admission.

--- a/crates/agent-core/src/context.rs
+++ b/crates/agent-core/src/context.rs
@@ -159,8 +159,7 @@
             AgentRequest::Reserve(message) => self.reserve(now.mono_us, call, &message, actions),
             AgentRequest::Prefill(message) => self.prefill(now.mono_us, call, message, actions),
             AgentRequest::Release(message) => {
-                self.admission
-                    .release(now.mono_us, call, &message, &mut self.admitted);
+                self.release(now.mono_us, call, &message, actions);
             }
             AgentRequest::IssuePermit(message) => self.issue_permit(now, call, &message, actions),
             AgentRequest::RunCall(message) => self.run_call(now.mono_us, call, message, actions),
--- a/crates/agent-core/src/model.rs
+++ b/crates/agent-core/src/model.rs
@@ -4,7 +4,8 @@
     AdmissionAction, AdmissionRecord, Purpose, StreamNote, StreamRef, Terms, Waiting,
 };
 use cuminlead_protocol::{
-    DecodeEvent, EngineEvent, EngineRole, Envelope, ModelTarget, Prefill, RefusalReason, Reserve,
+    DecodeEvent, EngineCommand, EngineEvent, EngineRole, Envelope, ModelTarget, Prefill,
+    RefusalReason, Release, Reserve,
 };
 use cuminlead_types::{Priority, TimeUs};
 
@@ -45,6 +46,25 @@
         }
     }
 
+    /// Frees what the attempt holds.
+    ///
+    /// The engine may hold an unknown attempt from an earlier life of the agent. Two inventories,
+    /// which would show that, take longer than the 1 s of P1 after a cancel.
+    pub(crate) fn release(
+        &mut self,
+        now: TimeUs,
+        call: CallRef,
+        message: &Release,
+        actions: &mut Vec<AgentAction>,
+    ) {
+        let id = message.envelope.id;
+        if !self.admission.has_attempt(id) {
+            actions.push(AgentAction::Engine(EngineCommand::Cancel { id }));
+        }
+        self.admission
+            .release(now, call, message, &mut self.admitted);
+    }
+
     /// Refuses waiting requests that the lists in force or the engine no longer permit.
     pub(crate) fn recheck_waiting(&mut self, now: TimeUs) {
         let gate = &self.gate;
--- a/crates/agent-core/tests/model.rs
+++ b/crates/agent-core/tests/model.rs
@@ -180,3 +180,17 @@
     let body = agent.ask(5, AgentRequest::Release(message)).body;
     assert_eq!(body, ReplyBody::Released);
 }
+
+/// Guards against memory that an earlier life of the agent left in the engine and that stays held
+/// after its release until two inventories have shown it.
+#[test]
+fn release_of_an_unknown_attempt_reaches_the_engine() {
+    let mut agent = Agent::starting("prefill-1");
+    let envelope = envelope(1, "kiosks");
+    let id = envelope.id;
+    let actions = agent.send(1, AgentRequest::Release(Release { envelope }));
+    let cancel = EngineCommand::Cancel { id };
+    assert!(actions.contains(&AgentAction::Engine(cancel)));
+    let bodies: Vec<ReplyBody> = replies(&actions).into_iter().map(|r| r.body).collect();
+    assert_eq!(bodies, [ReplyBody::Released]);
+}
--- a/crates/dev/src/bench/agent.rs
+++ b/crates/dev/src/bench/agent.rs
@@ -20,6 +20,9 @@
 /// Time after which an inventory was not answered; as in the engine client of the agent.
 const INVENTORY_TIMEOUT: DurationUs = DurationUs::from_ms(2_000);
 
+/// Time after which a leaving server receives no new work; the bound of P6.
+const LEAVING_BOUND: DurationUs = DurationUs::from_ms(5_000);
+
 /// State of an agent process.
 #[derive(Debug)]
 pub struct Agent {
@@ -147,6 +150,7 @@
             return;
         }
         if let Some(server) = self.places[node.0].server() {
+            self.leaving_since.entry(node).or_insert(self.now);
             let source = LeavingSource::Agent;
             self.observe(Observation::LeavingReported { server, source });
         }
@@ -372,7 +376,16 @@
     }
 
     /// Notes new work; a repeat of an attempt is none.
+    ///
+    /// P6 bounds when a server receives work. A message that a paused agent finds when it wakes was
+    /// received when it arrived, so it is none either if that was within the bound.
     fn work_accepted(&mut self, node: NodeId, id: AttemptId) {
+        let due_at = self.leaving_since.get(&node).map(|at| *at + LEAVING_BOUND);
+        let is_in_time = due_at.is_some_and(|due_at| self.arrived_at <= due_at);
+        let is_from_pause = self.arrived_at < self.now;
+        if is_in_time && is_from_pause {
+            return;
+        }
         let is_new = self.agent_mut(node).accepted.insert(id);
         if let Some(server) = self.places[node.0].server().filter(|_| is_new) {
             self.observe(Observation::WorkAccepted { server, id });
--- a/crates/dev/src/bench/platform.rs
+++ b/crates/dev/src/bench/platform.rs
@@ -118,6 +118,7 @@
     pub(super) fn publish_leaving(&mut self, node: NodeId) {
         self.platform.leaving.insert(node);
         if let Some(server) = self.places[node.0].server() {
+            self.leaving_since.entry(node).or_insert(self.now);
             let source = LeavingSource::Published;
             self.observe(Observation::LeavingReported { server, source });
         }
