--- a/crates/dev/src/fleet/lists.rs
+++ b/crates/dev/src/fleet/lists.rs
@@ -1,4 +1,4 @@
-//! Text of plans and allowances.
+//! Text of plans and allowances, as an operator writes it.
 
 use std::fmt::Write;
 
@@ -11,7 +11,7 @@
 const PRIORITY: u8 = 5;
 
 /// Plans part with one plan and one customer.
-pub(super) fn plans(config: &FleetConfig, key: &str) -> String {
+pub fn plans(config: &FleetConfig, key: &str) -> String {
     let digest = Sha256::digest(key.as_bytes());
     let digest: String = digest.iter().map(|byte| format!("{byte:02x}")).collect();
     format!(
@@ -26,20 +26,27 @@
 }
 
 /// Allowances part in which the plan may use everything.
-pub(super) fn allowances(deployment: &Deployment) -> String {
+pub fn allowances(deployment: &Deployment) -> String {
     let mut text = "schema = 1\n".to_string();
     for place in &deployment.servers {
         text += &server(deployment, place);
     }
-    text += &routes(deployment);
-    text += &format!("[[allowance]]\nplan = \"{PLAN}\"\n");
     let engines = ids(deployment, |place| place.role().is_some());
-    text += &model(deployment, "", &engines);
-    let adapter = format!("adapter = \"{}\"\n", deployment.adapter);
-    text += &model(deployment, &adapter, &engines);
     let services = ids(deployment, |place| place.role().is_none());
-    let service = deployment.service;
-    text += &format!("[[allowance.service]]\nservice = \"{service}\"\nservers = {services}\n");
+    if !services.is_empty() {
+        text += &routes(deployment);
+    }
+    text += &format!("[[allowance]]\nplan = \"{PLAN}\"\n");
+    if !engines.is_empty() {
+        let adapter = format!("adapter = \"{}\"\n", deployment.adapter);
+        text += &model(deployment, "", &engines);
+        text += &model(deployment, &adapter, &engines);
+    }
+    if !services.is_empty() {
+        let service = deployment.service;
+        let servers = list(&services);
+        text += &format!("[[allowance.service]]\nservice = \"{service}\"\nservers = {servers}\n");
+    }
     text
 }
 
@@ -74,7 +81,8 @@
     lookups.concat()
 }
 
-fn model(deployment: &Deployment, adapter: &str, servers: &str) -> String {
+fn model(deployment: &Deployment, adapter: &str, servers: &[String]) -> String {
+    let servers = list(servers);
     format!(
         "[[allowance.model]]\nmodel = \"{}\"\nversion = \"{}\"\n{adapter}\
          priority = {PRIORITY}\nservers = {servers}\n",
@@ -82,8 +90,12 @@
     )
 }
 
-fn ids(deployment: &Deployment, is_wanted: fn(&ServerPlace) -> bool) -> String {
+fn ids(deployment: &Deployment, is_wanted: fn(&ServerPlace) -> bool) -> Vec<String> {
     let wanted = deployment.servers.iter().filter(|place| is_wanted(place));
-    let quoted: Vec<String> = wanted.map(|place| format!("\"{}\"", place.id)).collect();
+    wanted.map(|place| place.id.clone()).collect()
+}
+
+fn list(ids: &[String]) -> String {
+    let quoted: Vec<String> = ids.iter().map(|id| format!("\"{id}\"")).collect();
     format!("[{}]", quoted.join(", "))
 }
--- a/crates/dev/src/fleet/mod.rs
+++ b/crates/dev/src/fleet/mod.rs
@@ -6,15 +6,25 @@
 //!
 //! | module | holds |
 //! |---|---|
+//! | [`claims`] | non-idempotent calls and what their callers were told |
 //! | [`deployment`] | sizes and places of both deployments |
+//! | [`handover`] | replacement of running processes |
 //! | [`process`] | one started process and its signals |
-//! | `lists` | text of plans and allowances |
+//! | [`lists`] | text of plans and allowances |
 //! | [`settings`] | text of settings files |
+//! | [`small`] | deployments of tests |
+//! | `probe` | reads of a running fleet |
+//! | [`requests`] | requests whose right answer is known |
 
+pub mod claims;
 pub mod deployment;
-mod lists;
+pub mod handover;
+pub mod lists;
+mod probe;
 pub mod process;
+pub mod requests;
 pub mod settings;
+pub mod small;
 
 use std::collections::BTreeMap;
 use std::fs;
@@ -62,6 +72,8 @@
     pub entry_settings: BTreeMap<String, String>,
     /// Further arguments of all engines.
     pub engine_arguments: Vec<String>,
+    /// Further arguments of all services.
+    pub service_arguments: Vec<String>,
     /// Age of the published host list.
     pub hosts_lag_ms: u64,
 }
@@ -81,6 +93,7 @@
             agent_settings: BTreeMap::new(),
             entry_settings: BTreeMap::from([drain]),
             engine_arguments: Vec::new(),
+            service_arguments: Vec::new(),
             hosts_lag_ms: 0,
         }
     }
@@ -95,6 +108,7 @@
     directory: PathBuf,
     processes: BTreeMap<String, Process>,
     leaving: Vec<String>,
+    routed: BTreeMap<String, String>,
     is_kept: bool,
 }
 
@@ -127,12 +141,18 @@
             directory,
             processes: BTreeMap::new(),
             leaving: Vec::new(),
+            routed: BTreeMap::new(),
             is_kept: false,
         })
     }
 
     fn start_all(&mut self) -> io::Result<()> {
         self.start_platform_and_servers()?;
+        self.start_processes()
+    }
+
+    /// Starts agents and entries beside running stand-ins and waits until all entries are ready.
+    pub fn start_processes(&mut self) -> io::Result<()> {
         self.publish_lists()?;
         for place in self.config.deployment.servers.clone() {
             self.spawn_agent(&place)?;
@@ -159,7 +179,9 @@
     fn spawn_server(&mut self, place: &ServerPlace) -> io::Result<()> {
         let deployment = &self.config.deployment;
         let Some(role) = place.role() else {
-            return self.spawn(&Program::new(&place.id, example("service")));
+            let mut program = Program::new(&place.id, example("service"));
+            program.arguments = self.config.service_arguments.clone();
+            return self.spawn(&program);
         };
         let mut program = Program::new(&place.id, example("engine"));
         let model = format!("{}:{}", deployment.model, deployment.version);
@@ -176,14 +198,14 @@
     /// Starts the agent beside a backend server.
     pub fn spawn_agent(&mut self, place: &ServerPlace) -> io::Result<()> {
         let backend = self.address(&place.id, "address")?;
-        let platform = self.address(PLATFORM_NAME, "address")?;
+        let platform = self.routed_address(PLATFORM_NAME, "address")?;
         let text = settings::agent(place, &backend, &platform, &self.config.agent_settings);
         self.spawn_binary("cuminlead-agent", &place.agent_name(), &text)
     }
 
     /// Starts an entry.
     pub fn spawn_entry(&mut self, place: &EntryPlace) -> io::Result<()> {
-        let platform = self.address(PLATFORM_NAME, "address")?;
+        let platform = self.routed_address(PLATFORM_NAME, "address")?;
         let weight = self.config.deployment.wasted_prefill_weight;
         let text = settings::entry(place, &platform, weight, &self.config.entry_settings);
         self.spawn_binary("cuminlead-entry", &place.name, &text)
@@ -270,14 +292,28 @@
         self.publish_hosts()
     }
 
-    fn hosts(&self) -> io::Result<Vec<HostRecord>> {
+    /// Makes other processes reach a process at another address, such as that of a relay: the
+    /// platform for processes started later, agents and entries from the next host list on.
+    pub fn route(&mut self, name: &str, address: &str) {
+        self.routed.insert(name.to_string(), address.to_string());
+    }
+
+    fn routed_address(&self, name: &str, key: &str) -> io::Result<String> {
+        match self.routed.get(name) {
+            Some(address) => Ok(address.clone()),
+            None => self.address(name, key),
+        }
+    }
+
+    /// Present host list.
+    pub fn hosts(&self) -> io::Result<Vec<HostRecord>> {
         let deployment = &self.config.deployment;
         let mut hosts = Vec::new();
         for place in &deployment.entries {
-            hosts.push(place.host_record(self.address(&place.name, "peer")?));
+            hosts.push(place.host_record(self.routed_address(&place.name, "peer")?));
         }
         for place in &deployment.servers {
-            hosts.push(place.host_record(self.address(&place.agent_name(), "peer")?));
+            hosts.push(place.host_record(self.routed_address(&place.agent_name(), "peer")?));
         }
         for record in &mut hosts {
             let process = record.host.trim_start_matches(deployment::HOST_PREFIX);
--- a/crates/dev/src/lib.rs
+++ b/crates/dev/src/lib.rs
@@ -10,6 +10,7 @@
 //! | [`platform`] | configuration service and host list |
 //! | [`fleet`] | launcher of a whole system on loopback |
 //! | [`caller`] | requests to entries, as callers send them |
+//! | [`relay`] | TCP relay that cuts connections |
 
 pub mod behaviour;
 pub mod caller;
@@ -18,4 +19,5 @@
 pub mod fleet;
 pub mod http;
 pub mod platform;
+pub mod relay;
 pub mod service;
