Read changed lists whole after a watch

After an edit of one part, readers put lists in force that had lost every other part, or refused a valid edit because the other part was missing.

Before: 4 of 5 tests of process_lists fail; after an edit of the plans an entry answers 404 for a known model. After: 5 of 5 pass.

--- a/crates/process/src/platform.rs
+++ b/crates/process/src/platform.rs
@@ -9,6 +9,7 @@
 use cuminlead_lists::{HostList, Part, PartKey, Snapshot};
 use cuminlead_types::Revision;
 use serde::Deserialize;
+use serde::de::DeserializeOwned;
 use ureq::Agent;
 
 /// Interval between two readings of the host list, which cannot be watched.
@@ -35,6 +36,12 @@
     parts: Vec<PartAnswer>,
 }
 
+/// Revision of an answer whose parts are not read.
+#[derive(Debug, Deserialize)]
+struct RevisionAnswer {
+    revision: u64,
+}
+
 #[derive(Debug, Deserialize)]
 struct PartAnswer {
     key: String,
@@ -55,13 +62,19 @@
     }
 
     /// Lists once they are newer than `after`, or what is published after `wait`.
+    ///
+    /// A watch answers with the changed parts only. They are no snapshot, so a change is read whole;
+    /// this also covers parts that were removed or changed between the two calls.
     pub fn lists(&self, after: Revision, wait: Duration) -> Result<Answer, PlatformError> {
-        let path = if wait.is_zero() {
-            "/v1/config?since=0".to_string()
-        } else {
-            format!("/v1/watch?since={after}&wait_ms={}", wait.as_millis())
-        };
-        let snapshot = self.snapshot(&path, wait + ANSWER_TIMEOUT)?;
+        if !wait.is_zero() {
+            let path = format!("/v1/watch?since={after}&wait_ms={}", wait.as_millis());
+            let seen: RevisionAnswer = self.get_json(&path, wait + ANSWER_TIMEOUT)?;
+            let revision = Revision(seen.revision);
+            if revision <= after {
+                return Ok(Answer::Unchanged { revision });
+            }
+        }
+        let snapshot = self.snapshot()?;
         let revision = snapshot.revision();
         Ok(if revision > after {
             Answer::Lists(snapshot)
@@ -90,9 +103,8 @@
         }
     }
 
-    fn snapshot(&self, path: &str, timeout: Duration) -> Result<Snapshot, PlatformError> {
-        let text = self.get(path, timeout)?;
-        let answer: ConfigAnswer = serde_json::from_str(&text).map_err(|_| PlatformError)?;
+    fn snapshot(&self) -> Result<Snapshot, PlatformError> {
+        let answer: ConfigAnswer = self.get_json("/v1/config?since=0", ANSWER_TIMEOUT)?;
         let parts = answer.parts.into_iter().map(|part| Part {
             key: PartKey::new(part.key),
             revision: Revision(part.revision),
@@ -101,6 +113,15 @@
         Ok(Snapshot::new(Revision(answer.revision), parts))
     }
 
+    fn get_json<T: DeserializeOwned>(
+        &self,
+        path: &str,
+        timeout: Duration,
+    ) -> Result<T, PlatformError> {
+        let text = self.get(path, timeout)?;
+        serde_json::from_str(&text).map_err(|_| PlatformError)
+    }
+
     fn get(&self, path: &str, timeout: Duration) -> Result<String, PlatformError> {
         let request = self
             .http
