--- a/crates/dev/src/fleet/mod.rs
+++ b/crates/dev/src/fleet/mod.rs
@@ -8,6 +8,7 @@
 //! |---|---|
 //! | [`claims`] | non-idempotent calls and what their callers were told |
 //! | [`deployment`] | sizes and places of both deployments |
+//! | [`handover`] | replacement of running processes |
 //! | [`process`] | one started process and its signals |
 //! | [`lists`] | text of plans and allowances |
 //! | [`settings`] | text of settings files |
@@ -17,6 +18,7 @@
 
 pub mod claims;
 pub mod deployment;
+pub mod handover;
 pub mod lists;
 mod probe;
 pub mod process;
