Add the measuring tool of the routing policies

dev/measure runs the decision code in the driver of crates/dev/src/bench with the sizes of a deployment and prints one table. The driver gets a prefix cache and a limited life of finished prefills in its engines, the shared link between regions, faults that strike at a time, and counts of prefill and volume by request. All of them are off by default.

--- a/crates/dev/src/bench/caller.rs
+++ b/crates/dev/src/bench/caller.rs
@@ -9,11 +9,11 @@
 use strum::{Display, EnumIter, EnumString, IntoStaticStr};
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::engine::generation_of;
 use super::event::NodeId;
 use super::layout;
 use super::service::response_to;
 use super::world::World;
-use crate::engine::text;
 
 /// Path that a request takes.
 #[derive(
@@ -91,10 +91,12 @@
         }
     }
 
-    fn right_answer(&self) -> AnswerDigest {
+    fn right_answer(&self, is_whole: bool) -> AnswerDigest {
         match self.path {
             PathKind::Model => {
-                digest(text::answer(&self.prompt, self.output_max_tokens.get()).as_bytes())
+                let output_max = self.output_max_tokens.get();
+                let generation = generation_of(&self.prompt, output_max, is_whole);
+                digest(generation.text(0, generation.count).as_bytes())
             }
             _ => digest(&response_to(self.request).body),
         }
@@ -155,7 +157,7 @@
             customer: layout::id(layout::CUSTOMER),
             service: Optional(service),
             key: Optional(spec.key.clone()),
-            answer: Optional(Some(spec.right_answer())),
+            answer: Optional(Some(spec.right_answer(self.config.has_whole_outputs))),
         });
     }
 
--- a/crates/dev/src/bench/config.rs
+++ b/crates/dev/src/bench/config.rs
@@ -1,13 +1,17 @@
 //! Settings of a run.
 
 use cuminlead_entry_core::CallConfig;
-use cuminlead_types::{DurationUs, KvPieces, Slots, TokensPerSecond};
+use cuminlead_types::{BitsPerSecond, DurationUs, KvPieces, Slots, Tokens, TokensPerSecond};
+
+use super::layout::Place;
 
 /// Settings of a run; the defaults are a small fleet with the latencies of `docs/design.md`.
 #[derive(Clone, Debug)]
 pub struct BenchConfig {
     /// Seed of everything that varies between runs.
     pub seed: u64,
+    /// Places of all hosts; when empty, they follow from the counts below.
+    pub places: Vec<Place>,
     /// Entries.
     pub entries_count: usize,
     /// Prefill engines in each region.
@@ -58,6 +62,14 @@
     pub decode_step_us: DurationUs,
     /// Longer decode step for each further sequence.
     pub decode_slot_us: DurationUs,
+    /// Rate of each direction of the link between two regions, or unlimited.
+    pub region_link: Option<BitsPerSecond>,
+    /// Memory of an engine's prefix cache.
+    pub cache: Tokens,
+    /// Time after which an engine drops a finished prefill that was not imported.
+    pub kv_life_us: Option<DurationUs>,
+    /// Whether an answer has as many tokens as asked for; otherwise the prompt gives the number.
+    pub has_whole_outputs: bool,
     /// Time that the plain service runs a call.
     pub service_run_us: DurationUs,
 }
@@ -66,6 +78,7 @@
     fn default() -> Self {
         Self {
             seed: 1,
+            places: Vec::new(),
             entries_count: 2,
             prefills_count: 2,
             decodes_count: 2,
@@ -91,6 +104,10 @@
             transfer_rate: TokensPerSecond(1_000_000),
             decode_step_us: DurationUs::from_ms(15),
             decode_slot_us: DurationUs(300),
+            region_link: None,
+            cache: Tokens::ZERO,
+            kv_life_us: None,
+            has_whole_outputs: false,
             service_run_us: DurationUs::from_ms(20),
         }
     }
--- /dev/null
+++ b/crates/dev/src/bench/disturb.rs
@@ -0,0 +1,68 @@
+//! Faults that strike at a time, whatever requests are under way.
+
+use cuminlead_types::{AvailabilityZoneName, DurationUs, RegionName, RequestId, TimeUs};
+
+use super::event::{Event, Heal, NodeId};
+use super::layout::Place;
+use super::platform::PlatformState;
+use super::world::World;
+
+/// Fault that strikes at a time.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Disturbance {
+    /// Agent and engine of a host die and start again.
+    RunnerLost(NodeId),
+    /// An availability zone does not reach the others.
+    ZoneCut(AvailabilityZoneName, DurationUs),
+    /// A region does not reach the others.
+    RegionCut(RegionName, DurationUs),
+    /// The configuration service does not answer.
+    PlatformDown(DurationUs),
+    /// Transfers of KV cache stall.
+    TransferStall(DurationUs),
+    /// A caller goes away.
+    CallerLeaves(RequestId),
+}
+
+impl World {
+    /// Lets a fault strike at a time.
+    pub fn disturb_at(&mut self, at: TimeUs, disturbance: Disturbance) {
+        let delay = at.since(self.now);
+        self.push(delay, Event::Disturb(disturbance));
+    }
+
+    pub(super) fn disturb(&mut self, disturbance: Disturbance) {
+        match disturbance {
+            Disturbance::RunnerLost(node) => {
+                self.kill(node);
+                self.kill_backend(node);
+            }
+            Disturbance::ZoneCut(zone, time) => self.cut_off(|place| place.zone == zone, time),
+            Disturbance::RegionCut(region, time) => {
+                self.cut_off(|place| place.region == region, time);
+            }
+            Disturbance::PlatformDown(time) => {
+                self.set_platform(PlatformState::Down);
+                self.heal_in(time, Heal::Platform);
+            }
+            Disturbance::TransferStall(time) => {
+                self.are_transfers_stalled = true;
+                self.heal_in(time, Heal::Transfers);
+            }
+            Disturbance::CallerLeaves(request) => self.caller_leaves(request),
+        }
+    }
+
+    /// Cuts every way between the hosts inside and those outside.
+    fn cut_off(&mut self, is_inside: impl Fn(&Place) -> bool, time: DurationUs) {
+        let nodes = self.all_nodes().into_iter();
+        let (inside, outside): (Vec<NodeId>, Vec<NodeId>) =
+            nodes.partition(|node| is_inside(&self.places[node.0]));
+        for a in &inside {
+            for b in &outside {
+                self.cut_for(time, *a, *b);
+                self.cut_for(time, *b, *a);
+            }
+        }
+    }
+}
--- a/crates/dev/src/bench/engine.rs
+++ b/crates/dev/src/bench/engine.rs
@@ -11,10 +11,13 @@
     LoadedModel,
 };
 use cuminlead_types::{
-    AdapterName, AttemptId, BackendServerId, DurationUs, FencingNumber, KvPieces, Priority, Tokens,
+    AdapterName, AttemptId, BackendServerId, DurationUs, FencingNumber, KvPieces, Priority, TimeUs,
+    Tokens,
 };
 use cuminlead_verifier::Observation;
 
+use super::cache::PrefixCache;
+use super::config::BenchConfig;
 use super::event::{BackendEvent, NodeId, ProcessEvent};
 use super::step::Step;
 use super::world::World;
@@ -36,6 +39,7 @@
     pub(super) sequences: BTreeMap<AttemptId, Sequence>,
     finished: BTreeMap<AttemptId, Finished>,
     serials_count: u64,
+    cache: PrefixCache,
     /// Prompt tokens computed so far.
     pub(super) computed_tokens: Tokens,
 }
@@ -58,6 +62,8 @@
     },
     Computing {
         prompt: String,
+        cached: Tokens,
+        started_at: TimeUs,
     },
     Exported {
         prompt: String,
@@ -91,16 +97,23 @@
             sequences: BTreeMap::new(),
             finished: BTreeMap::new(),
             serials_count: 0,
+            cache: PrefixCache::default(),
             computed_tokens: Tokens::ZERO,
         }
     }
 
-    pub(super) fn with_limits(mut self, total_pieces: KvPieces, is_fenced: bool) -> Self {
-        self.total_pieces = total_pieces;
-        self.is_fenced = is_fenced;
+    pub(super) fn with_limits(mut self, config: &BenchConfig) -> Self {
+        self.total_pieces = config.pieces;
+        self.is_fenced = config.is_fenced;
+        self.cache = PrefixCache::new(config.cache);
         self
     }
 
+    /// KV pieces of all sequences.
+    pub(super) fn held(&self) -> KvPieces {
+        self.sequences.values().map(|s| s.pieces).sum()
+    }
+
     fn inventory(&self) -> EngineInventory {
         EngineInventory {
             sequences: self.sequences.keys().copied().collect(),
@@ -112,8 +125,7 @@
     }
 
     fn free_pieces(&self) -> KvPieces {
-        let used = self.sequences.values().map(|s| s.pieces).sum();
-        self.total_pieces.saturating_sub(used)
+        self.total_pieces.saturating_sub(self.held())
     }
 
     fn add(&mut self, id: AttemptId, sequence: Sequence) -> bool {
@@ -276,12 +288,24 @@
             if is_prefill && !matches!(sequence.work, Work::Exported { .. }) {
                 self.emit(node, sequence.reader, EngineEvent::SequenceFailed { id });
             }
+            self.count_cancelled(id, &sequence.work);
             self.compute_next(node);
         }
     }
 
+    /// Counts what was computed of a prefill that is cancelled.
+    fn count_cancelled(&mut self, id: AttemptId, work: &Work) {
+        if let Work::Computing { started_at, .. } = work {
+            let time = self.now.since(*started_at);
+            let rate = self.config.prefill_rate;
+            let computed = Tokens(time.get().saturating_mul(rate.get()) / 1_000_000);
+            self.tally.computed(id.request, computed, false);
+        }
+    }
+
     fn compute_next(&mut self, node: NodeId) {
         let rate = self.config.prefill_rate;
+        let started_at = self.now;
         let engine = self.engine_mut(node);
         if engine.is_computing() {
             return;
@@ -294,9 +318,14 @@
         };
         if let Work::Queued { prompt } = &mut sequence.work {
             let prompt = std::mem::take(prompt);
-            let time = rate.time_for(Tokens::estimate(&prompt));
+            let cached = engine.cache.cached_tokens(&prompt);
+            let time = rate.time_for(Tokens::estimate(&prompt).saturating_sub(cached));
             let serial = sequence.serial;
-            sequence.work = Work::Computing { prompt };
+            sequence.work = Work::Computing {
+                prompt,
+                cached,
+                started_at,
+            };
             self.push_backend(time, node, BackendEvent::SequenceStep { id, serial });
             self.reached(Step::PrefillRunning, id.request);
         }
@@ -326,6 +355,7 @@
             return;
         }
         let serial = self.engine_mut(node).serials_count;
+        self.count_kv(source.node, node, tokens);
         let is_stalled = self.are_transfers_stalled || self.is_cut(source.node, node);
         if !is_stalled {
             let time = self.config.transfer_rate.time_for(tokens);
@@ -353,6 +383,7 @@
     }
 
     pub(super) fn sequence_step(&mut self, node: NodeId, id: AttemptId, serial: u64) {
+        let is_whole = self.config.has_whole_outputs;
         let engine = self.engine_mut(node);
         let Some(sequence) = engine.sequences.get_mut(&id) else {
             return;
@@ -370,22 +401,24 @@
             return;
         };
         match &mut sequence.work {
-            Work::Computing { prompt } => {
-                let prompt = std::mem::take(prompt);
-                self.computed(node, id, serial, reader, prompt);
+            Work::Computing { prompt, cached, .. } => {
+                let (prompt, cached) = (std::mem::take(prompt), *cached);
+                self.computed(node, id, serial, reader, prompt, cached);
             }
             Work::Importing { prompt, output_max } => {
-                let generation = Generation::of(prompt, output_max.get());
+                let generation = generation_of(prompt, output_max.get(), is_whole);
                 let work = Work::Decoding {
                     generation,
                     emitted: 0,
                 };
                 sequence.work = work;
                 self.emit(node, reader, EngineEvent::Imported { id });
+                self.tally.imported(id.request);
                 self.plan_token(node, id, serial);
             }
             Work::Decoding { .. } => self.generate(node, id, serial),
-            Work::Queued { .. } | Work::Exported { .. } => {}
+            Work::Exported { .. } => self.free_sequence(node, id),
+            Work::Queued { .. } => {}
         }
     }
 
@@ -396,10 +429,13 @@
         serial: u64,
         reader: Option<u64>,
         prompt: String,
+        cached_tokens: Tokens,
     ) {
         let prompt_tokens = Tokens::estimate(&prompt);
+        let computed_tokens = prompt_tokens.saturating_sub(cached_tokens);
         let engine = self.engine_mut(node);
-        engine.computed_tokens += prompt_tokens;
+        engine.computed_tokens += computed_tokens;
+        engine.cache.store(&prompt);
         if let Some(sequence) = engine.sequences.get_mut(&id) {
             sequence.work = Work::Exported { prompt };
         }
@@ -411,9 +447,13 @@
             id,
             kv,
             prompt_tokens,
-            cached_tokens: Tokens::ZERO,
+            cached_tokens,
         };
         self.emit(node, reader, event);
+        self.tally.computed(id.request, computed_tokens, true);
+        if let Some(life) = self.config.kv_life_us {
+            self.push_backend(life, node, BackendEvent::SequenceStep { id, serial });
+        }
         self.compute_next(node);
     }
 
@@ -492,7 +532,9 @@
         let server = engine.server.clone();
         let sequences = std::mem::take(&mut engine.sequences);
         engine.finished.clear();
+        engine.cache.clear();
         for (id, sequence) in sequences {
+            self.count_cancelled(id, &sequence.work);
             let event = match sequence.work {
                 Work::Queued { .. } | Work::Computing { .. } => EngineEvent::SequenceFailed { id },
                 Work::Exported { .. } => continue,
@@ -522,6 +564,19 @@
     prompt: String,
 }
 
+/// Answer to a prompt; one that is whole has all the tokens that were asked for.
+pub(super) fn generation_of(prompt: &str, output_max: u64, is_whole: bool) -> Generation {
+    let generation = Generation::of(prompt, output_max);
+    match is_whole {
+        false => generation,
+        true => Generation {
+            count: output_max,
+            stops: false,
+            ..generation
+        },
+    }
+}
+
 fn generated(id: AttemptId, generation: Generation, first: u64, end: u64) -> EngineEvent {
     let is_last = end >= generation.count;
     let reason = match generation.stops {
--- a/crates/dev/src/bench/event.rs
+++ b/crates/dev/src/bench/event.rs
@@ -11,6 +11,7 @@
 use cuminlead_types::{AttemptId, RequestId};
 
 use super::caller::RequestSpec;
+use super::disturb::Disturbance;
 use super::fault::{Fault, Targets};
 
 /// Host with its process, and the back end beside an agent.
@@ -48,6 +49,8 @@
     },
     /// A caller sends a request.
     Request(RequestSpec),
+    /// A fault strikes whatever is under way.
+    Disturb(Disturbance),
     /// A fault strikes.
     Strike(Fault, Targets),
     /// A fault ends.
--- a/crates/dev/src/bench/fault.rs
+++ b/crates/dev/src/bench/fault.rs
@@ -172,7 +172,7 @@
         }
     }
 
-    fn cut_for(&mut self, time: DurationUs, from: NodeId, to: NodeId) {
+    pub(super) fn cut_for(&mut self, time: DurationUs, from: NodeId, to: NodeId) {
         self.cut(from, to);
         self.heal_in(time, Heal::JoinWay { from, to });
     }
--- a/crates/dev/src/bench/layout.rs
+++ b/crates/dev/src/bench/layout.rs
@@ -79,6 +79,9 @@
 
 /// Places of all hosts.
 pub fn places(config: &BenchConfig) -> Vec<Place> {
+    if !config.places.is_empty() {
+        return config.places.clone();
+    }
     let mut places = Vec::new();
     for region in 0..config.regions_count {
         let counts = [
--- a/crates/dev/src/bench/mod.rs
+++ b/crates/dev/src/bench/mod.rs
@@ -14,10 +14,13 @@
 //! | [`event`] | events and what travels on connections |
 //! | [`network`] | connections, cuts and silence |
 //! | [`engine`] | fake model engine |
+//! | `cache` | prefix cache of the engine |
 //! | [`service`] | fake plain service |
 //! | [`platform`] | fake configuration service and host list |
 //! | [`agent`] | agents |
 //! | [`entry`] | entries and their calls |
+//! | [`disturb`] | faults that strike at a time |
+//! | [`tally`] | counts for measurements |
 //! | [`carry`] | messages and streams under way |
 //! | [`caller`] | requests and what their callers receive |
 //! | [`step`] | steps of the paths at which a fault can strike |
@@ -26,9 +29,11 @@
 //! | [`world`] | [`World`], which owns all of it |
 
 pub mod agent;
+mod cache;
 pub mod caller;
 pub mod carry;
 pub mod config;
+pub mod disturb;
 pub mod engine;
 pub mod entry;
 pub mod event;
@@ -39,13 +44,16 @@
 pub mod queue;
 pub mod service;
 pub mod step;
+pub mod tally;
 pub mod tamper;
 pub mod world;
 
 pub use caller::{CallerResult, Ending, PathKind, RequestSpec};
 pub use config::BenchConfig;
+pub use disturb::Disturbance;
 pub use event::NodeId;
 pub use fault::Fault;
 pub use step::Step;
+pub use tally::Tally;
 pub use tamper::Tamper;
 pub use world::World;
--- a/crates/dev/src/bench/network.rs
+++ b/crates/dev/src/bench/network.rs
@@ -143,7 +143,8 @@
             return;
         }
         let ready_at = self.connections.get(&id).map_or(self.now, |c| c.ready_at);
-        let delay = ready_at.since(self.now) + self.latency(from, to);
+        let latency = self.latency(from, to) + self.link_delay(from, to, &packet);
+        let delay = ready_at.since(self.now) + latency;
         let event = ProcessEvent::Packet {
             connection: id,
             packet: Box::new(packet),
--- a/crates/dev/src/bench/world.rs
+++ b/crates/dev/src/bench/world.rs
@@ -19,6 +19,7 @@
 use super::queue::Queue;
 use super::service::Service;
 use super::step::Plan;
+use super::tally::Tally;
 use super::tamper::Tamper;
 
 /// Unix time at the start of a run.
@@ -68,6 +69,7 @@
     pub(super) heals_count: u32,
     pub(super) wasted_tokens: Tokens,
     pub(super) retries_count: u64,
+    pub(super) tally: Tally,
     pub(super) tamper: Box<dyn Tamper>,
 }
 
@@ -104,6 +106,7 @@
             heals_count: 0,
             wasted_tokens: Tokens::ZERO,
             retries_count: 0,
+            tally: Tally::default(),
             tamper,
             places,
             config,
@@ -134,7 +137,7 @@
                     version: layout::id(layout::VERSION),
                 };
                 let engine = Engine::new(server, role, model);
-                let engine = engine.with_limits(self.config.pieces, self.config.is_fenced);
+                let engine = engine.with_limits(&self.config);
                 self.engines.insert(node, engine);
             }
             _ => {
@@ -238,6 +241,7 @@
             } => self.backend_event(node, generation, event),
             Event::Request(spec) => self.send_request(spec),
             Event::Strike(fault, targets) => self.strike(fault, targets),
+            Event::Disturb(disturbance) => self.disturb(disturbance),
             Event::Heal(heal) => self.heal(heal),
             Event::PublishLists => self.publish_lists(),
         }
--- a/crates/dev/src/lib.rs
+++ b/crates/dev/src/lib.rs
@@ -11,6 +11,7 @@
 //! | [`platform`] | configuration service and host list |
 //! | [`fleet`] | launcher of a whole system on loopback |
 //! | [`caller`] | requests to entries, as callers send them |
+//! | [`measure`] | measurement of routing policies |
 //! | [`relay`] | TCP relay that cuts connections |
 
 pub mod behaviour;
@@ -20,6 +21,7 @@
 pub mod engine;
 pub mod fleet;
 pub mod http;
+pub mod measure;
 pub mod platform;
 pub mod relay;
 pub mod service;
--- /dev/null
+++ b/crates/dev/src/measure/row.rs
@@ -0,0 +1,196 @@
+//! Figures of one run, and the table.
+
+use std::collections::BTreeMap;
+
+use cuminlead_types::{RequestId, TimeUs};
+use cuminlead_verifier::Observation;
+use hdrhistogram::Histogram;
+
+use super::run::RunPlan;
+use super::site::as_f64;
+use crate::bench::{CallerResult, Ending, PathKind, World};
+
+/// Longest time that a histogram tells apart; a request lasts 100 s at most.
+const LONGEST_US: u64 = 200_000_000;
+
+/// Names of the columns.
+pub const HEADER: &str = "policy\tfault\tload\toffered\tcompleted\tgoodput\tttft_p50_ms\t\
+    ttft_p95_ms\tttft_p99_ms\ttbt_p50_ms\ttbt_p95_ms\ttbt_p99_ms\twasted_prefill_tokens\t\
+    wasted_prefill_share\tcross_region_bytes\tkv_cross_region_bytes\theld_after_run\t\
+    duplicate_runs\tcancelled\tnot_run\tincomplete\tretries\tcomputed_prefill_tokens\t\
+    paid_bytes_per_request\tlink_share";
+
+/// Figures of one run; counts are of model calls where nothing else is said.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Row {
+    /// Policy.
+    pub policy: String,
+    /// Fault, or `none`.
+    pub fault: String,
+    /// Share of capacity.
+    pub load: f64,
+    /// Calls sent.
+    pub offered: u64,
+    /// Calls answered.
+    pub completed: u64,
+    /// Calls answered within both targets.
+    pub goodput: u64,
+    /// Time to first token in milliseconds: 50th, 95th and 99th percentile of answered calls.
+    pub ttft_ms: [f64; 3],
+    /// Longest time between two tokens of a call in milliseconds: the same percentiles.
+    pub tbt_ms: [f64; 3],
+    /// Prompt tokens computed and discarded or computed again.
+    pub wasted_tokens: u64,
+    /// Prompt tokens computed.
+    pub computed_tokens: u64,
+    /// Bytes between regions.
+    pub region_bytes: u64,
+    /// Bytes of KV cache between regions.
+    pub kv_region_bytes: u64,
+    /// KV pieces that engines hold after the run.
+    pub held_pieces: u64,
+    /// Calls of the service that ran more than once, and requests answered more than once.
+    pub duplicates: u64,
+    /// Calls whose caller went away.
+    pub cancelled: u64,
+    /// Calls refused as not run.
+    pub not_run: u64,
+    /// Calls whose answer ended early.
+    pub incomplete: u64,
+    /// Retries of all calls.
+    pub retries: u64,
+    /// Share of the volume that the links could carry in the run.
+    pub link_share: f64,
+}
+
+impl Row {
+    /// Figures of a finished run; `sent_s` is the time in which requests were sent.
+    pub fn of(plan: &RunPlan, world: &World, sent_s: u64) -> Self {
+        let mut row = Self {
+            policy: plan.policy.clone(),
+            fault: plan.fault.map_or("none".to_string(), |f| f.to_string()),
+            load: plan.load,
+            region_bytes: world.tally().region_bytes.get(),
+            kv_region_bytes: world.tally().kv_region_bytes.get(),
+            held_pieces: world.held_pieces(),
+            duplicates: duplicates(world),
+            retries: world.retries_count(),
+            ..Self::default()
+        };
+        row.count_prefills(world);
+        row.count_calls(world);
+        let rate = world.config().region_link.map_or(0, |rate| rate.get());
+        let carried = as_f64(rate / 8 * sent_s * 2);
+        row.link_share = as_f64(row.region_bytes) / carried.max(1.0);
+        row
+    }
+
+    fn count_calls(&mut self, world: &World) {
+        let config = world.config();
+        let mut first = histogram();
+        let mut between = histogram();
+        let results = world.results().values();
+        for result in results.filter(|result| result.spec.path == PathKind::Model) {
+            self.offered += 1;
+            self.count_ending(result);
+            if result.ending != Some(Ending::Answered) {
+                continue;
+            }
+            let first_us = first_token_us(result);
+            first.saturating_record(first_us);
+            between.saturating_record(result.longest_gap_us.get());
+            let is_in_time = first_us <= config.first_token_us.get()
+                && result.longest_gap_us <= config.between_tokens_us;
+            self.goodput += u64::from(is_in_time);
+        }
+        self.ttft_ms = percentiles(&first);
+        self.tbt_ms = percentiles(&between);
+    }
+
+    fn count_ending(&mut self, result: &CallerResult) {
+        use cuminlead_entry_core::Outcome;
+        match &result.ending {
+            Some(Ending::Answered) => self.completed += 1,
+            Some(Ending::Gone) => self.cancelled += 1,
+            Some(Ending::Failed(Outcome::NotRun)) => self.not_run += 1,
+            _ => self.incomplete += 1,
+        }
+    }
+
+    fn count_prefills(&mut self, world: &World) {
+        for (request, prefill) in &world.tally().prefills {
+            let ending = world.results().get(request).and_then(|r| r.ending.clone());
+            let is_used = matches!(ending, Some(Ending::Answered | Ending::Gone));
+            let used = if is_used {
+                prefill.imported_tokens.get()
+            } else {
+                0
+            };
+            let computed = prefill.computed_tokens.get();
+            self.computed_tokens += computed;
+            self.wasted_tokens += computed.saturating_sub(used);
+        }
+    }
+
+    /// Wasted part of all prefill.
+    pub fn wasted_share(&self) -> f64 {
+        as_f64(self.wasted_tokens) / as_f64(self.computed_tokens.max(1))
+    }
+
+    /// Line of the table.
+    pub fn line(&self) -> String {
+        let [t50, t95, t99] = self.ttft_ms;
+        let [b50, b95, b99] = self.tbt_ms;
+        let per_request = self.region_bytes / self.offered.max(1);
+        let counts = [self.offered, self.completed, self.goodput];
+        let [offered, completed, goodput] = counts;
+        format!(
+            "{}\t{}\t{:.2}\t{offered}\t{completed}\t{goodput}\t{t50:.1}\t{t95:.1}\t{t99:.1}\t\
+             {b50:.1}\t{b95:.1}\t{b99:.1}\t{}\t{:.4}\t{}\t{}\t{}\t{}\t{}\t{}\t{}\t{}\t{}\t\
+             {per_request}\t{:.4}",
+            self.policy,
+            self.fault,
+            self.load,
+            self.wasted_tokens,
+            self.wasted_share(),
+            self.region_bytes,
+            self.kv_region_bytes,
+            self.held_pieces,
+            self.duplicates,
+            self.cancelled,
+            self.not_run,
+            self.incomplete,
+            self.retries,
+            self.computed_tokens,
+            self.link_share,
+        )
+    }
+}
+
+fn first_token_us(result: &CallerResult) -> u64 {
+    let first_at = result.first_at.unwrap_or(TimeUs(u64::MAX));
+    first_at.since(result.sent_at).get()
+}
+
+fn histogram() -> Histogram<u64> {
+    Histogram::new_with_bounds(1, LONGEST_US, 3).expect("the bounds are valid")
+}
+
+fn percentiles(times_us: &Histogram<u64>) -> [f64; 3] {
+    [0.50, 0.95, 0.99].map(|share| as_f64(times_us.value_at_quantile(share)) / 1_000.0)
+}
+
+/// Requests that took effect or were answered more than once.
+fn duplicates(world: &World) -> u64 {
+    let mut counts: BTreeMap<RequestId, u64> = BTreeMap::new();
+    let mut answers: BTreeMap<RequestId, u64> = BTreeMap::new();
+    for observed in world.record().iter() {
+        match &observed.what {
+            Observation::ServiceRan { request, .. } => *counts.entry(*request).or_default() += 1,
+            Observation::AnswerEnded { request, .. } => *answers.entry(*request).or_default() += 1,
+            _ => {}
+        }
+    }
+    let twice = counts.values().chain(answers.values()).filter(|c| **c > 1);
+    twice.count() as u64
+}
