--- /dev/null
+++ b/crates/dev/src/capacity/lists.rs
@@ -0,0 +1,113 @@
+//! Parsing, checking and memory of lists.
+
+use cuminlead_lists::{Delta, ListStore, Offer};
+use cuminlead_types::Revision;
+
+use super::Report;
+use super::fixture::{CUSTOMERS_COUNT, ENGINES_COUNT, ListSize, group_part, snapshot};
+use super::measure::{Times, hold};
+
+const CUSTOMERS: [usize; 3] = [440, 1_100, CUSTOMERS_COUNT];
+const PARTS: [usize; 3] = [1, 44, 440];
+const ENGINES: [usize; 3] = [23, 230, ENGINES_COUNT];
+const REPEATS: u64 = 7;
+
+pub(crate) fn run(report: &mut Report) {
+    for parts in PARTS {
+        for customers in CUSTOMERS {
+            let size = ListSize {
+                customers,
+                parts,
+                engines: ENGINES_COUNT,
+            };
+            measure(
+                report,
+                size,
+                &format!("by_customers_in_{parts}_parts"),
+                customers,
+            );
+        }
+    }
+    for engines in ENGINES {
+        let size = ListSize {
+            customers: 440,
+            parts: 44,
+            engines,
+        };
+        measure(report, size, "by_servers_with_440_customers", engines);
+    }
+    memory_by_parts(report);
+}
+
+fn measure(report: &mut Report, size: ListSize, suffix: &str, at: usize) {
+    let full = full_times(size);
+    report.add(
+        &format!("lists_full_apply_{suffix}"),
+        "us",
+        at,
+        full.median(),
+    );
+    let mut store = in_force(size);
+    let changed = changed_times(&mut store, size);
+    report.add(
+        &format!("lists_part_apply_{suffix}"),
+        "us",
+        at,
+        changed.median(),
+    );
+    let held = hold(|| in_force(size));
+    report.add(&format!("lists_heap_{suffix}"), "bytes", at, held.bytes);
+    let text: usize = snapshot(size, 1).parts().map(|part| part.text.len()).sum();
+    report.add(&format!("lists_text_{suffix}"), "bytes", at, text as f64);
+}
+
+fn memory_by_parts(report: &mut Report) {
+    for parts in PARTS {
+        let size = ListSize {
+            customers: CUSTOMERS_COUNT,
+            parts,
+            engines: ENGINES_COUNT,
+        };
+        let held = hold(|| in_force(size));
+        report.add("lists_heap_by_parts", "bytes", parts, held.bytes);
+    }
+}
+
+fn in_force(size: ListSize) -> ListStore {
+    let mut store = ListStore::new();
+    assert_eq!(store.offer(snapshot(size, 1)), Offer::Applied);
+    store
+}
+
+fn full_times(size: ListSize) -> Times {
+    let mut times = Times::default();
+    for _ in 0..REPEATS {
+        let offered = snapshot(size, 1);
+        let mut store = ListStore::new();
+        let offer = times.time(|| store.offer(offered));
+        assert_eq!(offer, Offer::Applied);
+    }
+    times
+}
+
+/// Changes one group of customers after another, as a process that follows does.
+fn changed_times(store: &mut ListStore, size: ListSize) -> Times {
+    let mut times = Times::default();
+    for repeat in 0..REPEATS {
+        let from = store.revision();
+        let revision = from.0 + 1;
+        let group = usize::try_from(repeat).unwrap_or(0) % size.parts;
+        let delta = Delta {
+            from_revision: from,
+            revision: Revision(revision),
+            parts: vec![group_part(size, group, revision)],
+            ..Delta::default()
+        };
+        let offer = times.time(|| {
+            let next = store.snapshot().map(|snapshot| snapshot.apply(&delta));
+            store.offer(next.expect("lists").expect("matching delta"))
+        });
+        assert_eq!(offer, Offer::Applied);
+    }
+    times
+}
--- /dev/null
+++ b/crates/dev/src/capacity/process.rs
@@ -0,0 +1,175 @@
+//! Resident memory and processor time of real processes beside stand-ins.
+
+use std::fs;
+use std::io;
+use std::thread;
+use std::time::Duration;
+
+use serde_json::json;
+
+use super::Report;
+use super::fixture::{DESIGN_LISTS, ENGINES_COUNT, allowances_text, group_part, hosts, plans_text};
+use cuminlead_dev::client;
+use cuminlead_dev::fleet::deployment::relojeria;
+use cuminlead_dev::fleet::{Fleet, FleetConfig};
+use cuminlead_dev::platform::HostRecord;
+
+/// Entries of the design scale.
+const ENTRIES_COUNT: usize = 370;
+const SETTLE: Duration = Duration::from_secs(10);
+const IDLE: Duration = Duration::from_secs(20);
+const CALL_LIMIT: Duration = Duration::from_secs(30);
+/// Ticks a second of the processor times in `/proc/PID/stat`.
+const TICKS_PER_SECOND: f64 = 100.0;
+/// Fields of `/proc/PID/stat` before the user time, counted after the name of the command.
+const FIELDS_BEFORE_TIMES: usize = 11;
+
+/// Kind of process by the start of its name, and its rank of reading.
+struct Usage {
+    name: String,
+    resident_bytes: f64,
+    core_share: f64,
+}
+
+pub(crate) fn run(report: &mut Report) -> io::Result<()> {
+    let fleet = Fleet::start(FleetConfig::new(relojeria()))?;
+    idle(
+        report,
+        &fleet,
+        "small_lists",
+        fleet.config.deployment.servers.len(),
+    )?;
+    publish_design_lists(&fleet)?;
+    publish_design_hosts(&fleet)?;
+    idle(report, &fleet, "design_lists_and_hosts", ENGINES_COUNT)?;
+    fleet.stop()
+}
+
+/// Measures after what was published has been taken.
+fn idle(report: &mut Report, fleet: &Fleet, case: &str, servers: usize) -> io::Result<()> {
+    thread::sleep(SETTLE);
+    let calls_before = platform_calls(fleet)?;
+    let ticks_before: Vec<f64> = fleet.processes().map(|p| ticks(p.pid())).collect();
+    thread::sleep(IDLE);
+    let calls = (platform_calls(fleet)? - calls_before) / IDLE.as_secs_f64();
+    report.add(
+        &format!("process_platform_calls_{case}"),
+        "calls/s",
+        servers,
+        calls,
+    );
+    let mut usages = Vec::new();
+    for (process, before) in fleet.processes().zip(ticks_before) {
+        let busy = (ticks(process.pid()) - before) / TICKS_PER_SECOND;
+        usages.push(Usage {
+            name: process.name().to_string(),
+            resident_bytes: resident_bytes(process.pid()),
+            core_share: busy / IDLE.as_secs_f64() * 100.0,
+        });
+    }
+    for kind in ["entry-", "agent-notes", "agent-counter"] {
+        add_kind(report, &usages, kind, case, servers);
+    }
+    Ok(())
+}
+
+fn add_kind(report: &mut Report, usages: &[Usage], kind: &str, case: &str, servers: usize) {
+    let of_kind = || usages.iter().filter(|usage| usage.name.starts_with(kind));
+    let quantity = format!("process_{}_{case}", kind.trim_end_matches('-'));
+    let most = |value: fn(&Usage) -> f64| of_kind().map(value).fold(0.0, f64::max);
+    let least = |value: fn(&Usage) -> f64| of_kind().map(value).fold(f64::MAX, f64::min);
+    let resident = |usage: &Usage| usage.resident_bytes;
+    let share = |usage: &Usage| usage.core_share;
+    report.add(
+        &format!("{quantity}_resident_least"),
+        "bytes",
+        servers,
+        least(resident),
+    );
+    report.add(
+        &format!("{quantity}_resident_most"),
+        "bytes",
+        servers,
+        most(resident),
+    );
+    report.add(
+        &format!("{quantity}_core_least"),
+        "%",
+        servers,
+        least(share),
+    );
+    report.add(&format!("{quantity}_core_most"), "%", servers, most(share));
+}
+
+fn publish_design_lists(fleet: &Fleet) -> io::Result<()> {
+    fleet.publish(
+        "allowances/design",
+        &allowances_text(ENGINES_COUNT).replace("counter", "till"),
+    )?;
+    fleet.publish("plans/design", &plans_text())?;
+    for group in 0..DESIGN_LISTS.parts {
+        let part = group_part(DESIGN_LISTS, group, 1);
+        fleet.publish(part.key.as_str(), &part.text)?;
+    }
+    Ok(())
+}
+
+/// Adds hosts without processes, in zones of their own, to the real ones.
+fn publish_design_hosts(fleet: &Fleet) -> io::Result<()> {
+    let address = fleet.address("platform", "address")?;
+    let agent = client::agent(CALL_LIMIT);
+    let present = client::get(&agent, &format!("http://{address}/v1/hosts"));
+    let present = present.map_err(io::Error::other)?.body;
+    let mut records: Vec<HostRecord> = serde_json::from_value(present["hosts"].clone())?;
+    records.extend(
+        hosts(ENGINES_COUNT, ENTRIES_COUNT, 1)
+            .hosts
+            .iter()
+            .map(|entry| HostRecord {
+                host: entry.host.to_string(),
+                region: entry.region.to_string(),
+                availability_zone: entry.zone.to_string(),
+                state: entry.state.to_string(),
+                process: entry.process.to_string(),
+                // Nothing listens there, and the traffic stays on loopback.
+                address: "127.0.0.1:9".to_string(),
+                server: entry.server.as_ref().map(ToString::to_string),
+            }),
+    );
+    let url = format!("http://{address}/control/hosts");
+    let answer = client::post(&agent, &url, json!({ "hosts": records }));
+    let answer = answer.map_err(io::Error::other)?;
+    if answer.status == 200 {
+        return Ok(());
+    }
+    Err(io::Error::other(format!(
+        "host list refused: {}",
+        answer.body
+    )))
+}
+
+fn platform_calls(fleet: &Fleet) -> io::Result<f64> {
+    let address = fleet.address("platform", "address")?;
+    let url = format!("http://{address}/control/calls");
+    let answer = client::get(&client::agent(CALL_LIMIT), &url).map_err(io::Error::other)?;
+    Ok(answer.body["calls"].as_f64().unwrap_or_default())
+}
+
+fn resident_bytes(pid: u32) -> f64 {
+    let status = fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let kib = line.and_then(|line| line.split_whitespace().next()?.parse::<f64>().ok());
+    kib.unwrap_or_default() * 1_024.0
+}
+
+/// User and system time of a process in ticks.
+fn ticks(pid: u32) -> f64 {
+    let stat = fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
+    let fields = stat
+        .rsplit(')')
+        .next()
+        .unwrap_or_default()
+        .split_whitespace();
+    let times = fields.skip(FIELDS_BEFORE_TIMES).take(2);
+    times.filter_map(|field| field.parse::<f64>().ok()).sum()
+}
