Bear one unanswered inventory before failing all leases

A single reading of the inventory that got lost failed every prefill and decode of a full engine, although their own connections showed that the engine worked. The first silence now refuses only new and waiting requests; the second in a row fails what is held. An engine that has ended is not noticed later, because its sequences fail one by one.

Ignoring the first silence altogether was ruled out: the role and the models of an engine that may have restarted are not known.

--- a/crates/admission/src/context.rs
+++ b/crates/admission/src/context.rs
@@ -38,6 +38,8 @@
     pub(crate) released: ReleasedAttempts,
     pub(crate) unknown: UnknownSequences,
     pub(crate) is_draining: bool,
+    /// Whether the engine did not answer when it was last asked for its inventory.
+    pub(crate) is_engine_silent: bool,
     pub(crate) advanced_to: TimeUs,
 }
 
@@ -57,6 +59,7 @@
             released: ReleasedAttempts::new(config.lease_max_us),
             unknown: UnknownSequences::default(),
             is_draining: false,
+            is_engine_silent: false,
             advanced_to: TimeUs::ZERO,
             config,
         }
--- a/crates/admission/src/engine.rs
+++ b/crates/admission/src/engine.rs
@@ -225,8 +225,17 @@
         }
     }
 
-    /// Fails everything that depends on the engine; finished answers are still delivered.
+    /// Refuses what waits, and fails what is held when the engine did not answer twice in a row.
+    ///
+    /// One reading of the inventory can get lost while the engine works on, and failing a full
+    /// engine would waste some twenty prefills. An engine that has ended fails its sequences one
+    /// by one, without this. Finished answers are still delivered.
     fn unreachable(&mut self, now: TimeUs, actions: &mut Vec<AdmissionAction>) {
+        self.refuse_all_waiting(RefusalReason::Starting, actions);
+        let was_silent = std::mem::replace(&mut self.is_engine_silent, true);
+        if !was_silent {
+            return;
+        }
         let keys: Vec<LeaseKey> = self
             .leases
             .iter()
@@ -236,7 +245,6 @@
         for key in keys {
             self.free(now, key, ReleaseCause::EngineFailed, actions);
         }
-        self.refuse_all_waiting(RefusalReason::Starting, actions);
     }
 
     fn lease_mut(&mut self, id: AttemptId) -> Option<&mut Lease> {
--- a/crates/admission/src/inventory.rs
+++ b/crates/admission/src/inventory.rs
@@ -28,6 +28,7 @@
         inventory: &EngineInventory,
         actions: &mut Vec<AdmissionAction>,
     ) {
+        self.is_engine_silent = false;
         self.set_total_pieces(inventory.total_pieces, actions);
         let listed: BTreeSet<AttemptId> = inventory.sequences.iter().copied().collect();
         self.cancel_unknown(&listed, actions);
--- a/crates/admission/tests/support/naive.rs
+++ b/crates/admission/tests/support/naive.rs
@@ -119,6 +119,7 @@
     busy_until: TimeUs,
     arrivals: u64,
     draining: bool,
+    silent: bool,
     total_pieces: KvPieces,
     unknown: Vec<AttemptId>,
     pub(crate) out: Vec<Action>,
--- a/crates/admission/tests/support/naive/decode.rs
+++ b/crates/admission/tests/support/naive/decode.rs
@@ -217,13 +217,16 @@
                 self.remove_where(now, AgentFailure::EngineFailed, is_lost);
             }
             EngineEvent::Inventory(inventory) => {
+                self.silent = false;
                 self.shrink(now, inventory.total_pieces);
                 self.inventory(now, &inventory.sequences);
             }
             _ => {
-                self.remove_where(now, AgentFailure::EngineFailed, Item::holds_pieces);
                 let starting = refused(RefusalReason::Starting);
                 self.remove_where(now, starting, |i| i.step == Step::Waiting);
+                if std::mem::replace(&mut self.silent, true) {
+                    self.remove_where(now, AgentFailure::EngineFailed, Item::holds_pieces);
+                }
             }
         }
         Some(())
--- a/crates/agent-core/tests/model.rs
+++ b/crates/agent-core/tests/model.rs
@@ -72,6 +72,13 @@
     assert!(matches!(body, ReplyBody::Reserved(_)));
     agent.handle(5, AgentEvent::Engine(EngineEvent::Unreachable));
     assert_eq!(agent.ask(6, reserve(2, "kiosks", "notes")).body, starting);
+    let body = agent.ask(7, reserve(1, "kiosks", "notes")).body;
+    assert!(
+        matches!(body, ReplyBody::Reserved(_)),
+        "one silence is borne"
+    );
+    agent.handle(8, AgentEvent::Engine(EngineEvent::Unreachable));
+    assert_eq!(agent.ask(9, reserve(1, "kiosks", "notes")).body, starting);
 }
 
 /// Guards against lists that revert to an earlier revision.
