Keep the commands for one sequence in order

Cause: commands to the engine run on pool threads and could overtake each other. A cancel after a failed import could end the next decode of the same attempt, and a cancelled sequence could still report events. Ruled out: one thread for each sequence, because a cancel has to pass a prefill or decode that is being read; new attempt numbers for each import, which the entry decides. Now a start waits for the cancel before it, a cancel is repeated while the start before it may still be on its way, and events of cancelled starts are dropped. Found by review of the interface that admission states.

--- a/crates/agent/src/backend/engine.rs
+++ b/crates/agent/src/backend/engine.rs
@@ -5,13 +5,14 @@
 
 use std::io::{BufRead, BufReader};
 use std::sync::Arc;
+use std::thread;
 use std::time::Duration;
 
 use cuminlead_kernel::{PluginInfo, PluginPoint, WorkerPool};
 use cuminlead_protocol::{
     EngineCommand, EngineEvent, EngineOrder, KvHandle, ModelTarget, ServiceCommand,
 };
-use cuminlead_types::{AttemptId, FencingNumber, Priority, Tokens};
+use cuminlead_types::{FencingNumber, Priority, Tokens};
 use serde::Serialize;
 use ureq::http::Response;
 use ureq::{Agent, Body};
@@ -20,6 +21,7 @@
     CancelBody, DecodeBody, DecodeLine, FencedAnswer, InventoryAnswer, OrderBody, PrefillAnswer,
     PrefillBody, ResumeBody, TargetBody, finish_reason,
 };
+use super::sequences::{Sequences, Ticket};
 use super::{Backend, BackendContext, BackendEvent, BackendEvents, BackendPlugin};
 
 inventory::submit! { BackendPlugin { name: "engine", build: EngineBackend::build } }
@@ -39,6 +41,12 @@
 /// Loads draw from the rate-limited weight store and may take this long.
 const ORDER_TIMEOUT: Duration = Duration::from_secs(60);
 
+/// Repeats of a cancel while the start before it may still be on its way to the engine.
+const CANCELS_MAX_COUNT: u32 = 10;
+
+/// Pause between two such repeats.
+const CANCEL_PAUSE: Duration = Duration::from_millis(100);
+
 /// A prefill or decode lasts no longer than a request may.
 const SEQUENCE_TIMEOUT: Duration = Duration::from_secs(100);
 
@@ -52,6 +60,7 @@
     address: String,
     http: Agent,
     events: BackendEvents,
+    sequences: Sequences,
 }
 
 impl EngineBackend {
@@ -65,6 +74,7 @@
             address: context.address,
             http: config.into(),
             events: context.events,
+            sequences: Sequences::default(),
         };
         Box::new(Self {
             pool: context.pool,
@@ -76,7 +86,23 @@
 impl Backend for EngineBackend {
     fn command_engine(&self, command: EngineCommand) {
         let client = Arc::clone(&self.client);
-        self.pool.execute(move || client.run(command));
+        // Tickets are taken here, in the order in which the control thread commands.
+        match command {
+            EngineCommand::Prefill { id, .. }
+            | EngineCommand::Decode { id, .. }
+            | EngineCommand::ResumeDecode { id, .. } => {
+                let start = client.sequences.begin(id);
+                self.pool.execute(move || client.start(start, command));
+            }
+            EngineCommand::Cancel { id } => {
+                let cancel = client.sequences.cancel(id);
+                self.pool.execute(move || client.cancel(cancel));
+            }
+            EngineCommand::ReadInventory => self.pool.execute(move || client.read_inventory()),
+            EngineCommand::Order { fencing, order } => {
+                self.pool.execute(move || client.order(fencing, &order));
+            }
+        }
     }
 
     fn command_service(&self, _command: ServiceCommand) {}
@@ -94,24 +120,31 @@
 }
 
 impl EngineClient {
-    fn run(&self, command: EngineCommand) {
+    fn start(&self, start: Ticket, command: EngineCommand) {
+        if self.sequences.wait_for_turn(start) {
+            self.run(start, command);
+        }
+        self.sequences.end_start(start);
+    }
+
+    fn run(&self, start: Ticket, command: EngineCommand) {
         match command {
             EngineCommand::Prefill {
-                id,
                 target,
                 priority,
                 prompt,
+                ..
             } => {
-                self.prefill(id, &target, priority, prompt);
+                self.prefill(start, &target, priority, prompt);
             }
             EngineCommand::Decode {
-                id,
                 target,
                 priority,
                 kv,
                 output_max_tokens,
+                ..
             } => {
-                self.decode(id, &target, priority, kv, output_max_tokens);
+                self.decode(start, &target, priority, kv, output_max_tokens);
             }
             EngineCommand::ResumeDecode {
                 id,
@@ -122,15 +155,34 @@
                     received_tokens: received_tokens.0,
                 };
                 let exchange = self.post("/v1/resume", &body, SEQUENCE_TIMEOUT);
-                self.read_decode(id, exchange);
+                self.read_decode(start, exchange);
             }
-            EngineCommand::Cancel { id } => {
-                // A cancel that is lost is repeated after the next inventory.
-                let body = CancelBody { id: id.to_string() };
-                let _ = self.post("/v1/cancel", &body, SHORT_TIMEOUT);
+            EngineCommand::Cancel { .. }
+            | EngineCommand::ReadInventory
+            | EngineCommand::Order { .. } => {}
+        }
+    }
+
+    /// Cancels until no start before it is under way, because the engine may read the start later.
+    fn cancel(&self, cancel: Ticket) {
+        let body = CancelBody {
+            id: cancel.id.to_string(),
+        };
+        for _ in 0..CANCELS_MAX_COUNT {
+            // A cancel that is lost is repeated after the next inventory.
+            let _ = self.post("/v1/cancel", &body, SHORT_TIMEOUT);
+            if !self.sequences.has_earlier_start(cancel) {
+                break;
             }
-            EngineCommand::ReadInventory => self.read_inventory(),
-            EngineCommand::Order { fencing, order } => self.order(fencing, &order),
+            thread::sleep(CANCEL_PAUSE);
+        }
+        self.sequences.end_cancel(cancel);
+    }
+
+    /// Reports an event of a sequence unless it was cancelled.
+    fn emit_of(&self, start: Ticket, event: EngineEvent) {
+        if self.sequences.is_current(start) {
+            self.emit(event);
         }
     }
 
@@ -148,7 +200,8 @@
         exchange(request.send_json(body))
     }
 
-    fn prefill(&self, id: AttemptId, target: &ModelTarget, priority: Priority, prompt: String) {
+    fn prefill(&self, start: Ticket, target: &ModelTarget, priority: Priority, prompt: String) {
+        let id = start.id;
         let target = TargetBody::new(target, priority);
         let body = PrefillBody {
             id: id.to_string(),
@@ -161,71 +214,76 @@
             }
             _ => None,
         };
-        self.emit(match answer {
-            Some(answer) => EngineEvent::PrefillDone {
-                id,
-                kv: KvHandle {
-                    address: self.address.clone(),
-                    handle: answer.handle,
+        self.emit_of(
+            start,
+            match answer {
+                Some(answer) => EngineEvent::PrefillDone {
+                    id,
+                    kv: KvHandle {
+                        address: self.address.clone(),
+                        handle: answer.handle,
+                    },
+                    prompt_tokens: Tokens(answer.prompt_tokens),
+                    cached_tokens: Tokens(answer.cached_tokens),
                 },
-                prompt_tokens: Tokens(answer.prompt_tokens),
-                cached_tokens: Tokens(answer.cached_tokens),
+                None => EngineEvent::SequenceFailed { id },
             },
-            None => EngineEvent::SequenceFailed { id },
-        });
+        );
     }
 
     fn decode(
         &self,
-        id: AttemptId,
+        start: Ticket,
         target: &ModelTarget,
         priority: Priority,
         kv: KvHandle,
         output_max_tokens: Tokens,
     ) {
         let body = DecodeBody {
-            id: id.to_string(),
+            id: start.id.to_string(),
             target: TargetBody::new(target, priority),
             from_address: kv.address,
             handle: kv.handle,
             output_max_tokens: output_max_tokens.0,
         };
         let exchange = self.post("/v1/decode", &body, SEQUENCE_TIMEOUT);
-        self.read_decode(id, exchange);
+        self.read_decode(start, exchange);
     }
 
-    fn read_decode(&self, id: AttemptId, exchange: Exchange) {
+    fn read_decode(&self, start: Ticket, exchange: Exchange) {
+        let id = start.id;
         let response = match exchange {
             Exchange::Answered(response) if response.status().is_success() => response,
             // The engine answers 502 when the exporting engine cannot be read.
             Exchange::Answered(response) if response.status().as_u16() == 502 => {
-                return self.emit(EngineEvent::ImportFailed { id });
+                return self.emit_of(start, EngineEvent::ImportFailed { id });
             }
             Exchange::Answered(_) | Exchange::NoConnection => {
-                return self.emit(EngineEvent::SequenceFailed { id });
+                return self.emit_of(start, EngineEvent::SequenceFailed { id });
             }
-            Exchange::Lost => return self.emit(EngineEvent::StreamLost { id }),
+            Exchange::Lost => return self.emit_of(start, EngineEvent::StreamLost { id }),
         };
         let reader = BufReader::new(response.into_body().into_reader());
         for line in reader.lines() {
             let parsed = line.ok().and_then(|line| serde_json::from_str(&line).ok());
             let Some(parsed) = parsed else { break };
-            if self.emit_line(id, parsed) {
+            if self.emit_line(start, parsed) {
                 return;
             }
         }
-        self.emit(EngineEvent::StreamLost { id });
+        self.emit_of(start, EngineEvent::StreamLost { id });
     }
 
     /// Reports a line; whether it was the last one.
-    fn emit_line(&self, id: AttemptId, line: DecodeLine) -> bool {
+    fn emit_line(&self, start: Ticket, line: DecodeLine) -> bool {
+        let id = start.id;
         match line {
             DecodeLine::Imported { imported: true } => {
-                self.emit(EngineEvent::Imported { id });
+                self.emit_of(start, EngineEvent::Imported { id });
                 false
             }
             DecodeLine::Imported { imported: false } => {
-                self.emit(EngineEvent::ImportFailed { id });
+                self.emit_of(start, EngineEvent::ImportFailed { id });
                 true
             }
             DecodeLine::Generated {
@@ -236,13 +294,16 @@
             } => {
                 let finish = finish.as_deref().map(finish_reason);
                 let tokens = Tokens(tokens);
-                self.emit(EngineEvent::Generated {
-                    id,
-                    first_token,
-                    text,
-                    tokens,
-                    finish,
-                });
+                self.emit_of(
+                    start,
+                    EngineEvent::Generated {
+                        id,
+                        first_token,
+                        text,
+                        tokens,
+                        finish,
+                    },
+                );
                 finish.is_some()
             }
         }
--- a/crates/agent/src/backend/mod.rs
+++ b/crates/agent/src/backend/mod.rs
@@ -5,6 +5,7 @@
 
 mod engine;
 mod engine_wire;
+pub mod sequences;
 mod service;
 
 use std::fmt;
