Let an agent drain for its own host only

An agent looked for the record of its server in the host list. When a server moves to another host, the list still names the predecessor's host as leaving while the successor starts, so the successor drained and ended at once.

A wrong order of shutdown in the test bench was ruled out: the log of the successor shows that it drained without a signal.

Before: fleet_is_replaced_while_requests_run fails, the successor of agent-prefill-2 has ended. After: it passes.

--- a/crates/agent/src/controller.rs
+++ b/crates/agent/src/controller.rs
@@ -16,7 +16,7 @@
 use cuminlead_protocol::{
     AgentReply, AgentRequest, DecodeEvent, DecodeOpen, EngineEvent, Envelope, ServiceEvent,
 };
-use cuminlead_types::{BackendServerId, Now, TimeUs};
+use cuminlead_types::{BackendServerId, HostId, Now, TimeUs};
 use slog::{Logger, debug, info, warn};
 use tokio::sync::{mpsc, oneshot};
 
@@ -67,6 +67,8 @@
 
 /// Parts that a controller is built from.
 pub struct ControllerParts {
+    /// Host of this agent.
+    pub host: HostId,
     /// Backend server beside the agent.
     pub server: BackendServerId,
     /// Decisions.
@@ -214,10 +216,8 @@
         if let Some(hosts) = update.hosts {
             self.parts.metrics.set_revision("hosts", hosts.revision);
             self.decide(now, AgentEvent::Hosts(hosts.revision));
-            let own = hosts
-                .hosts
-                .iter()
-                .find(|h| h.server.as_ref() == Some(&self.parts.server));
+            // Another record of the server is that of a predecessor on another host.
+            let own = hosts.hosts.iter().find(|host| host.host == self.parts.host);
             if own.is_some_and(|host| host.state == HostState::Leaving) {
                 self.drain(now);
             }
--- a/crates/agent/src/process.rs
+++ b/crates/agent/src/process.rs
@@ -115,6 +115,7 @@
         view: feed.view(),
     };
     let parts = ControllerParts {
+        host: settings.host().clone(),
         server: settings.server().clone(),
         context: AgentContext::new(config(settings, incarnation)),
         feed,
