--- a/crates/dev/src/fleet/handover.rs
+++ b/crates/dev/src/fleet/handover.rs
@@ -57,8 +57,8 @@
     pub claims: Vec<Claimed>,
     /// Model requests that were answered whole.
     pub whole: usize,
-    /// Model requests that were refused as not run.
-    pub not_run: usize,
+    /// Errors of model requests that were refused as not run.
+    pub not_run: Vec<String>,
     /// Model requests with any other end.
     pub wrong: Vec<String>,
 }
@@ -113,7 +113,7 @@
             let seen = thread.join().unwrap_or_default();
             all.claims.extend(seen.claims);
             all.whole += seen.whole;
-            all.not_run += seen.not_run;
+            all.not_run.extend(seen.not_run);
             all.wrong.extend(seen.wrong);
         }
         all
@@ -128,17 +128,14 @@
         let received = self
             .caller
             .ask(model, &question.prompt, question.output_max);
-        let checked = received
-            .as_ref()
-            .map_err(|error| io::Error::other(error.to_string()));
-        match checked.and_then(|received| question.check(received)) {
+        let received = match received {
+            Ok(received) => received,
+            Err(error) => return seen.wrong.push(format!("{name}: {error}")),
+        };
+        match question.check(&received) {
             Ok(()) => seen.whole += 1,
-            Err(_)
-                if received
-                    .as_ref()
-                    .is_ok_and(|r| r.status >= 400 && is_not_run(&r.text)) =>
-            {
-                seen.not_run += 1;
+            Err(_) if received.status >= 400 && is_not_run(&received.text) => {
+                seen.not_run.push(received.text);
             }
             Err(error) => seen.wrong.push(format!("{name}: {error}")),
         }
@@ -165,15 +162,34 @@
 }
 
 impl Fleet {
-    /// Publishes an agent or entry as leaving, shuts it down and starts its successor, which is
-    /// published as live.
+    /// Publishes an agent or entry as leaving, shuts it down and starts its successor on another
+    /// host, which is published as live.
     pub fn replace(&mut self, name: &str) -> io::Result<()> {
         self.publish_leaving(name)?;
-        self.process(name)?.signal(Signal::Terminate)?;
-        let deadline = Instant::now() + self.config.shutdown_max;
-        self.process(name)?.wait_for_clean_end(deadline)?;
-        self.restart(name)?;
+        self.end_leaving(name)?;
+        *self.generations.entry(name.to_string()).or_insert(1) += 1;
+        let servers = self.config.deployment.servers.clone();
+        if let Some(place) = servers.iter().find(|place| place.agent_name() == name) {
+            self.spawn_agent(place)?;
+        }
+        let entries = self.config.deployment.entries.clone();
+        if let Some(place) = entries.iter().find(|place| place.name == name) {
+            self.spawn_entry(place)?;
+        }
+        self.wait_until_listening()?;
         self.leaving.retain(|leaving| leaving != name);
         self.publish_hosts()
     }
+
+    /// Asks a leaving process to shut down and waits for its clean end; an agent that holds nothing
+    /// may have ended by itself.
+    pub fn end_leaving(&mut self, name: &str) -> io::Result<()> {
+        let deadline = Instant::now() + self.config.shutdown_max;
+        let process = self.process(name)?;
+        if process.check_running().is_ok() {
+            // The process may end in between, which is no error.
+            let _ = process.signal(Signal::Terminate);
+        }
+        process.wait_for_clean_end(deadline)
+    }
 }
--- a/crates/dev/src/fleet/mod.rs
+++ b/crates/dev/src/fleet/mod.rs
@@ -109,6 +109,8 @@
     processes: BTreeMap<String, Process>,
     leaving: Vec<String>,
     routed: BTreeMap<String, String>,
+    /// Number of the host that a process is on, for processes that were replaced.
+    generations: BTreeMap<String, u32>,
     is_kept: bool,
 }
 
@@ -142,6 +144,7 @@
             processes: BTreeMap::new(),
             leaving: Vec::new(),
             routed: BTreeMap::new(),
+            generations: BTreeMap::new(),
             is_kept: false,
         })
     }
@@ -199,15 +202,18 @@
     pub fn spawn_agent(&mut self, place: &ServerPlace) -> io::Result<()> {
         let backend = self.address(&place.id, "address")?;
         let platform = self.routed_address(PLATFORM_NAME, "address")?;
-        let text = settings::agent(place, &backend, &platform, &self.config.agent_settings);
-        self.spawn_binary("cuminlead-agent", &place.agent_name(), &text)
+        let name = place.agent_name();
+        let further = self.with_host(&name, &self.config.agent_settings);
+        let text = settings::agent(place, &backend, &platform, &further);
+        self.spawn_binary("cuminlead-agent", &name, &text)
     }
 
     /// Starts an entry.
     pub fn spawn_entry(&mut self, place: &EntryPlace) -> io::Result<()> {
         let platform = self.routed_address(PLATFORM_NAME, "address")?;
         let weight = self.config.deployment.wasted_prefill_weight;
-        let text = settings::entry(place, &platform, weight, &self.config.entry_settings);
+        let further = self.with_host(&place.name, &self.config.entry_settings);
+        let text = settings::entry(place, &platform, weight, &further);
         self.spawn_binary("cuminlead-entry", &place.name, &text)
     }
 
@@ -310,20 +316,45 @@
         let deployment = &self.config.deployment;
         let mut hosts = Vec::new();
         for place in &deployment.entries {
-            hosts.push(place.host_record(self.routed_address(&place.name, "peer")?));
+            let address = self.routed_address(&place.name, "peer")?;
+            hosts.push(self.present(&place.name, place.host_record(address)));
         }
         for place in &deployment.servers {
-            hosts.push(place.host_record(self.routed_address(&place.agent_name(), "peer")?));
-        }
-        for record in &mut hosts {
-            let process = record.host.trim_start_matches(deployment::HOST_PREFIX);
-            if self.leaving.iter().any(|name| name == process) {
-                record.state = "leaving".to_string();
-            }
+            let name = place.agent_name();
+            let address = self.routed_address(&name, "peer")?;
+            hosts.push(self.present(&name, place.host_record(address)));
         }
         Ok(hosts)
     }
 
+    /// Record with the present host and state of a process.
+    fn present(&self, name: &str, mut record: HostRecord) -> HostRecord {
+        record.host = self.host_of(name);
+        if self.leaving.iter().any(|leaving| leaving == name) {
+            record.state = "leaving".to_string();
+        }
+        record
+    }
+
+    fn host_of(&self, name: &str) -> String {
+        let prefix = deployment::HOST_PREFIX;
+        match self.generations.get(name) {
+            Some(generation) => format!("{prefix}{name}-{generation}"),
+            None => format!("{prefix}{name}"),
+        }
+    }
+
+    fn with_host(
+        &self,
+        name: &str,
+        further: &BTreeMap<String, String>,
+    ) -> BTreeMap<String, String> {
+        let mut further = further.clone();
+        let host = format!("\"{}\"", self.host_of(name));
+        further.insert("host".to_string(), host);
+        further
+    }
+
     fn control(&self, stand_in: &str, path: &str, body: &serde_json::Value) -> io::Result<()> {
         let url = format!("http://{}{path}", self.address(stand_in, "address")?);
         let answer = client::post(&client::agent(CALL_LIMIT), &url, body);
--- /dev/null
+++ b/crates/dev/tests/process_input.rs
@@ -0,0 +1,181 @@
+//! Bad input of callers over HTTP, with separate processes.
+
+use std::time::Duration;
+
+use cuminlead_dev::fleet::requests::{Question, RawRequest, Turn};
+use cuminlead_dev::fleet::small::{Sizes, small};
+use cuminlead_dev::fleet::{ALLOWANCES_KEY, Fleet, FleetConfig, PLANS_KEY, lists};
+use serde_json::{Value, json};
+
+const REQUEST_LIMIT: Duration = Duration::from_secs(60);
+/// P8: an accepted change is in force everywhere within this time.
+const IN_FORCE_BOUND: Duration = Duration::from_secs(9);
+/// Revision after the two edits that add a second plan.
+const REVISION: u64 = 4;
+const BODY_MAX_BYTES: usize = 65_536;
+const CHAT: &str = "/v1/chat/completions";
+
+/// Request that is refused.
+struct BadInput {
+    what: &'static str,
+    request: RawRequest,
+    has_key: bool,
+    status: u16,
+    code: &'static str,
+}
+
+impl BadInput {
+    fn new(what: &'static str, request: RawRequest, status: u16, code: &'static str) -> Self {
+        Self {
+            what,
+            request,
+            has_key: true,
+            status,
+            code,
+        }
+    }
+}
+
+/// Fleet whose lists have a second plan, which alone may use a second model and service.
+fn start() -> Fleet {
+    let sizes = Sizes {
+        prefills: 1,
+        decodes: 1,
+        services: 1,
+    };
+    let mut config = FleetConfig::new(small(sizes));
+    let body_max = ("body_max_bytes".to_string(), BODY_MAX_BYTES.to_string());
+    config.entry_settings.extend([body_max]);
+    let fleet = Fleet::start(config).expect("start");
+    let plans = lists::plans(&fleet.config, &fleet.key);
+    let plans = format!(
+        "{plans}[[plan]]\nname = \"other\"\nrequests_per_second = 1\nburst_requests = 1\n\
+         first_token_ms = 2000\nbetween_tokens_ms = 60\nweight = 1\n"
+    );
+    let allowances = lists::allowances(&fleet.config.deployment);
+    let allowances = format!(
+        "{allowances}[[server]]\nid = \"other-1\"\nkind = \"service\"\nservice = \"other\"\n\
+         [[allowance]]\nplan = \"other\"\n[[allowance.model]]\nmodel = \"repair-notes\"\n\
+         version = \"v2\"\npriority = 1\nservers = [\"prefill-1\", \"decode-1\"]\n\
+         [[allowance.service]]\nservice = \"other\"\nservers = [\"other-1\"]\n"
+    );
+    let models = "models = [{ model = \"repair-notes\", version = \"v1\" }";
+    let second = format!("{models}, {{ model = \"repair-notes\", version = \"v2\" }}");
+    let allowances = allowances.replace(models, &second);
+    fleet.publish(PLANS_KEY, &plans).expect("publish");
+    fleet.publish(ALLOWANCES_KEY, &allowances).expect("publish");
+    fleet
+        .wait_for("lists are in force", IN_FORCE_BOUND, |fleet| {
+            Ok(fleet.lists_revision("entry-1")? == REVISION)
+        })
+        .expect("lists");
+    fleet
+}
+
+fn bad_inputs(fleet: &Fleet) -> Vec<BadInput> {
+    let body = fleet.body_of(&Question::new("of bad input", 2));
+    let with = |key: &str, value: Value| {
+        let mut body = body.clone();
+        body[key] = value;
+        RawRequest::new(CHAT, body)
+    };
+    let long = "x".repeat(BODY_MAX_BYTES + 1);
+    let charge = |service: &str| {
+        let path = format!("/v1/services/{service}/charges");
+        RawRequest::new(&path, json!({ "reference": "bad-input" }))
+    };
+    let mut inputs = vec![
+        BadInput::new("no JSON", RawRequest::new(CHAT, "{"), 400, "malformed"),
+        BadInput::new("no body", RawRequest::new(CHAT, ""), 400, "malformed"),
+        BadInput::new(
+            "no messages",
+            with("messages", Value::Null),
+            400,
+            "malformed",
+        ),
+        BadInput::new("wrong type", with("messages", json!(7)), 400, "malformed"),
+        BadInput::new(
+            "empty prompt",
+            with("messages", json!([])),
+            400,
+            "malformed",
+        ),
+        BadInput::new("bad name", with("model", json!("")), 400, "malformed"),
+        BadInput::new(
+            "long body",
+            RawRequest::new(CHAT, long),
+            413,
+            "body_too_large",
+        ),
+        BadInput::new(
+            "unknown model",
+            with("model", json!("none")),
+            404,
+            "not_found",
+        ),
+        BadInput::new(
+            "other plan's version",
+            with("version", json!("v2")),
+            403,
+            "outside_plan",
+        ),
+        BadInput::new("unknown service", charge("none"), 404, "not_found"),
+        BadInput::new("other plan's service", charge("other"), 403, "outside_plan"),
+        BadInput::new(
+            "unknown address",
+            RawRequest::new("/v2/none", "{}"),
+            404,
+            "not_found",
+        ),
+    ];
+    let mut keyless = BadInput::new("no key", with("n", json!(1)), 401, "unauthenticated");
+    keyless.has_key = false;
+    let wrong = with("n", json!(1)).with("authorization", "Bearer wrong");
+    let mut wrong = BadInput::new("wrong key", wrong, 401, "unauthenticated");
+    wrong.has_key = false;
+    let mut keyless_charge = BadInput::new("no key", charge("counter"), 401, "unauthenticated");
+    keyless_charge.has_key = false;
+    let bad_key = charge("counter").with("idempotency-issued-at-ms", "soon");
+    inputs.push(BadInput::new("bad time", bad_key, 400, "malformed"));
+    inputs.extend([keyless, wrong, keyless_charge]);
+    inputs
+}
+
+/// Guards against bad input that is accepted, answered without a usable error, or that reaches a
+/// back end although it is reported as not run.
+#[test]
+fn bad_input_is_refused_with_a_reason_and_does_not_run() {
+    let _turn = Turn::wait();
+    let fleet = start();
+    let address = fleet.address("entry-1", "callers").expect("address");
+    let mut findings = Vec::new();
+    for input in bad_inputs(&fleet) {
+        let answer = if input.has_key {
+            fleet.send("entry-1", &input.request, REQUEST_LIMIT)
+        } else {
+            input.request.send(&address, REQUEST_LIMIT)
+        };
+        let is_right = answer.as_ref().is_ok_and(|answer| {
+            let error = &answer.body["error"];
+            answer.status == input.status
+                && error["code"] == input.code
+                && error["outcome"] == "not_run"
+                && error["message"].as_str().is_some_and(|m| !m.is_empty())
+                && error["request_id"]
+                    .as_str()
+                    .is_some_and(|id| !id.is_empty())
+        });
+        if !is_right {
+            findings.push(format!("{}: {answer:?}", input.what));
+        }
+    }
+    assert!(findings.is_empty(), "{findings:#?}");
+    assert_eq!(fleet.count("prefill-1", "prefills").expect("counts"), 0);
+    assert!(fleet.effects().expect("effects").is_empty());
+    let question = Question::new("after bad input", 4);
+    let received = fleet.ask("entry-1", &question, REQUEST_LIMIT);
+    question
+        .check(&received.expect("answer"))
+        .expect("whole answer");
+    fleet.stop().expect("clean end");
+}
