--- a/crates/dev/src/capacity/agent.rs
+++ b/crates/dev/src/capacity/agent.rs
@@ -419,7 +419,9 @@
             actions: Vec::new(),
         };
         agent.handle(AgentEvent::Lists(Arc::clone(lists)));
-        agent.handle(AgentEvent::ListsConfirmed);
+        agent.handle(AgentEvent::ListsConfirmed {
+            age_us: DurationUs::ZERO,
+        });
         agent
     }
 
@@ -427,7 +429,9 @@
     fn outlive_retention(&mut self) {
         self.now.mono_us = self.now.mono_us + RETENTION;
         self.now.unix_ms.0 += RETENTION.as_ms();
-        self.handle(AgentEvent::ListsConfirmed);
+        self.handle(AgentEvent::ListsConfirmed {
+            age_us: DurationUs::ZERO,
+        });
     }
 
     fn reference(&mut self) -> u64 {
