Ask for confirmations several times within the staleness of keys

Cause: a follower asked for a confirmation every 60 s whatever the agent's key_staleness_ms; with a setting of a minute or less keyed calls would be refused between two confirmations.

--- a/crates/agent/src/process.rs
+++ b/crates/agent/src/process.rs
@@ -6,6 +6,7 @@
 use crossbeam::channel::{Sender, unbounded};
 use cuminlead_agent_core::{AgentConfig, AgentContext};
 use cuminlead_distribution::Identity;
+use cuminlead_distribution::limits::CONFIRM_INTERVAL;
 use cuminlead_kernel::{Clock, WorkerPool, spawn_control};
 use cuminlead_process::cli::ProcessSettings;
 use cuminlead_process::feed::{Feed, FeedParts, FeedSender};
@@ -15,7 +16,7 @@
 use cuminlead_process::{StartError, admin, signal};
 use cuminlead_settings::AgentSettings;
 use cuminlead_telemetry::{Metrics, Tracing, log};
-use cuminlead_types::{Findings, Incarnation};
+use cuminlead_types::{DurationUs, Findings, Incarnation};
 use cuminlead_wire::MESSAGE_MAX_BYTES;
 use cuminlead_wire::proto::agent_server::AgentServer;
 use cuminlead_wire::proto::peer_server::PeerServer;
@@ -33,6 +34,9 @@
 /// Threads of the runtime that carries messages; conversions take microseconds.
 const RUNTIME_THREADS: usize = 2;
 
+/// Confirmations within the staleness of keys.
+const CONFIRMS_COUNT: u64 = 10;
+
 /// Places beyond the batch for prefill, cancel and inventory calls.
 const SPARE_CALLS: usize = 64;
 
@@ -165,6 +169,7 @@
             zone: settings.availability_zone().clone(),
         },
         seed: rand::random(),
+        confirm_interval_us: confirm_interval(settings),
         platform: Platform::new(&settings.platform_address().to_string()),
         peers: PeerClient::new(settings.host().to_string(), secret),
         runtime: runtime.handle().clone(),
@@ -173,6 +178,12 @@
     })
 }
 
+/// Confirmations come several times within the staleness from which keyed calls are refused.
+fn confirm_interval(settings: &AgentSettings) -> DurationUs {
+    let staleness_us = DurationUs::from(*settings.key_staleness_ms());
+    CONFIRM_INTERVAL.min(DurationUs(staleness_us.get() / CONFIRMS_COUNT))
+}
+
 fn build_backend(
     settings: &AgentSettings,
     control: &Sender<ControlEvent>,
--- a/crates/distribution/src/context.rs
+++ b/crates/distribution/src/context.rs
@@ -48,6 +48,7 @@
     /// Last time at which the own watch confirmed, or at which it began.
     watch_fresh_at: TimeUs,
     confirm_asked_at: TimeUs,
+    confirm_interval: DurationUs,
     hint: Option<Hint>,
     startup: Startup,
     service: ServiceCalls,
@@ -67,6 +68,7 @@
             confirmed_at: None,
             watch_fresh_at: TimeUs::ZERO,
             confirm_asked_at: TimeUs::ZERO,
+            confirm_interval: CONFIRM_INTERVAL,
             hint: None,
             startup: Startup::New,
             service: ServiceCalls::default(),
@@ -76,6 +78,12 @@
         }
     }
 
+    /// Asks for confirmations at another interval, for agents that accept younger ones only.
+    pub fn with_confirm_interval(mut self, interval: DurationUs) -> Self {
+        self.confirm_interval = interval;
+        self
+    }
+
     /// Lists in force.
     pub fn lists(&self) -> &ListStore {
         &self.lists
@@ -419,7 +427,7 @@
         }
         let confirmed_at = self.confirmed_at.unwrap_or_default();
         let retry_at = self.confirm_asked_at + CONFIRM_RETRY;
-        Some(retry_at.max(confirmed_at + CONFIRM_INTERVAL))
+        Some(retry_at.max(confirmed_at + self.confirm_interval))
     }
 
     fn ask_for_confirmation(&mut self, now: TimeUs, actions: &mut Vec<Action>) {
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -6,6 +6,7 @@
 use axum::serve::ListenerExt;
 use crossbeam::channel::{Sender, unbounded};
 use cuminlead_distribution::Identity;
+use cuminlead_distribution::limits::CONFIRM_INTERVAL;
 use cuminlead_entry_core::CallConfig;
 use cuminlead_kernel::{Clock, spawn_control};
 use cuminlead_process::cli::ProcessSettings;
@@ -210,6 +211,7 @@
             zone: settings.availability_zone().clone(),
         },
         seed: rand::random(),
+        confirm_interval_us: CONFIRM_INTERVAL,
         platform: Platform::new(&settings.platform_address().to_string()),
         peers: PeerClient::new(settings.host().to_string(), secret),
         runtime: runtime.handle().clone(),
--- a/crates/process/src/feed.rs
+++ b/crates/process/src/feed.rs
@@ -99,6 +99,8 @@
     pub identity: Identity,
     /// Seed of the jitter.
     pub seed: u64,
+    /// Interval at which a follower asks for a confirmation.
+    pub confirm_interval_us: DurationUs,
     /// Platform.
     pub platform: Platform,
     /// Connections to peers.
@@ -138,7 +140,8 @@
         let rng = StdRng::seed_from_u64(parts.seed);
         Self {
             pool: WorkerPool::new("platform", PLATFORM_THREADS),
-            distribution: Distribution::new(parts.identity.clone(), rng),
+            distribution: Distribution::new(parts.identity.clone(), rng)
+                .with_confirm_interval(parts.confirm_interval_us),
             follows: HashMap::new(),
             followers: HashMap::new(),
             next_follower: 0,
