Show that the fault matrix notices each removed guard

For each of P1 to P8 a wrapper removes one guard, and a cell with a single fault must then break exactly that promise.

--- a/crates/dev/src/bench/cell.rs
+++ b/crates/dev/src/bench/cell.rs
@@ -4,6 +4,7 @@
 //! passed. Then engine memory must be empty, no call may be left at an entry, the same request sent
 //! afresh must be answered, and the record must keep all promises.
 
+use std::collections::BTreeSet;
 use std::fmt;
 use std::str::FromStr;
 
@@ -107,6 +108,8 @@
     pub ending: String,
     /// Everything that is wrong, one finding each.
     pub findings: Vec<String>,
+    /// Promises that the record breaks, such as `P1`.
+    pub broken: BTreeSet<String>,
     /// Record as text.
     pub record: String,
 }
@@ -195,7 +198,11 @@
     check_fresh(&world, fresh_id, &mut findings);
     let found = verify(world.record(), world.now(), &bounds_of(cell));
     findings.extend(found.iter().map(ToString::to_string));
+    let broken = found
+        .iter()
+        .filter_map(|finding| finding.place.key.split(' ').next());
     CellReport {
+        broken: broken.map(ToString::to_string).collect(),
         struck_count: world.plan().struck_count(),
         ending: ending_of(&world),
         findings,
--- /dev/null
+++ b/crates/dev/tests/matrix_guards.rs
@@ -0,0 +1,237 @@
+//! Removal of guards: without the guard of a promise the fault matrix must find that it is broken.
+//!
+//! Each guard is removed by a wrapper of the driver or of a call; the product has no switch for it.
+
+use cuminlead_agent_core::{AgentAction, AgentEvent};
+use cuminlead_dev::bench::Tamper;
+use cuminlead_dev::bench::cell::{run_cell, singles};
+use cuminlead_entry_core::{
+    Call, CallAction, CallEvent, CallerError, Delivery, Outcome, SendOutcome,
+};
+use cuminlead_lists::{HostList, HostState};
+use cuminlead_protocol::{DecodeEvent, EngineCommand, FinishReason, PermitOutcome, ReplyBody};
+use cuminlead_types::{Sequence, TimeUs, Tokens};
+use yare::parameterized;
+
+const SEED: u64 = 1;
+
+/// P1: engines are not told to cancel what nobody needs any more.
+#[derive(Debug)]
+struct NoCancel;
+
+impl Tamper for NoCancel {
+    fn passes_command(&self, command: &EngineCommand) -> bool {
+        !matches!(command, EngineCommand::Cancel { .. })
+    }
+}
+
+/// P2: a call hands on every answer of a service, also after its end.
+#[derive(Debug)]
+struct AnswerEveryReply;
+
+impl Tamper for AnswerEveryReply {
+    fn wrap_call(&self, call: Box<dyn Call>) -> Box<dyn Call> {
+        Box::new(AnsweringCall { call })
+    }
+}
+
+struct AnsweringCall {
+    call: Box<dyn Call>,
+}
+
+impl Call for AnsweringCall {
+    fn handle(&mut self, now: TimeUs, event: CallEvent, actions: &mut Vec<CallAction>) {
+        let response = match &event {
+            CallEvent::Reply {
+                outcome: SendOutcome::Reply(reply),
+                ..
+            } => match &reply.body {
+                ReplyBody::CallDone(http) => Some(http.clone()),
+                _ => None,
+            },
+            _ => None,
+        };
+        self.call.handle(now, event, actions);
+        let is_answered = |action: &CallAction| matches!(action, CallAction::Respond(_));
+        if !actions.iter().any(is_answered) {
+            actions.extend(response.map(CallAction::Respond));
+        }
+    }
+
+    fn next_deadline(&self) -> Option<TimeUs> {
+        self.call.next_deadline()
+    }
+
+    fn is_ended(&self) -> bool {
+        false
+    }
+}
+
+/// P3: a call takes the failure of a decode for the end of the answer.
+#[derive(Debug)]
+struct EndOnFailure;
+
+impl Tamper for EndOnFailure {
+    fn wrap_call(&self, call: Box<dyn Call>) -> Box<dyn Call> {
+        Box::new(EndingCall {
+            call,
+            next: Sequence::ZERO,
+        })
+    }
+}
+
+struct EndingCall {
+    call: Box<dyn Call>,
+    next: Sequence,
+}
+
+impl EndingCall {
+    fn end(&mut self, now: TimeUs, actions: &mut Vec<CallAction>) {
+        self.call.handle(now, CallEvent::CallerGone, actions);
+        actions.push(CallAction::Deliver(Delivery {
+            sequence: self.next,
+            text: String::new(),
+            tokens: Tokens::ZERO,
+            finish: Some(FinishReason::Stop),
+        }));
+    }
+}
+
+impl Call for EndingCall {
+    fn handle(&mut self, now: TimeUs, event: CallEvent, actions: &mut Vec<CallAction>) {
+        let is_failure = matches!(
+            event,
+            CallEvent::StreamLost { .. }
+                | CallEvent::Stream {
+                    event: DecodeEvent::Failed { .. },
+                    ..
+                }
+        );
+        if is_failure && self.next > Sequence::ZERO && !self.call.is_ended() {
+            self.end(now, actions);
+            return;
+        }
+        self.call.handle(now, event, actions);
+        for action in actions.iter() {
+            if let CallAction::Deliver(delivery) = action {
+                self.next = delivery.sequence.next();
+            }
+        }
+    }
+
+    fn next_deadline(&self) -> Option<TimeUs> {
+        self.call.next_deadline()
+    }
+
+    fn is_ended(&self) -> bool {
+        self.call.is_ended()
+    }
+}
+
+/// P4: a call whose fate is unknown is reported as not run.
+#[derive(Debug)]
+struct UnknownAsNotRun;
+
+impl Tamper for UnknownAsNotRun {
+    fn wrap_call(&self, call: Box<dyn Call>) -> Box<dyn Call> {
+        Box::new(DenyingCall { call })
+    }
+}
+
+struct DenyingCall {
+    call: Box<dyn Call>,
+}
+
+impl Call for DenyingCall {
+    fn handle(&mut self, now: TimeUs, event: CallEvent, actions: &mut Vec<CallAction>) {
+        self.call.handle(now, event, actions);
+        for action in actions {
+            if let CallAction::Fail(CallerError { outcome, .. }) = action
+                && *outcome == Outcome::Unknown
+            {
+                *outcome = Outcome::NotRun;
+            }
+        }
+    }
+
+    fn next_deadline(&self) -> Option<TimeUs> {
+        self.call.next_deadline()
+    }
+
+    fn is_ended(&self) -> bool {
+        self.call.is_ended()
+    }
+}
+
+/// P5: an agent says that a running call has not started, so that it runs elsewhere too.
+#[derive(Debug)]
+struct RunningAsVoided;
+
+impl Tamper for RunningAsVoided {
+    fn change_actions(&self, actions: &mut Vec<AgentAction>) {
+        for action in actions {
+            if let AgentAction::Reply { reply, .. } = action
+                && reply.body == ReplyBody::PermitOutcome(PermitOutcome::Running)
+            {
+                reply.body = ReplyBody::PermitOutcome(PermitOutcome::Voided);
+            }
+        }
+    }
+}
+
+/// P6: agents do not drain, and entries do not see that a host leaves.
+#[derive(Debug)]
+struct NoLeaving;
+
+impl Tamper for NoLeaving {
+    fn passes_agent_event(&self, event: &AgentEvent) -> bool {
+        !matches!(event, AgentEvent::Drain)
+    }
+
+    fn passes_hosts(&self, hosts: &HostList) -> bool {
+        let is_live = |host: &cuminlead_lists::HostEntry| host.state == HostState::Live;
+        hosts.hosts.iter().all(is_live)
+    }
+}
+
+/// P7: a process that is asked to stop does not wait for what it holds.
+#[derive(Debug)]
+struct StopAtOnce;
+
+impl Tamper for StopAtOnce {
+    fn stops_at_once(&self) -> bool {
+        true
+    }
+}
+
+/// P8: a process puts a revision in force that is older than its own.
+#[derive(Debug)]
+struct TakeOlderLists;
+
+impl Tamper for TakeOlderLists {
+    fn takes_older_lists(&self) -> bool {
+        true
+    }
+}
+
+/// Guards against checks that do not notice a broken promise: the first cell with one fault that
+/// breaks a promise must exist and break no other one.
+#[parameterized(
+    p1_no_cancel = { "P1", || Box::new(NoCancel) },
+    p2_answer_every_reply = { "P2", || Box::new(AnswerEveryReply) },
+    p3_end_on_failure = { "P3", || Box::new(EndOnFailure) },
+    p4_unknown_as_not_run = { "P4", || Box::new(UnknownAsNotRun) },
+    p5_running_as_voided = { "P5", || Box::new(RunningAsVoided) },
+    p6_no_leaving = { "P6", || Box::new(NoLeaving) },
+    p7_stop_at_once = { "P7", || Box::new(StopAtOnce) },
+    p8_take_older_lists = { "P8", || Box::new(TakeOlderLists) },
+)]
+fn removed_guard_is_noticed(promise: &str, tamper: fn() -> Box<dyn Tamper>) {
+    let found = singles().into_iter().find_map(|cell| {
+        let report = run_cell(&cell, SEED, tamper());
+        let broken: Vec<String> = report.broken.into_iter().collect();
+        (broken == [promise]).then(|| format!("{cell}: {}", report.findings.join("; ")))
+    });
+    println!("{promise}: {found:?}");
+    assert!(found.is_some(), "no cell breaks {promise} alone");
+}
