--- a/crates/dev/src/bench/cell.rs
+++ b/crates/dev/src/bench/cell.rs
@@ -4,6 +4,7 @@
 //! passed. Then engine memory must be empty, no call may be left at an entry, the same request sent
 //! afresh must be answered, and the record must keep all promises.
 
+use std::collections::BTreeSet;
 use std::fmt;
 use std::str::FromStr;
 
@@ -40,6 +41,14 @@
 /// Run time of a service that is slow enough for its outcome to be asked for (2 s).
 const SLOW_RUN: DurationUs = DurationUs::from_ms(2_800);
 
+/// Seed of runs without jitter, in which each fault strikes exactly at its step.
+pub const EXACT_SEED: u64 = 1;
+/// Jitter with other seeds: a third of the latency between zones, so packets of different
+/// connections overtake each other.
+const JITTER: DurationUs = DurationUs(500);
+/// Delay of faults with other seeds: long enough to fall between any two steps.
+const STRIKE_DELAY: DurationUs = DurationUs::from_ms(20);
+
 const PROMPT: Tokens = Tokens(4_000);
 const TARGET: u64 = 1;
 const FRESH_TARGET: u64 = 2;
@@ -107,6 +116,8 @@
     pub ending: String,
     /// Everything that is wrong, one finding each.
     pub findings: Vec<String>,
+    /// Promises that the record breaks, such as `P1`.
+    pub broken: BTreeSet<String>,
     /// Record as text.
     pub record: String,
 }
@@ -168,6 +179,10 @@
         seed,
         ..BenchConfig::default()
     };
+    if seed != EXACT_SEED {
+        config.jitter_us = JITTER;
+        config.strike_delay_us = STRIKE_DELAY;
+    }
     if cell.strikes.iter().any(|s| s.step.needs_slow_service()) {
         config.service_run_us = SLOW_RUN;
     }
@@ -195,7 +210,11 @@
     check_fresh(&world, fresh_id, &mut findings);
     let found = verify(world.record(), world.now(), &bounds_of(cell));
     findings.extend(found.iter().map(ToString::to_string));
+    let broken = found
+        .iter()
+        .filter_map(|finding| finding.place.key.split(' ').next());
     CellReport {
+        broken: broken.map(ToString::to_string).collect(),
         struck_count: world.plan().struck_count(),
         ending: ending_of(&world),
         findings,
