Let an engine hang in measurements

A lost engine and a hanging one differ in what tells an entry about them: the agent of a hanging engine answers, so only its load report can.

--- a/crates/dev/src/bench/disturb.rs
+++ b/crates/dev/src/bench/disturb.rs
@@ -18,6 +18,8 @@
     RegionCut(RegionName, DurationUs),
     /// The configuration service does not answer.
     PlatformDown(DurationUs),
+    /// An engine does nothing and its agent answers.
+    EngineHangs(NodeId, DurationUs),
     /// Transfers of KV cache stall.
     TransferStall(DurationUs),
     /// A caller goes away.
@@ -37,6 +39,7 @@
                 self.kill(node);
                 self.kill_backend(node);
             }
+            Disturbance::EngineHangs(node, time) => self.pause_backend(node, time),
             Disturbance::ZoneCut(zone, time) => self.cut_off(|place| place.zone == zone, time),
             Disturbance::RegionCut(region, time) => {
                 self.cut_off(|place| place.region == region, time);
--- a/crates/dev/src/measure/run.rs
+++ b/crates/dev/src/measure/run.rs
@@ -19,6 +19,7 @@
 const SETTLE: DurationUs = DurationUs::from_ms(130_000);
 /// Cuts and stalls begin after a third of the run.
 const CUT: DurationUs = DurationUs::from_ms(10_000);
+const HANG: DurationUs = DurationUs::from_ms(15_000);
 const STALL: DurationUs = DurationUs::from_ms(6_000);
 const PLATFORM_DOWN: DurationUs = DurationUs::from_ms(20_000);
 /// Runs at once; the machine is shared.
@@ -30,6 +31,8 @@
 pub enum RunFault {
     /// A decode engine and its agent die and start again.
     RunnerLost,
+    /// A prefill engine does nothing for a while, and its agent answers.
+    EngineHangs,
     /// An availability zone of the first region is cut off.
     ZoneCut,
     /// The second region is cut off.
@@ -138,6 +141,10 @@
     let places = &site.config.places;
     Some(match fault {
         RunFault::RunnerLost => Disturbance::RunnerLost(first),
+        RunFault::EngineHangs => {
+            let node = site.first_engine(EngineRole::Prefill)?;
+            Disturbance::EngineHangs(node, HANG)
+        }
         RunFault::ZoneCut => Disturbance::ZoneCut(places[first.0].zone.clone(), CUT),
         RunFault::RegionCut => {
             let second = places.iter().find(|p| p.region != places[0].region)?;
