--- a/crates/dev/src/fleet/probe.rs
+++ b/crates/dev/src/fleet/probe.rs
@@ -33,15 +33,23 @@
         count.ok_or_else(|| io::Error::other("no such count"))
     }
 
+    /// Effects of one service by reference.
+    pub fn effects_of(&self, service: &str) -> io::Result<BTreeMap<String, u64>> {
+        let answer = self.read(service, "address", "/effects")?;
+        let effects = answer["effects"].as_object();
+        let effects = effects.ok_or_else(|| io::Error::other("no effects"))?;
+        let counts = effects.iter();
+        let counts = counts.map(|(name, count)| (name.clone(), count.as_u64().unwrap_or_default()));
+        Ok(counts.collect())
+    }
+
     /// Effects of all services by reference.
     pub fn effects(&self) -> io::Result<BTreeMap<String, u64>> {
         let mut effects = BTreeMap::new();
         let services = self.config.deployment.servers.iter();
         for place in services.filter(|place| place.role().is_none()) {
-            let answer = self.read(&place.id, "address", "/effects")?;
-            let counts = answer["effects"].as_object().cloned().unwrap_or_default();
-            for (reference, count) in counts {
-                *effects.entry(reference).or_default() += count.as_u64().unwrap_or_default();
+            for (reference, count) in self.effects_of(&place.id)? {
+                *effects.entry(reference).or_default() += count;
             }
         }
         Ok(effects)
--- a/crates/dev/tests/process_shutdown.rs
+++ b/crates/dev/tests/process_shutdown.rs
@@ -151,13 +151,21 @@
     }
     let traffic = Traffic::start(&balancer, fleet.config.deployment.model, 4);
     for name in fleet.own_processes() {
+        let done = work_done(&fleet, &name);
         balancer.remove(&name);
         fleet.replace(&name).expect("replace");
         fleet.wait_until_ready().expect("ready");
         if name.starts_with("entry") {
             balancer.add(&fleet, &name, REQUEST_LIMIT).expect("add");
         }
-        wait_until_usable(&fleet, &name);
+        wait_until_known(&fleet, &name);
+        if let Some(done) = done {
+            fleet
+                .wait_for("the successor gets work", STEP_LIMIT, |fleet| {
+                    Ok(work_done(fleet, &name) > Some(done))
+                })
+                .expect("work");
+        }
         let enough = traffic.count() + 8;
         fleet
             .wait_for("requests go on", STEP_LIMIT, |_| {
@@ -183,8 +191,21 @@
     fleet.stop().expect("clean end");
 }
 
+/// Work that the back end of an agent has done; none for an entry.
+fn work_done(fleet: &Fleet, name: &str) -> Option<u64> {
+    let server = name.strip_prefix("agent-")?;
+    let counted = match server.split_once('-')?.0 {
+        "prefill" => fleet.count(server, "prefills"),
+        "decode" => fleet.count(server, "decodes"),
+        _ => fleet
+            .effects_of(server)
+            .map(|effects| effects.values().sum()),
+    };
+    Some(counted.expect("counts"))
+}
+
 /// Waits until all processes know the host list in which the successor is live.
-fn wait_until_usable(fleet: &Fleet, name: &str) {
+fn wait_until_known(fleet: &Fleet, name: &str) {
     let published = || fleet.read("platform", "address", "/v1/hosts");
     let revision = published().expect("hosts")["revision"].clone();
     for process in fleet.own_processes() {
