Keep a watch of the host list open until its wait ends

Cause: Platform::hosts returned "unchanged" right after its first reading whenever the wait was not longer than the reading interval, which is always so with a watch of 1 s. The next watch then began 250 ms later, so that each reader fetched the whole host list four times a second.

Ruled out: the watch of the lists, which waits at the platform and makes one call a second, and followers, which make no calls.

A watch now reads the list, waits out its time and returns. A changed list is seen within 1 s, which leaves 4 s of the 5 s in which a leaving server must be out of use.

--- a/crates/process/src/platform.rs
+++ b/crates/process/src/platform.rs
@@ -81,12 +81,15 @@
             if hosts.revision > after {
                 return Ok(Answer::Hosts(hosts));
             }
-            if Instant::now() + HOSTS_INTERVAL > until {
+            // A watch that returned before its end would be asked again at once, and each reading
+            // carries the whole list.
+            let left = until.saturating_duration_since(Instant::now());
+            thread::sleep(left.min(HOSTS_INTERVAL));
+            if Instant::now() >= until {
                 return Ok(Answer::Unchanged {
                     revision: hosts.revision,
                 });
             }
-            thread::sleep(HOSTS_INTERVAL);
         }
     }
 
