--- a/crates/dev/src/capacity/process.rs
+++ b/crates/dev/src/capacity/process.rs
@@ -5,7 +5,7 @@
 use std::thread;
 use std::time::Duration;
 
-use serde_json::json;
+use serde_json::{Value, json};
 
 use super::Report;
 use super::fixture::{DESIGN_LISTS, ENGINES_COUNT, allowances_text, group_part, hosts, plans_text};
@@ -16,6 +16,8 @@
 
 /// Entries of the design scale.
 const ENTRIES_COUNT: usize = 370;
+const CONFIG_PATH: &str = "/v1/config?since=0";
+const HOSTS_PATH: &str = "/v1/hosts";
 const SETTLE: Duration = Duration::from_secs(10);
 const IDLE: Duration = Duration::from_secs(20);
 const CALL_LIMIT: Duration = Duration::from_secs(30);
@@ -24,7 +26,7 @@
 /// Fields of `/proc/PID/stat` before the user time, counted after the name of the command.
 const FIELDS_BEFORE_TIMES: usize = 11;
 
-/// Kind of process by the start of its name, and its rank of reading.
+/// What one process uses.
 struct Usage {
     name: String,
     resident_bytes: f64,
@@ -41,13 +43,59 @@
     )?;
     publish_design_lists(&fleet)?;
     publish_design_hosts(&fleet)?;
+    answers(report, &fleet)?;
     idle(report, &fleet, "design_lists_and_hosts", ENGINES_COUNT)?;
     fleet.stop()
 }
 
+/// Sizes of the platform's answers, which each reader fetches.
+fn answers(report: &mut Report, fleet: &Fleet) -> io::Result<()> {
+    let (lists, hosts) = (
+        published(fleet, CONFIG_PATH)?,
+        published(fleet, HOSTS_PATH)?,
+    );
+    let size = |value: &Value| value.to_string().len() as f64;
+    report.add(
+        "platform_lists_answer",
+        "bytes",
+        DESIGN_LISTS.customers,
+        size(&lists),
+    );
+    report.add(
+        "platform_hosts_answer",
+        "bytes",
+        ENGINES_COUNT + ENTRIES_COUNT,
+        size(&hosts),
+    );
+    Ok(())
+}
+
+/// Processes whose lists are those that the platform publishes.
+fn in_force_count(fleet: &Fleet) -> io::Result<usize> {
+    let newest = published(fleet, CONFIG_PATH)?["revision"].clone();
+    let agent = client::agent(CALL_LIMIT);
+    let mut count = 0;
+    for process in fleet.processes() {
+        let Some(admin) = process.address("admin") else {
+            continue;
+        };
+        let status = client::get(&agent, &format!("http://{admin}/status"));
+        let status = status.map_err(io::Error::other)?.body;
+        count += usize::from(status["lists_revision"] == newest);
+    }
+    Ok(count)
+}
+
 /// Measures after what was published has been taken.
 fn idle(report: &mut Report, fleet: &Fleet, case: &str, servers: usize) -> io::Result<()> {
     thread::sleep(SETTLE);
+    let count = in_force_count(fleet)?;
+    report.add(
+        &format!("process_lists_in_force_{case}"),
+        "processes",
+        servers,
+        count as f64,
+    );
     let calls_before = platform_calls(fleet)?;
     let ticks_before: Vec<f64> = fleet.processes().map(|p| ticks(p.pid())).collect();
     thread::sleep(IDLE);
@@ -116,10 +164,7 @@
 
 /// Adds hosts without processes, in zones of their own, to the real ones.
 fn publish_design_hosts(fleet: &Fleet) -> io::Result<()> {
-    let address = fleet.address("platform", "address")?;
-    let agent = client::agent(CALL_LIMIT);
-    let present = client::get(&agent, &format!("http://{address}/v1/hosts"));
-    let present = present.map_err(io::Error::other)?.body;
+    let present = published(fleet, HOSTS_PATH)?;
     let mut records: Vec<HostRecord> = serde_json::from_value(present["hosts"].clone())?;
     records.extend(
         hosts(ENGINES_COUNT, ENTRIES_COUNT, 1)
@@ -136,8 +181,15 @@
                 server: entry.server.as_ref().map(ToString::to_string),
             }),
     );
-    let url = format!("http://{address}/control/hosts");
-    let answer = client::post(&agent, &url, json!({ "hosts": records }));
+    let url = format!(
+        "http://{}/control/hosts",
+        fleet.address("platform", "address")?
+    );
+    let answer = client::post(
+        &client::agent(CALL_LIMIT),
+        &url,
+        json!({ "hosts": records }),
+    );
     let answer = answer.map_err(io::Error::other)?;
     if answer.status == 200 {
         return Ok(());
@@ -149,10 +201,15 @@
 }
 
 fn platform_calls(fleet: &Fleet) -> io::Result<f64> {
-    let address = fleet.address("platform", "address")?;
-    let url = format!("http://{address}/control/calls");
+    let answer = published(fleet, "/control/calls")?;
+    Ok(answer["calls"].as_f64().unwrap_or_default())
+}
+
+/// Answer of the platform to a reader.
+fn published(fleet: &Fleet, path: &str) -> io::Result<Value> {
+    let url = format!("http://{}{path}", fleet.address("platform", "address")?);
     let answer = client::get(&client::agent(CALL_LIMIT), &url).map_err(io::Error::other)?;
-    Ok(answer.body["calls"].as_f64().unwrap_or_default())
+    Ok(answer.body)
 }
 
 fn resident_bytes(pid: u32) -> f64 {
