--- a/crates/admission/tests/support/naive.rs
+++ b/crates/admission/tests/support/naive.rs
@@ -14,7 +14,7 @@
     AgentFailure, Chunk, DecodeStart, EngineCommand, Prefilled, RefusalReason, ReplyBody, Reserve,
     Reserved,
 };
-use cuminlead_types::{AttemptId, CustomerId, DurationUs, Priority, TimeUs, Tokens};
+use cuminlead_types::{AttemptId, CustomerId, DurationUs, KvPieces, Priority, TimeUs, Tokens};
 
 /// Request for a place; one for a prefill has no output.
 #[derive(Clone, Debug, Default)]
@@ -109,6 +109,7 @@
     }
 }
 
+#[derive(Default)]
 pub(crate) struct Naive {
     config: AdmissionConfig,
     items: Vec<Item>,
@@ -118,6 +119,8 @@
     busy_until: TimeUs,
     arrivals: u64,
     draining: bool,
+    silent: bool,
+    total_pieces: KvPieces,
     unknown: Vec<AttemptId>,
     pub(crate) out: Vec<Action>,
 }
@@ -125,16 +128,9 @@
 impl Naive {
     pub(crate) fn new(config: AdmissionConfig) -> Self {
         Self {
+            total_pieces: config.pieces,
             config,
-            items: Vec::new(),
-            released: Vec::new(),
-            clocks: BTreeMap::new(),
-            present: 0,
-            busy_until: TimeUs(0),
-            arrivals: 0,
-            draining: false,
-            unknown: Vec::new(),
-            out: Vec::new(),
+            ..Self::default()
         }
     }
 
@@ -262,7 +258,7 @@
                 return;
             };
             let pieces = self.used_pieces() + self.items[index].tokens().kv_pieces().0;
-            if self.used_slots() + 1 > self.config.slots.0 || pieces > self.config.pieces.0 {
+            if self.used_slots() + 1 > self.config.slots.0 || pieces > self.total_pieces.0 {
                 return;
             }
             self.place(now, begin, index);
@@ -319,7 +315,7 @@
         };
         let reason = if self.draining {
             RefusalReason::Draining
-        } else if item.tokens().kv_pieces() > self.config.pieces {
+        } else if item.tokens().kv_pieces() > self.total_pieces {
             RefusalReason::TooLarge
         } else if !self.in_time(now, &item) {
             RefusalReason::CannotMeetTarget
--- a/crates/agent-core/src/context.rs
+++ b/crates/agent-core/src/context.rs
@@ -132,9 +132,9 @@
             AgentEvent::Engine(event) => self.engine_event(mono_us, event, actions),
             AgentEvent::Service(event) => self.service_event(mono_us, event, actions),
             AgentEvent::Lists(lists) => self.apply_lists(now, lists),
-            AgentEvent::ListsConfirmed => {
+            AgentEvent::ListsConfirmed { age_us } => {
                 if let Some(permits) = &mut self.permits {
-                    permits.confirm_lists(mono_us);
+                    permits.confirm_lists(mono_us - age_us);
                 }
             }
             AgentEvent::Hosts(revision) => {
@@ -159,8 +159,7 @@
             AgentRequest::Reserve(message) => self.reserve(now.mono_us, call, &message, actions),
             AgentRequest::Prefill(message) => self.prefill(now.mono_us, call, message, actions),
             AgentRequest::Release(message) => {
-                self.admission
-                    .release(now.mono_us, call, &message, &mut self.admitted);
+                self.release(now.mono_us, call, &message, actions);
             }
             AgentRequest::IssuePermit(message) => self.issue_permit(now, call, &message, actions),
             AgentRequest::RunCall(message) => self.run_call(now.mono_us, call, message, actions),
--- a/crates/agent-core/tests/model.rs
+++ b/crates/agent-core/tests/model.rs
@@ -40,8 +40,9 @@
     request: AgentRequest,
     expected: Option<RefusalReason>,
 ) {
-    let mut agent = Agent::of_engine(server, role);
-    agent.handle(0, inventory(role, &["notes", "other", "unwanted"]));
+    let mut agent = Agent::of_service(server);
+    // The load of the model that is missing keeps the unload of the unwanted one back.
+    agent.handle(0, inventory(role, &["notes", "unwanted"]));
     let actions = agent.send(1, request);
     let bodies: Vec<ReplyBody> = replies(&actions).into_iter().map(|r| r.body).collect();
     match expected {
@@ -71,6 +72,13 @@
     assert!(matches!(body, ReplyBody::Reserved(_)));
     agent.handle(5, AgentEvent::Engine(EngineEvent::Unreachable));
     assert_eq!(agent.ask(6, reserve(2, "kiosks", "notes")).body, starting);
+    let body = agent.ask(7, reserve(1, "kiosks", "notes")).body;
+    assert!(
+        matches!(body, ReplyBody::Reserved(_)),
+        "one silence is borne"
+    );
+    agent.handle(8, AgentEvent::Engine(EngineEvent::Unreachable));
+    assert_eq!(agent.ask(9, reserve(1, "kiosks", "notes")).body, starting);
 }
 
 /// Guards against lists that revert to an earlier revision.
@@ -162,6 +170,23 @@
     assert!(!again.contains(&AgentAction::Drained));
 }
 
+/// Guards against a request that waited while its plan ended and is granted under the old lists.
+#[test]
+fn waiting_request_is_checked_against_new_lists() {
+    let mut agent = Agent::of_engine("decode-1", DECODE);
+    for number in 0..20 {
+        agent.send(1, reserve(number, "kiosks", "notes"));
+    }
+    assert!(replies(&agent.send(2, reserve(20, "kiosks", "notes"))).is_empty());
+    let mut changed = lists(6);
+    changed.allowances.clear();
+    let actions = agent.handle(3, AgentEvent::Lists(Arc::new(changed)));
+    assert_eq!(
+        replies(&actions)[0].body,
+        refused(RefusalReason::OutsidePlan)
+    );
+}
+
 /// Guards against a repeat that is refused because the plan changed after its attempt began.
 #[test]
 fn repeat_is_answered_after_the_plan_ended() {
@@ -180,3 +205,17 @@
     let body = agent.ask(5, AgentRequest::Release(message)).body;
     assert_eq!(body, ReplyBody::Released);
 }
+
+/// Guards against memory that an earlier life of the agent left in the engine and that stays held
+/// after its release until two inventories have shown it.
+#[test]
+fn release_of_an_unknown_attempt_reaches_the_engine() {
+    let mut agent = Agent::starting("prefill-1");
+    let envelope = envelope(1, "kiosks");
+    let id = envelope.id;
+    let actions = agent.send(1, AgentRequest::Release(Release { envelope }));
+    let cancel = EngineCommand::Cancel { id };
+    assert!(actions.contains(&AgentAction::Engine(cancel)));
+    let bodies: Vec<ReplyBody> = replies(&actions).into_iter().map(|r| r.body).collect();
+    assert_eq!(bodies, [ReplyBody::Released]);
+}
