Read the rest of a refused body before the answer

The entry answered a request that it refused early and closed the connection while the caller still sent its body. The unread data reset the connection, and the caller saw a broken pipe in place of the 413 or 401.

--- a/crates/dev/tests/process_input.rs
+++ b/crates/dev/tests/process_input.rs
@@ -13,6 +13,8 @@
 /// Revision after the two edits that add a second plan.
 const REVISION: u64 = 4;
 const BODY_MAX_BYTES: usize = 65_536;
+/// Bodies of which most would lose their answer if the connection were reset.
+const LONG_BODIES_COUNT: usize = 20;
 const CHAT: &str = "/v1/chat/completions";
 
 /// Request that is refused.
@@ -179,3 +181,20 @@
         .expect("whole answer");
     fleet.stop().expect("clean end");
 }
+
+/// Guards against a refusal that the caller cannot read, because the entry closes the connection
+/// while the caller still sends its body.
+#[test]
+fn refusal_of_a_long_body_reaches_the_caller() {
+    let _turn = Turn::wait();
+    let fleet = start();
+    let long = RawRequest::new(CHAT, "x".repeat(BODY_MAX_BYTES * 40));
+    let address = fleet.address("entry-1", "callers").expect("address");
+    for _ in 0..LONG_BODIES_COUNT {
+        let answer = fleet.send("entry-1", &long, REQUEST_LIMIT).expect("answer");
+        assert_eq!(answer.status, 413, "{answer:?}");
+        let answer = long.send(&address, REQUEST_LIMIT).expect("answer");
+        assert_eq!(answer.status, 401, "{answer:?}");
+    }
+    fleet.stop().expect("clean end");
+}
--- a/crates/entry/src/http/handler.rs
+++ b/crates/entry/src/http/handler.rs
@@ -30,6 +30,9 @@
 /// Longest time that a caller may take to send its body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Most bytes of a refused body that are read and dropped.
+const DISCARD_MAX_BYTES: usize = 16 * 1024 * 1024;
+
 const SERVICES_PREFIX: &str = "/v1/services/";
 
 /// What the traffic threads of an entry share.
@@ -92,10 +95,13 @@
         let id = RequestId(rand::random());
         // Counted before the checks, so that a stopping entry cannot miss a request.
         let open = OpenRequest::new(&self.flags);
-        let (head, body) = request.into_parts();
-        match self.answer(id, &head, body, open).await {
+        let (head, mut body) = request.into_parts();
+        match self.answer(id, &head, &mut body, open).await {
             Ok(response) => response,
-            Err(error) => self.refuse(id, &error),
+            Err(error) => {
+                discard(&head, body).await;
+                self.refuse(id, &error)
+            }
         }
     }
 
@@ -110,7 +116,7 @@
         &self,
         id: RequestId,
         head: &Parts,
-        body: Body,
+        body: &mut Body,
         open: OpenRequest,
     ) -> Result<Response, CallerError> {
         self.check_capacity()?;
@@ -233,7 +239,11 @@
         .ok_or_else(|| refusal(ErrorCode::Unauthenticated, "wrong customer key"))
 }
 
-async fn read_body(head: &Parts, body: Body, body_max: Bytes) -> Result<BodyBytes, CallerError> {
+async fn read_body(
+    head: &Parts,
+    body: &mut Body,
+    body_max: Bytes,
+) -> Result<BodyBytes, CallerError> {
     let too_large = || {
         refusal(
             ErrorCode::BodyTooLarge,
@@ -257,3 +267,24 @@
         )),
     }
 }
+
+/// Reads the rest of a refused body. Closing a connection with unread data resets it, and the
+/// caller then sees a broken pipe in place of the answer.
+async fn discard(head: &Parts, mut body: Body) {
+    // Reading would ask a caller that waits for permission to send its body.
+    if head.headers.contains_key("expect") {
+        return;
+    }
+    let discarding = async {
+        let mut left = DISCARD_MAX_BYTES;
+        while let Some(Ok(frame)) = body.frame().await {
+            let size = frame.data_ref().map_or(0, BodyBytes::len);
+            let Some(rest) = left.checked_sub(size) else {
+                return;
+            };
+            left = rest;
+        }
+    };
+    // A caller that is slower loses the answer.
+    let _ = tokio::time::timeout(BODY_TIMEOUT, discarding).await;
+}
