Publish the host list of a fleet before its processes start

Agents and entries that started before the list was published asked for it again only 10 s later, so that every fleet took 10 s to start. Peer addresses are now chosen first and kept over restarts.

--- a/crates/dev/src/fleet/handover.rs
+++ b/crates/dev/src/fleet/handover.rs
@@ -168,6 +168,7 @@
         self.publish_leaving(name)?;
         self.end_leaving(name)?;
         *self.generations.entry(name.to_string()).or_insert(1) += 1;
+        self.peer_addresses.remove(name);
         let servers = self.config.deployment.servers.clone();
         if let Some(place) = servers.iter().find(|place| place.agent_name() == name) {
             self.spawn_agent(place)?;
--- a/crates/dev/src/fleet/mod.rs
+++ b/crates/dev/src/fleet/mod.rs
@@ -1,7 +1,8 @@
 //! Launcher of a whole system on loopback: platform, backend servers, agents and entries.
 //!
-//! Every process gets a free port from the operating system and prints its addresses, so that
-//! several fleets can run side by side. The host list is published when all addresses are known.
+//! Every process listens on free ports and prints its addresses, so that several fleets can run
+//! side by side. The peer addresses of agents and entries are chosen and published before they
+//! start.
 //! Settings, output and logs are files of one temporary directory.
 //!
 //! | module | holds |
@@ -29,6 +30,8 @@
 use std::collections::BTreeMap;
 use std::fs;
 use std::io;
+use std::net::TcpListener;
+use std::ops::Range;
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
@@ -49,6 +52,8 @@
 
 const CALL_LIMIT: Duration = Duration::from_secs(5);
 const POLL: Duration = Duration::from_millis(50);
+const PORTS: Range<u16> = 10_000..32_000;
+const PORT_TRIES: usize = 100;
 const PLATFORM_NAME: &str = "platform";
 
 /// What to start.
@@ -111,6 +116,7 @@
     routed: BTreeMap<String, String>,
     /// Number of the host that a process is on, for processes that were replaced.
     generations: BTreeMap<String, u32>,
+    peer_addresses: BTreeMap<String, String>,
     is_kept: bool,
 }
 
@@ -145,6 +151,7 @@
             leaving: Vec::new(),
             routed: BTreeMap::new(),
             generations: BTreeMap::new(),
+            peer_addresses: BTreeMap::new(),
             is_kept: false,
         })
     }
@@ -157,6 +164,10 @@
     /// Starts agents and entries beside running stand-ins and waits until all entries are ready.
     pub fn start_processes(&mut self) -> io::Result<()> {
         self.publish_lists()?;
+        for name in self.own_processes() {
+            self.reserve_peer_address(&name)?;
+        }
+        self.publish_hosts()?;
         for place in self.config.deployment.servers.clone() {
             self.spawn_agent(&place)?;
         }
@@ -164,7 +175,6 @@
             self.spawn_entry(&place)?;
         }
         self.wait_until_listening()?;
-        self.publish_hosts()?;
         self.wait_until_ready()
     }
 
@@ -201,18 +211,18 @@
     /// Starts the agent beside a backend server.
     pub fn spawn_agent(&mut self, place: &ServerPlace) -> io::Result<()> {
         let backend = self.address(&place.id, "address")?;
-        let platform = self.routed_address(PLATFORM_NAME, "address")?;
+        let platform = self.platform_address()?;
         let name = place.agent_name();
-        let further = self.with_host(&name, &self.config.agent_settings);
+        let further = self.with_place(&name, self.config.agent_settings.clone())?;
         let text = settings::agent(place, &backend, &platform, &further);
         self.spawn_binary("cuminlead-agent", &name, &text)
     }
 
     /// Starts an entry.
     pub fn spawn_entry(&mut self, place: &EntryPlace) -> io::Result<()> {
-        let platform = self.routed_address(PLATFORM_NAME, "address")?;
+        let platform = self.platform_address()?;
         let weight = self.config.deployment.wasted_prefill_weight;
-        let further = self.with_host(&place.name, &self.config.entry_settings);
+        let further = self.with_place(&place.name, self.config.entry_settings.clone())?;
         let text = settings::entry(place, &platform, weight, &further);
         self.spawn_binary("cuminlead-entry", &place.name, &text)
     }
@@ -241,16 +251,19 @@
         Ok(())
     }
 
-    /// Waits until every running entry answers 200 on `/ready`.
+    /// Waits until every running agent and entry answers 200 on `/ready`.
     pub fn wait_until_ready(&mut self) -> io::Result<()> {
         let deadline = Instant::now() + self.config.ready_max;
-        for place in self.config.deployment.entries.clone() {
-            self.wait_until_entry_ready(&place.name, deadline)?;
+        for name in self.own_processes() {
+            if self.process(&name)?.is_killed() {
+                continue;
+            }
+            self.wait_until_process_ready(&name, deadline)?;
         }
         Ok(())
     }
 
-    fn wait_until_entry_ready(&mut self, name: &str, deadline: Instant) -> io::Result<()> {
+    fn wait_until_process_ready(&mut self, name: &str, deadline: Instant) -> io::Result<()> {
         let url = format!("http://{}/ready", self.address(name, "admin")?);
         let agent = client::agent(CALL_LIMIT);
         loop {
@@ -304,10 +317,10 @@
         self.routed.insert(name.to_string(), address.to_string());
     }
 
-    fn routed_address(&self, name: &str, key: &str) -> io::Result<String> {
-        match self.routed.get(name) {
+    fn platform_address(&self) -> io::Result<String> {
+        match self.routed.get(PLATFORM_NAME) {
             Some(address) => Ok(address.clone()),
-            None => self.address(name, key),
+            None => self.address(PLATFORM_NAME, "address"),
         }
     }
 
@@ -316,12 +329,12 @@
         let deployment = &self.config.deployment;
         let mut hosts = Vec::new();
         for place in &deployment.entries {
-            let address = self.routed_address(&place.name, "peer")?;
+            let address = self.peer_address(&place.name)?;
             hosts.push(self.present(&place.name, place.host_record(address)));
         }
         for place in &deployment.servers {
             let name = place.agent_name();
-            let address = self.routed_address(&name, "peer")?;
+            let address = self.peer_address(&name)?;
             hosts.push(self.present(&name, place.host_record(address)));
         }
         Ok(hosts)
@@ -344,15 +357,34 @@
         }
     }
 
-    fn with_host(
-        &self,
+    /// Settings with the present host and peer address of a process.
+    fn with_place(
+        &mut self,
         name: &str,
-        further: &BTreeMap<String, String>,
-    ) -> BTreeMap<String, String> {
-        let mut further = further.clone();
-        let host = format!("\"{}\"", self.host_of(name));
-        further.insert("host".to_string(), host);
-        further
+        mut further: BTreeMap<String, String>,
+    ) -> io::Result<BTreeMap<String, String>> {
+        let address = self.reserve_peer_address(name)?;
+        further.insert("host".to_string(), format!("\"{}\"", self.host_of(name)));
+        further.insert("peer_address".to_string(), format!("\"{address}\""));
+        Ok(further)
+    }
+
+    /// Peer address of an agent or entry, which it keeps over restarts. It is chosen before the
+    /// start, so that the host list is there when the first process asks for it.
+    fn reserve_peer_address(&mut self, name: &str) -> io::Result<String> {
+        if let Some(address) = self.peer_addresses.get(name) {
+            return Ok(address.clone());
+        }
+        let address = free_address()?;
+        let reserved = &mut self.peer_addresses;
+        reserved.insert(name.to_string(), address.clone());
+        Ok(address)
+    }
+
+    fn peer_address(&self, name: &str) -> io::Result<String> {
+        let address = self.routed.get(name).or(self.peer_addresses.get(name));
+        let address = address.cloned();
+        address.ok_or_else(|| io::Error::other(format!("{name} has no peer address")))
     }
 
     fn control(&self, stand_in: &str, path: &str, body: &serde_json::Value) -> io::Result<()> {
@@ -460,6 +492,20 @@
     }
 }
 
+/// Free loopback address with a port below those that the system gives to connections.
+fn free_address() -> io::Result<String> {
+    let mut tried = Ok(());
+    for _ in 0..PORT_TRIES {
+        let port = rand::random_range(PORTS);
+        let address = format!("127.0.0.1:{port}");
+        match TcpListener::bind(&address) {
+            Ok(_) => return Ok(address),
+            Err(error) => tried = Err(error),
+        }
+    }
+    tried.map(|()| String::new())
+}
+
 impl Drop for Fleet {
     fn drop(&mut self) {
         if self.is_kept {
