Retain the outcome of an application call while an agent drains

Cause: a draining agent reported that it holds nothing in the same turn as it sent the outcome of its last call, and the process exits then. The outcome was lost with the process and could not be asked for, so the caller was told 'unknown' although the call had run. Ruled out: a reply that was never sent (the agent sent it 0.2 ms before its connections ended). The agent now retains the outcome for answer_hold_ms, like an answer of a decode.

--- a/crates/agent-core/src/application.rs
+++ b/crates/agent-core/src/application.rs
@@ -90,6 +90,7 @@
             RunRef::Message(_) => body_without_permit(outcome),
         };
         if let Some(call) = ended.call {
+            self.outcome_sent_at = Some(now);
             self.reply(now, call, body, actions);
         }
     }
--- a/crates/agent-core/src/context.rs
+++ b/crates/agent-core/src/context.rs
@@ -35,6 +35,8 @@
     pub(crate) hosts_revision: Revision,
     pub(crate) is_draining: bool,
     is_drained: bool,
+    /// When the outcome of an application call was last sent.
+    pub(crate) outcome_sent_at: Option<TimeUs>,
     /// Time of the last event.
     handled_at: TimeUs,
     /// Buffer of admission's actions, kept between events.
@@ -55,6 +57,7 @@
             hosts_revision: Revision::ZERO,
             is_draining: false,
             is_drained: false,
+            outcome_sent_at: None,
             handled_at: TimeUs::ZERO,
             admitted: Vec::new(),
             config,
@@ -98,6 +101,7 @@
             permits,
             self.poll.next_at(),
             self.next_order_at(),
+            self.drained_at(),
         ];
         deadlines.into_iter().flatten().min()
     }
@@ -215,12 +219,26 @@
     }
 
     fn report_drained(&mut self, actions: &mut Vec<AgentAction>) {
-        if self.is_draining && !self.is_drained && self.holds_nothing() {
+        let now = self.handled_at;
+        if self.drained_at().is_some_and(|at| at <= now) {
             self.is_drained = true;
             actions.push(AgentAction::Drained);
         }
     }
 
+    /// When a draining agent that holds nothing may exit.
+    ///
+    /// The outcome of an application call may still be on its way, or lost and asked for. It is
+    /// retained like an answer, because the next life of the agent does not know it.
+    fn drained_at(&self) -> Option<TimeUs> {
+        if !self.is_draining || self.is_drained || !self.holds_nothing() {
+            return None;
+        }
+        let hold_us = self.config.answer_hold_us;
+        let sent_at = self.outcome_sent_at;
+        Some(sent_at.map_or(self.handled_at, |sent_at| sent_at + hold_us))
+    }
+
     fn holds_nothing(&self) -> bool {
         let permits = self.permits.as_ref();
         let open_count = permits.map_or(0, |p| p.issued_count() + p.running_count());
--- a/crates/agent-core/tests/application.rs
+++ b/crates/agent-core/tests/application.rs
@@ -9,7 +9,7 @@
     AgentFailure, AgentRequest, AskPermit, HttpResponse, PermitOutcome, RefusalReason, ReplyBody,
     RunRef, ServiceCommand, ServiceEvent,
 };
-use cuminlead_types::PermitId;
+use cuminlead_types::{PermitId, TimeUs};
 use support::{Agent, envelope, issue, lists, refused, replies, run};
 use yare::parameterized;
 
@@ -158,3 +158,27 @@
     let actions = agent.handle(6, AgentEvent::Service(answered));
     assert_eq!(actions, [AgentAction::Drained]);
 }
+
+/// Guards against a drain that exits while the outcome of a call is still on its way, or before it
+/// can be asked for.
+#[test]
+fn drain_retains_the_outcome_of_a_call() {
+    let mut agent = Agent::of_service("counter-1");
+    let used = permit(&mut agent, 1);
+    let command = forwarded(&agent.send(2, run(1, Some(used), "POST")))
+        .pop()
+        .expect("the call is forwarded");
+    agent.handle(3, AgentEvent::Drain);
+    let answered = ServiceEvent::Answered {
+        run: command.run,
+        http: answer(),
+    };
+    let actions = agent.handle(4, AgentEvent::Service(answered));
+    assert!(!actions.contains(&AgentAction::Drained));
+    let done = ReplyBody::PermitOutcome(PermitOutcome::Done(answer()));
+    assert_eq!(agent.ask(4_000, ask(used)).body, done);
+    let deadline = agent.context.next_deadline();
+    assert_eq!(deadline, Some(TimeUs(5_004_000)));
+    let actions = agent.handle(5_004, AgentEvent::Tick);
+    assert_eq!(actions, [AgentAction::Drained]);
+}
--- a/crates/dev/src/bench/caller.rs
+++ b/crates/dev/src/bench/caller.rs
@@ -70,6 +70,10 @@
     pub output_max_tokens: Tokens,
     /// Key of an application call.
     pub key: Option<IdempotencyKey>,
+    /// When the caller made the key; the time of sending when not set.
+    pub key_made_at: Option<TimeUs>,
+    /// Whether an earlier request had the same key, so that its answer may be repeated.
+    pub is_repeat: bool,
 }
 
 impl RequestSpec {
@@ -88,16 +92,32 @@
             prompt,
             output_max_tokens: Tokens(6),
             key: key.filter(|_| path == PathKind::Keyed),
+            key_made_at: None,
+            is_repeat: false,
         }
     }
 
-    fn right_answer(&self) -> AnswerDigest {
-        match self.path {
+    /// Another request of the same caller with the same key, made at this time.
+    pub fn repeat(&self, number: u64, entry: NodeId, key_made_at: TimeUs) -> Self {
+        Self {
+            request: RequestId(u128::from(number)),
+            entry,
+            key_made_at: Some(key_made_at),
+            is_repeat: true,
+            ..self.clone()
+        }
+    }
+
+    fn right_answer(&self) -> Option<AnswerDigest> {
+        if self.is_repeat {
+            return None;
+        }
+        Some(match self.path {
             PathKind::Model => {
                 digest(text::answer(&self.prompt, self.output_max_tokens.get()).as_bytes())
             }
             _ => digest(&response_to(self.request).body),
-        }
+        })
     }
 }
 
@@ -155,7 +175,7 @@
             customer: layout::id(layout::CUSTOMER),
             service: Optional(service),
             key: Optional(spec.key.clone()),
-            answer: Optional(Some(spec.right_answer())),
+            answer: Optional(spec.right_answer()),
         });
     }
 
--- a/crates/dev/src/bench/cell.rs
+++ b/crates/dev/src/bench/cell.rs
@@ -53,6 +53,13 @@
 const TARGET: u64 = 1;
 const FRESH_TARGET: u64 = 2;
 const FIRST_OTHER: u64 = 100;
+const FIRST_REPEAT: u64 = 10;
+/// Times after a keyed call at which its caller repeats it.
+const REPEATS_AFTER: [DurationUs; 3] = [
+    DurationUs::from_ms(1_200),
+    DurationUs::from_ms(12_000),
+    DurationUs::from_ms(49_000),
+];
 
 /// Request on a path, and the faults that strike it.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -195,6 +202,7 @@
     let entry = world.entry_nodes()[0];
     let target = RequestSpec::new(TARGET, cell.path, entry, PROMPT);
     world.set_plan(Plan::new(target.request, &cell.strikes));
+    send_repeats(&mut world, &target);
     world.send_at(SENT_AT, target);
     send_others(&mut world);
     run_faults(&mut world);
@@ -208,6 +216,7 @@
     world.run_until(settled_at + FRESH);
     check_empty(&world, "after the fresh request", &mut findings);
     check_fresh(&world, fresh_id, &mut findings);
+    check_graceful(&world, cell, &mut findings);
     let found = verify(world.record(), world.now(), &bounds_of(cell));
     findings.extend(found.iter().map(ToString::to_string));
     let broken = found
@@ -246,6 +255,19 @@
     }
 }
 
+/// The caller of a keyed call sends it again, early and after every fault has ended.
+fn send_repeats(world: &mut World, target: &RequestSpec) {
+    if target.key.is_none() {
+        return;
+    }
+    let entries = world.entry_nodes();
+    for (index, after) in REPEATS_AFTER.into_iter().enumerate() {
+        let entry = entries[(index + 1) % entries.len()];
+        let spec = target.repeat(FIRST_REPEAT + index as u64, entry, SENT_AT);
+        world.send_at(SENT_AT + after, spec);
+    }
+}
+
 fn run_faults(world: &mut World) {
     world.run_until(SENT_AT + FAULTS_MIN);
     let until = SENT_AT + FAULTS_MAX;
@@ -271,6 +293,21 @@
     }
 }
 
+/// A graceful shutdown alone must not keep a request from its answer. Only a call with a key may be
+/// refused, because no other server may run it.
+fn check_graceful(world: &World, cell: &Cell, findings: &mut Vec<String>) {
+    if !cell.strikes.iter().all(|strike| strike.fault.is_graceful()) {
+        return;
+    }
+    let ending = ending_of(world);
+    let is_refused = cell.path == PathKind::Keyed && ending == "not_run";
+    if ending != "answered" && !is_refused {
+        findings.push(format!(
+            "a graceful shutdown ended the request with {ending}"
+        ));
+    }
+}
+
 fn ending_of(world: &World) -> String {
     let results = world.results();
     let target = results.get(&RequestId(u128::from(TARGET)));
--- a/crates/dev/src/bench/entry.rs
+++ b/crates/dev/src/bench/entry.rs
@@ -239,6 +239,7 @@
                 },
             ));
         }
+        let key_made_at = spec.key_made_at.unwrap_or(self.now);
         let is_idempotent = spec.path == PathKind::Idempotent;
         let method = if is_idempotent { "GET" } else { "POST" };
         let service = layout::id(layout::SERVICE);
@@ -253,7 +254,7 @@
                 service,
                 servers: Vec::new(),
                 key: spec.key.clone(),
-                key_issued_at_ms: spec.key.as_ref().map(|_| self.unix_ms()),
+                key_issued_at_ms: spec.key.as_ref().map(|_| self.unix_ms_at(key_made_at)),
                 http: HttpRequest {
                     method: method.to_string(),
                     path,
--- a/crates/dev/src/bench/fault.rs
+++ b/crates/dev/src/bench/fault.rs
@@ -120,6 +120,14 @@
 }
 
 impl Fault {
+    /// Whether the fault is an operation that callers must not notice.
+    pub const fn is_graceful(self) -> bool {
+        matches!(
+            self,
+            Self::AgentDrain | Self::HostLeaving | Self::EntryDrain
+        )
+    }
+
     /// Time for which nobody can free the memory of an engine, where it exceeds the bound for a
     /// request that is gone: only the engine holds the memory, and only its agent orders it to be
     /// freed.
--- a/crates/dev/src/bench/world.rs
+++ b/crates/dev/src/bench/world.rs
@@ -373,7 +373,11 @@
     }
 
     pub(super) fn unix_ms(&self) -> UnixMs {
-        UnixMs(START_UNIX_MS + self.now.get() / 1_000)
+        self.unix_ms_at(self.now)
+    }
+
+    pub(super) fn unix_ms_at(&self, at: TimeUs) -> UnixMs {
+        UnixMs(START_UNIX_MS + at.get() / 1_000)
     }
 
     pub(super) fn all_nodes(&self) -> Vec<NodeId> {
