--- a/crates/dev/src/bench/entry.rs
+++ b/crates/dev/src/bench/entry.rs
@@ -8,7 +8,7 @@
     ErrorCode, ModelCall, ModelRequest, Outcome, SendOutcome, SendRef, counts_against_server,
 };
 use cuminlead_lists::{HostList, HostStore, ListStore, Lists, Offer, Snapshot};
-use cuminlead_membership::Membership;
+use cuminlead_membership::{Membership, ServerStatus};
 use cuminlead_protocol::{
     AgentRequest, AgentState, DecodeControl, Envelope, GetState, HttpRequest, ModelTarget,
 };
@@ -516,6 +516,20 @@
         }
     }
 
+    /// Servers that an entry would give no new work, and why.
+    pub fn unusable_servers(&self) -> Vec<String> {
+        let mut unusable = Vec::new();
+        for entry in self.entries.values() {
+            for server in self.by_server.keys() {
+                let status = entry.membership.status(server);
+                if status != ServerStatus::Usable {
+                    unusable.push(format!("{server} is {status} at {}", entry.id));
+                }
+            }
+        }
+        unusable
+    }
+
     /// Prompt tokens that were computed and then discarded, as the entries count them.
     pub fn wasted_tokens(&self) -> Tokens {
         self.wasted_tokens
--- a/crates/dev/src/bench/world.rs
+++ b/crates/dev/src/bench/world.rs
@@ -42,7 +42,7 @@
     queue: Queue,
     record: Record,
     pub(super) places: Vec<Place>,
-    by_server: BTreeMap<BackendServerId, NodeId>,
+    pub(super) by_server: BTreeMap<BackendServerId, NodeId>,
     pub(super) nodes: Vec<Life>,
     pub(super) backends: Vec<Life>,
     pub(super) process_backlog: BTreeMap<NodeId, Vec<Arrived>>,
