--- a/crates/dev/src/measure/row.rs
+++ b/crates/dev/src/measure/row.rs
@@ -18,7 +18,7 @@
     ttft_p95_ms\tttft_p99_ms\ttbt_p50_ms\ttbt_p95_ms\ttbt_p99_ms\twasted_prefill_tokens\t\
     wasted_prefill_share\tcross_region_bytes\tkv_cross_region_bytes\theld_after_run\t\
     duplicate_runs\tcancelled\tnot_run\tincomplete\tretries\tcomputed_prefill_tokens\t\
-    paid_bytes_per_request\tlink_share";
+    paid_bytes_per_request\tlink_share\tlate_first\tlate_between";
 
 /// Figures of one run; counts are of model calls where nothing else is said.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -59,6 +59,10 @@
     pub incomplete: u64,
     /// Retries of all calls.
     pub retries: u64,
+    /// Calls answered after the target for the first token.
+    pub late_first: u64,
+    /// Calls answered in which a token came later after the one before than the target.
+    pub late_between: u64,
     /// Share of the volume that the links could carry in the run.
     pub link_share: f64,
 }
@@ -99,9 +103,11 @@
             let first_us = first_token_us(result);
             first.saturating_record(first_us);
             between.saturating_record(result.longest_gap_us.get());
-            let is_in_time = first_us <= config.first_token_us.get()
-                && result.longest_gap_us <= config.between_tokens_us;
-            self.goodput += u64::from(is_in_time);
+            let is_late_first = first_us > config.first_token_us.get();
+            let is_late_between = result.longest_gap_us > config.between_tokens_us;
+            self.late_first += u64::from(is_late_first);
+            self.late_between += u64::from(is_late_between);
+            self.goodput += u64::from(!is_late_first && !is_late_between);
         }
         self.ttft_ms = percentiles(&first);
         self.tbt_ms = percentiles(&between);
@@ -147,7 +153,7 @@
         format!(
             "{}\t{}\t{:.2}\t{offered}\t{completed}\t{goodput}\t{t50:.1}\t{t95:.1}\t{t99:.1}\t\
              {b50:.1}\t{b95:.1}\t{b99:.1}\t{}\t{:.4}\t{}\t{}\t{}\t{}\t{}\t{}\t{}\t{}\t{}\t\
-             {per_request}\t{:.4}",
+             {per_request}\t{:.4}\t{}\t{}",
             self.policy,
             self.fault,
             self.load,
@@ -163,6 +169,8 @@
             self.retries,
             self.computed_tokens,
             self.link_share,
+            self.late_first,
+            self.late_between,
         )
     }
 }
