--- a/crates/admission/src/context.rs
+++ b/crates/admission/src/context.rs
@@ -133,7 +133,7 @@
             Purpose::Prefill { .. } => waiting.prompt_tokens,
             Purpose::Reserve { .. } => Tokens::ZERO,
         });
-        self.backlog.uncached(waiting.sum()) + self.backlog.pending_tokens(now)
+        waiting.sum::<Tokens>() + self.backlog.pending_tokens(now)
     }
 
     fn oldest_stall_us(&self, now: TimeUs) -> DurationUs {
--- a/crates/admission/src/engine.rs
+++ b/crates/admission/src/engine.rs
@@ -81,7 +81,6 @@
         };
         lease.held.slots = Slots::ZERO;
         self.ledger.give(freed);
-        self.backlog.measured(prompt_tokens, cached_tokens);
         self.backlog.ended(now, estimated_tokens);
         let held = PrefilledKv {
             kv,
--- a/crates/admission/src/estimate.rs
+++ b/crates/admission/src/estimate.rs
@@ -2,22 +2,10 @@
 
 use cuminlead_types::{DurationUs, TimeUs, Tokens, TokensPerSecond};
 
-/// Part of the sums that an earlier prefill keeps with each later one; the sums cover about the last
-/// sixteen prefills.
-const KEPT_SIXTEENTHS: u64 = 15;
-
-/// Tokens of the latest prefills, the latest counting most.
-#[derive(Debug, Default)]
-struct Measured {
-    prompt_tokens: u64,
-    computed_tokens: u64,
-}
-
 /// Estimate of the engine's work on prompts, as if it computed them one after the other.
 #[derive(Debug)]
 pub struct Backlog {
     rate: TokensPerSecond,
-    latest: Measured,
     running_tokens: Tokens,
     busy_until: TimeUs,
 }
@@ -27,35 +15,14 @@
     pub fn new(rate: TokensPerSecond) -> Self {
         Self {
             rate,
-            latest: Measured::default(),
             running_tokens: Tokens::ZERO,
             busy_until: TimeUs::ZERO,
         }
     }
 
-    /// Time that the engine needs for a prompt, when its cache serves as much of it as of the latest
-    /// ones.
+    /// Time that the engine needs for a prompt.
     pub fn time_for(&self, tokens: Tokens) -> DurationUs {
-        self.rate.time_for(self.uncached(tokens))
-    }
-
-    /// Tokens of a prompt that the engine probably computes.
-    pub fn uncached(&self, tokens: Tokens) -> Tokens {
-        let latest = &self.latest;
-        if latest.prompt_tokens == 0 {
-            return tokens;
-        }
-        let computed = tokens.get().saturating_mul(latest.computed_tokens);
-        Tokens(computed / latest.prompt_tokens)
-    }
-
-    /// A prompt was computed, except for the tokens that the engine's cache held.
-    pub fn measured(&mut self, prompt_tokens: Tokens, cached_tokens: Tokens) {
-        let keep = |sum: u64| sum / 16 * KEPT_SIXTEENTHS;
-        let latest = &mut self.latest;
-        let computed_tokens = prompt_tokens.saturating_sub(cached_tokens);
-        latest.prompt_tokens = keep(latest.prompt_tokens) + prompt_tokens.get();
-        latest.computed_tokens = keep(latest.computed_tokens) + computed_tokens.get();
+        self.rate.time_for(tokens)
     }
 
     /// Time at which a prompt given to the engine now would be started.
