Ask for the end of a prefill, not for its first token (trial with renewal)

Trial: calls with less than 100 ms left get the target anew. Conclusion: a renewed target puts calls that are certain to be late before calls that are in time.

--- a/crates/entry-core/src/config.rs
+++ b/crates/entry-core/src/config.rs
@@ -32,6 +32,8 @@
     pub lease_margin_us: DurationUs,
     /// Longest decode lease that an agent grants.
     pub lease_max_us: DurationUs,
+    /// Time from the end of a prefill to the first token at the caller.
+    pub after_prefill_us: DurationUs,
     /// Whether the prefill runs before a decode place is reserved; only for comparisons.
     pub prefill_first: bool,
 }
@@ -55,6 +57,9 @@
             // Covers the longest wait in the prefill queue and one lost message.
             lease_margin_us: DurationUs::from_ms(8_000),
             lease_max_us: DurationUs::from_ms(30_000),
+            // Transfer of a prompt of 30,000 tokens (30 ms), one step of a full batch (60 ms) and the
+            // ways between zones and to the caller.
+            after_prefill_us: DurationUs::from_ms(100),
             prefill_first: false,
         }
     }
--- a/crates/entry-core/src/model/messages.rs
+++ b/crates/entry-core/src/model/messages.rs
@@ -46,7 +46,7 @@
             priority: self.request.priority,
             prompt: self.prompt(),
             prompt_tokens: self.prompt_tokens(),
-            due_us: self.due_in(now),
+            due_us: self.prefill_due_in(now),
             wait_max_us: self.wait_max(now),
         })
     }
@@ -141,6 +141,17 @@
         self.limits.due_at.since(now)
     }
 
+    /// Time left until the prefill must end. An agent knows only its own part of the way to the
+    /// first token, and would take a prompt that ends in time for itself and too late for the caller.
+    /// As in [`Self::due_in`], the target is given anew when no time is left.
+    fn prefill_due_in(&self, now: TimeUs) -> DurationUs {
+        let after = self.config.after_prefill_us;
+        match self.due_in(now).saturating_sub(after) {
+            DurationUs::ZERO => self.request.first_token_us.saturating_sub(after),
+            left => left,
+        }
+    }
+
     fn wait_max(&self, now: TimeUs) -> DurationUs {
         self.config.wait_max_us.min(self.limits.ends_at.since(now))
     }
