--- a/crates/entry-core/src/model/messages.rs
+++ b/crates/entry-core/src/model/messages.rs
@@ -143,13 +143,11 @@
 
     /// Time left until the prefill must end. An agent knows only its own part of the way to the
     /// first token, and would take a prompt that ends in time for itself and too late for the caller.
-    /// As in [`Self::due_in`], the target is given anew when no time is left.
+    /// A call without time for what follows the prefill is refused, because a target given anew
+    /// before the old one has passed would put it before calls that are in time.
     fn prefill_due_in(&self, now: TimeUs) -> DurationUs {
-        let after = self.config.after_prefill_us;
-        match self.due_in(now).saturating_sub(after) {
-            DurationUs::ZERO => self.request.first_token_us.saturating_sub(after),
-            left => left,
-        }
+        self.due_in(now)
+            .saturating_sub(self.config.after_prefill_us)
     }
 
     fn wait_max(&self, now: TimeUs) -> DurationUs {
