--- a/crates/routing/src/policies/prefix_cost.rs
+++ b/crates/routing/src/policies/prefix_cost.rs
@@ -25,9 +25,9 @@
 /// Leading blocks whose hash gives the candidates.
 const LEADING_BLOCKS: usize = 4;
 /// Candidates that probably hold the prefix.
-const AFFINITY_CANDIDATES: usize = 1;
+const AFFINITY_CANDIDATES: usize = 3;
 /// Further candidates for a prefill.
-const SPREAD_CANDIDATES: usize = 0;
+const SPREAD_CANDIDATES: usize = 3;
 /// Candidates for a decode. When six in ten engines are full, a sample of sixteen finds no free
 /// place in about one of 3,500 decisions.
 const DECODE_CANDIDATES: usize = 16;
