--- a/crates/dev/src/capacity/process.rs
+++ b/crates/dev/src/capacity/process.rs
@@ -21,6 +21,8 @@
 const SETTLE: Duration = Duration::from_secs(10);
 const IDLE: Duration = Duration::from_secs(20);
 const CALL_LIMIT: Duration = Duration::from_secs(30);
+const STATUS_LIMIT: Duration = Duration::from_secs(1);
+const STATUS_TRIES: usize = 10;
 /// Ticks a second of the processor times in `/proc/PID/stat`.
 const TICKS_PER_SECOND: f64 = 100.0;
 /// Fields of `/proc/PID/stat` before the user time, counted after the name of the command.
@@ -73,19 +75,29 @@
 /// Processes whose lists are those that the platform publishes.
 fn in_force_count(fleet: &Fleet) -> io::Result<usize> {
     let newest = published(fleet, CONFIG_PATH)?["revision"].clone();
-    let agent = client::agent(CALL_LIMIT);
     let mut count = 0;
     for process in fleet.processes() {
-        let Some(admin) = process.address("admin") else {
-            continue;
-        };
-        let status = client::get(&agent, &format!("http://{admin}/status"));
-        let status = status.map_err(io::Error::other)?.body;
-        count += usize::from(status["lists_revision"] == newest);
+        if let Some(admin) = process.address("admin") {
+            count += usize::from(lists_revision(&admin)? == newest);
+        }
     }
     Ok(count)
 }
 
+/// Revision that a process shows. The admin address leaves some calls without an answer, so a call
+/// is repeated.
+fn lists_revision(admin: &str) -> io::Result<Value> {
+    let url = format!("http://{admin}/status");
+    let mut last = None;
+    for _ in 0..STATUS_TRIES {
+        match client::get(&client::agent(STATUS_LIMIT), &url) {
+            Ok(answer) => return Ok(answer.body["lists_revision"].clone()),
+            Err(error) => last = Some(error),
+        }
+    }
+    Err(io::Error::other(format!("{url}: {last:?}")))
+}
+
 /// Measures after what was published has been taken.
 fn idle(report: &mut Report, fleet: &Fleet, case: &str, servers: usize) -> io::Result<()> {
     thread::sleep(SETTLE);
@@ -208,8 +220,9 @@
 /// Answer of the platform to a reader.
 fn published(fleet: &Fleet, path: &str) -> io::Result<Value> {
     let url = format!("http://{}{path}", fleet.address("platform", "address")?);
-    let answer = client::get(&client::agent(CALL_LIMIT), &url).map_err(io::Error::other)?;
-    Ok(answer.body)
+    let answer = client::get(&client::agent(CALL_LIMIT), &url);
+    let explain = |error| io::Error::other(format!("{url}: {error}"));
+    Ok(answer.map_err(explain)?.body)
 }
 
 fn resident_bytes(pid: u32) -> f64 {
