--- a/crates/dev/src/capacity/spread.rs
+++ b/crates/dev/src/capacity/spread.rs
@@ -15,6 +15,27 @@
 /// Time that is given to a change after a fault; more than the 9 s of P8, so that a miss is seen.
 const CHANGE_MS: u64 = 15_000;
 
+/// Readers of each zone that fail, those that failed before included.
+struct Fault {
+    name: &'static str,
+    readers_count: usize,
+}
+
+const FAULTS: [Fault; 3] = [
+    Fault {
+        name: "one_reader_of_each_zone_fails",
+        readers_count: 1,
+    },
+    Fault {
+        name: "two_readers_of_each_zone_fail",
+        readers_count: 2,
+    },
+    Fault {
+        name: "all_readers_of_each_zone_fail",
+        readers_count: usize::MAX,
+    },
+];
+
 pub(crate) fn run(report: &mut Report) {
     for processes in PROCESSES {
         let mut world = World::new(processes);
@@ -23,20 +44,10 @@
         report.add("platform_calls_peak_at_start", "calls/s", processes, start);
         steady(report, &mut world, processes);
         change(report, &mut world, processes, "without_fault");
-        stop_readers(&mut world, 0);
-        change(
-            report,
-            &mut world,
-            processes,
-            "one_reader_of_each_zone_fails",
-        );
-        stop_readers(&mut world, 1);
-        change(
-            report,
-            &mut world,
-            processes,
-            "both_readers_of_each_zone_fail",
-        );
+        for fault in FAULTS {
+            stop_readers(&mut world, fault.readers_count);
+            change(report, &mut world, processes, fault.name);
+        }
     }
 }
 
@@ -83,15 +94,13 @@
     );
 }
 
-/// Stops the reader of this rank in each zone, as published.
-fn stop_readers(world: &mut World, rank: usize) {
-    let zones: BTreeSet<AvailabilityZoneName> = world
-        .hosts
-        .hosts
+/// Stops the first readers of each zone, as published.
+fn stop_readers(world: &mut World, count: usize) {
+    let entries = world.hosts.hosts.iter();
+    let zones: BTreeSet<AvailabilityZoneName> = entries.map(|entry| entry.zone.clone()).collect();
+    let readers = zones
         .iter()
-        .map(|entry| entry.zone.clone())
-        .collect();
-    let readers = zones.iter().map(|zone| readers_of_zone(&world.hosts, zone));
-    let stopped: Vec<HostId> = readers.map(|zone| zone[rank].host.clone()).collect();
+        .flat_map(|zone| readers_of_zone(&world.hosts, zone).into_iter().take(count));
+    let stopped: Vec<HostId> = readers.map(|entry| entry.host.clone()).collect();
     stopped.iter().for_each(|host| world.stop(host));
 }
