Send the probes that membership asks for

Membership ends a back-off, and the drain notice of an agent that was replaced, only by a probe or another reply. No process sent probes, so a server that failed three times in a row got no work from that entry any more.

Stale addresses were ruled out: the agent returns at the same address and the host list is unchanged.

--- a/crates/dev/tests/process_memory.rs
+++ b/crates/dev/tests/process_memory.rs
@@ -18,6 +18,10 @@
 /// The answer takes several times as long as the restart of an agent and two inventories.
 const SLOW_STEP_US: &str = "250000";
 const BRISK_STEP_US: &str = "60000";
+/// Requests that fail before the agent returns; more than lead to a back-off.
+const FAILURES_COUNT: usize = 6;
+/// Longest back-off of a server.
+const BACKOFF_MAX: Duration = Duration::from_secs(30);
 
 fn engines(decodes: usize, step_us: &str) -> FleetConfig {
     let sizes = Sizes {
@@ -129,3 +133,24 @@
     assert_eq!(fleet.count("prefill-1", "prefills").expect("counts"), 0);
     fleet.stop().expect("clean end");
 }
+
+/// Guards against a server that gets no work any more after its agent was away for a while.
+#[test]
+fn server_is_used_again_after_its_agent_returns() {
+    let _turn = Turn::wait();
+    let mut fleet = Fleet::start(engines(1, BRISK_STEP_US)).expect("start");
+    fleet.process("agent-decode-1").expect("agent").kill();
+    let question = Question::new("while the agent is away", 2);
+    for _ in 0..FAILURES_COUNT {
+        let received = fleet.ask("entry-1", &question, REQUEST_LIMIT);
+        assert!(question.check(&received.expect("refusal")).is_err());
+    }
+    fleet.restart("agent-decode-1").expect("restart");
+    fleet
+        .wait_for("the server is used", BACKOFF_MAX * 2, |fleet| {
+            let received = fleet.ask("entry-1", &question, REQUEST_LIMIT)?;
+            question.check(&received).map(|()| true)
+        })
+        .expect("answer");
+    fleet.stop().expect("clean end");
+}
--- a/crates/entry/src/controller.rs
+++ b/crates/entry/src/controller.rs
@@ -21,6 +21,7 @@
 use tokio::sync::oneshot;
 
 use crate::clients::Clients;
+use crate::probe::Prober;
 use crate::rate::{PlanRate, RateLimits};
 use crate::status::EntryMetrics;
 
@@ -57,6 +58,13 @@
         /// Failure, or none when the server did what it was asked.
         evidence: Option<Evidence>,
     },
+    /// A probe ended.
+    Probed {
+        /// Server.
+        server: BackendServerId,
+        /// Whether its agent answered.
+        is_success: bool,
+    },
     /// An answer was handed to a caller.
     Answered {
         /// Server that made it.
@@ -91,6 +99,8 @@
     pub feed: Feed,
     /// Connections to agents.
     pub clients: Arc<Clients>,
+    /// Sender of probes.
+    pub prober: Prober,
     /// Metrics.
     pub metrics: EntryMetrics,
     /// State shared with other threads.
@@ -302,6 +312,10 @@
             }
             ControlEvent::Observed(state) => self.observe(now, &state),
             ControlEvent::Report { server, evidence } => self.report(now, &server, evidence),
+            ControlEvent::Probed { server, is_success } => {
+                self.membership
+                    .record_probe(now.mono_us, &server, is_success);
+            }
             ControlEvent::Answered { server, size } => {
                 self.parts.router.count_answer(now.mono_us, &server, size);
                 self.parts.metrics.set_link(self.parts.router.link_use());
@@ -324,15 +338,19 @@
             let update = self.parts.feed.tick(now.mono_us);
             self.apply(update, now);
         }
+        for server in self.membership.take_due_probes(now.mono_us) {
+            self.parts.prober.probe(server);
+        }
         self.advance_stop(now);
     }
 
     fn next_deadline(&self) -> Option<TimeUs> {
-        let stop = self.stop_check_at_us;
-        [stop, self.parts.feed.next_deadline()]
-            .into_iter()
-            .flatten()
-            .min()
+        let deadlines = [
+            self.stop_check_at_us,
+            self.parts.feed.next_deadline(),
+            self.membership.next_probe_at(),
+        ];
+        deadlines.into_iter().flatten().min()
     }
 
     fn is_done(&self) -> bool {
--- a/crates/entry/src/driver.rs
+++ b/crates/entry/src/driver.rs
@@ -272,7 +272,8 @@
     }
 }
 
-async fn carry(
+/// Carries one message to a server's agent.
+pub(crate) async fn carry(
     context: &DriverContext,
     server: &BackendServerId,
     mut request: AgentRequest,
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -9,6 +9,7 @@
 //! | [`controller`] | the state owned by the control thread |
 //! | [`driver`] | carries out the actions of one call |
 //! | [`http`] | the address for callers |
+//! | [`probe`] | probes of agents that get no work |
 //! | [`process`] | start and stop |
 //! | [`rate`] | the rates of customers |
 //! | [`status`] | metrics and the status page |
@@ -17,6 +18,7 @@
 pub mod controller;
 pub mod driver;
 pub mod http;
+pub mod probe;
 pub mod process;
 pub mod rate;
 pub mod status;
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -30,6 +30,7 @@
 use crate::controller::{ControlEvent, ControllerParts, EntryController, EntryFlags};
 use crate::driver::DriverContext;
 use crate::http::handler::HttpContext;
+use crate::probe::Prober;
 use crate::status::{EntryAdmin, EntryMetrics};
 
 /// Threads of the runtime that carries messages.
@@ -109,6 +110,10 @@
         metrics: entry_metrics.clone(),
         tracing: tracing.clone(),
     };
+    let prober = Prober {
+        entry: settings.name().clone(),
+        driver: driver.clone(),
+    };
     let http = HttpContext {
         entry: settings.name().clone(),
         driver,
@@ -130,6 +135,7 @@
         router: build_router(settings)?,
         feed,
         clients,
+        prober,
         metrics: entry_metrics,
         flags,
         drain_delay_us: (*settings.drain_delay_ms()).into(),
