--- a/crates/dev/src/fleet/handover.rs
+++ b/crates/dev/src/fleet/handover.rs
@@ -13,6 +13,10 @@
 use super::requests::Question;
 use crate::caller::Caller;
 
+/// More than the leading blocks by which routers tell prompts apart, so that all servers are used.
+const PROMPT_TOKENS: usize = 400;
+const OUTPUT_MAX: u64 = 64;
+
 /// Entries that callers may use, as a balancer keeps them.
 #[derive(Clone, Default)]
 pub struct Balancer(Arc<Mutex<BTreeMap<String, Target>>>);
@@ -124,7 +128,7 @@
     /// Sends one request of each kind.
     fn send(&self, model: &str, name: &str, seen: &mut Seen) {
         seen.claims.push(self.charger.charge(name));
-        let question = Question::new(name, 64);
+        let question = Question::with_document(name, PROMPT_TOKENS, OUTPUT_MAX);
         let received = self
             .caller
             .ask(model, &question.prompt, question.output_max);
