--- a/crates/dev/examples/load.rs
+++ b/crates/dev/examples/load.rs
@@ -343,7 +343,8 @@
 
 impl Results {
     fn new(way: Way) -> Self {
-        let histogram = || Histogram::new(DIGITS).expect("digits in 0..=5");
+        let longest_us = micros(REQUEST_LIMIT);
+        let histogram = || Histogram::new_with_max(longest_us, DIGITS).expect("digits in 0..=5");
         Self {
             way,
             offered: 0,
