--- a/crates/entry/src/controller.rs
+++ b/crates/entry/src/controller.rs
@@ -339,11 +339,12 @@
     }
 
     fn next_deadline(&self) -> Option<TimeUs> {
-        let stop = self.stop_check_at_us;
-        [stop, self.parts.feed.next_deadline()]
-            .into_iter()
-            .flatten()
-            .min()
+        let deadlines = [
+            self.stop_check_at_us,
+            self.parts.feed.next_deadline(),
+            self.membership.next_probe_at(),
+        ];
+        deadlines.into_iter().flatten().min()
     }
 
     fn is_done(&self) -> bool {
