--- a/crates/routing/src/load.rs
+++ b/crates/routing/src/load.rs
@@ -76,7 +76,10 @@
     pub fn prefill_wait(&self, now: TimeUs, config: &RoutingConfig) -> DurationUs {
         let own = config.prefill_rate.time_for(self.sum.prompt_tokens);
         let reported = match self.report_age(now, config) {
-            Some(_) => self.report.oldest_stall_us,
+            Some(age) => config
+                .prefill_rate
+                .time_for(self.report.pending_prompt_tokens)
+                .saturating_sub(age),
             None => config.unknown_load_us,
         };
         own.saturating_add(reported)
@@ -105,8 +108,8 @@
         if has_slot && has_pieces && self.report.queued_count == 0 {
             return DurationUs::ZERO;
         }
-        let own = times(config.decode_turn_us, u64::from(self.sum.slots) + 1);
-        own.saturating_add(self.report.oldest_stall_us)
+        let ahead = u64::from(self.report.queued_count) + u64::from(self.sum.slots);
+        times(config.decode_turn_us, ahead + 1)
     }
 
     /// Cost of a server whose last call has failed lately.
