--- a/crates/routing/src/policies/prefix_cost.rs
+++ b/crates/routing/src/policies/prefix_cost.rs
@@ -33,9 +33,6 @@
 const DECODE_CANDIDATES: usize = 16;
 /// Candidates for a decode in another region, which is compared only when the own one is late.
 const REMOTE_DECODE_CANDIDATES: usize = 6;
-/// Part of the time left that the estimate of the own region may take. Reports lag, so a region
-/// that is used until its estimate meets the target refuses calls in a burst.
-const OWN_REGION_PERCENT: u64 = 80;
 /// Candidates for a call of a service.
 const SERVICE_CANDIDATES: usize = 4;
 
@@ -227,8 +224,7 @@
 }
 
 fn is_good(scored: &ScoredPair<'_>, need: &ModelNeed) -> bool {
-    let in_time = DurationUs(need.due_us.get().saturating_mul(OWN_REGION_PERCENT) / 100);
-    scored.cost.last_choices == 0 && scored.first_token_us <= in_time
+    scored.cost.last_choices == 0 && scored.first_token_us <= need.due_us
 }
 
 /// Estimate for a service, whose calls take about the same time: the number of its requests.
