Compare the answers of requests with one key with each other

The expected answer of a keyed request is therefore that of any request with its key, and all of them must get the same one.

--- a/crates/dev/src/bench/caller.rs
+++ b/crates/dev/src/bench/caller.rs
@@ -72,8 +72,6 @@
     pub key: Option<IdempotencyKey>,
     /// When the caller made the key; the time of sending when not set.
     pub key_made_at: Option<TimeUs>,
-    /// Whether an earlier request had the same key, so that its answer may be repeated.
-    pub is_repeat: bool,
 }
 
 impl RequestSpec {
@@ -93,7 +91,6 @@
             output_max_tokens: Tokens(6),
             key: key.filter(|_| path == PathKind::Keyed),
             key_made_at: None,
-            is_repeat: false,
         }
     }
 
@@ -103,13 +100,13 @@
             request: RequestId(u128::from(number)),
             entry,
             key_made_at: Some(key_made_at),
-            is_repeat: true,
             ..self.clone()
         }
     }
 
     fn right_answer(&self) -> Option<AnswerDigest> {
-        if self.is_repeat {
+        // Any request with the same key may be the one that ran; the cells compare their answers.
+        if self.key.is_some() {
             return None;
         }
         Some(match self.path {
@@ -153,7 +150,8 @@
     pub ending: Option<Ending>,
     /// Message of the error.
     pub error: String,
-    text: Vec<u8>,
+    /// Answer received so far.
+    pub text: Vec<u8>,
 }
 
 /// Digest of a whole answer.
@@ -227,6 +225,7 @@
         };
         result.first_at.get_or_insert(at);
         result.last_at = Some(at);
+        result.text.clone_from(&http.body);
         self.answered(request, digest(&http.body));
     }
 
--- a/crates/dev/src/bench/cell.rs
+++ b/crates/dev/src/bench/cell.rs
@@ -12,9 +12,10 @@
 use cuminlead_verifier::{Bounds, verify};
 use strum::IntoEnumIterator;
 
-use super::caller::{Ending, PathKind, RequestSpec};
+use super::caller::{CallerResult, Ending, PathKind, RequestSpec};
 use super::config::BenchConfig;
 use super::fault::Fault;
+use super::service::response_to;
 use super::step::{Plan, Step, Strike};
 use super::tamper::Tamper;
 use super::world::World;
@@ -219,6 +220,7 @@
     check_empty(&world, "after the fresh request", &mut findings);
     check_fresh(&world, fresh_id, &mut findings);
     check_graceful(&world, cell, &mut findings);
+    check_keys(&world, &mut findings);
     let found = verify(world.record(), world.now(), &bounds_of(cell));
     findings.extend(found.iter().map(ToString::to_string));
     let broken = found
@@ -296,6 +298,27 @@
     }
 }
 
+/// Requests with one key get the answer of the one that ran, whichever that was.
+fn check_keys(world: &World, findings: &mut Vec<String>) {
+    let answered = world.results().values();
+    let answered = answered.filter(|result| result.ending == Some(Ending::Answered));
+    let keyed: Vec<&CallerResult> = answered.filter(|r| r.spec.key.is_some()).collect();
+    for result in &keyed {
+        let same_key = |other: &&&CallerResult| other.spec.key == result.spec.key;
+        let is_same = keyed
+            .iter()
+            .filter(same_key)
+            .all(|other| other.text == result.text);
+        let of_key = world.results().values();
+        let mut of_key = of_key.filter(|other| other.spec.key == result.spec.key);
+        let is_of_key = of_key.any(|other| response_to(other.spec.request).body == result.text);
+        if !is_same || !is_of_key {
+            let request = result.spec.request;
+            findings.push(format!("{request} got the answer to another call"));
+        }
+    }
+}
+
 /// A graceful shutdown alone must not keep a request from its answer. Only a call with a key may be
 /// refused, because no other server may run it.
 fn check_graceful(world: &World, cell: &Cell, findings: &mut Vec<String>) {
