--- a/crates/agent/src/controller.rs
+++ b/crates/agent/src/controller.rs
@@ -16,7 +16,7 @@
 use cuminlead_protocol::{
     AgentReply, AgentRequest, DecodeEvent, DecodeOpen, EngineEvent, Envelope, ServiceEvent,
 };
-use cuminlead_types::{BackendServerId, HostId, Now, TimeUs};
+use cuminlead_types::{BackendServerId, DurationUs, HostId, Now, TimeUs};
 use slog::{Logger, debug, info, warn};
 use tokio::sync::{mpsc, oneshot};
 
@@ -81,6 +81,8 @@
     pub metrics: AgentMetrics,
     /// State shared with the admin address.
     pub flags: Arc<AgentFlags>,
+    /// Longest time that held leases and permits may take on shutdown.
+    pub drain_max_us: DurationUs,
     /// Logger.
     pub log: Logger,
 }
@@ -91,6 +93,8 @@
     calls: HashMap<CallRef, oneshot::Sender<AgentReply>>,
     streams: HashMap<StreamRef, mpsc::UnboundedSender<DecodeEvent>>,
     actions: Vec<AgentAction>,
+    /// When a drain that has not ended is cut off.
+    drain_until: Option<TimeUs>,
     is_drained: bool,
 }
 
@@ -102,6 +106,7 @@
             calls: HashMap::new(),
             streams: HashMap::new(),
             actions: Vec::new(),
+            drain_until: None,
             is_drained: false,
         };
         let update = controller.parts.feed.start(now.mono_us);
@@ -239,6 +244,7 @@
     fn drain(&mut self, now: Now) {
         if !self.parts.flags.is_draining.swap(true, Ordering::Relaxed) {
             info!(self.parts.log, "agent draining"; "server" => %self.parts.server);
+            self.drain_until = Some(now.mono_us + self.parts.drain_max_us);
             self.decide(now, AgentEvent::Drain);
         }
     }
@@ -293,12 +299,17 @@
         if is_due(self.parts.context.next_deadline(), now) {
             self.decide(now, AgentEvent::Tick);
         }
+        if is_due(self.drain_until, now) && !self.is_drained {
+            warn!(self.parts.log, "drain cut off"; "server" => %self.parts.server);
+            self.is_drained = true;
+        }
     }
 
     fn next_deadline(&self) -> Option<TimeUs> {
         let deadlines = [
             self.parts.context.next_deadline(),
             self.parts.feed.next_deadline(),
+            self.drain_until,
         ];
         deadlines.into_iter().flatten().min()
     }
--- a/crates/agent/src/process.rs
+++ b/crates/agent/src/process.rs
@@ -126,6 +126,7 @@
         backend: build_backend(settings, &control)?,
         metrics: agent_metrics,
         flags,
+        drain_max_us: (*settings.drain_max_ms()).into(),
         log: log.clone(),
     };
     let admin_address = admin::serve(*settings.admin_address(), Arc::new(source))?;
--- a/crates/dev/src/bench/engine.rs
+++ b/crates/dev/src/bench/engine.rs
@@ -4,6 +4,8 @@
 //! emits one token for each step; a step is longer when more sequences run. The text is that of the
 //! stand-in engine, a function of the prompt.
 
+mod faults;
+
 use std::collections::BTreeMap;
 
 use cuminlead_protocol::{
@@ -523,67 +525,6 @@
             self.emit(node, reader, event);
         }
     }
-
-    /// Ends all connections of the agent to its engine, which goes on.
-    pub(super) fn lose_engine_connections(&mut self, node: NodeId) {
-        let Some(engine) = self.engines.get_mut(&node) else {
-            return;
-        };
-        let mut lost = Vec::new();
-        for (id, sequence) in &mut engine.sequences {
-            if let Some(reader) = sequence.reader.take() {
-                lost.extend(lost_event(*id, &sequence.work).map(|event| Lost { reader, event }));
-            }
-        }
-        for lost in lost {
-            self.emit(node, Some(lost.reader), lost.event);
-        }
-    }
-
-    /// Ends an engine with all that it holds.
-    pub(super) fn end_engine(&mut self, node: NodeId) {
-        let Some(engine) = self.engines.get_mut(&node) else {
-            return;
-        };
-        let server = engine.server.clone();
-        let sequences = std::mem::take(&mut engine.sequences);
-        engine.finished.clear();
-        engine.cache.clear();
-        for (id, sequence) in sequences {
-            self.count_cancelled(id, &sequence.work);
-            if let Some(event) = lost_event(id, &sequence.work) {
-                self.emit(node, sequence.reader, event);
-            }
-        }
-        self.observe(Observation::EngineRestarted { server });
-    }
-
-    /// Answer to a command that finds no engine.
-    pub(super) fn engine_unreachable(&mut self, node: NodeId, reader: u64, command: EngineCommand) {
-        let event = match command {
-            EngineCommand::Prefill { id, .. }
-            | EngineCommand::Decode { id, .. }
-            | EngineCommand::ResumeDecode { id, .. } => EngineEvent::SequenceFailed { id },
-            EngineCommand::ReadInventory => EngineEvent::Unreachable,
-            EngineCommand::Order { fencing, .. } => EngineEvent::OrderFailed { fencing },
-            EngineCommand::Cancel { .. } => return,
-        };
-        self.emit(node, Some(reader), event);
-    }
-}
-
-struct Lost {
-    reader: u64,
-    event: EngineEvent,
-}
-
-/// What an agent sees when the connection that carries a sequence ends.
-fn lost_event(id: AttemptId, work: &Work) -> Option<EngineEvent> {
-    match work {
-        Work::Queued { .. } | Work::Computing { .. } => Some(EngineEvent::SequenceFailed { id }),
-        Work::Exported { .. } => None,
-        Work::Importing { .. } | Work::Decoding { .. } => Some(EngineEvent::StreamLost { id }),
-    }
 }
 
 struct Export {
--- a/crates/entry/src/clients.rs
+++ b/crates/entry/src/clients.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
-use cuminlead_lists::HostList;
+use cuminlead_lists::{HostList, HostState};
 use cuminlead_process::secret::PeerSecret;
 use cuminlead_types::BackendServerId;
 use cuminlead_wire::MESSAGE_MAX_BYTES;
@@ -48,11 +48,21 @@
 
     /// Takes the addresses of agents from a host list and drops connections to others.
     pub fn update(&self, hosts: &HostList) {
-        let addresses: HashMap<_, _> = hosts
+        let mut addresses: HashMap<_, _> = HashMap::new();
+        // While a server moves, both hosts may be listed; the live one has the agent that takes work.
+        let leaving_first = hosts
             .hosts
             .iter()
-            .filter_map(|host| Some((host.server.clone()?, host.address.clone())))
-            .collect();
+            .filter(|host| host.state == HostState::Leaving);
+        let live = hosts
+            .hosts
+            .iter()
+            .filter(|host| host.state == HostState::Live);
+        for host in leaving_first.chain(live) {
+            if let Some(server) = &host.server {
+                addresses.insert(server.clone(), host.address.clone());
+            }
+        }
         let mut channels = self.channels.lock().unwrap_or_else(PoisonError::into_inner);
         channels.retain(|address, _| addresses.values().any(|known| known == address));
         self.addresses.store(addresses.into());
