Share the start of both processes

Runtime, spans, stop signal and the reading of settings stood in both processes. The trait of settings is now implemented beside the command line, which removes a wrapper type in each process.

--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -2,11 +2,12 @@
 
 use std::process::ExitCode;
 
-use cuminlead_agent::process::{CheckedSettings, run};
+use cuminlead_agent::process::run;
 use cuminlead_process::cli::{self, Program};
+use cuminlead_settings::AgentSettings;
 
 fn main() -> ExitCode {
-    cli::main(&Program::<CheckedSettings> {
+    cli::main(&Program::<AgentSettings> {
         name: "cuminlead-agent",
         run,
     })
--- a/crates/agent/src/process.rs
+++ b/crates/agent/src/process.rs
@@ -8,15 +8,14 @@
 use cuminlead_distribution::Identity;
 use cuminlead_distribution::limits::CONFIRM_INTERVAL;
 use cuminlead_kernel::{Clock, WorkerPool, spawn_control};
-use cuminlead_process::cli::ProcessSettings;
 use cuminlead_process::feed::{Feed, FeedParts, FeedSender};
 use cuminlead_process::peer::{PeerClient, PeerRpc};
 use cuminlead_process::platform::Platform;
 use cuminlead_process::secret::PeerSecret;
-use cuminlead_process::{StartError, admin, signal};
+use cuminlead_process::{StartError, admin, signal, start};
 use cuminlead_settings::AgentSettings;
 use cuminlead_telemetry::{Metrics, Tracing, log};
-use cuminlead_types::{DurationUs, Findings, Incarnation};
+use cuminlead_types::{DurationUs, Incarnation};
 use cuminlead_wire::MESSAGE_MAX_BYTES;
 use cuminlead_wire::proto::agent_server::AgentServer;
 use cuminlead_wire::proto::peer_server::PeerServer;
@@ -31,8 +30,8 @@
 use crate::rpc::AgentRpc;
 use crate::status::{AgentAdmin, AgentMetrics};
 
-/// Threads of the runtime that carries messages; conversions take microseconds.
-const RUNTIME_THREADS: usize = 2;
+/// The agent's blocking calls have a pool of their own.
+const BLOCKING_MAX_COUNT: usize = 4;
 
 /// Confirmations within the staleness of keys.
 const CONFIRMS_COUNT: u64 = 10;
@@ -40,25 +39,8 @@
 /// Places beyond the batch for prefill, cancel and inventory calls.
 const SPARE_CALLS: usize = 64;
 
-/// Settings of an agent on the command line.
-#[derive(Debug)]
-pub struct CheckedSettings(pub AgentSettings);
-
-impl std::fmt::Display for CheckedSettings {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        self.0.fmt(f)
-    }
-}
-
-impl ProcessSettings for CheckedSettings {
-    fn parse_file(file: &str, text: &str) -> Result<Self, Findings> {
-        AgentSettings::parse(file, text).map(Self)
-    }
-}
-
 /// Runs an agent until it is asked to stop and holds nothing any more.
-pub fn run(settings: &CheckedSettings) -> Result<(), Report<StartError>> {
-    let settings = &settings.0;
+pub fn run(settings: &AgentSettings) -> Result<(), Report<StartError>> {
     // The port is the lock on the host's slot: the operating system frees it when a process dies.
     let listener = TcpListener::bind(settings.peer_address())
         .change_context(StartError::Bind)
@@ -67,18 +49,8 @@
         &settings.log_level().to_string(),
         &settings.name().to_string(),
     );
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(RUNTIME_THREADS)
-        .enable_all()
-        .build()
-        .change_context(StartError::Thread)?;
-    let tracing = {
-        let _context = runtime.enter();
-        let collector = settings
-            .collector_address()
-            .map(|address| address.to_string());
-        Tracing::new(collector.as_deref(), "cuminlead-agent").change_context(StartError::Tracing)?
-    };
+    let runtime = start::runtime(BLOCKING_MAX_COUNT)?;
+    let tracing = start::tracing(&runtime, *settings.collector_address(), "cuminlead-agent")?;
     let result = serve(settings, listener, &runtime, &log, &tracing);
     tracing.shutdown();
     result
@@ -134,7 +106,10 @@
     let peer_rpc = PeerRpc::new(sender, secret.clone());
     let rpc = AgentRpc::new(control.clone(), secret, tracing.clone());
     start_rpc(runtime, listener, rpc, peer_rpc)?;
-    runtime.spawn(forward_stop(control));
+    runtime.spawn(signal::on_stop(move || {
+        // Nothing is left to stop when the control thread has ended.
+        let _ = control.send(ControlEvent::Stop);
+    }));
     let controller = AgentController::new(parts, clock.now());
     let thread =
         spawn_control("control", clock, controller, events).change_context(StartError::Thread)?;
@@ -232,13 +207,6 @@
     Ok(())
 }
 
-async fn forward_stop(control: Sender<ControlEvent>) {
-    if signal::stop_requested().await.is_ok() {
-        // Nothing is left to stop when the control thread has ended.
-        let _ = control.send(ControlEvent::Stop);
-    }
-}
-
 fn config(settings: &AgentSettings, incarnation: Incarnation) -> AgentConfig {
     let defaults = AgentConfig::new(settings.server().clone(), incarnation);
     AgentConfig {
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -2,11 +2,12 @@
 
 use std::process::ExitCode;
 
-use cuminlead_entry::process::{CheckedSettings, run};
+use cuminlead_entry::process::run;
 use cuminlead_process::cli::{self, Program};
+use cuminlead_settings::EntrySettings;
 
 fn main() -> ExitCode {
-    cli::main(&Program::<CheckedSettings> {
+    cli::main(&Program::<EntrySettings> {
         name: "cuminlead-entry",
         run,
     })
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -9,16 +9,14 @@
 use cuminlead_distribution::limits::CONFIRM_INTERVAL;
 use cuminlead_entry_core::CallConfig;
 use cuminlead_kernel::{Clock, spawn_control};
-use cuminlead_process::cli::ProcessSettings;
 use cuminlead_process::feed::{Feed, FeedParts, FeedSender};
 use cuminlead_process::peer::{PeerClient, PeerRpc};
 use cuminlead_process::platform::Platform;
 use cuminlead_process::secret::PeerSecret;
-use cuminlead_process::{StartError, admin, signal};
+use cuminlead_process::{StartError, admin, signal, start};
 use cuminlead_routing::{Router, RoutingConfig};
 use cuminlead_settings::EntrySettings;
 use cuminlead_telemetry::{Metrics, Tracing, log};
-use cuminlead_types::Findings;
 use cuminlead_wire::proto::peer_server::PeerServer;
 use error_stack::{Report, ResultExt};
 use slog::{Logger, info};
@@ -33,43 +31,12 @@
 use crate::http::handler::HttpContext;
 use crate::status::{EntryAdmin, EntryMetrics};
 
-/// Threads of the runtime that carries messages.
-const RUNTIME_THREADS: usize = 2;
-
-/// Settings of an entry on the command line.
-#[derive(Debug)]
-pub struct CheckedSettings(pub EntrySettings);
-
-impl std::fmt::Display for CheckedSettings {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        self.0.fmt(f)
-    }
-}
-
-impl ProcessSettings for CheckedSettings {
-    fn parse_file(file: &str, text: &str) -> Result<Self, Findings> {
-        EntrySettings::parse(file, text).map(Self)
-    }
-}
-
 /// Runs an entry until it is asked to stop and its requests are answered.
-pub fn run(settings: &CheckedSettings) -> Result<(), Report<StartError>> {
-    let settings = &settings.0;
+pub fn run(settings: &EntrySettings) -> Result<(), Report<StartError>> {
     let (log, _log_guard) =
         log::logger(&settings.log_level().to_string(), settings.name().as_str());
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(RUNTIME_THREADS)
-        .max_blocking_threads(settings.workers_max_count().0 as usize)
-        .enable_all()
-        .build()
-        .change_context(StartError::Thread)?;
-    let tracing = {
-        let _context = runtime.enter();
-        let collector = settings
-            .collector_address()
-            .map(|address| address.to_string());
-        Tracing::new(collector.as_deref(), "cuminlead-entry").change_context(StartError::Tracing)?
-    };
+    let runtime = start::runtime(settings.workers_max_count().0 as usize)?;
+    let tracing = start::tracing(&runtime, *settings.collector_address(), "cuminlead-entry")?;
     let result = serve(settings, &runtime, &log, &tracing);
     tracing.shutdown();
     result
@@ -147,7 +114,10 @@
     let admin_address = admin::serve(*settings.admin_address(), Arc::new(source))?;
     let peer_address = serve_peers(settings, runtime, PeerRpc::new(sender, secret))?;
     let callers_address = serve_callers(settings, runtime, http)?;
-    runtime.spawn(forward_stop(control));
+    runtime.spawn(signal::on_stop(move || {
+        // Nothing is left to stop when the control thread has ended.
+        let _ = control.send(ControlEvent::Stop);
+    }));
     let thread = spawn_control(
         "control",
         clock,
@@ -257,10 +227,3 @@
         ..CallConfig::default()
     }
 }
-
-async fn forward_stop(control: Sender<ControlEvent>) {
-    if signal::stop_requested().await.is_ok() {
-        // Nothing is left to stop when the control thread has ended.
-        let _ = control.send(ControlEvent::Stop);
-    }
-}
--- a/crates/process/src/cli.rs
+++ b/crates/process/src/cli.rs
@@ -9,6 +9,7 @@
 
 use cuminlead_kernel::{PluginPoint, plugins_at};
 use cuminlead_lists::{Part, PartKey, Snapshot};
+use cuminlead_settings::{AgentSettings, EntrySettings};
 use cuminlead_types::{Findings, Place, Revision};
 use error_stack::{AttachmentKind, FrameKind, Report};
 use gumdrop::{Options, ParsingStyle};
@@ -81,6 +82,18 @@
     fn parse_file(file: &str, text: &str) -> Result<Self, Findings>;
 }
 
+impl ProcessSettings for EntrySettings {
+    fn parse_file(file: &str, text: &str) -> Result<Self, Findings> {
+        Self::parse(file, text)
+    }
+}
+
+impl ProcessSettings for AgentSettings {
+    fn parse_file(file: &str, text: &str) -> Result<Self, Findings> {
+        Self::parse(file, text)
+    }
+}
+
 /// One of the two binaries.
 #[derive(Clone, Copy, Debug)]
 pub struct Program<S> {
--- a/crates/process/src/lib.rs
+++ b/crates/process/src/lib.rs
@@ -10,6 +10,7 @@
 //! | [`platform`] | the client of the configuration service and host list |
 //! | [`secret`] | the secret that processes of a deployment share |
 //! | [`signal`] | the signals that ask a process to stop |
+//! | [`start`] | steps that both processes take when they start |
 
 pub mod admin;
 pub mod cli;
@@ -19,5 +20,6 @@
 pub mod platform;
 pub mod secret;
 pub mod signal;
+pub mod start;
 
 pub use error::StartError;
--- a/crates/process/src/signal.rs
+++ b/crates/process/src/signal.rs
@@ -5,7 +5,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 
 /// Waits for SIGTERM or SIGINT.
-pub async fn stop_requested() -> io::Result<()> {
+async fn stop_requested() -> io::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     tokio::select! {
@@ -14,3 +14,10 @@
     }
     Ok(())
 }
+
+/// Calls `stop` once the process is asked to stop.
+pub async fn on_stop(stop: impl FnOnce()) {
+    if stop_requested().await.is_ok() {
+        stop();
+    }
+}
