--- a/crates/process/src/cli.rs
+++ b/crates/process/src/cli.rs
@@ -20,7 +20,7 @@
 const EXIT_FOUND: u8 = 1;
 const EXIT_USAGE: u8 = 2;
 
-/// Options of both binaries.
+/// Runs a process, checks its settings or the lists, or describes the binary.
 #[derive(Debug, Options)]
 pub struct CommandLine {
     /// print this help
