--- a/crates/agent-core/tests/application.rs
+++ b/crates/agent-core/tests/application.rs
@@ -154,7 +154,7 @@
     let actions = agent.send(4, run(1, Some(used), "POST"));
     let command = forwarded(&actions)
         .pop()
-        .expect("a held permit is honoured");
+        .expect("a held permit starts its call");
     // The caller is gone; the call still counts until the service has answered.
     agent.handle(5, AgentEvent::CallDropped { call: CallRef(4) });
     let answered = ServiceEvent::Answered {
--- a/crates/dev/src/bench/cell.rs
+++ b/crates/dev/src/bench/cell.rs
@@ -1,4 +1,4 @@
-//! Cells of the fault matrix: one request on a path, and the faults that strike it.
+//! Cells of the fault matrix: one request on a path, and the faults injected into it.
 //!
 //! After the faults have ended the run goes on until every time bound of `docs/design.md` has
 //! passed. Then engine memory must be empty, no call may be left at an entry, the same request sent
@@ -16,7 +16,7 @@
 use super::config::BenchConfig;
 use super::fault::Fault;
 use super::service::response_to;
-use super::step::{Plan, Step, Strike};
+use super::step::{Injection, Plan, Step};
 use super::tamper::Tamper;
 use super::world::World;
 
@@ -41,7 +41,7 @@
 /// Run time of a service that is slow enough for its outcome to be asked for (2 s).
 const SLOW_RUN: DurationUs = DurationUs::from_ms(2_800);
 
-/// Seed of runs without jitter, in which each fault strikes exactly at its step.
+/// Seed of runs without jitter, in which each fault is injected exactly at its step.
 pub const EXACT_SEED: u64 = 1;
 /// Jitter with other seeds: a third of the latency between zones, so packets of different
 /// connections overtake each other.
@@ -61,20 +61,20 @@
     DurationUs::from_ms(49_000),
 ];
 
-/// Request on a path, and the faults that strike it.
+/// Request on a path, and the faults injected into it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Cell {
     /// Path of the request.
     pub path: PathKind,
-    /// Faults in the order in which they strike.
-    pub strikes: Vec<Strike>,
+    /// Faults in the order in which they are injected.
+    pub injections: Vec<Injection>,
 }
 
 impl fmt::Display for Cell {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}", self.path)?;
-        for strike in &self.strikes {
-            write!(f, " {}:{}", strike.step, strike.fault)?;
+        for injection in &self.injections {
+            write!(f, " {}:{}", injection.step, injection.fault)?;
         }
         Ok(())
     }
@@ -99,17 +99,17 @@
         let error = || ParseCellError(text.to_string());
         let mut words = text.split_whitespace();
         let path = words.next().and_then(|word| word.parse().ok());
-        let mut strikes = Vec::new();
+        let mut injections = Vec::new();
         for word in words {
             let (step, fault) = word.split_once(':').ok_or_else(error)?;
-            strikes.push(Strike {
+            injections.push(Injection {
                 step: step.parse().map_err(|_| error())?,
                 fault: fault.parse().map_err(|_| error())?,
             });
         }
         Ok(Self {
             path: path.ok_or_else(error)?,
-            strikes,
+            injections,
         })
     }
 }
@@ -117,8 +117,8 @@
 /// What came of a cell.
 #[derive(Clone, Debug)]
 pub struct CellReport {
-    /// Faults that struck.
-    pub struck_count: usize,
+    /// Faults that were injected.
+    pub injected_count: usize,
     /// How the request ended for its caller.
     pub ending: String,
     /// Everything that is wrong, one finding each.
@@ -129,10 +129,10 @@
     pub record: String,
 }
 
-/// Faults that can strike a path at a step.
-fn strikes_of(path: PathKind, step: Step) -> impl Iterator<Item = Strike> {
+/// Faults that can be injected into a path at a step.
+fn injections_of(path: PathKind, step: Step) -> impl Iterator<Item = Injection> {
     let faults = Fault::iter().filter(move |fault| fault.applies_to(path));
-    faults.map(move |fault| Strike { step, fault })
+    faults.map(move |fault| Injection { step, fault })
 }
 
 fn steps_of(path: PathKind) -> impl Iterator<Item = Step> {
@@ -144,10 +144,10 @@
     let mut cells = Vec::new();
     for path in PathKind::iter() {
         for step in steps_of(path) {
-            let strikes = strikes_of(path, step);
-            cells.extend(strikes.map(|strike| Cell {
+            let injections = injections_of(path, step);
+            cells.extend(injections.map(|injection| Cell {
                 path,
-                strikes: vec![strike],
+                injections: vec![injection],
             }));
         }
     }
@@ -159,18 +159,18 @@
     let mut cells = Vec::new();
     for first in singles() {
         let path = first.path;
-        let step = first.strikes[0].step;
+        let step = first.injections[0].step;
         for later in steps_of(path).filter(|later| *later >= step) {
-            cells.extend(strikes_of(path, later).map(|second| Cell {
+            cells.extend(injections_of(path, later).map(|second| Cell {
                 path,
-                strikes: vec![first.strikes[0], second],
+                injections: vec![first.injections[0], second],
             }));
         }
     }
     cells
 }
 
-/// Paths and faults that make no cell, because the path has nothing that the fault strikes.
+/// Paths and faults that make no cell, because the path has nothing that the fault affects.
 pub fn not_applicable() -> Vec<String> {
     let mut names = Vec::new();
     for path in PathKind::iter() {
@@ -188,9 +188,9 @@
     };
     if seed != EXACT_SEED {
         config.jitter_us = JITTER;
-        config.strike_delay_us = STRIKE_DELAY;
+        config.injection_delay_us = STRIKE_DELAY;
     }
-    if cell.strikes.iter().any(|s| s.step.needs_slow_service()) {
+    if cell.injections.iter().any(|s| s.step.needs_slow_service()) {
         config.service_run_us = SLOW_RUN;
     }
     config
@@ -201,7 +201,7 @@
     let mut world = World::new(config_of(cell, seed), tamper);
     let entry = world.entry_nodes()[0];
     let target = RequestSpec::new(TARGET, cell.path, entry, PROMPT);
-    world.set_plan(Plan::new(target.request, &cell.strikes));
+    world.set_plan(Plan::new(target.request, &cell.injections));
     send_repeats(&mut world, &target);
     world.send_at(SENT_AT, target);
     send_others(&mut world);
@@ -228,7 +228,7 @@
         .filter_map(|finding| finding.place.key.split(' ').next());
     CellReport {
         broken: broken.map(ToString::to_string).collect(),
-        struck_count: world.plan().struck_count(),
+        injected_count: world.plan().injected_count(),
         ending: ending_of(&world),
         findings,
         record: world.record().to_string(),
@@ -238,9 +238,9 @@
 /// Bounds of the design; those on engine memory leave out the time for which nobody can free it.
 fn bounds_of(cell: &Cell) -> Bounds {
     let mut bounds = Bounds::default();
-    for strike in &cell.strikes {
-        bounds.free_us += strike.fault.memory_blocked_us();
-        bounds.cancel_us += strike.fault.cancel_blocked_us();
+    for injection in &cell.injections {
+        bounds.free_us += injection.fault.memory_blocked_us();
+        bounds.cancel_us += injection.fault.cancel_blocked_us();
     }
     bounds
 }
@@ -322,7 +322,11 @@
 /// A graceful shutdown alone must not keep a request from its answer. Only a call with a key may be
 /// refused, because no other server may run it.
 fn check_graceful(world: &World, cell: &Cell, findings: &mut Vec<String>) {
-    if !cell.strikes.iter().all(|strike| strike.fault.is_graceful()) {
+    if !cell
+        .injections
+        .iter()
+        .all(|injection| injection.fault.is_graceful())
+    {
         return;
     }
     let ending = ending_of(world);
--- a/crates/dev/src/bench/config.rs
+++ b/crates/dev/src/bench/config.rs
@@ -42,8 +42,8 @@
     pub far_latency_us: DurationUs,
     /// Longest addition to each latency between hosts, drawn with the seed.
     pub jitter_us: DurationUs,
-    /// Longest time between a step and the fault that strikes there, drawn with the seed.
-    pub strike_delay_us: DurationUs,
+    /// Longest time between a step and the injection of its fault, drawn with the seed.
+    pub injection_delay_us: DurationUs,
     /// One-way latency between callers and entries.
     pub caller_latency_us: DurationUs,
     /// One-way latency between an agent and its back end.
@@ -101,7 +101,7 @@
             region_latency_us: DurationUs(1_500),
             far_latency_us: DurationUs::from_ms(20),
             jitter_us: DurationUs::ZERO,
-            strike_delay_us: DurationUs::ZERO,
+            injection_delay_us: DurationUs::ZERO,
             caller_latency_us: DurationUs::from_ms(3),
             backend_latency_us: DurationUs(100),
             lists_delay_us: DurationUs::from_ms(1_000),
--- a/crates/dev/src/bench/disturb.rs
+++ b/crates/dev/src/bench/disturb.rs
@@ -1,4 +1,4 @@
-//! Faults that strike at a time, whatever requests are under way.
+//! Faults that are injected at a time, whatever requests are under way.
 
 use cuminlead_types::{AvailabilityZoneName, DurationUs, RegionName, RequestId, TimeUs};
 
@@ -7,7 +7,7 @@
 use super::platform::PlatformState;
 use super::world::World;
 
-/// Fault that strikes at a time.
+/// Fault that is injected at a time.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Disturbance {
     /// Agent and engine of a host die and start again.
@@ -27,7 +27,7 @@
 }
 
 impl World {
-    /// Lets a fault strike at a time.
+    /// Injects a fault at a time.
     pub fn disturb_at(&mut self, at: TimeUs, disturbance: Disturbance) {
         let delay = at.since(self.now);
         self.push(delay, Event::Disturb(disturbance));
--- a/crates/dev/src/bench/event.rs
+++ b/crates/dev/src/bench/event.rs
@@ -49,10 +49,10 @@
     },
     /// A caller sends a request.
     Request(RequestSpec),
-    /// A fault strikes whatever is under way.
+    /// A fault is injected whatever is under way.
     Disturb(Disturbance),
-    /// A fault strikes.
-    Strike(Fault, Targets),
+    /// A fault is injected.
+    Injection(Fault, Targets),
     /// A fault ends.
     Heal(Heal),
     /// The configuration service accepts a change of the lists.
--- a/crates/dev/src/bench/fault.rs
+++ b/crates/dev/src/bench/fault.rs
@@ -106,7 +106,7 @@
     EntryDrain,
 }
 
-/// What a fault strikes.
+/// What a fault affects.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Targets {
     /// Request whose step it is.
@@ -148,7 +148,7 @@
         }
     }
 
-    /// Whether the path has what the fault strikes.
+    /// Whether the path has what the fault affects.
     pub const fn applies_to(self, path: PathKind) -> bool {
         let is_model = matches!(path, PathKind::Model);
         match self {
@@ -167,7 +167,7 @@
 }
 
 impl World {
-    pub(super) fn strike(&mut self, fault: Fault, targets: Targets) {
+    pub(super) fn inject(&mut self, fault: Fault, targets: Targets) {
         self.change_lists_in(CHANGE_AFTER);
         match fault {
             Fault::EntryDeath => self.kill(targets.entry),
@@ -182,15 +182,15 @@
                 self.are_transfers_stalled = true;
                 self.heal_in(STALL, Heal::Transfers);
             }
-            Fault::OtherAgentDeath => self.strike_server(Fault::AgentDeath, targets, targets.other),
+            Fault::OtherAgentDeath => self.fault_server(Fault::AgentDeath, targets, targets.other),
             Fault::OtherEngineDeath => {
-                self.strike_server(Fault::EngineDeath, targets, targets.other);
+                self.fault_server(Fault::EngineDeath, targets, targets.other);
             }
-            _ => self.strike_server(fault, targets, targets.server),
+            _ => self.fault_server(fault, targets, targets.server),
         }
     }
 
-    fn strike_server(&mut self, fault: Fault, targets: Targets, server: Option<NodeId>) {
+    fn fault_server(&mut self, fault: Fault, targets: Targets, server: Option<NodeId>) {
         let Some(server) = server else {
             return;
         };
@@ -218,7 +218,7 @@
             Fault::SilentConnection => self.silence(entry, server),
             Fault::AgentDrain => self.ask_to_stop(server),
             Fault::HostLeaving => self.publish_leaving(server),
-            _ => debug_assert!(false, "{fault} strikes no server"),
+            _ => debug_assert!(false, "{fault} injections no server"),
         }
     }
 
--- a/crates/dev/src/bench/mod.rs
+++ b/crates/dev/src/bench/mod.rs
@@ -19,11 +19,11 @@
 //! | [`platform`] | fake configuration service and host list |
 //! | [`agent`] | agents |
 //! | [`entry`] | entries and their calls |
-//! | [`disturb`] | faults that strike at a time |
+//! | [`disturb`] | faults that are injected at a time |
 //! | [`tally`] | counts for measurements |
 //! | [`carry`] | messages and streams under way |
 //! | [`caller`] | requests and what their callers receive |
-//! | [`step`] | steps of the paths at which a fault can strike |
+//! | [`step`] | steps of the paths at which a fault can be injected |
 //! | [`fault`] | faults and their healing |
 //! | [`cell`] | cells of the fault matrix |
 //! | [`tamper`] | places at which a test can remove a guard |
@@ -58,7 +58,7 @@
 pub use disturb::Disturbance;
 pub use event::NodeId;
 pub use fault::Fault;
-pub use step::{Plan, Step, Strike};
+pub use step::{Injection, Plan, Step};
 pub use tally::Tally;
 pub use tamper::Tamper;
 pub use world::World;
--- a/crates/dev/src/bench/step.rs
+++ b/crates/dev/src/bench/step.rs
@@ -1,4 +1,4 @@
-//! Steps of the paths at which a fault can strike.
+//! Steps of the paths at which a fault can be injected.
 
 use cuminlead_protocol::AgentRequest;
 use cuminlead_types::RequestId;
@@ -152,51 +152,51 @@
 
 /// A fault at a step.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Strike {
+pub struct Injection {
     /// Step.
     pub step: Step,
     /// Fault.
     pub fault: Fault,
 }
 
-/// Faults that strike one request, each at its step and after the one before.
+/// Faults injected into one request, each at its step and after the one before.
 #[derive(Clone, Debug, Default)]
 pub struct Plan {
     target: RequestId,
-    waiting: Vec<Strike>,
-    struck_count: usize,
+    waiting: Vec<Injection>,
+    injected_count: usize,
 }
 
 impl Plan {
     /// Plan for a request.
-    pub fn new(target: RequestId, strikes: &[Strike]) -> Self {
-        let mut waiting = strikes.to_vec();
+    pub fn new(target: RequestId, injections: &[Injection]) -> Self {
+        let mut waiting = injections.to_vec();
         waiting.reverse();
         Self {
             target,
             waiting,
-            struck_count: 0,
+            injected_count: 0,
         }
     }
 
-    /// Faults that have struck.
-    pub fn struck_count(&self) -> usize {
-        self.struck_count
+    /// Faults that have been injected.
+    pub fn injected_count(&self) -> usize {
+        self.injected_count
     }
 }
 
 impl World {
-    /// Notes that a request has reached a step, and lets the planned faults strike.
+    /// Notes that a request has reached a step, and injects the planned faults.
     pub(super) fn reached(&mut self, step: Step, request: RequestId) {
         if self.plan.target != request {
             return;
         }
         while self.plan.waiting.last().is_some_and(|s| s.step == step) {
-            if let Some(strike) = self.plan.waiting.pop() {
-                self.plan.struck_count += 1;
+            if let Some(injection) = self.plan.waiting.pop() {
+                self.plan.injected_count += 1;
                 let targets = self.targets(step, request);
-                let delay = self.draw(self.config.strike_delay_us);
-                self.push(delay, Event::Strike(strike.fault, targets));
+                let delay = self.draw(self.config.injection_delay_us);
+                self.push(delay, Event::Injection(injection.fault, targets));
             }
         }
     }
--- a/crates/dev/src/bench/world.rs
+++ b/crates/dev/src/bench/world.rs
@@ -200,13 +200,13 @@
         self.entries.keys().copied().collect()
     }
 
-    /// Whether all faults that struck have ended.
+    /// Whether all injected faults have ended.
     pub fn is_healed(&self) -> bool {
         let is_up = |life: &Life| life.is_running && !life.is_paused;
         self.heals_count == 0 && self.nodes.iter().all(is_up)
     }
 
-    /// Sets the faults that strike one request.
+    /// Sets the faults to inject into one request.
     pub fn set_plan(&mut self, plan: Plan) {
         self.plan = plan;
     }
@@ -249,7 +249,7 @@
                 event,
             } => self.backend_event(node, generation, event),
             Event::Request(spec) => self.send_request(spec),
-            Event::Strike(fault, targets) => self.strike(fault, targets),
+            Event::Injection(fault, targets) => self.inject(fault, targets),
             Event::Disturb(disturbance) => self.disturb(disturbance),
             Event::Heal(heal) => self.heal(heal),
             Event::PublishLists => self.publish_lists(),
--- a/crates/dev/tests/matrix.rs
+++ b/crates/dev/tests/matrix.rs
@@ -16,7 +16,7 @@
 use rand::rngs::StdRng;
 use rand::seq::IndexedRandom;
 
-/// Seed of `MATRIX_SEED`; other seeds than the default add jitter and strike a little later.
+/// Seed of `MATRIX_SEED`; other seeds than the default add jitter and inject a little later.
 fn seed() -> u64 {
     let text = std::env::var("MATRIX_SEED").ok();
     let seed = text.map(|text| text.parse().expect("MATRIX_SEED is a number"));
@@ -49,7 +49,7 @@
             println!("  {cell} ended {}", report.ending);
         }
         *self.endings.entry(report.ending).or_default() += 1;
-        if report.struck_count < cell.strikes.len() {
+        if report.injected_count < cell.injections.len() {
             self.not_reached.push(cell.to_string());
         }
         if report.findings.is_empty() {
@@ -78,7 +78,7 @@
             self.failed.len(),
             self.not_reached.len(),
         );
-        println!("  endings of the struck requests: {:?}", self.endings);
+        println!("  endings of the requests: {:?}", self.endings);
         for (cell, findings) in self.failed.iter().take(PRINTED_MAX_COUNT) {
             println!("  failed {cell}");
             for finding in findings.iter().take(3) {
@@ -160,6 +160,6 @@
     };
     let cell: Cell = text.parse().expect("MATRIX_CELL names a cell");
     let report = run_cell(&cell, seed(), Box::new(NoTamper));
-    println!("{}{} faults struck", report.record, report.struck_count);
+    println!("{}{} faults injected", report.record, report.injected_count);
     assert!(report.findings.is_empty(), "{:#?}", report.findings);
 }
--- a/crates/dev/tests/matrix_paths.rs
+++ b/crates/dev/tests/matrix_paths.rs
@@ -18,7 +18,7 @@
     world.entry_nodes()[0]
 }
 
-/// Guards against a driver in which a path does not work at all, so that no fault can strike it.
+/// Guards against a driver in which a path does not work at all, so that no fault can be injected.
 #[parameterized(
     model = { PathKind::Model },
     idempotent = { PathKind::Idempotent },
--- a/crates/distribution/src/context.rs
+++ b/crates/distribution/src/context.rs
@@ -439,8 +439,8 @@
 
     fn settle_watch(&mut self, now: TimeUs, actions: &mut Vec<Action>) {
         let candidates = self.following.candidates();
-        let has_to_stand_in = candidates.is_deputy() && self.following.have_primaries_failed();
-        let is_acting = candidates.is_reader() || has_to_stand_in;
+        let must_watch = candidates.is_standby() && self.following.have_primaries_failed();
+        let is_acting = candidates.is_reader() || must_watch;
         if is_acting && !self.service.is_watching() {
             self.watch_fresh_at = now;
         }
--- a/crates/distribution/src/election.rs
+++ b/crates/distribution/src/election.rs
@@ -14,7 +14,7 @@
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::context::Identity;
-use crate::limits::{DEPUTIES_COUNT, READERS_COUNT, readers_count};
+use crate::limits::{READERS_COUNT, STANDBYS_COUNT, readers_count};
 
 /// Seed of the election, fixed so that all processes choose alike.
 pub const READER_SEED: u64 = 0x7265_6164_6572_7331;
@@ -42,13 +42,13 @@
 /// Peers of one process in the order in which it tries them.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Candidates {
-    /// Readers of the own zone, deputies of the own zone, readers of other zones.
+    /// Readers of the own zone, standbys of the own zone, readers of other zones.
     pub peers: Vec<Peer>,
     /// Number of leading peers that the process prefers: for a follower two readers of its zone, for
     /// a reader the next one of the ring or the first two, and readers of other zones when there is
     /// none.
     pub primaries_count: usize,
-    /// Rank of this process among the hosts of its zone, when it is a reader or a deputy.
+    /// Rank of this process among the hosts of its zone, when it is a reader or a standby.
     pub own_rank: Option<usize>,
     /// Readers of the own zone.
     pub readers_count: usize,
@@ -66,7 +66,7 @@
     }
 
     /// Whether this process reads while it hears no confirmed reader.
-    pub fn is_deputy(&self) -> bool {
+    pub fn is_standby(&self) -> bool {
         self.own_rank.is_some_and(|rank| rank >= self.readers_count)
     }
 }
@@ -111,9 +111,9 @@
 pub fn candidates(list: &HostList, own: &Identity) -> Candidates {
     let mut ranked = ranked_hosts(list, &own.zone);
     let readers_count = readers_count(ranked.len());
-    ranked.truncate(readers_count + DEPUTIES_COUNT);
+    ranked.truncate(readers_count + STANDBYS_COUNT);
     let own_rank = ranked.iter().position(|entry| entry.host == own.host);
-    let (readers, deputies) = ranked.split_at(ranked.len().min(readers_count));
+    let (readers, standbys) = ranked.split_at(ranked.len().min(readers_count));
     let is_reader = own_rank.is_some_and(|rank| rank < readers_count);
     // Readers follow the first two, which are in the ring; others spread over all readers.
     let followed = if is_reader {
@@ -123,7 +123,7 @@
     };
     let mut peers = peers_of(followed, own);
     let zone_readers_count = peers.len().min(READERS_COUNT);
-    peers.extend(peers_of(deputies, own));
+    peers.extend(peers_of(standbys, own));
     peers.extend(peers_of(&readers_of_other_zones(list, own), own));
     let primaries_count = match zone_readers_count {
         0 => peers.len().min(READERS_COUNT),
--- a/crates/distribution/src/limits.rs
+++ b/crates/distribution/src/limits.rs
@@ -14,7 +14,7 @@
 //! ([`CONFIRM_LIMIT`]), which its next heartbeat tells within 2 s ([`HEARTBEAT_MAX`]).
 //!
 //! Later changes must not wait for the next question 10 s later, so the hosts ranked after the
-//! readers take over as deputies as soon as they hear no reader, and followers look for them.
+//! readers take over as standbys as soon as they hear no reader, and followers look for them.
 //!
 //! A process that reaches the platform and no other process cannot be told of a change, so it
 //! learns the first one after the fault in time and later ones within [`QUERY_INTERVAL_MIN`].
@@ -41,7 +41,7 @@
 }
 /// Hosts of each zone that read while they hear no confirmed reader. A limit is needed because a
 /// fleet whose processes do not reach each other would otherwise watch as a whole.
-pub const DEPUTIES_COUNT: usize = 2;
+pub const STANDBYS_COUNT: usize = 2;
 
 /// Longest time that the platform lets a watch wait. A waiting watch counts as one call in each
 /// second, so a shorter one costs nothing and tells sooner that the platform is gone.
--- a/crates/distribution/tests/distribution.rs
+++ b/crates/distribution/tests/distribution.rs
@@ -3,8 +3,8 @@
 mod world;
 
 use cuminlead_distribution::limits::{
-    CONFIRM_INTERVAL, CONFIRM_LIMIT, CONFIRM_RETRY, DEPUTIES_COUNT, QUERY_INTERVAL_MIN,
-    READERS_COUNT, WATCH_INTERVAL_MIN, readers_count,
+    CONFIRM_INTERVAL, CONFIRM_LIMIT, CONFIRM_RETRY, QUERY_INTERVAL_MIN, READERS_COUNT,
+    STANDBYS_COUNT, WATCH_INTERVAL_MIN, readers_count,
 };
 use cuminlead_distribution::{Identity, candidates, readers_of_zone};
 use cuminlead_lists::{HostList, HostState};
@@ -91,14 +91,14 @@
     none = { Fault::None, true },
     reader_stopped = { Fault::Stopped(1), true },
     readers_stopped = { Fault::Stopped(2), true },
-    readers_and_deputy_stopped = { Fault::Stopped(3), true },
-    readers_and_deputies_stopped = { Fault::Stopped(4), true },
+    readers_and_standby_stopped = { Fault::Stopped(3), true },
+    readers_and_standbys_stopped = { Fault::Stopped(4), true },
     reader_unreachable = { Fault::Unreachable(1), true },
     readers_unreachable = { Fault::Unreachable(2), true },
-    readers_and_deputy_unreachable = { Fault::Unreachable(3), true },
+    readers_and_standby_unreachable = { Fault::Unreachable(3), true },
     reader_without_platform = { Fault::WithoutPlatform(1), true },
     readers_without_platform = { Fault::WithoutPlatform(2), true },
-    readers_and_deputies_without_platform = { Fault::WithoutPlatform(4), true },
+    readers_and_standbys_without_platform = { Fault::WithoutPlatform(4), true },
     zone_without_platform = { Fault::ZoneWithoutPlatform, true },
     scattered = { Fault::Scattered, false },
     stale_reader = { Fault::StaleReaders(1), true },
@@ -132,7 +132,7 @@
     }
 }
 
-/// Guards against a process that stays with a deputy or another zone after its readers are back.
+/// Guards against a process that stays with a standby or another zone after its readers are back.
 #[test]
 fn readers_take_over_again() {
     let mut world = settled(3);
@@ -297,7 +297,7 @@
         check_intervals(&node.queries, 2, QUERY_INTERVAL_MIN.get());
         check_intervals(&node.watches, 2, WATCH_INTERVAL_MIN.get());
     }
-    let watching_max = ZONES_COUNT * (READERS_COUNT + DEPUTIES_COUNT);
+    let watching_max = ZONES_COUNT * (READERS_COUNT + STANDBYS_COUNT);
     assert!(world.watching().len() <= watching_max);
 }
 
@@ -306,7 +306,7 @@
 #[test]
 fn limits_hold_the_budget_of_the_design_scale() {
     let processes_count = 370 + 2_300;
-    let watching_count = 6 * (READERS_COUNT + DEPUTIES_COUNT) as u64;
+    let watching_count = 6 * (READERS_COUNT + STANDBYS_COUNT) as u64;
     let calls_each_10_s = 10_000_000 / QUERY_INTERVAL_MIN.get() * processes_count
         + 10_000_000 / WATCH_INTERVAL_MIN.get() * watching_count;
     assert!(2 * calls_each_10_s / 10 <= 2_000, "{calls_each_10_s}");
--- a/crates/entry/src/http/model.rs
+++ b/crates/entry/src/http/model.rs
@@ -79,7 +79,7 @@
         },
         is_streamed: body.stream,
         text: String::new(),
-        _span: span,
+        span,
     };
     let request = request(context, view, &caller, &grant, &body, prompt, &task);
     let call = ModelCall::new(context.calls.clone(), request);
@@ -114,7 +114,7 @@
         first_token_us: grant.plan.first_token_us,
         lists_revision: view.lists.revision,
         hosts_revision: view.hosts.revision,
-        traceparent: task._span.traceparent().to_string(),
+        traceparent: task.span.traceparent().to_string(),
     }
 }
 
@@ -258,7 +258,7 @@
     shape: AnswerShape,
     is_streamed: bool,
     text: String,
-    _span: HopSpan,
+    span: HopSpan,
 }
 
 impl AnswerTask {
