Estimate servers without a report by what the others report

At the design scale an entry hears of a decode engine every 3 s or so, and there the fixed 2 ms takes most servers for idle while all are nearly full. Ruled out: the address of the connection (the entries had the new host list, and agents were reachable); back-off (no failed call in the logs). A probe of every replaced host would hide the fault for 3 s only.

Change: the estimate is the moving mean of what servers of the same group lately reported. A server on another host starts without the load and the prefixes of its predecessor.

Before: server_without_report (low load, others busier) and replaced_server_starts_without_load fail.

--- a/crates/routing/src/config.rs
+++ b/crates/routing/src/config.rs
@@ -33,7 +33,7 @@
     pub link_rate: BitsPerSecond,
     /// Age from which a report says nothing about the present load.
     pub report_valid_us: DurationUs,
-    /// Cost of a server without a valid report.
+    /// Cost of a server without a valid report while no server of its group has one.
     pub unknown_load_us: DurationUs,
     /// Cost of a server whose last call failed less than `report_valid_us` ago.
     pub failure_cost_us: DurationUs,
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -14,6 +14,7 @@
 //! | [`ring`] | consistent hashing over the servers of a pool |
 //! | [`servers`] | backend servers known to a router |
 //! | [`pools`] | servers for each plan and model or service, by region and role |
+//! | [`usual`] | estimate for a server without a recent report |
 //! | [`policy`] | the trait of policies, and their registration |
 //! | [`policies`] | the policies |
 //! | [`router`] | [`Router`], the context of an entry |
@@ -30,6 +31,7 @@
 pub mod router;
 pub mod servers;
 pub mod usability;
+pub mod usual;
 
 pub use config::RoutingConfig;
 pub use link::LinkUse;
--- a/crates/routing/src/load.rs
+++ b/crates/routing/src/load.rs
@@ -9,6 +9,7 @@
 use cuminlead_types::{DurationUs, KvPieces, TimeUs, Tokens};
 
 use crate::config::RoutingConfig;
+use crate::usual::UsualLoad;
 
 /// What a decision adds to the load of a server.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -73,34 +74,54 @@
     }
 
     /// Time until the server has computed the prompts that wait.
-    pub fn prefill_wait(&self, now: TimeUs, config: &RoutingConfig) -> DurationUs {
+    pub fn prefill_wait(
+        &self,
+        now: TimeUs,
+        usual: &UsualLoad,
+        config: &RoutingConfig,
+    ) -> DurationUs {
         let own = config.prefill_rate.time_for(self.sum.prompt_tokens);
         let reported = match self.report_age(now, config) {
             Some(age) => config
                 .prefill_rate
                 .time_for(self.report.pending_prompt_tokens)
                 .saturating_sub(age),
-            None => config.unknown_load_us,
+            None => usual.prefill_wait(now, config),
         };
         own.saturating_add(reported)
             .saturating_add(self.failure_cost(now, config))
     }
 
     /// Time until the server has a place for a decode of this size.
-    pub fn decode_wait(&self, now: TimeUs, pieces: KvPieces, config: &RoutingConfig) -> DurationUs {
-        let own = u64::from(self.sum.slots);
-        let (running, wait) = match self.report_age(now, config) {
-            Some(_) => (
-                u64::from(self.report.running_count),
-                self.queue_wait(pieces, config),
-            ),
-            None => (0, config.unknown_load_us),
+    pub fn decode_wait(
+        &self,
+        now: TimeUs,
+        pieces: KvPieces,
+        usual: &UsualLoad,
+        config: &RoutingConfig,
+    ) -> DurationUs {
+        let reported = match self.report_age(now, config) {
+            Some(_) => {
+                let running = u64::from(self.report.running_count);
+                let batch = times(config.decode_slot_cost_us, running);
+                batch.saturating_add(self.queue_wait(pieces, config))
+            }
+            None => usual.decode_wait(now, config),
         };
-        times(config.decode_slot_cost_us, running + own)
-            .saturating_add(wait)
+        times(config.decode_slot_cost_us, u64::from(self.sum.slots))
+            .saturating_add(reported)
             .saturating_add(self.failure_cost(now, config))
     }
 
+    /// Requests that the server has.
+    pub fn requests(&self, now: TimeUs, usual: &UsualLoad, config: &RoutingConfig) -> u64 {
+        let reported = match self.report_age(now, config) {
+            Some(_) => u64::from(self.report.running_count) + u64::from(self.report.queued_count),
+            None => usual.requests(now, config),
+        };
+        reported + u64::from(self.sum.slots)
+    }
+
     /// Time until a place is free, by the report and the own decisions since.
     fn queue_wait(&self, pieces: KvPieces, config: &RoutingConfig) -> DurationUs {
         let has_slot = self.report.free_slots.get() > self.sum.slots;
--- a/crates/routing/src/policies/prefix_cost.rs
+++ b/crates/routing/src/policies/prefix_cost.rs
@@ -211,7 +211,7 @@
     fn service(&mut self, view: &View<'_>, pool: &ServicePool) -> Option<ServerKey> {
         let mut last_choice = None;
         for region in view.own_first(&pool.regions, |region| &region.region) {
-            let mut best = Best::new(view, requests);
+            let mut best = Best::new(view, |record| requests(view, record));
             best.look_at_sample(&region.servers, SERVICE_CANDIDATES);
             let key = best.scored.map(|scored| scored.candidate.key);
             if best.has_preferred() {
@@ -228,11 +228,8 @@
 }
 
 /// Estimate for a service, whose calls take about the same time: the number of its requests.
-fn requests(record: &ServerRecord) -> Estimate {
-    let report = record.load.report();
-    let own = u64::from(record.load.own_demand().slots);
-    let reported = u64::from(report.running_count) + u64::from(report.queued_count);
-    let time_us = DurationUs(reported + own);
+fn requests(view: &View<'_>, record: &ServerRecord) -> Estimate {
+    let time_us = DurationUs(view.requests(record));
     Estimate {
         time_us,
         first_token_us: time_us,
@@ -314,7 +311,7 @@
     let cached = Tokens(blocks * view.config.block_tokens.get());
     let uncached = need.prompt_tokens.saturating_sub(cached);
     let compute = view.config.prefill_rate.time_for(uncached);
-    let wait = record.load.prefill_wait(view.now, view.config);
+    let wait = view.prefill_wait(record);
     let first_token_us = wait.saturating_add(compute);
     Estimate {
         time_us: first_token_us.saturating_add(weighted(view, compute)),
@@ -330,7 +327,7 @@
 ) -> Option<Scored<'v>> {
     let pieces = (need.prompt_tokens + need.output_max_tokens).kv_pieces();
     let mut best = Best::new(view, |record| {
-        let wait = record.load.decode_wait(view.now, pieces, view.config);
+        let wait = view.decode_wait(record, pieces);
         let time_us = wait.saturating_add(zone_time(view, record, prefill));
         Estimate {
             time_us,
--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -3,7 +3,7 @@
 use std::cell::Cell;
 use std::fmt;
 
-use cuminlead_types::{DurationUs, RegionName, TimeUs};
+use cuminlead_types::{DurationUs, KvPieces, RegionName, TimeUs};
 
 use crate::config::RoutingConfig;
 use crate::link::Links;
@@ -167,6 +167,26 @@
             .cached_blocks(self.now, record.salt ^ salt, &need.prefix_hashes)
     }
 
+    /// Time until a server has computed the prompts that wait.
+    pub fn prefill_wait(&self, record: &ServerRecord) -> DurationUs {
+        let usual = self.servers.usual(record.group);
+        record.load.prefill_wait(self.now, usual, self.config)
+    }
+
+    /// Time until a server has a place for a decode of this size.
+    pub fn decode_wait(&self, record: &ServerRecord, pieces: KvPieces) -> DurationUs {
+        let usual = self.servers.usual(record.group);
+        record
+            .load
+            .decode_wait(self.now, pieces, usual, self.config)
+    }
+
+    /// Requests that a server has.
+    pub fn requests(&self, record: &ServerRecord) -> u64 {
+        let usual = self.servers.usual(record.group);
+        record.load.requests(self.now, usual, self.config)
+    }
+
     /// Regions with the entry's own first.
     pub fn own_first<'p, R>(
         &self,
--- a/crates/routing/src/servers.rs
+++ b/crates/routing/src/servers.rs
@@ -2,24 +2,42 @@
 
 use std::collections::HashMap;
 
-use cuminlead_lists::{HostEntry, HostList, HostState, Lists, ProcessKind};
+use cuminlead_lists::{HostEntry, HostList, HostState, Lists, ProcessKind, ServerDuty, WantedRole};
 use cuminlead_protocol::AgentState;
 use cuminlead_retry::RetryBudget;
-use cuminlead_types::{AvailabilityZoneName, BackendServerId, Incarnation, RegionName, TimeUs};
+use cuminlead_types::{
+    AvailabilityZoneName, BackendServerId, HostId, Incarnation, RegionName, TimeUs,
+};
 use slotmap::{SlotMap, new_key_type};
+use strum::EnumCount;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::config::RoutingConfig;
 use crate::load::ServerLoad;
+use crate::usual::UsualLoad;
 
 new_key_type! {
     /// Backend server within one router.
     pub struct ServerKey;
 }
 
+/// Servers whose loads are alike.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, EnumCount)]
+pub enum ServerGroup {
+    /// Engines that compute prompts.
+    #[default]
+    Prefill,
+    /// Engines that generate answers.
+    Decode,
+    /// Servers of plain services.
+    Service,
+}
+
 /// Place of a backend server, from the host list.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Location {
+    /// Host.
+    pub host: HostId,
     /// Region.
     pub region: RegionName,
     /// Availability zone.
@@ -35,9 +53,12 @@
     pub id: BackendServerId,
     /// Place; a server that no host runs has none.
     pub location: Option<Location>,
+    /// Servers that it is compared with.
+    pub group: ServerGroup,
     /// Life of its agent, as last reported.
     pub incarnation: Incarnation,
-    /// Salt of the server in the prefix memory; a restart changes it, because it empties the cache.
+    /// Salt of the server in the prefix memory; a restart or another host changes it, because the
+    /// cache is empty then.
     pub salt: u64,
     /// Load.
     pub load: ServerLoad,
@@ -48,18 +69,35 @@
 impl ServerRecord {
     fn new(id: BackendServerId) -> Self {
         Self {
-            salt: salt(&id, Incarnation::ZERO),
+            salt: salt(&id, None, Incarnation::ZERO),
             id,
             location: None,
+            group: ServerGroup::default(),
             incarnation: Incarnation::ZERO,
             load: ServerLoad::default(),
             budget: RetryBudget::default(),
         }
     }
+
+    fn host(&self) -> Option<&HostId> {
+        self.location.as_ref().map(|location| &location.host)
+    }
+
+    /// Takes a place; on another host the server starts without load and with an empty cache.
+    fn place(&mut self, location: Option<Location>) {
+        let host = location.as_ref().map(|location| &location.host);
+        if host.is_some() && host != self.host() {
+            self.load = ServerLoad::default();
+            self.salt = salt(&self.id, host, self.incarnation);
+        }
+        self.location = location;
+    }
 }
 
-fn salt(id: &BackendServerId, incarnation: Incarnation) -> u64 {
-    xxh3_64_with_seed(id.as_str().as_bytes(), incarnation.get())
+fn salt(id: &BackendServerId, host: Option<&HostId>, incarnation: Incarnation) -> u64 {
+    let host = host.map_or("", HostId::as_str);
+    let names = [id.as_str(), host].join("\0");
+    xxh3_64_with_seed(names.as_bytes(), incarnation.get())
 }
 
 /// All backend servers of the lists.
@@ -67,6 +105,7 @@
 pub struct Servers {
     records: SlotMap<ServerKey, ServerRecord>,
     keys: HashMap<BackendServerId, ServerKey>,
+    usual: [UsualLoad; ServerGroup::COUNT],
 }
 
 impl Servers {
@@ -80,14 +119,20 @@
             }
             is_listed
         });
-        for id in lists.servers.keys() {
+        for (id, server) in &lists.servers {
             let key = self.key_or_insert(id);
             if let Some(record) = self.records.get_mut(key) {
-                record.location = places.get(id).map(|host| location(host));
+                record.group = group_of(&server.duty);
+                record.place(places.get(id).map(|host| location(host)));
             }
         }
     }
 
+    /// Load that servers of a group lately reported.
+    pub fn usual(&self, group: ServerGroup) -> &UsualLoad {
+        &self.usual[group as usize]
+    }
+
     /// Record of a server.
     pub fn get(&self, key: ServerKey) -> Option<&ServerRecord> {
         self.records.get(key)
@@ -120,9 +165,10 @@
         }
         if state.incarnation > record.incarnation {
             record.incarnation = state.incarnation;
-            record.salt = salt(&record.id, state.incarnation);
+            record.salt = salt(&record.id, record.host(), state.incarnation);
         }
         record.load.observe(now, state.load, config);
+        self.usual[record.group as usize].observe(now, &state.load, config);
     }
 
     fn key_or_insert(&mut self, id: &BackendServerId) -> ServerKey {
@@ -155,8 +201,17 @@
     places
 }
 
+fn group_of(duty: &ServerDuty) -> ServerGroup {
+    match duty {
+        ServerDuty::Engine(engine) if engine.role == WantedRole::Prefill => ServerGroup::Prefill,
+        ServerDuty::Engine(_) => ServerGroup::Decode,
+        ServerDuty::Service(_) => ServerGroup::Service,
+    }
+}
+
 fn location(host: &HostEntry) -> Location {
     Location {
+        host: host.host.clone(),
         region: host.region.clone(),
         zone: host.zone.clone(),
         is_live: host.state == HostState::Live,
--- a/crates/routing/tests/routing.rs
+++ b/crates/routing/tests/routing.rs
@@ -7,7 +7,7 @@
 use cuminlead_protocol::{AgentState, LoadReport};
 use cuminlead_routing::{NoRoute, Route, RouteKind, RouteNeed, Router, RoutingConfig};
 use cuminlead_types::{
-    BackendServerId, Bytes, DurationUs, Incarnation, RegionName, TimeUs, Tokens,
+    BackendServerId, Bytes, DurationUs, Incarnation, KvPieces, RegionName, Slots, TimeUs, Tokens,
 };
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
@@ -270,6 +270,88 @@
     assert!(chosen.len() >= 20, "{} of 40 servers", chosen.len());
 }
 
+/// Engines that decode in the entry's region, when there are 24 engines.
+const OWN_DECODES: [usize; 4] = [1, 7, 13, 19];
+
+/// Decode server of a call.
+fn decode_of(router: &mut Router, at: u64, health: &Health) -> BackendServerId {
+    match router.route(TimeUs(at), health, &pair_need(at)) {
+        Ok(Route::Pair { decode, .. }) => decode,
+        other => panic!("no pair: {other:?}"),
+    }
+}
+
+fn hosts_in_one_zone(engines: usize) -> HostList {
+    let mut hosts = hosts(engines, 1);
+    for host in &mut hosts.hosts {
+        host.zone = parse("zone-0");
+    }
+    hosts
+}
+
+fn report_running(router: &mut Router, at: u64, number: usize, running: u32) {
+    let load = LoadReport {
+        free_slots: Slots(20_u32.saturating_sub(running)),
+        free_pieces: KvPieces(80),
+        running_count: running,
+        ..LoadReport::default()
+    };
+    let state = AgentState {
+        server: engine(number),
+        incarnation: Incarnation(1),
+        load,
+        ..AgentState::default()
+    };
+    router.observe(TimeUs(at), &state);
+}
+
+/// Guards against a server without a recent report that never gets work while the load is low, and
+/// against one that is taken for idle while every other one is nearly full.
+#[parameterized(
+    low_load = { 3, 2, true },
+    others_like_this_one = { 18, 17, true },
+    others_busier = { 8, 18, false },
+)]
+fn server_without_report(running: u32, others_running: u32, gets_work: bool) {
+    const LONG_AGO_US: u64 = 60_000_000;
+    let mut router = router("prefix-cost", lists(24, 1), hosts_in_one_zone(24));
+    let [known, silent, others @ ..] = OWN_DECODES;
+    report_running(&mut router, 0, silent, 0);
+    for at in (0..1_000).map(|number| LONG_AGO_US + number) {
+        for other in others {
+            report_running(&mut router, at, other, others_running);
+        }
+        report_running(&mut router, at, known, running);
+    }
+    let health = Health {
+        unusable: others.into_iter().map(engine).collect(),
+        ..Health::default()
+    };
+    let now = LONG_AGO_US + 1_000;
+    let chosen = [now, now + 1].map(|at| decode_of(&mut router, at, &health));
+    assert_eq!(chosen.contains(&engine(silent)), gets_work, "{chosen:?}");
+}
+
+/// Guards against the load of an earlier process that keeps work from its successor.
+#[test]
+fn replaced_server_starts_without_load() {
+    let mut hosts = hosts_in_one_zone(24);
+    let mut router = router("prefix-cost", lists(24, 1), hosts.clone());
+    let [replaced, others @ ..] = OWN_DECODES;
+    report_running(&mut router, 0, replaced, 18);
+    let server = Some(engine(replaced));
+    let mut its = hosts.hosts.iter_mut().filter(|host| host.server == server);
+    its.next().expect("its host").host = parse("successor");
+    router.apply(Arc::new(lists(24, 1)), Arc::new(hosts));
+    for at in 1..1_000 {
+        others
+            .iter()
+            .for_each(|other| report_running(&mut router, at, *other, 6));
+    }
+    let chosen = [1_000; 4].map(|at| decode_of(&mut router, at, &Health::default()));
+    assert!(chosen.contains(&engine(replaced)), "{chosen:?}");
+}
+
 /// Guards against leaving the entry's region without need, and against paid volume that is not
 /// counted.
 #[parameterized(
