Add example lists of both deployments and check them

Cause: an operator had the format of the lists in the design only, and the lists of the demo were a second version that no file showed. check-lists existed, but named a file as plans/FILE, accepted a call without any file and did not know the 1 MB limit of a value.

Ruled out: a second command for directories; both options may already be repeated. Generated lists for the demo; the demo now publishes the example files, and a test compares their servers and routes with the deployments that the launcher starts.

Before: no example lists, no test of check-lists.

--- a/crates/dev/examples/demo.rs
+++ b/crates/dev/examples/demo.rs
@@ -7,6 +7,7 @@
 use cuminlead_dev::caller::{Caller, Received};
 use cuminlead_dev::engine::text;
 use cuminlead_dev::fleet::deployment::Deployment;
+use cuminlead_dev::fleet::lists::ListsSource;
 use cuminlead_dev::fleet::{Fleet, FleetConfig};
 use gumdrop::Options;
 use serde_json::json;
@@ -31,7 +32,12 @@
 fn main() -> Result<(), Box<dyn Error>> {
     let arguments = Arguments::parse_args_default_or_exit();
     let deployment: Deployment = arguments.deployment.parse()?;
-    let mut fleet = match Fleet::start(FleetConfig::new(deployment)) {
+    let lists = ListsSource::examples_of(&deployment);
+    let config = FleetConfig {
+        lists,
+        ..FleetConfig::new(deployment)
+    };
+    let mut fleet = match Fleet::start(config) {
         Ok(fleet) => fleet,
         Err(error) => return fail(&error),
     };
--- a/crates/dev/src/fleet/mod.rs
+++ b/crates/dev/src/fleet/mod.rs
@@ -41,6 +41,7 @@
 use crate::client;
 use crate::platform::HostRecord;
 use deployment::{Deployment, EntryPlace, ServerPlace};
+use lists::ListsSource;
 use process::{Process, Program, Signal, binary, example};
 
 /// Key of the one published plans part.
@@ -61,15 +62,17 @@
 pub struct FleetConfig {
     /// Deployment.
     pub deployment: Deployment,
+    /// Where the published lists come from.
+    pub lists: ListsSource,
     /// Longest time until all entries are ready.
     pub ready_max: Duration,
     /// Longest time that an agent or entry may take to shut down.
     pub shutdown_max: Duration,
-    /// Rate and burst of the customer's plan.
+    /// Rate and burst of the customer's plan in generated lists.
     pub requests_per_second: u32,
-    /// First-token target of the plan.
+    /// First-token target of the plan in generated lists.
     pub first_token_ms: u64,
-    /// Between-tokens target of the plan.
+    /// Between-tokens target of the plan in generated lists.
     pub between_tokens_ms: u64,
     /// Further settings of all agents: key and TOML value.
     pub agent_settings: BTreeMap<String, String>,
@@ -90,6 +93,7 @@
         let drain = ("drain_delay_ms".to_string(), "200".to_string());
         Self {
             deployment,
+            lists: ListsSource::default(),
             ready_max: Duration::from_secs(30),
             shutdown_max: Duration::from_secs(20),
             requests_per_second: 1_000,
@@ -284,6 +288,10 @@
 
     /// Publishes plans and allowances of the configuration.
     pub fn publish_lists(&self) -> io::Result<()> {
+        if let ListsSource::Examples(examples) = self.config.lists {
+            self.publish(PLANS_KEY, &examples.plans_with(&self.key))?;
+            return self.publish(ALLOWANCES_KEY, examples.allowances);
+        }
         self.publish(PLANS_KEY, &lists::plans(&self.config, &self.key))?;
         self.publish(ALLOWANCES_KEY, &lists::allowances(&self.config.deployment))
     }
--- a/crates/dev/tests/fleet.rs
+++ b/crates/dev/tests/fleet.rs
@@ -7,11 +7,12 @@
 use cuminlead_dev::behaviour::Mode;
 use cuminlead_dev::client;
 use cuminlead_dev::fleet::deployment::{Deployment, bucaramanga, relojeria};
+use cuminlead_dev::fleet::lists::{self, ListsSource};
 use cuminlead_dev::fleet::process::Signal;
 use cuminlead_dev::fleet::{ALLOWANCES_KEY, Fleet, FleetConfig, PLANS_KEY, settings};
-use cuminlead_lists::{Part, PartKey, Snapshot};
+use cuminlead_lists::{Lists, Part, PartKey, Snapshot};
 use cuminlead_settings::{AgentSettings, EntrySettings};
-use cuminlead_types::Revision;
+use cuminlead_types::{AdapterName, CustomerId, ModelName, Revision, ServiceName};
 use serde_json::{Value, json};
 use yare::parameterized;
 
@@ -51,6 +52,54 @@
     assert_eq!(lists.servers.len(), fleet.config.deployment.servers.len());
 }
 
+fn check(parts: [(&str, &str); 2]) -> Lists {
+    let parts = parts.map(|(key, text)| Part {
+        key: PartKey::new(key),
+        revision: Revision(1),
+        text: text.to_string(),
+    });
+    Snapshot::new(Revision(1), parts).check().expect("valid")
+}
+
+/// Guards against example files that describe another deployment than the one that is started, and
+/// against a demo whose key opens nothing.
+#[parameterized(
+    of_relojeria = { relojeria() },
+    of_bucaramanga = { bucaramanga() },
+)]
+fn example_lists_describe_the_deployment(deployment: Deployment) {
+    let ListsSource::Examples(examples) = ListsSource::examples_of(&deployment) else {
+        panic!("no example lists of {}", deployment.name);
+    };
+    let plans = examples.plans_with("key");
+    let shown = check([(PLANS_KEY, &plans), (ALLOWANCES_KEY, examples.allowances)]);
+    let model: ModelName = deployment.model.parse().expect("model");
+    let service: ServiceName = deployment.service.parse().expect("service");
+    let adapter: AdapterName = deployment.adapter.parse().expect("adapter");
+    let config = FleetConfig::new(deployment);
+    let plans = lists::plans(&config, "key");
+    let allowances = lists::allowances(&config.deployment);
+    let generated = check([(PLANS_KEY, &plans), (ALLOWANCES_KEY, &allowances)]);
+    assert_eq!(shown.servers, generated.servers);
+    assert_eq!(shown.routes, generated.routes);
+    let key = generated.customers.values().next().expect("customer");
+    let customer: CustomerId = examples.customer.parse().expect("customer");
+    assert_eq!(shown.customers[&customer].key_sha256, key.key_sha256);
+    for adapter in [None, Some(&adapter)] {
+        let grant = shown.check_model(&customer, &model, adapter, None);
+        assert_eq!(
+            grant.expect("grant").allowance.servers.len(),
+            config
+                .deployment
+                .servers
+                .iter()
+                .filter(|place| place.role().is_some())
+                .count()
+        );
+    }
+    assert!(shown.check_service(&customer, &service).is_ok());
+}
+
 /// Guards against settings files that both binaries refuse.
 #[parameterized(
     of_relojeria = { relojeria() },
--- a/crates/process/src/cli.rs
+++ b/crates/process/src/cli.rs
@@ -3,12 +3,13 @@
 //! Exit status: 0 when the command did what it was asked, 1 when something was found or failed,
 //! 2 when the command line is wrong.
 
+use std::collections::BTreeMap;
 use std::fmt::Display;
 use std::fs;
 use std::process::ExitCode;
 
 use cuminlead_kernel::{PluginPoint, plugins_at};
-use cuminlead_lists::{Part, PartKey, Snapshot};
+use cuminlead_lists::{Lists, Part, PartKey, Snapshot};
 use cuminlead_settings::{AgentSettings, EntrySettings};
 use cuminlead_types::{Findings, Place, Revision};
 use error_stack::{AttachmentKind, FrameKind, Report};
@@ -20,6 +21,9 @@
 const EXIT_FOUND: u8 = 1;
 const EXIT_USAGE: u8 = 2;
 
+/// Largest value that the configuration service holds.
+const PART_MAX_BYTES: usize = 1_000_000;
+
 /// Runs a process, checks its settings or the lists, or describes the binary.
 #[derive(Debug, Options)]
 pub struct CommandLine {
@@ -76,6 +80,12 @@
     allowances: Vec<String>,
 }
 
+impl ListOptions {
+    fn is_empty(&self) -> bool {
+        self.plans.is_empty() && self.allowances.is_empty()
+    }
+}
+
 /// Settings of one of the binaries.
 pub trait ProcessSettings: Display + Sized {
     /// Reads a settings file; `file` names it in findings.
@@ -144,6 +154,13 @@
             print!("{settings}");
             ExitCode::SUCCESS
         }),
+        Some(Command::CheckLists(options)) if options.is_empty() => {
+            eprintln!(
+                "{}: check-lists needs --plans FILE or --allowances FILE",
+                program.name
+            );
+            ExitCode::from(EXIT_USAGE)
+        }
         Some(Command::CheckLists(options)) => report(check_lists(&options)),
         Some(Command::Plugins(_)) => {
             print_plugins();
@@ -193,28 +210,32 @@
 }
 
 fn read(file: &str) -> Result<String, Findings> {
-    fs::read_to_string(file).map_err(|error| {
-        let mut findings = Findings::new();
-        let place = Place {
-            file: file.to_string(),
-            ..Place::default()
-        };
-        findings.add(place, format!("cannot be read: {error}"));
-        findings
-    })
+    fs::read_to_string(file).map_err(|error| about_file(file, format!("cannot be read: {error}")))
+}
+
+fn about_file(file: &str, message: String) -> Findings {
+    let mut findings = Findings::new();
+    let place = Place {
+        file: file.to_string(),
+        ..Place::default()
+    };
+    findings.add(place, message);
+    findings
 }
 
 fn check_lists(options: &ListOptions) -> Result<(), String> {
     let plans = options.plans.iter().map(|file| ("plans", file));
     let allowances = options.allowances.iter().map(|file| ("allowances", file));
     let mut findings = Findings::new();
+    let mut files = BTreeMap::new();
     let mut parts = Vec::new();
     for (kind, file) in plans.chain(allowances) {
-        match read(file) {
+        match read_part(file) {
             Ok(text) => {
-                let key = PartKey::new(format!("{kind}/{file}"));
+                let key = format!("{kind}/{file}");
+                files.insert(key.clone(), file);
                 parts.push(Part {
-                    key,
+                    key: PartKey::new(key),
                     revision: Revision(1),
                     text,
                 });
@@ -222,16 +243,44 @@
             Err(unreadable) => findings.extend(unreadable),
         }
     }
-    match Snapshot::new(Revision(1), parts).check() {
-        Ok(lists) if findings.is_empty() => {
-            let (customers, servers) = (lists.customers.len(), lists.servers.len());
-            println!("no findings: customers={customers} servers={servers}");
-            return Ok(());
+    let checked = Snapshot::new(Revision(1), parts).check();
+    let lists = match checked {
+        Ok(lists) => lists,
+        Err(found) => {
+            for finding in found.iter() {
+                findings.add(in_file(&finding.place, &files), finding.message.clone());
+            }
+            Lists::default()
         }
-        Ok(_) => {}
-        Err(found) => findings.extend(found),
+    };
+    if !findings.is_empty() {
+        return Err(findings.to_string());
+    }
+    let (customers, servers) = (lists.customers.len(), lists.servers.len());
+    println!("no findings: customers={customers} servers={servers}");
+    Ok(())
+}
+
+fn read_part(file: &str) -> Result<String, Findings> {
+    let text = read(file)?;
+    if text.len() <= PART_MAX_BYTES {
+        return Ok(text);
+    }
+    let message = format!(
+        "{} bytes are more than the {PART_MAX_BYTES} that the configuration service holds; \
+         split the list into parts",
+        text.len()
+    );
+    Err(about_file(file, message))
+}
+
+/// Place in the file that was read as a part.
+fn in_file(place: &Place, files: &BTreeMap<String, &String>) -> Place {
+    let mut place = place.clone();
+    if let Some(file) = files.get(&place.file) {
+        place.file.clone_from(file);
     }
-    Err(findings.to_string())
+    place
 }
 
 fn print_plugins() {
