Trace every hop and test collectors that fail

Cause: no test received a span. The transfer between engines and the call to a plain service had none, the agent's decode span was not the parent of what it caused, and a service never saw the caller's trace context, although docs/api.md says that it is passed on.

Ruled out: trace context in the decision code's commands; the control thread knows the message that it decides on, so its context is the parent. A collector over a hand-written protocol: opentelemetry-proto, which the exporter pulls in already, has the service of OTLP, so no package was added to Cargo.lock.

Before: a traced model call gave no span for its transfer and a traced application call none for the service.

--- a/crates/agent/src/backend/engine.rs
+++ b/crates/agent/src/backend/engine.rs
@@ -105,7 +105,7 @@
         }
     }
 
-    fn command_service(&self, _command: ServiceCommand) {}
+    fn command_service(&self, _command: ServiceCommand, _traceparent: String) {}
 
     fn has_inventory(&self) -> bool {
         true
--- a/crates/agent/src/backend/mod.rs
+++ b/crates/agent/src/backend/mod.rs
@@ -30,8 +30,8 @@
     /// Carries out a command to a model engine.
     fn command_engine(&self, command: EngineCommand);
 
-    /// Carries out a command to a plain service.
-    fn command_service(&self, command: ServiceCommand);
+    /// Carries out a command to a plain service under a W3C trace context, or an empty one.
+    fn command_service(&self, command: ServiceCommand, traceparent: String);
 
     /// Whether the agent reads an inventory from this kind.
     fn has_inventory(&self) -> bool;
--- a/crates/agent/src/backend/service.rs
+++ b/crates/agent/src/backend/service.rs
@@ -63,9 +63,10 @@
 impl Backend for ServiceBackend {
     fn command_engine(&self, _command: EngineCommand) {}
 
-    fn command_service(&self, command: ServiceCommand) {
+    fn command_service(&self, command: ServiceCommand, traceparent: String) {
         let client = Arc::clone(&self.client);
-        self.pool.execute(move || client.run(&command));
+        self.pool
+            .execute(move || client.run(&command, &traceparent));
     }
 
     fn has_inventory(&self) -> bool {
@@ -74,8 +75,8 @@
 }
 
 impl ServiceClient {
-    fn run(&self, command: &ServiceCommand) {
-        let event = match self.send(command) {
+    fn run(&self, command: &ServiceCommand, traceparent: &str) {
+        let event = match self.send(command, traceparent) {
             Ok(http) => ServiceEvent::Answered {
                 run: command.run,
                 http,
@@ -86,7 +87,7 @@
         (self.events)(BackendEvent::Service(event));
     }
 
-    fn send(&self, command: &ServiceCommand) -> Result<HttpResponse, Failure> {
+    fn send(&self, command: &ServiceCommand, traceparent: &str) -> Result<HttpResponse, Failure> {
         let http = &command.http;
         let mut request = Request::builder()
             .method(http.method.as_str())
@@ -95,6 +96,9 @@
         if !http.content_type.is_empty() {
             request = request.header(header::CONTENT_TYPE, &http.content_type);
         }
+        if !traceparent.is_empty() {
+            request = request.header("traceparent", traceparent);
+        }
         let request = request
             .body(http.body.clone())
             .map_err(|_| Failure::NotSent)?;
--- a/crates/agent/src/controller.rs
+++ b/crates/agent/src/controller.rs
@@ -21,6 +21,7 @@
 use tokio::sync::{mpsc, oneshot};
 
 use crate::backend::Backend;
+use crate::hops::Hops;
 use crate::status::AgentMetrics;
 
 /// Event for the agent's control thread.
@@ -77,6 +78,8 @@
     pub feed: Feed,
     /// Driver of the back end.
     pub backend: Box<dyn Backend>,
+    /// Spans of the hops to the back end.
+    pub hops: Hops,
     /// Metrics.
     pub metrics: AgentMetrics,
     /// State shared with the admin address.
@@ -128,6 +131,13 @@
         self.apply(now, update);
     }
 
+    /// Decides on a message of an entry, whose trace context is the parent of hops to the back end.
+    fn decide_under(&mut self, now: Now, traceparent: String, event: AgentEvent) {
+        self.parts.hops.set_parent(traceparent);
+        self.decide(now, event);
+        self.parts.hops.set_parent(String::new());
+    }
+
     fn decide(&mut self, now: Now, event: AgentEvent) {
         let started = Instant::now();
         let mut actions = std::mem::take(&mut self.actions);
@@ -157,8 +167,14 @@
             AgentAction::CloseStream { stream } => {
                 self.streams.remove(&stream);
             }
-            AgentAction::Engine(command) => self.parts.backend.command_engine(command),
-            AgentAction::Service(command) => self.parts.backend.command_service(command),
+            AgentAction::Engine(command) => {
+                self.parts.hops.command_engine(&command);
+                self.parts.backend.command_engine(command);
+            }
+            AgentAction::Service(command) => {
+                let traceparent = self.parts.hops.command_service(&command);
+                self.parts.backend.command_service(command, traceparent);
+            }
             AgentAction::Record(record) => self.record(&record),
             AgentAction::Drained => {
                 info!(self.parts.log, "agent drained");
@@ -262,7 +278,8 @@
             } => {
                 self.see_revisions(now, request.envelope());
                 self.calls.insert(call, reply);
-                self.decide(now, AgentEvent::Request { call, request });
+                let traceparent = request.envelope().traceparent.clone();
+                self.decide_under(now, traceparent, AgentEvent::Request { call, request });
             }
             ControlEvent::Stream {
                 stream,
@@ -270,7 +287,8 @@
                 events,
             } => {
                 self.streams.insert(stream, events);
-                self.decide(now, AgentEvent::StreamOpened { stream, open });
+                let traceparent = open.envelope.traceparent.clone();
+                self.decide_under(now, traceparent, AgentEvent::StreamOpened { stream, open });
             }
             ControlEvent::Agent(event) => {
                 if let AgentEvent::CallDropped { call } = event {
@@ -281,8 +299,14 @@
                 }
                 self.decide(now, event);
             }
-            ControlEvent::Engine(event) => self.decide(now, AgentEvent::Engine(event)),
-            ControlEvent::Service(event) => self.decide(now, AgentEvent::Service(event)),
+            ControlEvent::Engine(event) => {
+                self.parts.hops.engine_reported(&event);
+                self.decide(now, AgentEvent::Engine(event));
+            }
+            ControlEvent::Service(event) => {
+                self.parts.hops.service_reported(&event);
+                self.decide(now, AgentEvent::Service(event));
+            }
             ControlEvent::Feed(event) => {
                 let update = self.parts.feed.handle(now.mono_us, event);
                 self.apply(now, update);
--- a/crates/agent/src/process.rs
+++ b/crates/agent/src/process.rs
@@ -27,6 +27,7 @@
 
 use crate::backend::{self, BackendContext, BackendEvent};
 use crate::controller::{AgentController, AgentFlags, ControlEvent, ControllerParts};
+use crate::hops::Hops;
 use crate::rpc::AgentRpc;
 use crate::status::{AgentAdmin, AgentMetrics};
 
@@ -96,6 +97,7 @@
         context: AgentContext::new(config(settings, incarnation)),
         feed,
         backend: build_backend(settings, &control)?,
+        hops: Hops::new(tracing.clone()),
         metrics: agent_metrics,
         flags,
         drain_max_us: (*settings.drain_max_ms()).into(),
--- a/crates/agent/src/rpc.rs
+++ b/crates/agent/src/rpc.rs
@@ -111,9 +111,11 @@
     ) -> Result<Response<Self::DecodeStream>, Status> {
         self.secret.check(&request)?;
         let mut messages = request.into_inner();
-        let open = first_message(&mut messages).await?;
+        let mut open = first_message(&mut messages).await?;
         let stream = StreamRef(self.next_ref());
-        let span = self.tracing.hop("decode", &open.envelope.traceparent);
+        let mut span = self.tracing.hop("decode", &open.envelope.traceparent);
+        span.attribute("cuminlead.request", open.envelope.id.to_string());
+        open.envelope.traceparent = span.traceparent().to_string();
         let (events, receiver) = mpsc::unbounded_channel::<DecodeEvent>();
         self.send(ControlEvent::Stream {
             stream,
--- a/crates/dev/src/lib.rs
+++ b/crates/dev/src/lib.rs
@@ -5,6 +5,7 @@
 //! | [`bench`] | deterministic driver of the decision code |
 //! | [`behaviour`] | faults that a stand-in can be told to show |
 //! | [`http`] | the HTTP listener that all stand-ins share |
+//! | [`collector`] | collector of traces |
 //! | [`client`] | short JSON calls to stand-ins and processes |
 //! | [`engine`] | model engine |
 //! | [`service`] | plain service that counts its effects |
@@ -18,6 +19,7 @@
 pub mod bench;
 pub mod caller;
 pub mod client;
+pub mod collector;
 pub mod engine;
 pub mod fleet;
 pub mod http;
--- /dev/null
+++ b/crates/dev/tests/process_traces.rs
@@ -0,0 +1,177 @@
+//! Traces: a span for each hop under the caller's trace id, and collectors that fail.
+
+use std::collections::BTreeMap;
+use std::net::TcpListener;
+use std::time::Duration;
+
+use cuminlead_dev::caller::Received;
+use cuminlead_dev::collector::{Collector, CollectorMode};
+use cuminlead_dev::fleet::requests::{Question, RawRequest, Turn};
+use cuminlead_dev::fleet::small::{Sizes, small};
+use cuminlead_dev::fleet::{Fleet, FleetConfig};
+use serde_json::json;
+use yare::parameterized;
+
+const REQUEST_LIMIT: Duration = Duration::from_secs(120);
+const STEP_LIMIT: Duration = Duration::from_secs(30);
+/// Longest graceful shutdown in the design.
+const SHUTDOWN_MAX: Duration = Duration::from_secs(120);
+const MODEL_TRACE: &str = "4bf92f3577b34da6a3ce929d0e0e4736";
+const CALL_TRACE: &str = "0af7651916cd43dd8448eb211c80319c";
+const CALLER_SPAN: &str = "00f067aa0ba902b7";
+const SIZES: Sizes = Sizes {
+    prefills: 1,
+    decodes: 1,
+    services: 1,
+};
+
+/// Small deployment whose processes all export to one collector.
+fn config(collector: &str) -> FleetConfig {
+    let mut config = FleetConfig::new(small(SIZES));
+    config.shutdown_max = SHUTDOWN_MAX;
+    for settings in [&mut config.agent_settings, &mut config.entry_settings] {
+        settings.insert("collector_address".to_string(), format!("\"{collector}\""));
+    }
+    config
+}
+
+fn under(trace: &str, request: RawRequest) -> RawRequest {
+    request.with("traceparent", format!("00-{trace}-{CALLER_SPAN}-01"))
+}
+
+fn expected(names: &[(&str, usize)]) -> BTreeMap<String, usize> {
+    let counts = names.iter().map(|name| (name.0.to_string(), name.1));
+    counts.collect()
+}
+
+/// Guards against a hop without a span, a span outside the caller's trace or without its parent, and
+/// spans that are lost because a process shuts down.
+#[test]
+fn every_hop_has_a_span_under_the_trace_of_the_caller() {
+    let _turn = Turn::wait();
+    let collector = Collector::start(CollectorMode::Keep).expect("collector");
+    let fleet = Fleet::start(config(&collector.address().to_string())).expect("start");
+    let question = Question::new("of a traced request", 8);
+    let model = RawRequest::new("/v1/chat/completions", fleet.body_of(&question));
+    let charge = RawRequest::new(
+        "/v1/services/counter/charges",
+        json!({ "reference": "traced", "amount": 1 }),
+    );
+    for request in [under(MODEL_TRACE, model), under(CALL_TRACE, charge)] {
+        let answer = fleet.send("entry-1", &request, REQUEST_LIMIT);
+        assert_eq!(answer.expect("answer").status, 200);
+    }
+    fleet.stop().expect("clean end");
+    assert_eq!(
+        collector.counts(MODEL_TRACE),
+        expected(&[
+            ("cuminlead-entry model_call", 1),
+            ("cuminlead-entry reserve", 1),
+            ("cuminlead-agent reserve", 1),
+            ("cuminlead-entry prefill", 1),
+            ("cuminlead-agent prefill", 1),
+            ("cuminlead-entry decode", 1),
+            ("cuminlead-agent decode", 1),
+            ("cuminlead-agent transfer", 1),
+            ("cuminlead-entry release", 1),
+            ("cuminlead-agent release", 1),
+        ])
+    );
+    assert_eq!(
+        collector.counts(CALL_TRACE),
+        expected(&[
+            ("cuminlead-entry application_call", 1),
+            ("cuminlead-entry issue_permit", 1),
+            ("cuminlead-agent issue_permit", 1),
+            ("cuminlead-entry run_call", 1),
+            ("cuminlead-agent run_call", 1),
+            ("cuminlead-agent service", 1),
+        ])
+    );
+    for trace in [MODEL_TRACE, CALL_TRACE] {
+        let spans = collector.spans(trace);
+        for span in &spans {
+            let is_linked =
+                span.parent == CALLER_SPAN || spans.iter().any(|other| other.id == span.parent);
+            assert!(is_linked, "no parent of {span:?} in {spans:?}");
+        }
+        let roots = spans.iter().filter(|span| span.parent == CALLER_SPAN);
+        assert_eq!(roots.count(), 1, "{spans:?}");
+    }
+}
+
+/// How a collector fails.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Failing {
+    /// Nothing listens at its address.
+    Down,
+    /// Connections are made and never read.
+    Silent,
+    /// Exports are read or refused as in this mode.
+    Mode(CollectorMode),
+}
+
+/// Guards against tracing that delays, changes or loses an answer, or holds up a shutdown, because
+/// the collector fails.
+#[parameterized(
+    down = { Failing::Down },
+    silent = { Failing::Silent },
+    hanging = { Failing::Mode(CollectorMode::Hang) },
+    refusing = { Failing::Mode(CollectorMode::Refuse) },
+    failing = { Failing::Mode(CollectorMode::Fail) },
+)]
+fn failing_collector_changes_no_answer(failing: Failing) {
+    let _turn = Turn::wait();
+    let listener = TcpListener::bind("127.0.0.1:0").expect("listener");
+    let mut address = listener.local_addr().expect("address");
+    let mut collector = None;
+    match failing {
+        Failing::Down => drop(listener),
+        Failing::Silent => {}
+        Failing::Mode(mode) => {
+            let started = Collector::start(mode).expect("collector");
+            address = started.address();
+            collector = Some(started);
+        }
+    }
+    let mut config = config(&address.to_string());
+    config.engine_arguments = vec!["--step-us".to_string(), "20000".to_string()];
+    let fleet = Fleet::start(config).expect("start");
+    let questions: Vec<Question> = (0..12)
+        .map(|number| Question::new(&format!("of an untraced request {number}"), 8))
+        .collect();
+    let asked: Vec<_> = questions
+        .iter()
+        .map(|question| fleet.ask_in_background("entry-1", question, REQUEST_LIMIT))
+        .collect();
+    let charger = fleet.charger("entry-2", REQUEST_LIMIT).expect("charger");
+    for number in 0..12 {
+        let answer = charger.send(&format!("untraced-{number}"), &[]);
+        assert_eq!(answer.expect("answer").status, 200);
+    }
+    for (question, asked) in questions.iter().zip(asked) {
+        question
+            .check(&joined(asked.expect("ask")))
+            .expect("whole answer");
+    }
+    let errors = fleet.metric("entry-1", "cuminlead_entry_errors_total");
+    assert_eq!(errors.expect("metrics"), 0.0);
+    if let Some(collector) = &collector {
+        fleet
+            .wait_for("an export arrives", STEP_LIMIT, |_| {
+                Ok(collector.requests_count() > 0)
+            })
+            .expect("export");
+    }
+    let question = Question::long("at the end", 30);
+    let asked = fleet.ask_in_background("entry-1", &question, REQUEST_LIMIT);
+    fleet.wait_until_decoding(STEP_LIMIT).expect("decode");
+    fleet.stop().expect("clean end within the bound");
+    question
+        .check(&joined(asked.expect("ask")))
+        .expect("whole answer");
+}
+
+fn joined(asked: std::thread::JoinHandle<std::io::Result<Received>>) -> Received {
+    asked.join().expect("asking thread").expect("answer")
+}
