Read only what changed from the platform

An answer of the platform now names the revision `since` that its changes start from, with removed parts and hosts, and has everything without it. The client sends the revision in force; a watch that waits for a revision after a refused one reads the changes since the one in force with a second call. A reading of the host list is answered at once; the interval of 1 s moved from the client to the distribution, where virtual time checks it. Ruled out: dropping an answer when a peer led the process on meanwhile, because the next question of a process that is cut off may be 10 s later. Changes up to a revision also lead there from every revision on the way (lists/continued.rs). Conclusion: changes only, also against a platform that answers everything, has forgotten the revision or is behind.

--- a/crates/dev/examples/platform.rs
+++ b/crates/dev/examples/platform.rs
@@ -22,6 +22,7 @@
     let config = PlatformConfig {
         address: arguments.address,
         hosts_lag: Duration::from_millis(arguments.hosts_lag_ms),
+        ..PlatformConfig::default()
     };
     announce_and_wait(Platform::start(&config)?)
 }
--- a/crates/dev/src/capacity/world.rs
+++ b/crates/dev/src/capacity/world.rs
@@ -282,6 +282,7 @@
                 source,
                 after,
                 wait,
+                ..
             } => {
                 self.call(Watch {
                     node,
@@ -295,6 +296,7 @@
                 call,
                 source,
                 after,
+                ..
             } => {
                 let wait = DurationUs::ZERO;
                 self.call(Watch {
--- a/crates/dev/src/platform/mod.rs
+++ b/crates/dev/src/platform/mod.rs
@@ -2,12 +2,17 @@
 //!
 //! | call | answer |
 //! |---|---|
-//! | `GET /v1/config?since=REVISION` | `{revision, parts: [{key, revision, text}]}`, parts after `since` |
+//! | `GET /v1/config?since=REVISION` | `{revision, since, parts: [{key, revision, text}], removed: [key]}`, parts after `since` |
 //! | `GET /v1/watch?since=REVISION&wait_ms=N` | the same, as soon as there is a change or the wait ends |
-//! | `GET /v1/hosts` | `{revision, hosts: [{host, region, availability_zone, state, process, address, server}]}` |
+//! | `GET /v1/hosts?since=REVISION` | `{revision, since, hosts: [{host, region, availability_zone, state, process, address, server}], removed: [host]}` |
 //! | `GET /control/calls` | `{calls}`; a watch counts one call for each second begun |
 //! | `POST /control/publish {key, text}` | `{revision}`; the operator's own tool |
+//! | `POST /control/remove {key}` | `{revision}`; removes a part |
 //! | `POST /control/hosts {hosts: [...]}` | `{revision}`; replaces the host list |
+//! | `POST /control/forget {}` | `{}`; changes before the present revisions are not known any more |
+//!
+//! An answer without `since` has everything: `since` is 0 or missing, the changes are not known any
+//! more, or the platform was started with `answers_whole`.
 
 mod store;
 
@@ -36,6 +41,8 @@
     pub address: String,
     /// Age of the host list that is served.
     pub hosts_lag: Duration,
+    /// Whether each answer has everything, as that of a platform that keeps no changes.
+    pub answers_whole: bool,
 }
 
 impl Default for PlatformConfig {
@@ -43,6 +50,7 @@
         Self {
             address: "127.0.0.1:0".to_string(),
             hosts_lag: Duration::ZERO,
+            answers_whole: false,
         }
     }
 }
@@ -58,6 +66,11 @@
     hosts: Vec<HostRecord>,
 }
 
+#[derive(Deserialize)]
+struct Remove {
+    key: String,
+}
+
 #[derive(Default)]
 struct State {
     store: Store,
@@ -67,6 +80,7 @@
 /// Platform.
 pub struct Platform {
     hosts_lag: Duration,
+    answers_whole: bool,
     calls: AtomicU64,
     state: Mutex<State>,
     published: Condvar,
@@ -78,6 +92,7 @@
         let behaviour = Arc::new(Behaviour::default());
         let platform = Arc::new(Self {
             hosts_lag: config.hosts_lag,
+            answers_whole: config.answers_whole,
             calls: AtomicU64::new(0),
             state: Mutex::default(),
             published: Condvar::new(),
@@ -95,7 +110,12 @@
 
     fn config(&self, since: u64) -> Answer {
         self.count_call();
-        Answer::ok(self.lock().readable().parts_since(since))
+        Answer::ok(self.lock().readable().parts_since(self.base(since)))
+    }
+
+    /// Revision that an answer starts from; zero for everything.
+    fn base(&self, since: u64) -> u64 {
+        if self.answers_whole { 0 } else { since }
     }
 
     fn watch(&self, since: u64, wait_ms: u64) -> Answer {
@@ -109,17 +129,18 @@
                 .published
                 .wait_timeout_while(state, slice, |state| state.readable().revision() <= since)
                 .unwrap_or_else(PoisonError::into_inner);
-            let document = waited.0.readable().parts_since(since);
+            let document = waited.0.readable().parts_since(self.base(since));
             if document.revision > since || Instant::now() >= deadline {
                 return Answer::ok(document);
             }
         }
     }
 
-    fn hosts(&self) -> Answer {
+    fn hosts(&self, since: u64) -> Answer {
         self.count_call();
         let shown_at = Instant::now().checked_sub(self.hosts_lag);
-        Answer::ok(self.lock().readable().hosts_at(shown_at))
+        let since = self.base(since);
+        Answer::ok(self.lock().readable().hosts_since(shown_at, since))
     }
 
     fn publish(&self, call: &Call) -> Answer {
@@ -135,6 +156,21 @@
         Answer::ok(json!({ "revision": revision }))
     }
 
+    fn remove(&self, call: &Call) -> Answer {
+        let remove: Remove = match call.json() {
+            Ok(remove) => remove,
+            Err(refusal) => return refusal,
+        };
+        let revision = self.lock().store.remove(&remove.key);
+        self.published.notify_all();
+        Answer::ok(json!({ "revision": revision }))
+    }
+
+    fn forget(&self) -> Answer {
+        self.lock().store.forget();
+        Answer::ok(json!({}))
+    }
+
     fn publish_hosts(&self, call: &Call) -> Answer {
         match call.json::<PublishHosts>() {
             Ok(publish) => {
@@ -158,11 +194,13 @@
         match (call.method.as_str(), call.path.as_str()) {
             ("GET", "/v1/config") => self.config(since),
             ("GET", "/v1/watch") => self.watch(since, call.number("wait_ms", 0)),
-            ("GET", "/v1/hosts") => self.hosts(),
+            ("GET", "/v1/hosts") => self.hosts(since),
             ("GET", "/control/calls") => {
                 Answer::ok(json!({ "calls": self.calls.load(Ordering::Relaxed) }))
             }
             ("POST", "/control/publish") => self.publish(call),
+            ("POST", "/control/remove") => self.remove(call),
+            ("POST", "/control/forget") => self.forget(),
             ("POST", "/control/hosts") => self.publish_hosts(call),
             _ => Answer::error(404, "unknown path"),
         }
--- a/crates/dev/tests/process_lists.rs
+++ b/crates/dev/tests/process_lists.rs
@@ -99,6 +99,7 @@
     let hosts = HostsDocument {
         revision: 1,
         hosts: fleet.hosts().expect("hosts"),
+        ..HostsDocument::default()
     };
     let down = Arc::new(HostsOnly(hosts));
     let address = serve("127.0.0.1:0", Arc::new(Behaviour::default()), down);
--- a/crates/dev/tests/stand_ins.rs
+++ b/crates/dev/tests/stand_ins.rs
@@ -86,7 +86,7 @@
         );
         let part = json!({"key": "allowances/main", "revision": 2, "text": "b"});
         let changed = watch.join().expect("watch");
-        assert_eq!(changed, json!({"revision": 2, "parts": [part]}));
+        assert_eq!(changed, json!({"revision": 2, "since": 1, "parts": [part]}));
     });
     assert_eq!(
         get(&address, "/v1/config?since=0")["parts"]
--- a/crates/distribution/src/action.rs
+++ b/crates/distribution/src/action.rs
@@ -32,6 +32,9 @@
         source: Source,
         /// Revision known.
         after: Revision,
+        /// Revision that changes may start from: the one in force, which is earlier than `after`
+        /// while a newer one is refused.
+        held: Revision,
         /// Longest wait.
         wait: DurationUs,
     },
@@ -43,6 +46,9 @@
         source: Source,
         /// Revision known.
         after: Revision,
+        /// Revision that changes may start from: the one in force, which is earlier than `after`
+        /// while a newer one is refused.
+        held: Revision,
     },
     /// Drops a call to the platform.
     StopWatching {
--- a/crates/distribution/src/context.rs
+++ b/crates/distribution/src/context.rs
@@ -203,6 +203,17 @@
                 self.use_hosts(now, is_newer, actions);
                 revision
             }
+            Answer::ListChanges(delta) => {
+                let delta = delta.continued_from(self.lists.revision());
+                self.take_lists(&delta, actions);
+                delta.revision
+            }
+            Answer::HostChanges(delta) => {
+                let delta = delta.continued_from(self.hosts.revision());
+                let is_newer = self.hosts.apply(&delta).is_ok();
+                self.use_hosts(now, is_newer, actions);
+                delta.revision
+            }
             Answer::Unreadable(findings) => {
                 refuse(Revision::ZERO, findings, actions);
                 return;
@@ -365,15 +376,20 @@
     fn settle(&mut self, now: TimeUs, actions: &mut Vec<Action>) {
         self.pulls.expire(now);
         // Calls that were given up must count as ended before the start goes on.
-        self.service.step(now, self.known(), actions);
+        self.step_service(now, actions);
         self.go_on_starting(now, actions);
         if self.startup.has_asked() {
             self.settle_role(now, actions);
-            self.service.step(now, self.known(), actions);
+            self.step_service(now, actions);
         }
         self.serve(now, actions);
     }
 
+    fn step_service(&mut self, now: TimeUs, actions: &mut Vec<Action>) {
+        let (known, held) = (self.known(), self.revisions());
+        self.service.step(now, known, held, actions);
+    }
+
     fn go_on_starting(&mut self, now: TimeUs, actions: &mut Vec<Action>) {
         if self.startup == Startup::AskingPlatform && !self.service.is_query_open() {
             if self.hosts.list().is_some() {
--- a/crates/distribution/src/event.rs
+++ b/crates/distribution/src/event.rs
@@ -115,8 +115,12 @@
 pub enum Answer {
     /// All parts.
     Lists(Snapshot),
+    /// Parts changed since the revision that the call named as held.
+    ListChanges(Delta),
     /// The host list.
     Hosts(HostList),
+    /// Hosts changed since the revision that the call named as held.
+    HostChanges(HostDelta),
     /// The host list, or the values of the parts, could not be read.
     Unreadable(Findings),
     /// The value did not change after the revision of the call.
--- a/crates/distribution/src/limits.rs
+++ b/crates/distribution/src/limits.rs
@@ -50,6 +50,8 @@
 pub const CALL_TIMEOUT: DurationUs = DurationUs::from_ms(2_000);
 /// Shortest interval between the starts of two watches, in case that they are answered at once.
 pub const WATCH_INTERVAL_MIN: DurationUs = DurationUs::from_ms(250);
+/// Interval between the starts of two readings of the host list, which cannot be watched.
+pub const HOSTS_INTERVAL: DurationUs = DurationUs::from_ms(1_000);
 /// Pause after a failed watch.
 pub const WATCH_RETRY: DurationUs = DurationUs::from_ms(1_000);
 /// Longest jitter before a process asks the platform.
--- a/crates/distribution/src/service.rs
+++ b/crates/distribution/src/service.rs
@@ -10,7 +10,8 @@
 use crate::action::{Action, Source};
 use crate::event::{CallRef, Revisions};
 use crate::limits::{
-    CALL_TIMEOUT, QUERY_INTERVAL_MIN, QUERY_JITTER_MAX, WATCH_INTERVAL_MIN, WATCH_RETRY, WATCH_WAIT,
+    CALL_TIMEOUT, HOSTS_INTERVAL, QUERY_INTERVAL_MIN, QUERY_JITTER_MAX, WATCH_INTERVAL_MIN,
+    WATCH_RETRY, WATCH_WAIT,
 };
 
 /// Calls of one process to the platform.
@@ -119,7 +120,7 @@
         let channel = self.channel(source);
         let call = channel.call.take()?;
         channel.next_watch_at = match outcome {
-            Outcome::Answered => call.sent_at + WATCH_INTERVAL_MIN,
+            Outcome::Answered => call.sent_at + watch_interval(source),
             Outcome::Failed => now + WATCH_RETRY,
         };
         let finished = Finished {
@@ -129,18 +130,29 @@
         Some(finished)
     }
 
-    /// Sends the calls that are due. `known` are the revisions not to be sent again.
-    pub(crate) fn step(&mut self, now: TimeUs, known: Revisions, actions: &mut Vec<Action>) {
+    /// Sends the calls that are due. `known` are the revisions not to be sent again, `held` those
+    /// in force.
+    pub(crate) fn step(
+        &mut self,
+        now: TimeUs,
+        known: Revisions,
+        held: Revisions,
+        actions: &mut Vec<Action>,
+    ) {
         for source in Source::iter() {
             self.expire(now, source, actions);
         }
         if self.is_watching {
             self.query_at = None;
-            Source::iter().for_each(|source| self.watch(now, source, known, actions));
+            for source in Source::iter() {
+                self.watch(now, source, known, held, actions);
+            }
         } else if self.query_at.is_some_and(|at| now >= at) {
             self.query_at = None;
             self.queried_at = Some(now);
-            Source::iter().for_each(|source| self.query(now, source, known, actions));
+            for source in Source::iter() {
+                self.query(now, source, known, held, actions);
+            }
         }
     }
 
@@ -155,7 +167,14 @@
         }
     }
 
-    fn watch(&mut self, now: TimeUs, source: Source, known: Revisions, actions: &mut Vec<Action>) {
+    fn watch(
+        &mut self,
+        now: TimeUs,
+        source: Source,
+        known: Revisions,
+        held: Revisions,
+        actions: &mut Vec<Action>,
+    ) {
         let channel = self.channel(source);
         if channel.call.is_some() || now < channel.next_watch_at {
             return;
@@ -164,16 +183,25 @@
             call: self.begin(now, source),
             source,
             after: revision_of(known, source),
-            wait: WATCH_WAIT,
+            held: revision_of(held, source),
+            wait: watch_wait(source),
         });
     }
 
-    fn query(&mut self, now: TimeUs, source: Source, known: Revisions, actions: &mut Vec<Action>) {
+    fn query(
+        &mut self,
+        now: TimeUs,
+        source: Source,
+        known: Revisions,
+        held: Revisions,
+        actions: &mut Vec<Action>,
+    ) {
         self.stop_call(source, actions);
         actions.push(Action::QueryService {
             call: self.begin(now, source),
             source,
             after: revision_of(known, source),
+            held: revision_of(held, source),
         });
     }
 
@@ -201,3 +229,18 @@
         Source::Hosts => known.hosts,
     }
 }
+
+/// The host list cannot be watched, so a reading of it is answered at once.
+fn watch_wait(source: Source) -> DurationUs {
+    match source {
+        Source::Lists => WATCH_WAIT,
+        Source::Hosts => DurationUs::ZERO,
+    }
+}
+
+fn watch_interval(source: Source) -> DurationUs {
+    match source {
+        Source::Lists => WATCH_INTERVAL_MIN,
+        Source::Hosts => HOSTS_INTERVAL,
+    }
+}
--- a/crates/distribution/tests/distribution.rs
+++ b/crates/distribution/tests/distribution.rs
@@ -3,8 +3,8 @@
 mod world;
 
 use cuminlead_distribution::limits::{
-    CONFIRM_INTERVAL, CONFIRM_LIMIT, CONFIRM_RETRY, QUERY_INTERVAL_MIN, READERS_COUNT,
-    STANDBYS_COUNT, WATCH_INTERVAL_MIN, readers_count,
+    CONFIRM_INTERVAL, CONFIRM_LIMIT, CONFIRM_RETRY, HOSTS_INTERVAL, QUERY_INTERVAL_MIN,
+    READERS_COUNT, STANDBYS_COUNT, WATCH_INTERVAL_MIN, readers_count,
 };
 use cuminlead_distribution::{Identity, candidates, readers_of_zone};
 use cuminlead_lists::{HostList, HostState};
@@ -152,10 +152,7 @@
 fn host_list_moves_readers() {
     let mut world = settled(4);
     let before = world.watching();
-    for number in &before {
-        world.hosts.hosts[*number].state = HostState::Leaving;
-    }
-    world.hosts.revision = Revision(2);
+    world.publish_leaving(&before);
     world.run(IN_FORCE_MS);
     for node in &world.nodes {
         assert_eq!(node.distribution.revisions().hosts, Revision(2));
@@ -296,6 +293,7 @@
     for node in &world.nodes {
         check_intervals(&node.queries, 2, QUERY_INTERVAL_MIN.get());
         check_intervals(&node.watches, 2, WATCH_INTERVAL_MIN.get());
+        check_intervals(&node.host_readings, 1, HOSTS_INTERVAL.get());
     }
     let watching_max = ZONES_COUNT * (READERS_COUNT + STANDBYS_COUNT);
     assert!(world.watching().len() <= watching_max);
--- a/crates/distribution/tests/world/mod.rs
+++ b/crates/distribution/tests/world/mod.rs
@@ -3,59 +3,24 @@
 //! The queue can lose messages, cut links and stop processes. It checks at every step that no
 //! revision goes back and that no deadline stays in the past.
 
+mod platform;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use cuminlead_distribution::{
-    Action, Answer, CallRef, Distribution, Event, FollowRef, FollowerRef, Identity, Peer, PullRef,
-    Revisions, Source, Update,
+    Action, Distribution, Event, FollowRef, FollowerRef, Identity, Peer, PullRef, Revisions,
+    Source, Update,
 };
-use cuminlead_lists::{HostEntry, HostList, HostState, Part, PartKey, ProcessKind, Snapshot};
+use cuminlead_lists::{HostList, HostState};
 use cuminlead_types::{DurationUs, Revision, TimeUs};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
-const ALLOWANCES: &str = "schema = 1\n";
-const REFUSED_AFTER: DurationUs = DurationUs::from_ms(5);
-
-/// Snapshot whose only plan names its revision.
-pub(crate) fn snapshot(revision: u64) -> Snapshot {
-    let plans = format!(
-        "schema = 1\n[[plan]]\nname = \"p\"\nrequests_per_second = {revision}\nburst_requests = 1\nfirst_token_ms = 1\nbetween_tokens_ms = 1\nweight = 1\n"
-    );
-    let part = |key: &str, revision: u64, text: &str| Part {
-        key: PartKey::new(key),
-        revision: Revision(revision),
-        text: text.to_string(),
-    };
-    let parts = [
-        part("plans/base", revision, &plans),
-        part("allowances/base", 1, ALLOWANCES),
-    ];
-    Snapshot::new(Revision(revision), parts)
-}
-
-fn invalid_part() -> Part {
-    Part {
-        key: PartKey::new("plans/base"),
-        revision: Revision::ZERO,
-        text: "schema = 7".to_string(),
-    }
-}
+use platform::Asked;
+pub(crate) use platform::host;
 
-/// Process `number` in one of `zones_count` zones; every two zones form a region.
-pub(crate) fn host(number: usize, zones_count: usize) -> HostEntry {
-    let zone = number % zones_count;
-    HostEntry {
-        host: format!("h{number}").parse().expect("host"),
-        region: format!("r{}", zone / 2).parse().expect("region"),
-        zone: format!("z{zone}").parse().expect("zone"),
-        state: HostState::Live,
-        process: ProcessKind::Entry,
-        address: format!("127.0.0.1:{}", 1_000 + number),
-        server: None,
-    }
-}
+const REFUSED_AFTER: DurationUs = DurationUs::from_ms(5);
 
 /// What arrives at a process or at the platform.
 enum Delivery {
@@ -64,13 +29,7 @@
         life: u32,
         event: Event,
     },
-    Service {
-        node: usize,
-        call: CallRef,
-        source: Source,
-        after: Revision,
-        until: TimeUs,
-    },
+    Service(Asked),
     Open {
         node: usize,
         follow: FollowRef,
@@ -107,6 +66,8 @@
     resumes_at: TimeUs,
     pub(crate) queries: Vec<TimeUs>,
     pub(crate) watches: Vec<TimeUs>,
+    /// Readings of the host list other than single questions.
+    pub(crate) host_readings: Vec<TimeUs>,
 }
 
 impl Node {
@@ -124,6 +85,10 @@
     /// Revisions that a stale replica serves to processes.
     pub(crate) stale: BTreeMap<usize, u64>,
     pub(crate) hosts: HostList,
+    /// Earlier host lists, from which the platform tells what changed.
+    earlier_hosts: Vec<HostList>,
+    /// Host lists that a stale replica serves to processes.
+    stale_hosts: BTreeMap<usize, HostList>,
     pub(crate) is_lists_down: bool,
     /// Revisions whose snapshot is invalid.
     pub(crate) invalid: BTreeSet<u64>,
@@ -152,6 +117,8 @@
                 revision: Revision(1),
                 hosts: hosts.collect(),
             },
+            earlier_hosts: Vec::new(),
+            stale_hosts: BTreeMap::new(),
             is_lists_down: false,
             invalid: BTreeSet::new(),
             refused_count: 0,
@@ -172,6 +139,7 @@
                 resumes_at: TimeUs::ZERO,
                 queries: Vec::new(),
                 watches: Vec::new(),
+                host_readings: Vec::new(),
             });
         }
         (0..nodes_count).for_each(|number| world.handle(number, Event::Start));
@@ -214,6 +182,8 @@
         let revision = self.lists_revision;
         let stale = numbers.iter().map(|number| (*number, revision));
         self.stale.extend(stale);
+        let hosts = numbers.iter().map(|number| (*number, self.hosts.clone()));
+        self.stale_hosts.extend(hosts);
     }
 
     /// Publishes the next revision of the lists; waiting watches see it at their next step.
@@ -221,6 +191,15 @@
         self.lists_revision += 1;
     }
 
+    /// Publishes the next host list, in which these hosts are leaving.
+    pub(crate) fn publish_leaving(&mut self, numbers: &[usize]) {
+        self.earlier_hosts.push(self.hosts.clone());
+        for number in numbers {
+            self.hosts.hosts[*number].state = HostState::Leaving;
+        }
+        self.hosts.revision = Revision(self.hosts.revision.get() + 1);
+    }
+
     /// Numbers of the processes that watch the platform.
     pub(crate) fn watching(&self) -> Vec<usize> {
         let is_watching = |node: &Node| node.is_up && node.distribution.is_watching();
@@ -337,18 +316,39 @@
                 call,
                 source,
                 after,
+                held,
                 wait,
             } => {
+                if source == Source::Hosts {
+                    self.nodes[node].host_readings.push(self.now);
+                }
                 self.nodes[node].watches.push(self.now);
-                self.call(node, call, source, after, self.now + wait);
+                let until = self.now + wait;
+                self.call(Asked {
+                    node,
+                    call,
+                    source,
+                    after,
+                    held,
+                    until,
+                });
             }
             Action::QueryService {
                 call,
                 source,
                 after,
+                held,
             } => {
                 self.nodes[node].queries.push(self.now);
-                self.call(node, call, source, after, self.now);
+                let until = self.now;
+                self.call(Asked {
+                    node,
+                    call,
+                    source,
+                    after,
+                    held,
+                    until,
+                });
             }
             Action::FollowPeer {
                 follow,
@@ -391,19 +391,10 @@
         }
     }
 
-    fn call(&mut self, node: usize, call: CallRef, source: Source, after: Revision, until: TimeUs) {
-        if !self.is_lost() && !self.cut_from_platform.contains(&node) {
+    fn call(&mut self, asked: Asked) {
+        if !self.is_lost() && !self.cut_from_platform.contains(&asked.node) {
             let delay = self.latency();
-            self.send(
-                delay,
-                Delivery::Service {
-                    node,
-                    call,
-                    source,
-                    after,
-                    until,
-                },
-            );
+            self.send(delay, Delivery::Service(asked));
         }
     }
 
@@ -433,7 +424,7 @@
         let receiver = match &delivery {
             Delivery::ToNode { node, .. } => Some(*node),
             Delivery::Open { target, .. } | Delivery::Pull { target, .. } => Some(*target),
-            Delivery::Service { .. } | Delivery::Close { .. } => None,
+            Delivery::Service(_) | Delivery::Close { .. } => None,
         };
         let resumes_at = receiver.map_or(TimeUs::ZERO, |node| self.nodes[node].resumes_at);
         if self.now < resumes_at {
@@ -446,15 +437,7 @@
                     self.handle(node, event);
                 }
             }
-            Delivery::Service {
-                node,
-                call,
-                source,
-                after,
-                until,
-            } => {
-                self.serve_call(node, call, source, after, until);
-            }
+            Delivery::Service(asked) => self.serve_call(asked),
             Delivery::Open {
                 node,
                 follow,
@@ -476,47 +459,6 @@
         }
     }
 
-    fn serve_call(
-        &mut self,
-        node: usize,
-        call: CallRef,
-        source: Source,
-        after: Revision,
-        until: TimeUs,
-    ) {
-        if source == Source::Lists && self.is_lists_down {
-            self.answer(node, Event::CallFailed { call });
-            return;
-        }
-        let stale = self.stale.get(&node).copied();
-        let revision = match source {
-            Source::Lists => Revision(stale.unwrap_or(self.lists_revision)),
-            Source::Hosts => self.hosts.revision,
-        };
-        let answer = match source {
-            _ if revision <= after && self.now < until => {
-                let retry = Delivery::Service {
-                    node,
-                    call,
-                    source,
-                    after,
-                    until,
-                };
-                self.send(DurationUs::from_ms(50), retry);
-                return;
-            }
-            _ if revision <= after => Answer::Unchanged { revision },
-            Source::Lists if self.invalid.contains(&revision.get()) => {
-                Answer::Lists(Snapshot::new(revision, [invalid_part()]))
-            }
-            Source::Lists => Answer::Lists(snapshot(revision.get())),
-            Source::Hosts => Answer::Hosts(self.hosts.clone()),
-        };
-        if !self.is_lost() {
-            self.answer(node, Event::Answered { call, answer });
-        }
-    }
-
     fn open(&mut self, node: usize, follow: FollowRef, target: usize, revisions: Revisions) {
         if !self.reach(node, target) {
             return;
--- a/crates/lists/src/lib.rs
+++ b/crates/lists/src/lib.rs
@@ -4,6 +4,7 @@
 //! |---|---|
 //! | [`part`] | the published values that the lists consist of |
 //! | [`snapshot`] | all parts at one revision, and what changed since another one |
+//! | `continued` | changes of the platform that arrive after the lists have moved on |
 //! | [`store`] | the lists in force in one process |
 //! | [`lists`] | the checked lists in force and the questions asked of them |
 //! | [`keys`] | look-up of customers by key |
@@ -11,6 +12,7 @@
 //! | [`host_store`] | the host list in use in one process, and what changed since a revision |
 
 mod check;
+mod continued;
 pub mod host_store;
 pub mod hosts;
 mod hosts_json;
--- a/crates/process/src/feed.rs
+++ b/crates/process/src/feed.rs
@@ -249,16 +249,18 @@
                 call,
                 source,
                 after,
+                held,
                 wait,
             } => {
-                self.call_platform(call, source, after, wait);
+                self.call_platform(call, source, after, held, wait);
             }
             Action::QueryService {
                 call,
                 source,
                 after,
+                held,
             } => {
-                self.call_platform(call, source, after, DurationUs::ZERO);
+                self.call_platform(call, source, after, held, DurationUs::ZERO);
             }
             // The call cannot be taken back; `Distribution` ignores its answer.
             Action::StopWatching { .. } => {}
@@ -308,14 +310,21 @@
         }
     }
 
-    fn call_platform(&self, call: CallRef, source: Source, after: Revision, wait: DurationUs) {
+    fn call_platform(
+        &self,
+        call: CallRef,
+        source: Source,
+        after: Revision,
+        held: Revision,
+        wait: DurationUs,
+    ) {
         let platform = self.parts.platform.clone();
         let sender = Arc::clone(&self.parts.sender);
         self.parts.metrics.platform_calls.inc();
         self.pool.execute(move || {
             let answer = match source {
-                Source::Lists => platform.lists(after, wait.into()),
-                Source::Hosts => platform.hosts(after, wait.into()),
+                Source::Lists => platform.lists(after, held, wait.into()),
+                Source::Hosts => platform.hosts(held),
             };
             let event = match answer {
                 Ok(answer) => Event::Answered { call, answer },
--- a/crates/process/src/platform.rs
+++ b/crates/process/src/platform.rs
@@ -2,19 +2,15 @@
 //!
 //! The platform can be read and watched; this client has no call that writes.
 
-use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use cuminlead_distribution::Answer;
-use cuminlead_lists::{HostList, Part, PartKey, Snapshot};
+use cuminlead_lists::{Delta, HostDelta, HostList, Part, PartKey, Snapshot};
 use cuminlead_types::Revision;
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 use ureq::Agent;
 
-/// Interval between two readings of the host list, which cannot be watched.
-const HOSTS_INTERVAL: Duration = Duration::from_secs(1);
-
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
 const VALUE_MAX_BYTES: u64 = 64 * 1024 * 1024;
@@ -30,16 +26,14 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PlatformError;
 
+/// Changes since a revision, or all parts when `since` is missing.
 #[derive(Debug, Deserialize)]
 struct ConfigAnswer {
     revision: u64,
+    since: Option<u64>,
     parts: Vec<PartAnswer>,
-}
-
-/// Revision of an answer whose parts are not read.
-#[derive(Debug, Deserialize)]
-struct RevisionAnswer {
-    revision: u64,
+    #[serde(default)]
+    removed: Vec<String>,
 }
 
 #[derive(Debug, Deserialize)]
@@ -61,59 +55,50 @@
         }
     }
 
-    /// Lists once they are newer than `after`, or what is published after `wait`.
-    ///
-    /// A watch answers with the changed parts only. They are no snapshot, so a change is read whole;
-    /// this also covers parts that were removed or changed between the two calls.
-    pub fn lists(&self, after: Revision, wait: Duration) -> Result<Answer, PlatformError> {
-        if !wait.is_zero() {
+    /// Lists once they are newer than `after`, or what is published after `wait`; changes start from
+    /// the revision `held`, which is earlier than `after` while a newer one is refused.
+    pub fn lists(
+        &self,
+        after: Revision,
+        held: Revision,
+        wait: Duration,
+    ) -> Result<Answer, PlatformError> {
+        let mut answer = if wait.is_zero() {
+            self.config(held)?
+        } else {
             let path = format!("/v1/watch?since={after}&wait_ms={}", wait.as_millis());
-            let seen: RevisionAnswer = self.get_json(&path, wait + ANSWER_TIMEOUT)?;
-            let revision = Revision(seen.revision);
-            if revision <= after {
-                return Ok(Answer::Unchanged { revision });
-            }
+            self.get_json(&path, wait + ANSWER_TIMEOUT)?
+        };
+        let is_newer = answer.revision > after.get();
+        if is_newer && answer.since.is_some_and(|since| since != held.get()) {
+            answer = self.config(held)?;
         }
-        let snapshot = self.snapshot()?;
-        let revision = snapshot.revision();
-        Ok(if revision > after {
-            Answer::Lists(snapshot)
-        } else {
-            Answer::Unchanged { revision }
-        })
+        answer.into_answer(after, held)
     }
 
-    /// Host list once it is newer than `after`, or what is published after `wait`.
-    pub fn hosts(&self, after: Revision, wait: Duration) -> Result<Answer, PlatformError> {
-        let until = Instant::now() + wait;
-        loop {
-            let hosts: HostList = match self.get("/v1/hosts", ANSWER_TIMEOUT)?.parse() {
-                Ok(hosts) => hosts,
-                Err(findings) => return Ok(Answer::Unreadable(findings)),
-            };
-            if hosts.revision > after {
-                return Ok(Answer::Hosts(hosts));
-            }
-            // A watch that returned before its end would be asked again at once, and each reading
-            // carries the whole list.
-            let left = until.saturating_duration_since(Instant::now());
-            thread::sleep(left.min(HOSTS_INTERVAL));
-            if Instant::now() >= until {
-                return Ok(Answer::Unchanged {
-                    revision: hosts.revision,
-                });
-            }
-        }
+    fn config(&self, since: Revision) -> Result<ConfigAnswer, PlatformError> {
+        self.get_json(&format!("/v1/config?since={since}"), ANSWER_TIMEOUT)
     }
 
-    fn snapshot(&self) -> Result<Snapshot, PlatformError> {
-        let answer: ConfigAnswer = self.get_json("/v1/config?since=0", ANSWER_TIMEOUT)?;
-        let parts = answer.parts.into_iter().map(|part| Part {
-            key: PartKey::new(part.key),
-            revision: Revision(part.revision),
-            text: part.text,
-        });
-        Ok(Snapshot::new(Revision(answer.revision), parts))
+    /// Host list as published; changes start from `held`.
+    pub fn hosts(&self, held: Revision) -> Result<Answer, PlatformError> {
+        let path = format!("/v1/hosts?since={held}");
+        let delta: HostDelta = match self.get(&path, ANSWER_TIMEOUT)?.parse() {
+            Ok(delta) => delta,
+            Err(findings) => return Ok(Answer::Unreadable(findings)),
+        };
+        let HostDelta { revision, .. } = delta;
+        if revision <= held {
+            return Ok(Answer::Unchanged { revision });
+        }
+        if delta.is_full {
+            let hosts = delta.hosts;
+            return Ok(Answer::Hosts(HostList { revision, hosts }));
+        }
+        if delta.from_revision != held {
+            return Err(PlatformError);
+        }
+        Ok(Answer::HostChanges(delta))
     }
 
     fn get_json<T: DeserializeOwned>(
@@ -137,3 +122,28 @@
         body.read_to_string().map_err(|_| PlatformError)
     }
 }
+
+impl ConfigAnswer {
+    fn into_answer(self, after: Revision, held: Revision) -> Result<Answer, PlatformError> {
+        let revision = Revision(self.revision);
+        if revision <= after {
+            return Ok(Answer::Unchanged { revision });
+        }
+        let parts = self.parts.into_iter().map(|part| Part {
+            key: PartKey::new(part.key),
+            revision: Revision(part.revision),
+            text: part.text,
+        });
+        match self.since {
+            None => Ok(Answer::Lists(Snapshot::new(revision, parts))),
+            Some(since) if since == held.get() => Ok(Answer::ListChanges(Delta {
+                from_revision: held,
+                revision,
+                is_full: false,
+                parts: parts.collect(),
+                removed: self.removed.into_iter().map(PartKey::new).collect(),
+            })),
+            Some(_) => Err(PlatformError),
+        }
+    }
+}
