Read the host list at the first two readers of a zone only

Cause: all readers of a zone read the platform's host list each second, 21 of 445 hosts at the design scale. The first two read it; the others take host deltas from them. Each message tells the age of the reading of the host list that its sender relies on. A reader or standby whose followed peer is silent or tells none reads the list itself, and a process of another rank asks the platform for it once after up to 1.7 s. Ruled out: relying on the other one of the two first, which costs 2 s more when both have failed; a sign in place of an age, which processes with different host lists could repeat to each other for ever. Found by the widened tests: a standby that began to watch dropped the peer that it followed for 3 s, although its own watch was not answered. It keeps the peer now until the watch is answered. A process tells a peer that is behind also of a newer host list, and not of newer lists only. Where no host that may read is left, later changes still take up to 10 s, as before. Conclusion: 2 readings/s for each zone in place of one for each reader.

--- a/crates/dev/src/capacity/wire.rs
+++ b/crates/dev/src/capacity/wire.rs
@@ -83,6 +83,7 @@
             ..HostDelta::default()
         },
         confirmed_age: DurationUs(1_234_567),
+        hosts_confirmed_age: DurationUs(1_234_567),
     }
 }
 
--- a/crates/distribution/src/context.rs
+++ b/crates/distribution/src/context.rs
@@ -8,12 +8,16 @@
     AvailabilityZoneName, DurationUs, Findings, HostId, RegionName, Revision, TimeUs,
 };
 use rand::rngs::StdRng;
+use strum::IntoEnumIterator;
 
 use crate::action::{Action, Source};
 use crate::election::{Peer, candidates};
 use crate::event::{Answer, CallRef, Event, NEVER_CONFIRMED, PullRef, Revisions, Update};
 use crate::follow::{Following, Need, Sender};
-use crate::limits::{CONFIRM_INTERVAL, CONFIRM_LIMIT, CONFIRM_RETRY, STARTUP_PEERS_COUNT};
+use crate::limits::{
+    CONFIRM_INTERVAL, CONFIRM_LIMIT, CONFIRM_RETRY, HOSTS_GRACE, HOSTS_READ_LIMIT,
+    STARTUP_PEERS_COUNT,
+};
 use crate::pull::Pulls;
 use crate::serve::Followers;
 use crate::service::{Outcome, ServiceCalls};
@@ -34,7 +38,14 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 struct Hint {
     host: HostId,
-    revision: Revision,
+    revisions: Revisions,
+}
+
+/// Times since the lists and the host list of a process were confirmed.
+#[derive(Clone, Copy, Debug)]
+struct Ages {
+    lists: DurationUs,
+    hosts: DurationUs,
 }
 
 /// How the revisions of the lists and of the host list reach one process.
@@ -45,8 +56,12 @@
     lists: ListStore,
     hosts: HostStore,
     confirmed_at: Option<TimeUs>,
-    /// Last time at which the own watch confirmed, or at which it began.
+    /// Last time at which the own watch confirmed.
     watch_fresh_at: TimeUs,
+    /// Last time at which an own reading of the host list found it to be the newest.
+    hosts_fresh_at: TimeUs,
+    /// Whether followers were told that this process relies on its host list.
+    is_hosts_told: bool,
     confirm_asked_at: TimeUs,
     confirm_interval: DurationUs,
     hint: Option<Hint>,
@@ -67,6 +82,8 @@
             hosts: HostStore::new(),
             confirmed_at: None,
             watch_fresh_at: TimeUs::ZERO,
+            hosts_fresh_at: TimeUs::ZERO,
+            is_hosts_told: false,
             confirm_asked_at: TimeUs::ZERO,
             confirm_interval: CONFIRM_INTERVAL,
             hint: None,
@@ -107,9 +124,14 @@
         self.startup == Startup::Ready
     }
 
-    /// Whether the process watches the platform.
+    /// Whether the process watches the configuration service.
     pub fn is_watching(&self) -> bool {
-        self.service.is_watching()
+        self.service.is_watching(Source::Lists)
+    }
+
+    /// Whether the process reads the host list of the platform.
+    pub fn is_reading_hosts(&self) -> bool {
+        self.service.is_watching(Source::Hosts)
     }
 
     /// Time since the lists in force were confirmed as the newest.
@@ -127,7 +149,7 @@
     /// Answer to a pull: what a peer at these revisions lacks. The process hands the revisions of
     /// the request on as [`Event::RevisionsSeen`].
     pub fn update_since(&self, now: TimeUs, since: Revisions) -> Update {
-        make_update(&self.lists, &self.hosts, self.confirmed_age(now), since)
+        make_update(&self.lists, &self.hosts, self.ages(now), since)
     }
 
     /// Decides on an event and appends the resulting actions.
@@ -142,8 +164,7 @@
                 self.service.finish(now, call, Outcome::Failed);
             }
             Event::FollowUpdate { follow, update } => {
-                let age = update.confirmed_age;
-                if let Some(sender) = self.following.hear(now, follow, age, actions) {
+                if let Some(sender) = self.following.hear(now, follow, &update, actions) {
                     self.take_update(now, &sender, &update, actions);
                 }
             }
@@ -221,8 +242,13 @@
             Answer::Unchanged { revision } => revision,
         };
         // A stale replica of the platform serves an earlier revision and confirms nothing.
-        let asked = finished.filter(|finished| finished.source == Source::Lists);
-        if let Some(asked) = asked.filter(|_| self.is_taken(served)) {
+        let Some(asked) = finished else {
+            return;
+        };
+        if asked.source == Source::Hosts && served == self.hosts.revision() {
+            self.hosts_fresh_at = self.hosts_fresh_at.max(asked.sent_at);
+        }
+        if asked.source == Source::Lists && self.is_taken(served) {
             self.watch_fresh_at = self.watch_fresh_at.max(asked.sent_at);
             self.confirm(now, asked.sent_at, actions);
         }
@@ -293,7 +319,8 @@
             hosts: update.hosts.revision,
         };
         self.on_revisions(now, seen, Some(&sender.peer), actions);
-        if seen.lists < self.lists.revision() {
+        let own = self.revisions();
+        if seen.lists < own.lists || seen.hosts < own.hosts {
             self.hint(now, &sender.peer, actions);
         }
     }
@@ -316,11 +343,11 @@
         }
     }
 
-    /// Tells a peer of the revision in force by a pull, once, so that it pulls in turn.
+    /// Tells a peer of the revisions in force by a pull, once, so that it pulls in turn.
     fn hint(&mut self, now: TimeUs, peer: &Peer, actions: &mut Vec<Action>) {
         let hint = Hint {
             host: peer.host.clone(),
-            revision: self.lists.revision(),
+            revisions: self.revisions(),
         };
         if self.hint.as_ref() != Some(&hint) && !self.pulls.is_open() {
             self.pulls.begin(now, peer, self.revisions(), actions);
@@ -396,7 +423,9 @@
                 self.ask_peers(now, actions);
                 self.startup = Startup::AskingPeers;
             } else {
-                self.service.request_query(now, &mut self.rng);
+                for source in Source::iter() {
+                    self.service.request_query(now, source, &mut self.rng);
+                }
             }
         }
         if self.startup == Startup::AskingPeers && !self.pulls.is_open() {
@@ -421,16 +450,18 @@
     }
 
     fn settle_role(&mut self, now: TimeUs, actions: &mut Vec<Action>) {
-        self.settle_watch(now, actions);
+        self.settle_watch(actions);
         let need = self.need(now);
         self.following.step(now, need, self.revisions(), actions);
-        self.settle_watch(now, actions);
+        self.settle_watch(actions);
         let is_cut_off = !self.following.is_confirmed() && self.following.have_primaries_failed();
         if is_cut_off || !self.lists.has_lists() {
-            self.service.request_query(now, &mut self.rng);
+            self.service
+                .request_query(now, Source::Lists, &mut self.rng);
         } else {
-            self.service.cancel_query();
+            self.service.cancel_query(Source::Lists);
         }
+        self.settle_hosts(now, actions);
         if self.confirm_due_at().is_some_and(|at| now >= at) {
             self.ask_for_confirmation(now, actions);
         }
@@ -453,19 +484,54 @@
         }
     }
 
-    fn settle_watch(&mut self, now: TimeUs, actions: &mut Vec<Action>) {
+    fn settle_watch(&mut self, actions: &mut Vec<Action>) {
         let candidates = self.following.candidates();
         let must_watch = candidates.is_standby() && self.following.have_primaries_failed();
         let is_acting = candidates.is_reader() || must_watch;
-        if is_acting && !self.service.is_watching() {
-            self.watch_fresh_at = now;
+        self.service.set_watching(Source::Lists, is_acting, actions);
+    }
+
+    /// The first two readers read the host list. The other readers and the standbys read it while they
+    /// hear of no confirmed one, and all others ask for it then.
+    fn settle_hosts(&mut self, now: TimeUs, actions: &mut Vec<Action>) {
+        let candidates = self.following.candidates();
+        let is_heard = self.following.hosts_confirmed_at().is_some();
+        let may_read = candidates.own_rank.is_some();
+        let must_read = candidates.is_hosts_reader() || (may_read && !is_heard);
+        if must_read && !self.is_reading_hosts() {
+            let fresh_until = now + HOSTS_GRACE;
+            let fresh_at = TimeUs(fresh_until.get().saturating_sub(HOSTS_READ_LIMIT.get()));
+            self.hosts_fresh_at = self.hosts_fresh_at.max(fresh_at);
+        }
+        self.service.set_watching(Source::Hosts, must_read, actions);
+        if must_read || is_heard {
+            self.service.cancel_query(Source::Hosts);
+        } else {
+            self.service
+                .request_query(now, Source::Hosts, &mut self.rng);
+        }
+    }
+
+    /// Time of the reading of the host list that this process relies on.
+    fn hosts_confirmed_at(&self, now: TimeUs) -> Option<TimeUs> {
+        if !self.is_reading_hosts() {
+            return self.following.hosts_confirmed_at();
+        }
+        let is_fresh = now.since(self.hosts_fresh_at) <= HOSTS_READ_LIMIT;
+        is_fresh.then_some(self.hosts_fresh_at)
+    }
+
+    fn ages(&self, now: TimeUs) -> Ages {
+        let hosts_at = self.hosts_confirmed_at(now);
+        Ages {
+            lists: self.confirmed_age(now),
+            hosts: hosts_at.map_or(NEVER_CONFIRMED, |at| now.since(at)),
         }
-        self.service.set_watching(is_acting, actions);
     }
 
     fn need(&self, now: TimeUs) -> Need {
         let is_watch_fresh = now.since(self.watch_fresh_at) <= CONFIRM_LIMIT;
-        if self.service.is_watching() && is_watch_fresh {
+        if self.is_watching() && is_watch_fresh {
             Need::Primary
         } else {
             Need::Anyone
@@ -473,11 +539,16 @@
     }
 
     fn serve(&mut self, now: TimeUs, actions: &mut Vec<Action>) {
-        let age = self.confirmed_age(now);
+        let is_hosts_told = self.hosts_confirmed_at(now).is_some();
+        if self.is_hosts_told && !is_hosts_told {
+            self.followers.hurry(now);
+        }
+        self.is_hosts_told = is_hosts_told;
+        let ages = self.ages(now);
         let own = self.revisions();
         let lists = &self.lists;
         let hosts = &self.hosts;
-        let update_since = |since| make_update(lists, hosts, age, since);
+        let update_since = |since| make_update(lists, hosts, ages, since);
         let rng = &mut self.rng;
         self.followers.step(now, own, update_since, rng, actions);
     }
@@ -495,30 +566,27 @@
     }
 
     fn next_role_deadline(&self) -> Option<TimeUs> {
-        let is_relying_on_watch =
-            self.service.is_watching() && self.following.need() == Need::Primary;
+        let is_relying_on_watch = self.is_watching() && self.following.need() == Need::Primary;
+        let hosts_stale_at = self.hosts_fresh_at + HOSTS_READ_LIMIT + DurationUs(1);
         let watch_stale_at = self.watch_fresh_at + CONFIRM_LIMIT + DurationUs(1);
         let deadlines = [
             self.following.next_deadline(),
             self.confirm_due_at(),
             is_relying_on_watch.then_some(watch_stale_at),
+            (self.is_reading_hosts() && self.is_hosts_told).then_some(hosts_stale_at),
         ];
         deadlines.into_iter().flatten().min()
     }
 }
 
-fn make_update(
-    lists: &ListStore,
-    hosts: &HostStore,
-    confirmed_age: DurationUs,
-    since: Revisions,
-) -> Update {
+fn make_update(lists: &ListStore, hosts: &HostStore, ages: Ages, since: Revisions) -> Update {
     let snapshot = lists.snapshot();
     let lists = snapshot.map(|snapshot| snapshot.delta_since(since.lists));
     Update {
         lists: lists.unwrap_or_default(),
         hosts: hosts.delta_since(since.hosts),
-        confirmed_age,
+        confirmed_age: ages.lists,
+        hosts_confirmed_age: ages.hosts,
     }
 }
 
--- a/crates/distribution/src/election.rs
+++ b/crates/distribution/src/election.rs
@@ -65,6 +65,11 @@
         self.own_rank.is_some_and(|rank| rank < self.readers_count)
     }
 
+    /// Whether this process reads the host list whatever it hears from others.
+    pub fn is_hosts_reader(&self) -> bool {
+        self.own_rank.is_some_and(|rank| rank < READERS_COUNT)
+    }
+
     /// Whether this process reads while it hears no confirmed reader.
     pub fn is_standby(&self) -> bool {
         self.own_rank.is_some_and(|rank| rank >= self.readers_count)
--- a/crates/distribution/src/event.rs
+++ b/crates/distribution/src/event.rs
@@ -33,6 +33,9 @@
     pub hosts: HostDelta,
     /// Time since the sender's lists were confirmed as the newest.
     pub confirmed_age: DurationUs,
+    /// Time since the sender's host list was read as the newest, by the sender or by the reader that
+    /// it follows; [`NEVER_CONFIRMED`] while the sender does not rely on it.
+    pub hosts_confirmed_age: DurationUs,
 }
 
 /// Revisions of one process.
--- a/crates/distribution/src/follow.rs
+++ b/crates/distribution/src/follow.rs
@@ -6,14 +6,14 @@
 
 use std::collections::{BTreeSet, VecDeque};
 
-use cuminlead_types::{DurationUs, HostId, TimeUs};
+use cuminlead_types::{HostId, TimeUs};
 
 use crate::action::Action;
 use crate::election::{Candidates, Peer};
-use crate::event::{FollowRef, Revisions};
+use crate::event::{FollowRef, Revisions, Update};
 use crate::limits::{
-    CONFIRM_LIMIT, OPEN_INTERVAL_MIN, OPEN_TIMEOUT, RETURN_INTERVAL, SILENCE, SWEEP_PAUSE,
-    SWEEP_PAUSE_ALONE,
+    CONFIRM_LIMIT, HOSTS_HEARD_LIMIT, OPEN_INTERVAL_MIN, OPEN_TIMEOUT, RETURN_INTERVAL, SILENCE,
+    SWEEP_PAUSE, SWEEP_PAUSE_ALONE,
 };
 
 /// What a process looks for among its peers.
@@ -56,6 +56,8 @@
 struct Heard {
     at: TimeUs,
     is_confirmed: bool,
+    /// Time of the reading of the sender's host list, unless it is unconfirmed.
+    hosts_confirmed_at: Option<TimeUs>,
 }
 
 /// Sender of a message on a stream.
@@ -106,6 +108,11 @@
         self.held.as_ref().is_some_and(Stream::is_confirmed)
     }
 
+    /// Time of the reading of the host list that the held peer relies on.
+    pub(crate) fn hosts_confirmed_at(&self) -> Option<TimeUs> {
+        self.held.as_ref()?.heard?.hosts_confirmed_at
+    }
+
     /// Whether no reader of the own zone was heard as confirmed when last tried.
     pub(crate) fn have_primaries_failed(&self) -> bool {
         let mut primaries = self.candidates.primaries().iter();
@@ -124,10 +131,11 @@
         &mut self,
         now: TimeUs,
         id: FollowRef,
-        confirmed_age: DurationUs,
+        update: &Update,
         actions: &mut Vec<Action>,
     ) -> Option<Sender> {
-        let is_confirmed = confirmed_age <= CONFIRM_LIMIT;
+        let is_confirmed = update.confirmed_age <= CONFIRM_LIMIT;
+        let hosts_age = update.hosts_confirmed_age;
         let mut streams = self.held.iter_mut().chain(self.trial.iter_mut());
         let stream = streams.find(|stream| stream.id == id && now < stream.silent_at())?;
         let was_confirmed = stream.is_confirmed();
@@ -139,6 +147,7 @@
         stream.heard = Some(Heard {
             at: now,
             is_confirmed,
+            hosts_confirmed_at: (hosts_age <= HOSTS_HEARD_LIMIT).then(|| now - hosts_age),
         });
         if is_confirmed {
             self.failed.remove(&sender.peer.host);
--- a/crates/distribution/src/limits.rs
+++ b/crates/distribution/src/limits.rs
@@ -16,6 +16,18 @@
 //! Later changes must not wait for the next question 10 s later, so the hosts ranked after the
 //! readers take over as standbys as soon as they hear no reader, and followers look for them.
 //!
+//! A host list must be known within the 5 s of P6. A process that hears of no confirmed host list asks
+//! the platform itself, without a try of other peers:
+//!
+//! | step | ends after |
+//! |---|---|
+//! | the followed reader counts as silent ([`SILENCE`]) | 3 s |
+//! | jitter before the platform is asked ([`HOSTS_QUERY_JITTER_MAX`]) | 4.7 s |
+//! | answer of the platform, in milliseconds | below 5 s |
+//!
+//! A reader of the host list that lost the platform tells so at once after [`HOSTS_READ_LIMIT`]. The
+//! other readers then read it themselves, and say so after [`HOSTS_GRACE`] if they cannot.
+//!
 //! A process that reaches the platform and no other process cannot be told of a change, so it
 //! learns the first one after the fault in time and later ones within [`QUERY_INTERVAL_MIN`].
 
@@ -52,6 +64,19 @@
 pub const WATCH_INTERVAL_MIN: DurationUs = DurationUs::from_ms(250);
 /// Interval between the starts of two readings of the host list, which cannot be watched.
 pub const HOSTS_INTERVAL: DurationUs = DurationUs::from_ms(1_000);
+/// Age of the last reading of the host list from which a reader does not rely on it: one late answer
+/// is allowed for.
+pub const HOSTS_READ_LIMIT: DurationUs = DurationUs::from_ms(2_000);
+/// Age of a host list that a followed peer tells, from which it counts as unconfirmed. The peer itself
+/// keeps [`HOSTS_READ_LIMIT`]; a reader that takes the list from another one adds the time between two
+/// heartbeats. The limit ends confirmations that processes with different host lists repeat to each
+/// other.
+pub const HOSTS_HEARD_LIMIT: DurationUs = DurationUs::from_ms(4_000);
+/// Time in which a process that began to read the host list may still say that it relies on it.
+pub const HOSTS_GRACE: DurationUs = DurationUs::from_ms(500);
+/// Longest jitter before a process asks for the host list: 2,670 processes then cause 1,571 calls/s,
+/// within the 2,000 calls/s of the configuration service, before the first of them ask for the lists.
+pub const HOSTS_QUERY_JITTER_MAX: DurationUs = DurationUs::from_ms(1_700);
 /// Pause after a failed watch.
 pub const WATCH_RETRY: DurationUs = DurationUs::from_ms(1_000);
 /// Longest jitter before a process asks the platform.
--- a/crates/distribution/src/serve.rs
+++ b/crates/distribution/src/serve.rs
@@ -38,6 +38,12 @@
         self.followers.remove(&id);
     }
 
+    /// Makes the next heartbeats due.
+    pub(crate) fn hurry(&mut self, now: TimeUs) {
+        let followers = self.followers.values_mut();
+        followers.for_each(|follower| follower.heartbeat_at = now);
+    }
+
     /// Sends to every follower that is behind or due for a heartbeat. `update_since` makes the
     /// message for a follower at some revisions; those at the same ones share it.
     pub(crate) fn step(
--- a/crates/distribution/src/service.rs
+++ b/crates/distribution/src/service.rs
@@ -10,8 +10,8 @@
 use crate::action::{Action, Source};
 use crate::event::{CallRef, Revisions};
 use crate::limits::{
-    CALL_TIMEOUT, HOSTS_INTERVAL, QUERY_INTERVAL_MIN, QUERY_JITTER_MAX, WATCH_INTERVAL_MIN,
-    WATCH_RETRY, WATCH_WAIT,
+    CALL_TIMEOUT, HOSTS_INTERVAL, HOSTS_QUERY_JITTER_MAX, QUERY_INTERVAL_MIN, QUERY_JITTER_MAX,
+    WATCH_INTERVAL_MIN, WATCH_RETRY, WATCH_WAIT,
 };
 
 /// Calls of one process to the platform.
@@ -20,9 +20,6 @@
     lists: Channel,
     hosts: Channel,
     next_call: u64,
-    is_watching: bool,
-    query_at: Option<TimeUs>,
-    queried_at: Option<TimeUs>,
 }
 
 /// Calls for one value; at most one is under way.
@@ -30,6 +27,9 @@
 struct Channel {
     call: Option<Call>,
     next_watch_at: TimeUs,
+    is_watching: bool,
+    query_at: Option<TimeUs>,
+    queried_at: Option<TimeUs>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -61,18 +61,24 @@
         }
     }
 
-    /// Starts or ends watching.
-    pub(crate) fn set_watching(&mut self, is_watching: bool, actions: &mut Vec<Action>) {
-        if self.is_watching && !is_watching {
-            for source in Source::iter() {
-                self.stop_call(source, actions);
-            }
+    /// Starts or ends watching of a value.
+    pub(crate) fn set_watching(
+        &mut self,
+        source: Source,
+        is_watching: bool,
+        actions: &mut Vec<Action>,
+    ) {
+        if self.is_watching(source) && !is_watching {
+            self.stop_call(source, actions);
         }
-        self.is_watching = is_watching;
+        self.channel(source).is_watching = is_watching;
     }
 
-    pub(crate) fn is_watching(&self) -> bool {
-        self.is_watching
+    pub(crate) fn is_watching(&self, source: Source) -> bool {
+        match source {
+            Source::Lists => self.lists.is_watching,
+            Source::Hosts => self.hosts.is_watching,
+        }
     }
 
     fn stop_call(&mut self, source: Source, actions: &mut Vec<Action>) {
@@ -83,27 +89,31 @@
 
     /// Asks for a question at the next step, whatever the interval; only for a fresh process.
     pub(crate) fn query_at_start(&mut self, now: TimeUs) {
-        self.query_at = Some(now);
+        for source in Source::iter() {
+            self.channel(source).query_at = Some(now);
+        }
     }
 
     /// Asks for a question after a jitter, within the interval.
-    pub(crate) fn request_query(&mut self, now: TimeUs, rng: &mut StdRng) {
-        if self.query_at.is_some() || self.is_watching {
+    pub(crate) fn request_query(&mut self, now: TimeUs, source: Source, rng: &mut StdRng) {
+        let channel = self.channel(source);
+        if channel.query_at.is_some() || channel.is_watching {
             return;
         }
-        let jitter = DurationUs(rng.random_range(0..QUERY_JITTER_MAX.get()));
-        let earliest = self.queried_at.map(|at| at + QUERY_INTERVAL_MIN);
-        self.query_at = Some((now + jitter).max(earliest.unwrap_or_default()));
+        let jitter = DurationUs(rng.random_range(0..query_jitter_max(source).get()));
+        let earliest = channel.queried_at.map(|at| at + QUERY_INTERVAL_MIN);
+        channel.query_at = Some((now + jitter).max(earliest.unwrap_or_default()));
     }
 
     /// Withdraws a question that is not sent yet.
-    pub(crate) fn cancel_query(&mut self) {
-        self.query_at = None;
+    pub(crate) fn cancel_query(&mut self, source: Source) {
+        self.channel(source).query_at = None;
     }
 
     /// Whether a question is asked for or under way.
     pub(crate) fn is_query_open(&self) -> bool {
-        self.query_at.is_some() || self.lists.call.is_some() || self.hosts.call.is_some()
+        let mut channels = [&self.lists, &self.hosts].into_iter();
+        channels.any(|channel| channel.query_at.is_some() || channel.call.is_some())
     }
 
     /// Takes the end of a call; returns what was asked unless the call is not under way any more.
@@ -141,16 +151,13 @@
     ) {
         for source in Source::iter() {
             self.expire(now, source, actions);
-        }
-        if self.is_watching {
-            self.query_at = None;
-            for source in Source::iter() {
+            let channel = self.channel(source);
+            if channel.is_watching {
+                channel.query_at = None;
                 self.watch(now, source, known, held, actions);
-            }
-        } else if self.query_at.is_some_and(|at| now >= at) {
-            self.query_at = None;
-            self.queried_at = Some(now);
-            for source in Source::iter() {
+            } else if channel.query_at.is_some_and(|at| now >= at) {
+                channel.query_at = None;
+                channel.queried_at = Some(now);
                 self.query(now, source, known, held, actions);
             }
         }
@@ -208,7 +215,10 @@
     fn begin(&mut self, now: TimeUs, source: Source) -> CallRef {
         self.next_call += 1;
         let id = CallRef(self.next_call);
-        self.channel(source).call = Some(Call { id, sent_at: now });
+        let channel = self.channel(source);
+        channel.call = Some(Call { id, sent_at: now });
+        // A call that is dropped must not be followed at once by the next one.
+        channel.next_watch_at = now + watch_interval(source);
         id
     }
 
@@ -217,9 +227,10 @@
         let channels = [&self.lists, &self.hosts].into_iter();
         let due = channels.filter_map(|channel| match channel.call {
             Some(call) => Some(call.sent_at + CALL_TIMEOUT + DurationUs(1)),
-            None => self.is_watching.then_some(channel.next_watch_at),
+            None => channel.is_watching.then_some(channel.next_watch_at),
         });
-        due.chain(self.query_at).min()
+        let queries = [self.lists.query_at, self.hosts.query_at];
+        due.chain(queries.into_iter().flatten()).min()
     }
 }
 
@@ -244,3 +255,10 @@
         Source::Hosts => HOSTS_INTERVAL,
     }
 }
+
+fn query_jitter_max(source: Source) -> DurationUs {
+    match source {
+        Source::Lists => QUERY_JITTER_MAX,
+        Source::Hosts => HOSTS_QUERY_JITTER_MAX,
+    }
+}
--- a/crates/distribution/tests/distribution.rs
+++ b/crates/distribution/tests/distribution.rs
@@ -3,8 +3,8 @@
 mod world;
 
 use cuminlead_distribution::limits::{
-    CONFIRM_INTERVAL, CONFIRM_LIMIT, CONFIRM_RETRY, HOSTS_INTERVAL, QUERY_INTERVAL_MIN,
-    READERS_COUNT, STANDBYS_COUNT, WATCH_INTERVAL_MIN, readers_count,
+    CONFIRM_INTERVAL, CONFIRM_LIMIT, CONFIRM_RETRY, HOSTS_INTERVAL, HOSTS_QUERY_JITTER_MAX,
+    QUERY_INTERVAL_MIN, READERS_COUNT, STANDBYS_COUNT, WATCH_INTERVAL_MIN, readers_count,
 };
 use cuminlead_distribution::{Identity, candidates, readers_of_zone};
 use cuminlead_lists::{HostList, HostState};
@@ -16,16 +16,26 @@
 
 /// Bound of P8.
 const IN_FORCE_MS: u64 = 9_000;
+/// Bound of P6.
+const OUT_OF_USE_MS: u64 = 5_000;
 /// Time for a started fleet to find its readers.
 const SETTLE_MS: u64 = 15_000;
 const NODES_COUNT: usize = 18;
 const ZONES_COUNT: usize = 3;
+/// Processes of a fleet whose zones have four readers, of which two read the host list.
+const MANY_NODES_COUNT: usize = 48;
 
 fn settled(seed: u64) -> World {
-    let mut world = World::new(NODES_COUNT, ZONES_COUNT, seed);
+    settled_with(NODES_COUNT, seed)
+}
+
+fn settled_with(nodes_count: usize, seed: u64) -> World {
+    let mut world = World::new(nodes_count, ZONES_COUNT, seed);
     world.run(SETTLE_MS);
     assert_eq!(world.behind(), Vec::<usize>::new());
-    assert_eq!(world.watching().len(), ZONES_COUNT * READERS_COUNT);
+    let readers = readers_count(nodes_count / ZONES_COUNT);
+    assert_eq!(world.watching().len(), ZONES_COUNT * readers);
+    assert_eq!(world.reading_hosts(), ZONES_COUNT * READERS_COUNT);
     world
 }
 
@@ -132,6 +142,65 @@
     }
 }
 
+/// Guards against a leaving host that stays in use for longer than P6 allows, because two hosts of a
+/// zone read the host list for all: a change at once after the fault, while the fault is being
+/// noticed, and after that. Where no host of a zone is left that may read, later changes are learned
+/// with the questions of each process, 10 s apart.
+#[parameterized(
+    none = { Fault::None, true },
+    reader_stopped = { Fault::Stopped(1), true },
+    readers_stopped = { Fault::Stopped(2), true },
+    readers_and_standby_stopped = { Fault::Stopped(3), true },
+    readers_and_standbys_stopped = { Fault::Stopped(4), false },
+    reader_unreachable = { Fault::Unreachable(1), true },
+    readers_unreachable = { Fault::Unreachable(2), true },
+    readers_and_standby_unreachable = { Fault::Unreachable(3), true },
+    reader_without_platform = { Fault::WithoutPlatform(1), true },
+    readers_without_platform = { Fault::WithoutPlatform(2), true },
+    readers_and_standbys_without_platform = { Fault::WithoutPlatform(4), false },
+    zone_without_platform = { Fault::ZoneWithoutPlatform, true },
+    scattered = { Fault::Scattered, false },
+    stale_reader = { Fault::StaleReaders(1), true },
+    stale_zone = { Fault::StaleZone, true },
+)]
+fn leaving_host_is_known_in_time(fault: Fault, is_repeated: bool) {
+    for nodes_count in [NODES_COUNT, MANY_NODES_COUNT] {
+        // The first process asks the platform 1 s after the fault at the earliest, when a heartbeat was
+        // due just then.
+        let noticed_max_ms = if is_repeated { 4_000 } else { 900 };
+        for (seed, noticed_ms) in (100..=noticed_max_ms).step_by(400).enumerate() {
+            let mut world = settled_with(nodes_count, seed as u64);
+            let leaving = *ranked(&world, 1).last().expect("host");
+            fault.begin(&mut world);
+            let repeats = if is_repeated { 3 } else { 1 };
+            for pause_ms in [noticed_ms, 1_234, 9_876].into_iter().take(repeats) {
+                world.run(pause_ms);
+                world.publish_leaving(&[leaving]);
+                world.run(OUT_OF_USE_MS);
+                let behind = world.behind_on_hosts();
+                assert_eq!(
+                    behind,
+                    Vec::<usize>::new(),
+                    "{fault:?}, {nodes_count}, {noticed_ms}"
+                );
+            }
+        }
+    }
+}
+
+/// Guards against readers that read the host list for good after the first two were gone for a
+/// while, and against readers that never do.
+#[test]
+fn first_two_read_the_host_list_again() {
+    let mut world = settled_with(MANY_NODES_COUNT, 12);
+    Fault::WithoutPlatform(2).begin(&mut world);
+    world.run(5_000);
+    assert!(world.reading_hosts() > ZONES_COUNT * READERS_COUNT);
+    world.cut_from_platform.clear();
+    world.run(SETTLE_MS);
+    assert_eq!(world.reading_hosts(), ZONES_COUNT * READERS_COUNT);
+}
+
 /// Guards against a process that stays with a standby or another zone after its readers are back.
 #[test]
 fn readers_take_over_again() {
@@ -297,6 +366,7 @@
     }
     let watching_max = ZONES_COUNT * (READERS_COUNT + STANDBYS_COUNT);
     assert!(world.watching().len() <= watching_max);
+    assert!(world.reading_hosts() <= watching_max);
 }
 
 /// Guards against limits that exceed the 2,000 calls/s of the configuration service at the design
@@ -308,6 +378,8 @@
     let calls_each_10_s = 10_000_000 / QUERY_INTERVAL_MIN.get() * processes_count
         + 10_000_000 / WATCH_INTERVAL_MIN.get() * watching_count;
     assert!(2 * calls_each_10_s / 10 <= 2_000, "{calls_each_10_s}");
+    let hosts_questions = processes_count * 1_000_000 / HOSTS_QUERY_JITTER_MAX.get();
+    assert!(hosts_questions <= 2_000, "{hosts_questions}");
 }
 
 /// Guards against calls beyond the budget when every process is cut off, or the service is down.
@@ -421,15 +493,19 @@
         pauses_ms in prop::collection::vec(0u64..6_000, 1..8),
     ) {
         let mut world = settled(seed);
+        // The readers stay the same, so that the bound of their number holds at all times.
+        let leaving = *ranked(&world, 2).last().expect("host");
         world.loss = loss;
         for pause_ms in pauses_ms {
             world.run(pause_ms);
             world.publish();
+            world.publish_leaving(&[leaving]);
             check_budget(&world);
         }
         world.loss = 0.0;
         world.run(IN_FORCE_MS);
         prop_assert_eq!(world.behind(), Vec::<usize>::new());
+        prop_assert_eq!(world.behind_on_hosts(), Vec::<usize>::new());
         check_budget(&world);
     }
 }
--- a/crates/distribution/tests/world/mod.rs
+++ b/crates/distribution/tests/world/mod.rs
@@ -200,6 +200,16 @@
         self.hosts.revision = Revision(self.hosts.revision.get() + 1);
     }
 
+    /// Running processes whose host list is not the newest.
+    pub(crate) fn behind_on_hosts(&self) -> Vec<usize> {
+        let newest = self.hosts.revision;
+        let is_behind = |node: &Node| node.distribution.revisions().hosts < newest;
+        let numbers = 0..self.nodes.len();
+        let up = numbers.filter(|number| self.nodes[*number].is_up);
+        up.filter(|number| is_behind(&self.nodes[*number]))
+            .collect()
+    }
+
     /// Numbers of the processes that watch the platform.
     pub(crate) fn watching(&self) -> Vec<usize> {
         let is_watching = |node: &Node| node.is_up && node.distribution.is_watching();
@@ -209,6 +219,12 @@
             .collect()
     }
 
+    /// Number of the processes that read the host list.
+    pub(crate) fn reading_hosts(&self) -> usize {
+        let is_reading = |node: &&Node| node.is_up && node.distribution.is_reading_hosts();
+        self.nodes.iter().filter(is_reading).count()
+    }
+
     /// Revision in force at a process.
     pub(crate) fn revision(&self, number: usize) -> u64 {
         self.nodes[number].distribution.lists().revision().get()
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -13,6 +13,7 @@
             lists: Some(list_delta_to_wire(&update.lists)),
             hosts: Some(host_delta_to_wire(&update.hosts)),
             confirmed_age_us: update.confirmed_age.0,
+            hosts_confirmed_age_us: update.hosts_confirmed_age.0,
         }
     }
 }
@@ -25,6 +26,7 @@
             lists: list_delta_from_wire(required("lists", update.lists)?),
             hosts: host_delta_from_wire(required("hosts", update.hosts)?)?,
             confirmed_age: DurationUs(update.confirmed_age_us),
+            hosts_confirmed_age: DurationUs(update.hosts_confirmed_age_us),
         })
     }
 }
--- a/crates/wire/tests/round_trip.rs
+++ b/crates/wire/tests/round_trip.rs
@@ -198,6 +198,7 @@
             removed: vec!["host-2".parse().unwrap()],
         },
         confirmed_age: DurationUs(5),
+        hosts_confirmed_age: DurationUs(6),
     };
     let wire = proto::PeerUpdate::from(&update);
     assert_eq!(Update::try_from(wire), Ok(update));
