--- a/crates/distribution/src/event.rs
+++ b/crates/distribution/src/event.rs
@@ -33,6 +33,9 @@
     pub hosts: HostDelta,
     /// Time since the sender's lists were confirmed as the newest.
     pub confirmed_age: DurationUs,
+    /// Time since the sender's host list was read as the newest, by the sender or by the reader that
+    /// it follows; [`NEVER_CONFIRMED`] while the sender does not rely on it.
+    pub hosts_confirmed_age: DurationUs,
 }
 
 /// Revisions of one process.
@@ -115,8 +118,12 @@
 pub enum Answer {
     /// All parts.
     Lists(Snapshot),
+    /// Parts changed since the revision that the call named as held.
+    ListChanges(Delta),
     /// The host list.
     Hosts(HostList),
+    /// Hosts changed since the revision that the call named as held.
+    HostChanges(HostDelta),
     /// The host list, or the values of the parts, could not be read.
     Unreadable(Findings),
     /// The value did not change after the revision of the call.
--- a/crates/distribution/src/service.rs
+++ b/crates/distribution/src/service.rs
@@ -10,7 +10,8 @@
 use crate::action::{Action, Source};
 use crate::event::{CallRef, Revisions};
 use crate::limits::{
-    CALL_TIMEOUT, QUERY_INTERVAL_MIN, QUERY_JITTER_MAX, WATCH_INTERVAL_MIN, WATCH_RETRY, WATCH_WAIT,
+    CALL_TIMEOUT, HOSTS_INTERVAL, HOSTS_QUERY_JITTER_MAX, QUERY_INTERVAL_MIN, QUERY_JITTER_MAX,
+    WATCH_INTERVAL_MIN, WATCH_RETRY, WATCH_WAIT,
 };
 
 /// Calls of one process to the platform.
@@ -19,9 +20,6 @@
     lists: Channel,
     hosts: Channel,
     next_call: u64,
-    is_watching: bool,
-    query_at: Option<TimeUs>,
-    queried_at: Option<TimeUs>,
 }
 
 /// Calls for one value; at most one is under way.
@@ -29,6 +27,9 @@
 struct Channel {
     call: Option<Call>,
     next_watch_at: TimeUs,
+    is_watching: bool,
+    query_at: Option<TimeUs>,
+    queried_at: Option<TimeUs>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -60,18 +61,24 @@
         }
     }
 
-    /// Starts or ends watching.
-    pub(crate) fn set_watching(&mut self, is_watching: bool, actions: &mut Vec<Action>) {
-        if self.is_watching && !is_watching {
-            for source in Source::iter() {
-                self.stop_call(source, actions);
-            }
+    /// Starts or ends watching of a value.
+    pub(crate) fn set_watching(
+        &mut self,
+        source: Source,
+        is_watching: bool,
+        actions: &mut Vec<Action>,
+    ) {
+        if self.is_watching(source) && !is_watching {
+            self.stop_call(source, actions);
         }
-        self.is_watching = is_watching;
+        self.channel(source).is_watching = is_watching;
     }
 
-    pub(crate) fn is_watching(&self) -> bool {
-        self.is_watching
+    pub(crate) fn is_watching(&self, source: Source) -> bool {
+        match source {
+            Source::Lists => self.lists.is_watching,
+            Source::Hosts => self.hosts.is_watching,
+        }
     }
 
     fn stop_call(&mut self, source: Source, actions: &mut Vec<Action>) {
@@ -82,27 +89,31 @@
 
     /// Asks for a question at the next step, whatever the interval; only for a fresh process.
     pub(crate) fn query_at_start(&mut self, now: TimeUs) {
-        self.query_at = Some(now);
+        for source in Source::iter() {
+            self.channel(source).query_at = Some(now);
+        }
     }
 
     /// Asks for a question after a jitter, within the interval.
-    pub(crate) fn request_query(&mut self, now: TimeUs, rng: &mut StdRng) {
-        if self.query_at.is_some() || self.is_watching {
+    pub(crate) fn request_query(&mut self, now: TimeUs, source: Source, rng: &mut StdRng) {
+        let channel = self.channel(source);
+        if channel.query_at.is_some() || channel.is_watching {
             return;
         }
-        let jitter = DurationUs(rng.random_range(0..QUERY_JITTER_MAX.get()));
-        let earliest = self.queried_at.map(|at| at + QUERY_INTERVAL_MIN);
-        self.query_at = Some((now + jitter).max(earliest.unwrap_or_default()));
+        let jitter = DurationUs(rng.random_range(0..query_jitter_max(source).get()));
+        let earliest = channel.queried_at.map(|at| at + QUERY_INTERVAL_MIN);
+        channel.query_at = Some((now + jitter).max(earliest.unwrap_or_default()));
     }
 
     /// Withdraws a question that is not sent yet.
-    pub(crate) fn cancel_query(&mut self) {
-        self.query_at = None;
+    pub(crate) fn cancel_query(&mut self, source: Source) {
+        self.channel(source).query_at = None;
     }
 
     /// Whether a question is asked for or under way.
     pub(crate) fn is_query_open(&self) -> bool {
-        self.query_at.is_some() || self.lists.call.is_some() || self.hosts.call.is_some()
+        let mut channels = [&self.lists, &self.hosts].into_iter();
+        channels.any(|channel| channel.query_at.is_some() || channel.call.is_some())
     }
 
     /// Takes the end of a call; returns what was asked unless the call is not under way any more.
@@ -119,7 +130,7 @@
         let channel = self.channel(source);
         let call = channel.call.take()?;
         channel.next_watch_at = match outcome {
-            Outcome::Answered => call.sent_at + WATCH_INTERVAL_MIN,
+            Outcome::Answered => call.sent_at + watch_interval(source),
             Outcome::Failed => now + WATCH_RETRY,
         };
         let finished = Finished {
@@ -129,18 +140,26 @@
         Some(finished)
     }
 
-    /// Sends the calls that are due. `known` are the revisions not to be sent again.
-    pub(crate) fn step(&mut self, now: TimeUs, known: Revisions, actions: &mut Vec<Action>) {
+    /// Sends the calls that are due. `known` are the revisions not to be sent again, `held` those
+    /// in force.
+    pub(crate) fn step(
+        &mut self,
+        now: TimeUs,
+        known: Revisions,
+        held: Revisions,
+        actions: &mut Vec<Action>,
+    ) {
         for source in Source::iter() {
             self.expire(now, source, actions);
-        }
-        if self.is_watching {
-            self.query_at = None;
-            Source::iter().for_each(|source| self.watch(now, source, known, actions));
-        } else if self.query_at.is_some_and(|at| now >= at) {
-            self.query_at = None;
-            self.queried_at = Some(now);
-            Source::iter().for_each(|source| self.query(now, source, known, actions));
+            let channel = self.channel(source);
+            if channel.is_watching {
+                channel.query_at = None;
+                self.watch(now, source, known, held, actions);
+            } else if channel.query_at.is_some_and(|at| now >= at) {
+                channel.query_at = None;
+                channel.queried_at = Some(now);
+                self.query(now, source, known, held, actions);
+            }
         }
     }
 
@@ -155,7 +174,14 @@
         }
     }
 
-    fn watch(&mut self, now: TimeUs, source: Source, known: Revisions, actions: &mut Vec<Action>) {
+    fn watch(
+        &mut self,
+        now: TimeUs,
+        source: Source,
+        known: Revisions,
+        held: Revisions,
+        actions: &mut Vec<Action>,
+    ) {
         let channel = self.channel(source);
         if channel.call.is_some() || now < channel.next_watch_at {
             return;
@@ -164,23 +190,35 @@
             call: self.begin(now, source),
             source,
             after: revision_of(known, source),
-            wait: WATCH_WAIT,
+            held: revision_of(held, source),
+            wait: watch_wait(source),
         });
     }
 
-    fn query(&mut self, now: TimeUs, source: Source, known: Revisions, actions: &mut Vec<Action>) {
+    fn query(
+        &mut self,
+        now: TimeUs,
+        source: Source,
+        known: Revisions,
+        held: Revisions,
+        actions: &mut Vec<Action>,
+    ) {
         self.stop_call(source, actions);
         actions.push(Action::QueryService {
             call: self.begin(now, source),
             source,
             after: revision_of(known, source),
+            held: revision_of(held, source),
         });
     }
 
     fn begin(&mut self, now: TimeUs, source: Source) -> CallRef {
         self.next_call += 1;
         let id = CallRef(self.next_call);
-        self.channel(source).call = Some(Call { id, sent_at: now });
+        let channel = self.channel(source);
+        channel.call = Some(Call { id, sent_at: now });
+        // A call that is dropped must not be followed at once by the next one.
+        channel.next_watch_at = now + watch_interval(source);
         id
     }
 
@@ -189,9 +227,10 @@
         let channels = [&self.lists, &self.hosts].into_iter();
         let due = channels.filter_map(|channel| match channel.call {
             Some(call) => Some(call.sent_at + CALL_TIMEOUT + DurationUs(1)),
-            None => self.is_watching.then_some(channel.next_watch_at),
+            None => channel.is_watching.then_some(channel.next_watch_at),
         });
-        due.chain(self.query_at).min()
+        let queries = [self.lists.query_at, self.hosts.query_at];
+        due.chain(queries.into_iter().flatten()).min()
     }
 }
 
@@ -201,3 +240,25 @@
         Source::Hosts => known.hosts,
     }
 }
+
+/// The host list cannot be watched, so a reading of it is answered at once.
+fn watch_wait(source: Source) -> DurationUs {
+    match source {
+        Source::Lists => WATCH_WAIT,
+        Source::Hosts => DurationUs::ZERO,
+    }
+}
+
+fn watch_interval(source: Source) -> DurationUs {
+    match source {
+        Source::Lists => WATCH_INTERVAL_MIN,
+        Source::Hosts => HOSTS_INTERVAL,
+    }
+}
+
+fn query_jitter_max(source: Source) -> DurationUs {
+    match source {
+        Source::Lists => QUERY_JITTER_MAX,
+        Source::Hosts => HOSTS_QUERY_JITTER_MAX,
+    }
+}
