Check a change of the lists by its changed parts

Now the old and the new text of the changed parts are parsed; the entries of the old text are taken out of the lists in force and those of the new text are added and checked against the rest. References of unchanged entries are checked again when a plan vanished or a server changed. What is not valid is checked as a whole, so the findings are those of a full check by construction.

Ruled out: keeping the parsed entries of every part, because they would be held a second time beside the lists.

--- a/crates/agent-core/tests/model.rs
+++ b/crates/agent-core/tests/model.rs
@@ -179,7 +179,7 @@
     }
     assert!(replies(&agent.send(2, reserve(20, "kiosks", "notes"))).is_empty());
     let mut changed = lists(6);
-    changed.allowances.clear();
+    Arc::make_mut(&mut changed.allowances).clear();
     let actions = agent.handle(3, AgentEvent::Lists(Arc::new(changed)));
     assert_eq!(
         replies(&actions)[0].body,
@@ -193,7 +193,7 @@
     let mut agent = Agent::of_engine("decode-1", DECODE);
     agent.send(1, reserve(1, "kiosks", "notes"));
     let mut changed = lists(6);
-    changed.allowances.clear();
+    Arc::make_mut(&mut changed.allowances).clear();
     agent.handle(2, AgentEvent::Lists(Arc::new(changed)));
     let body = agent.ask(3, reserve(1, "kiosks", "notes")).body;
     assert!(matches!(body, ReplyBody::Reserved(_)));
--- a/crates/agent-core/tests/orders.rs
+++ b/crates/agent-core/tests/orders.rs
@@ -29,7 +29,9 @@
 /// Lists that want another role and one more model of the decode engine.
 fn changed(revision: u64, role: WantedRole, has_new_model: bool) -> AgentEvent {
     let mut lists: Lists = lists(revision);
-    let server = lists.servers.get_mut(&name("decode-1")).expect("listed");
+    let server = Arc::make_mut(&mut lists.servers)
+        .get_mut(&name("decode-1"))
+        .expect("listed");
     if let ServerDuty::Engine(duty) = &mut server.duty {
         duty.role = role;
         let mut model = duty.models[0].clone();
--- a/crates/agent-core/tests/support/mod.rs
+++ b/crates/agent-core/tests/support/mod.rs
@@ -33,7 +33,7 @@
 pub(crate) fn lists(revision: u64) -> Lists {
     let mut lists: Lists = name(include_str!("../samples/lists.toml"));
     lists.revision = Revision(revision);
-    let allowance = lists.allowances.get_mut(&name("standard"));
+    let allowance = Arc::make_mut(&mut lists.allowances).get_mut(&name("standard"));
     let models = &mut allowance.expect("listed").models;
     for model in ["unwanted", "new"] {
         let mut other = models[0].clone();
--- /dev/null
+++ b/crates/lists/src/change.rs
@@ -0,0 +1,112 @@
+//! Checks a snapshot by what differs from the valid one in force.
+//!
+//! Only changed parts are parsed, in their old and their new text: the entries of the old text are
+//! taken out of the lists in force and those of the new text are added. Keeping the parsed entries
+//! of each part instead would hold them a second time beside the lists. Whatever is not valid makes
+//! the caller check all parts, so findings and their order never depend on the lists in force.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use cuminlead_types::Findings;
+
+use crate::check::{Read, assemble, check_part_revision, read_part, serves};
+use crate::lists::{Lists, ModelAllowance, ServerDuty, ServiceAllowance, WantedRole};
+use crate::parse::Document;
+use crate::part::Part;
+use crate::snapshot::Snapshot;
+
+/// Lists of `next`, when it is valid; `lists` are those of `base`, which is valid.
+pub(crate) fn check_change(base: &Snapshot, lists: &Lists, next: &Snapshot) -> Option<Lists> {
+    let mut findings = Findings::new();
+    for part in next.parts() {
+        check_part_revision(part, next, &mut findings);
+    }
+    let old = read_parts(base.parts_not_in(next), &mut findings);
+    let new = read_parts(next.parts_not_in(base), &mut findings);
+    let mut changed = lists.clone();
+    for read in &old {
+        remove_entries(&mut changed, &read.document);
+    }
+    changed = assemble(changed, new, &mut findings);
+    changed.revision = next.revision();
+    let is_valid = findings.is_empty() && references_hold(&changed, lists, &old);
+    is_valid.then_some(changed)
+}
+
+fn read_parts<'a>(parts: impl Iterator<Item = &'a Part>, findings: &mut Findings) -> Vec<Read<'a>> {
+    parts.filter_map(|part| read_part(part, findings)).collect()
+}
+
+/// Takes out the entries of a part; in valid lists no other part has an entry of the same name.
+fn remove_entries(lists: &mut Lists, document: &Document) {
+    for plan in &document.plans {
+        lists.plans.remove(&plan.value.name);
+    }
+    for entry in &document.customers {
+        Arc::make_mut(&mut lists.customers).remove(&entry.customer.id);
+    }
+    for server in &document.servers {
+        Arc::make_mut(&mut lists.servers).remove(&server.value.id);
+    }
+    for route in &document.routes {
+        lists.routes.retain(|known| *known != route.value);
+    }
+    for entry in &document.allowances {
+        Arc::make_mut(&mut lists.allowances).remove(&entry.plan.value);
+    }
+}
+
+/// Whether the entries of unchanged parts still refer to entries that serve them.
+fn references_hold(lists: &Lists, before: &Lists, old: &[Read<'_>]) -> bool {
+    let has_lost_plan = old.iter().any(|read| {
+        let mut names = read.document.plans.iter().map(|plan| &plan.value.name);
+        names.any(|name| !lists.plans.contains_key(name))
+    });
+    let has_changed_server = old.iter().any(|read| {
+        let mut ids = read.document.servers.iter().map(|server| &server.value.id);
+        ids.any(|id| lists.servers.get(id) != before.servers.get(id))
+    });
+    (!has_lost_plan || plans_exist(lists)) && (!has_changed_server || servers_serve(lists))
+}
+
+fn plans_exist(lists: &Lists) -> bool {
+    let customers = lists.customers.values().map(|customer| &customer.plan);
+    let mut plans = customers.chain(lists.allowances.keys());
+    plans.all(|plan| lists.plans.contains_key(plan))
+}
+
+fn servers_serve(lists: &Lists) -> bool {
+    let mut routes = lists.routes.iter();
+    let mut allowances = lists.allowances.values();
+    routes.all(|route| lists.servers_of_service(&route.service).next().is_some())
+        && allowances.all(|allowance| {
+            let mut models = allowance.models.iter();
+            let mut services = allowance.services.iter();
+            models.all(|model| model_is_served(lists, model))
+                && services.all(|service| service_is_served(lists, service))
+        })
+}
+
+fn model_is_served(lists: &Lists, wanted: &ModelAllowance) -> bool {
+    let mut roles = BTreeSet::new();
+    for id in &wanted.servers {
+        let adapter = wanted.adapter.as_ref();
+        match lists.servers.get(id).map(|server| &server.duty) {
+            Some(ServerDuty::Engine(duty))
+                if serves(duty, &wanted.model, &wanted.version, adapter) =>
+            {
+                roles.insert(duty.role);
+            }
+            _ => return false,
+        }
+    }
+    roles.contains(&WantedRole::Prefill) && roles.contains(&WantedRole::Decode)
+}
+
+fn service_is_served(lists: &Lists, wanted: &ServiceAllowance) -> bool {
+    wanted.servers.iter().all(|id| {
+        let duty = lists.servers.get(id).map(|server| &server.duty);
+        matches!(duty, Some(ServerDuty::Service(name)) if *name == wanted.service)
+    })
+}
--- a/crates/lists/src/check.rs
+++ b/crates/lists/src/check.rs
@@ -1,8 +1,9 @@
 //! Checks the entries of all parts as a whole: duplicates and references.
 
 use std::collections::BTreeSet;
+use std::sync::Arc;
 
-use cuminlead_types::{BackendServerId, Findings, Place};
+use cuminlead_types::{AdapterName, BackendServerId, Findings, ModelName, Place, VersionName};
 
 use crate::lists::{
     Allowance, EngineDuty, Lists, ModelAllowance, ServerDuty, ServiceAllowance, WantedRole,
@@ -15,9 +16,9 @@
 use crate::snapshot::Snapshot;
 
 /// Document with the source that its marks refer to.
-struct Read<'a> {
+pub(crate) struct Read<'a> {
     source: Source<'a>,
-    document: Document,
+    pub(crate) document: Document,
 }
 
 /// Parses and checks all parts of a snapshot.
@@ -28,7 +29,7 @@
         read.extend(read_part(part, &mut findings));
         check_part_revision(part, snapshot, &mut findings);
     }
-    let mut lists = assemble(&read, &mut findings);
+    let mut lists = assemble(Lists::default(), read, &mut findings);
     lists.revision = snapshot.revision();
     findings.into_result(lists)
 }
@@ -39,16 +40,16 @@
     let parsed = parse(DocumentKind::Whole, &source, text);
     let mut findings = parsed.findings;
     let revision = parsed.document.revision;
-    let read = [Read {
+    let read = vec![Read {
         source,
         document: parsed.document,
     }];
-    let mut lists = assemble(&read, &mut findings);
+    let mut lists = assemble(Lists::default(), read, &mut findings);
     lists.revision = revision;
     findings.into_result(lists)
 }
 
-fn read_part<'a>(part: &'a Part, findings: &mut Findings) -> Option<Read<'a>> {
+pub(crate) fn read_part<'a>(part: &'a Part, findings: &mut Findings) -> Option<Read<'a>> {
     let Some(kind) = part.key.kind() else {
         let place = whole_part(part);
         findings.add(place, "unknown part; keys start with plans/ or allowances/");
@@ -63,7 +64,7 @@
     })
 }
 
-fn check_part_revision(part: &Part, snapshot: &Snapshot, findings: &mut Findings) {
+pub(crate) fn check_part_revision(part: &Part, snapshot: &Snapshot, findings: &mut Findings) {
     if part.revision > snapshot.revision() {
         let message = format!(
             "revision {} is later than revision {} of the snapshot",
@@ -82,17 +83,19 @@
     }
 }
 
-fn assemble(read: &[Read<'_>], findings: &mut Findings) -> Lists {
-    let mut assembly = Assembly {
-        lists: Lists::default(),
-        findings,
-    };
-    for one in read {
+/// Adds entries to lists and checks the added ones against all; each entry is moved, so that its
+/// text is not held twice.
+pub(crate) fn assemble(lists: Lists, mut read: Vec<Read<'_>>, findings: &mut Findings) -> Lists {
+    let mut digests = BTreeSet::new();
+    if read.iter().any(|one| !one.document.customers.is_empty()) {
+        digests.extend(lists.customers.values().map(|known| known.key_sha256));
+    }
+    let mut assembly = Assembly { lists, findings };
+    for one in &mut read {
         assembly.add_plans(one);
         assembly.add_servers(one);
     }
-    let mut digests = BTreeSet::new();
-    for one in read {
+    for one in &mut read {
         assembly.add_customers(one, &mut digests);
         assembly.add_routes(one);
         assembly.add_allowances(one);
@@ -115,33 +118,33 @@
         self.findings.add(place, message);
     }
 
-    fn add_plans(&mut self, read: &Read<'_>) {
-        for plan in &read.document.plans {
+    fn add_plans(&mut self, read: &mut Read<'_>) {
+        for plan in std::mem::take(&mut read.document.plans) {
             let name = plan.value.name.clone();
             if self.lists.plans.contains_key(&name) {
                 let message = format!("plan {name} is listed twice");
                 self.add(&read.source, plan.mark, "plan.name", message);
             }
-            self.lists.plans.insert(name, plan.value.clone());
+            self.lists.plans.insert(name, plan.value);
         }
     }
 
-    fn add_servers(&mut self, read: &Read<'_>) {
-        for server in &read.document.servers {
+    fn add_servers(&mut self, read: &mut Read<'_>) {
+        for server in std::mem::take(&mut read.document.servers) {
             let id = server.value.id.clone();
             if self.lists.servers.contains_key(&id) {
                 let message = format!("server {id} is listed twice");
                 self.add(&read.source, server.mark, "server.id", message);
             }
-            self.lists.servers.insert(id, server.value.clone());
+            Arc::make_mut(&mut self.lists.servers).insert(id, server.value);
         }
     }
 
-    fn add_customers(&mut self, read: &Read<'_>, digests: &mut BTreeSet<[u8; 32]>) {
-        for entry in &read.document.customers {
-            self.check_customer(&read.source, entry, digests);
-            let customer = entry.customer.clone();
-            self.lists.customers.insert(customer.id.clone(), customer);
+    fn add_customers(&mut self, read: &mut Read<'_>, digests: &mut BTreeSet<[u8; 32]>) {
+        for entry in std::mem::take(&mut read.document.customers) {
+            self.check_customer(&read.source, &entry, digests);
+            let id = entry.customer.id.clone();
+            Arc::make_mut(&mut self.lists.customers).insert(id, entry.customer);
         }
     }
 
@@ -166,8 +169,8 @@
         }
     }
 
-    fn add_routes(&mut self, read: &Read<'_>) {
-        for route in &read.document.routes {
+    fn add_routes(&mut self, read: &mut Read<'_>) {
+        for route in std::mem::take(&mut read.document.routes) {
             let service = &route.value.service;
             if self.lists.servers_of_service(service).next().is_none() {
                 let message = format!("no server of service {service}");
@@ -182,7 +185,7 @@
                 let message = "route is listed twice".to_string();
                 self.add(&read.source, route.mark, "route", message);
             }
-            self.lists.routes.push(route.value.clone());
+            self.lists.routes.push(route.value);
         }
     }
 
@@ -196,12 +199,11 @@
         });
     }
 
-    fn add_allowances(&mut self, read: &Read<'_>) {
-        for entry in &read.document.allowances {
-            self.check_allowance_plan(&read.source, entry);
-            let allowance = self.check_allowance(&read.source, entry);
-            let plan = entry.plan.value.clone();
-            self.lists.allowances.insert(plan, allowance);
+    fn add_allowances(&mut self, read: &mut Read<'_>) {
+        for entry in std::mem::take(&mut read.document.allowances) {
+            self.check_allowance_plan(&read.source, &entry);
+            let allowance = self.check_allowance(&read.source, &entry);
+            Arc::make_mut(&mut self.lists.allowances).insert(entry.plan.value, allowance);
         }
     }
 
@@ -252,7 +254,9 @@
                 continue;
             };
             match &known.duty {
-                ServerDuty::Engine(duty) if serves(duty, entry) => {
+                ServerDuty::Engine(duty)
+                    if serves(duty, &entry.model, &entry.version, entry.adapter.as_ref()) =>
+                {
                     roles.insert(duty.role);
                 }
                 _ => {
@@ -316,16 +320,18 @@
     }
 }
 
-fn serves(duty: &EngineDuty, entry: &ModelEntry) -> bool {
+/// Whether an engine is wanted to serve a model, version and adapter.
+pub(crate) fn serves(
+    duty: &EngineDuty,
+    model: &ModelName,
+    version: &VersionName,
+    adapter: Option<&AdapterName>,
+) -> bool {
     let has_model = duty
         .models
         .iter()
-        .any(|known| known.model == entry.model && known.version == entry.version);
-    let has_adapter = entry
-        .adapter
-        .as_ref()
-        .is_none_or(|adapter| duty.adapters.contains(adapter));
-    has_model && has_adapter
+        .any(|known| known.model == *model && known.version == *version);
+    has_model && adapter.is_none_or(|adapter| duty.adapters.contains(adapter))
 }
 
 fn target(entry: &ModelEntry) -> String {
--- a/crates/lists/src/lib.rs
+++ b/crates/lists/src/lib.rs
@@ -10,6 +10,7 @@
 //! | [`hosts`] | the platform's list of live and leaving hosts |
 //! | [`host_store`] | the host list in use in one process, and what changed since a revision |
 
+mod change;
 mod check;
 pub mod host_store;
 pub mod hosts;
--- a/crates/lists/src/lists.rs
+++ b/crates/lists/src/lists.rs
@@ -1,6 +1,7 @@
 //! The checked lists in force and the questions asked of them.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 use cuminlead_types::{
     AdapterName, BackendServerId, CustomerId, DurationUs, ModelName, PlanName, Priority,
@@ -9,6 +10,9 @@
 use strum::{Display, EnumString, IntoStaticStr, VariantNames};
 
 /// Plans and allowances at one revision, checked as a whole.
+///
+/// The large maps are shared by the lists of successive revisions as long as none of their entries
+/// changes.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Lists {
     /// Revision of the snapshot.
@@ -16,13 +20,13 @@
     /// Plans by name.
     pub plans: BTreeMap<PlanName, Plan>,
     /// Customers by id.
-    pub customers: BTreeMap<CustomerId, Customer>,
+    pub customers: Arc<BTreeMap<CustomerId, Customer>>,
     /// Backend servers and what they are wanted to serve.
-    pub servers: BTreeMap<BackendServerId, Server>,
+    pub servers: Arc<BTreeMap<BackendServerId, Server>>,
     /// Routes of services, longest prefix first.
     pub routes: Vec<ServiceRoute>,
     /// What each plan may use.
-    pub allowances: BTreeMap<PlanName, Allowance>,
+    pub allowances: Arc<BTreeMap<PlanName, Allowance>>,
 }
 
 /// Plan of customers.
--- a/crates/lists/src/parse.rs
+++ b/crates/lists/src/parse.rs
@@ -250,13 +250,15 @@
 
 fn read_engine(fields: &Fields<'_, '_>, report: &mut Report<'_>) -> Option<EngineDuty> {
     let role = fields.choice::<WantedRole>("role", report);
-    let models = read_all(
+    let mut models = read_all(
         fields,
         "models",
         "server.models",
         read_model_version,
         report,
     );
+    // Thousands of engines are kept with one or two models each.
+    models.shrink_to_fit();
     let adapters = fields.optional_texts::<AdapterName>("adapters", report);
     let fenced = fields.flag("fenced", report);
     Some(EngineDuty {
--- a/crates/lists/src/snapshot.rs
+++ b/crates/lists/src/snapshot.rs
@@ -6,6 +6,7 @@
 //! still be in force at such a process.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 use cuminlead_types::{Findings, Revision};
 
@@ -21,7 +22,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Snapshot {
     revision: Revision,
-    parts: BTreeMap<PartKey, Part>,
+    /// Shared by the snapshots of successive revisions as long as the part does not change.
+    parts: BTreeMap<PartKey, Arc<Part>>,
     /// Earlier revisions that this snapshot went through, in order.
     known: Vec<Revision>,
     /// Parts that existed at a known revision and do not exist now.
@@ -69,7 +71,7 @@
     pub fn new(revision: Revision, parts: impl IntoIterator<Item = Part>) -> Self {
         let parts = parts
             .into_iter()
-            .map(|part| (part.key.clone(), part))
+            .map(|part| (part.key.clone(), Arc::new(part)))
             .collect();
         Self {
             revision,
@@ -85,7 +87,15 @@
 
     /// Parts in order of their keys.
     pub fn parts(&self) -> impl Iterator<Item = &Part> {
-        self.parts.values()
+        self.parts.values().map(Arc::as_ref)
+    }
+
+    /// Parts whose text `other` does not have under the same key.
+    pub(crate) fn parts_not_in<'a>(&'a self, other: &'a Self) -> impl Iterator<Item = &'a Part> {
+        self.parts().filter(|part| {
+            let theirs = other.parts.get(&part.key);
+            theirs.is_none_or(|theirs| theirs.text != part.text)
+        })
     }
 
     /// Parses and checks all parts as a whole.
@@ -133,7 +143,7 @@
                 if !delta.removed.contains(key) {
                     next.parts
                         .entry(key.clone())
-                        .or_insert_with(|| part.clone());
+                        .or_insert_with(|| Arc::clone(part));
                 }
             }
         }
--- a/crates/lists/src/store.rs
+++ b/crates/lists/src/store.rs
@@ -4,6 +4,7 @@
 
 use cuminlead_types::{Findings, Revision};
 
+use crate::change::check_change;
 use crate::keys::CustomerKeys;
 use crate::lists::Lists;
 use crate::snapshot::Snapshot;
@@ -55,7 +56,7 @@
         if let Some(refused) = self.refused.as_ref().filter(|r| r.snapshot == snapshot) {
             return Offer::Invalid(refused.findings.clone());
         }
-        match snapshot.check() {
+        match self.check(&snapshot) {
             Ok(lists) => {
                 if let Some(earlier) = &self.in_force {
                     snapshot.follow(&earlier.snapshot);
@@ -73,6 +74,20 @@
         }
     }
 
+    /// Lists of a snapshot. The findings of an invalid one come from a check of all parts, because
+    /// a finding may be in a part that did not change.
+    fn check(&self, snapshot: &Snapshot) -> Result<Lists, Findings> {
+        let changed = self.in_force.as_ref().and_then(|in_force| {
+            let InForce {
+                snapshot: base,
+                lists,
+                ..
+            } = in_force;
+            check_change(base, lists, snapshot)
+        });
+        changed.map_or_else(|| snapshot.check(), Ok)
+    }
+
     fn is_older(&self, snapshot: &Snapshot) -> bool {
         self.in_force
             .as_ref()
--- a/crates/lists/src/text.rs
+++ b/crates/lists/src/text.rs
@@ -36,7 +36,7 @@
         for route in &self.routes {
             write_route(f, route)?;
         }
-        for (plan, allowance) in &self.allowances {
+        for (plan, allowance) in self.allowances.iter() {
             writeln!(f, "\n[[allowance]]")?;
             writeln!(f, "plan = {}", quoted(plan))?;
             write_allowance(f, allowance)?;
--- a/crates/permits/tests/differential.rs
+++ b/crates/permits/tests/differential.rs
@@ -2,6 +2,7 @@
 
 use std::fmt::Debug;
 use std::str::FromStr;
+use std::sync::Arc;
 
 use cuminlead_lists::{Lists, Server, ServerDuty};
 use cuminlead_permits::{Permits, PermitsConfig, RunOutcome};
@@ -67,7 +68,7 @@
     for name in ["a", "b"].iter().take(1 + usize::from(has_second)) {
         let id: BackendServerId = parse(name);
         let duty = ServerDuty::Service(parse("s"));
-        lists.servers.insert(id.clone(), Server { id, duty });
+        Arc::make_mut(&mut lists.servers).insert(id.clone(), Server { id, duty });
     }
     lists
 }
--- a/crates/permits/tests/permits.rs
+++ b/crates/permits/tests/permits.rs
@@ -2,6 +2,7 @@
 
 use std::fmt::Debug;
 use std::str::FromStr;
+use std::sync::Arc;
 
 use cuminlead_lists::{Lists, Server, ServerDuty};
 use cuminlead_permits::{KeyId, Permits, PermitsConfig, RunOutcome, owner_of};
@@ -30,7 +31,7 @@
     for name in servers {
         let id: BackendServerId = parse(name);
         let duty = ServerDuty::Service(parse("booking"));
-        lists.servers.insert(id.clone(), Server { id, duty });
+        Arc::make_mut(&mut lists.servers).insert(id.clone(), Server { id, duty });
     }
     lists
 }
--- a/crates/routing/src/pools.rs
+++ b/crates/routing/src/pools.rs
@@ -77,7 +77,7 @@
         self.models.clear();
         self.services.clear();
         self.apply_owners(lists);
-        for (plan, allowance) in &lists.allowances {
+        for (plan, allowance) in lists.allowances.iter() {
             let models = self.models.entry(plan.clone()).or_default();
             for entry in &allowance.models {
                 let target = target_of(entry);
--- a/crates/routing/tests/fleet/mod.rs
+++ b/crates/routing/tests/fleet/mod.rs
@@ -71,11 +71,11 @@
             ..EngineDuty::default()
         };
         let (id, duty) = (engine(number), ServerDuty::Engine(duty));
-        lists.servers.insert(id.clone(), Server { id, duty });
+        Arc::make_mut(&mut lists.servers).insert(id.clone(), Server { id, duty });
     }
     for number in 0..counters {
         let (id, duty) = (counter(number), ServerDuty::Service(parse("counter")));
-        lists.servers.insert(id.clone(), Server { id, duty });
+        Arc::make_mut(&mut lists.servers).insert(id.clone(), Server { id, duty });
     }
     let model = ModelAllowance {
         model: version.model,
@@ -91,9 +91,9 @@
         models: vec![model],
         services: vec![service],
     };
-    lists.allowances.insert(plan.name.clone(), allowance);
+    Arc::make_mut(&mut lists.allowances).insert(plan.name.clone(), allowance);
     lists.plans.insert(plan.name.clone(), plan);
-    lists.customers.insert(customer.id.clone(), customer);
+    Arc::make_mut(&mut lists.customers).insert(customer.id.clone(), customer);
     lists
 }
 
--- a/crates/routing/tests/routing.rs
+++ b/crates/routing/tests/routing.rs
@@ -170,7 +170,10 @@
         panic!("no owner");
     };
     let mut outside = lists(0, 3);
-    let allowance = outside.allowances.values_mut().next().unwrap();
+    let allowance = Arc::make_mut(&mut outside.allowances)
+        .values_mut()
+        .next()
+        .unwrap();
     allowance.services[0]
         .servers
         .retain(|server| *server != owner);
