--- a/crates/lists/src/lib.rs
+++ b/crates/lists/src/lib.rs
@@ -11,6 +11,7 @@
 //! | [`hosts`] | the platform's list of live and leaving hosts |
 //! | [`host_store`] | the host list in use in one process, and what changed since a revision |
 
+mod change;
 mod check;
 mod continued;
 pub mod host_store;
