Show the engine the fencing number before work is accepted

Cause: a restarted agent sent its first order only when the lists wanted a change. Until then an engine that checks fencing numbers had seen no number of the new incarnation and carried out an order that the earlier agent had written before it died. When the lists had changed back meanwhile, the late change of role ended decodes that the new agent had admitted.

Ruled out: a fault of the driver's engine; it refuses numbers that are not higher than the highest it has seen. Waiting only in agents of engines that are listed as checking was not chosen, because a second way of starting would need tests of its own and saves one round trip.

Conclusion: a late order can change an engine that checks numbers only while its agent holds no work.

--- a/crates/agent-core/src/ordering.rs
+++ b/crates/agent-core/src/ordering.rs
@@ -29,6 +29,7 @@
     ) {
         self.pending.handle(now, event, self.poll.read_at());
         let report = self.orders.handle(now, event);
+        self.poll.set_fenced(self.orders.is_fence_settled());
         Self::record_order(report, actions);
     }
 
@@ -37,13 +38,20 @@
         let report = self.orders.expire(now);
         if report.is_some() {
             self.pending.given_up(now);
+            self.poll.set_fenced(self.orders.is_fence_settled());
         }
         Self::record_order(report, actions);
     }
 
     /// Sends the next order; a draining agent leaves its engine as it is.
     pub(crate) fn order_if_due(&mut self, now: TimeUs, actions: &mut Vec<AgentAction>) {
-        if self.is_draining || self.orders.is_settled() {
+        if self.is_draining {
+            return;
+        }
+        if let Some(command) = self.orders.next_fence(now) {
+            actions.push(AgentAction::Engine(command));
+        }
+        if self.orders.is_settled() {
             return;
         }
         let held = self.held();
--- a/crates/agent-core/src/poll.rs
+++ b/crates/agent-core/src/poll.rs
@@ -12,6 +12,7 @@
     next_at: Option<TimeUs>,
     read_at: Option<TimeUs>,
     latest: Option<EngineInventory>,
+    is_fenced: bool,
 }
 
 impl InventoryPoll {
@@ -22,6 +23,7 @@
             next_at: None,
             read_at: None,
             latest: None,
+            is_fenced: false,
         }
     }
 
@@ -60,9 +62,14 @@
         self.latest = None;
     }
 
-    /// Whether an inventory is known.
+    /// Notes whether the engine has seen a fencing number of this incarnation.
+    pub fn set_fenced(&mut self, is_fenced: bool) {
+        self.is_fenced = is_fenced;
+    }
+
+    /// Whether an inventory is known that no order of an earlier incarnation can outdate.
     pub fn is_known(&self) -> bool {
-        self.latest.is_some()
+        self.latest.is_some() && self.is_fenced
     }
 
     /// Whether the engine has the role and has loaded the model.
--- a/crates/agent-core/tests/model.rs
+++ b/crates/agent-core/tests/model.rs
@@ -42,7 +42,7 @@
 ) {
     let mut agent = Agent::of_service(server);
     // The load of the model that is missing keeps the unload of the unwanted one back.
-    agent.handle(0, inventory(role, &["notes", "unwanted"]));
+    agent.show_engine(0, inventory(role, &["notes", "unwanted"]));
     let actions = agent.send(1, request);
     let bodies: Vec<ReplyBody> = replies(&actions).into_iter().map(|r| r.body).collect();
     match expected {
@@ -67,7 +67,7 @@
     let actions = agent.handle(1, AgentEvent::Lists(Arc::new(lists(5))));
     assert!(actions.contains(&AgentAction::Engine(EngineCommand::ReadInventory)));
     assert_eq!(agent.ask(2, reserve(1, "kiosks", "notes")).body, starting);
-    agent.handle(3, inventory(DECODE, &["notes"]));
+    agent.show_engine(3, inventory(DECODE, &["notes"]));
     let body = agent.ask(4, reserve(1, "kiosks", "notes")).body;
     assert!(matches!(body, ReplyBody::Reserved(_)));
     agent.handle(5, AgentEvent::Engine(EngineEvent::Unreachable));
--- a/crates/agent-core/tests/orders.rs
+++ b/crates/agent-core/tests/orders.rs
@@ -4,28 +4,19 @@
 
 use std::sync::Arc;
 
-use cuminlead_agent_core::{AgentAction, AgentEvent};
+use cuminlead_agent_core::AgentEvent;
 use cuminlead_lists::{Lists, ServerDuty, WantedRole};
 use cuminlead_protocol::{
-    AgentRequest, EngineCommand, EngineEvent, EngineOrder, EngineRole, RefusalReason, Release,
-    ReplyBody,
+    AgentRequest, EngineEvent, EngineOrder, EngineRole, RefusalReason, Release, ReplyBody,
 };
 use cuminlead_types::{FencingNumber, TimeUs};
-use support::{Agent, envelope, inventory, lists, name, refused, reserve};
+use support::{Agent, envelope, inventory, lists, name, order, refused, reserve};
+use yare::parameterized;
 
 const SET_PREFILL: EngineOrder = EngineOrder::SetRole {
     role: EngineRole::Prefill,
 };
 
-fn order(actions: &[AgentAction]) -> Option<(FencingNumber, EngineOrder)> {
-    actions.iter().find_map(|action| match action {
-        AgentAction::Engine(EngineCommand::Order { fencing, order }) => {
-            Some((*fencing, order.clone()))
-        }
-        _ => None,
-    })
-}
-
 /// Lists that want another role and one more model of the decode engine.
 fn changed(revision: u64, role: WantedRole, has_new_model: bool) -> AgentEvent {
     let mut lists: Lists = lists(revision);
@@ -94,3 +85,35 @@
     agent.handle(12_600, still_decode());
     assert!(is_served(&mut agent, 12_700, 5));
 }
+
+/// Guards against work that an order of an earlier incarnation cuts off: the engine must have seen a
+/// number of this one first. An engine that cannot answer does not stay out of use.
+#[parameterized(
+    done = { 10, |fencing| EngineEvent::OrderDone { fencing }, true },
+    failed = { 10, |fencing| EngineEvent::OrderFailed { fencing }, true },
+    other_order = { 10, |_| EngineEvent::OrderDone { fencing: FencingNumber::default() }, false },
+    unreachable = { 10, |_| EngineEvent::Unreachable, false },
+    not_answered = { 2_000, |_| EngineEvent::OrderDone { fencing: FencingNumber::default() }, true },
+)]
+fn work_waits_for_the_first_order(ms: u64, answer: fn(FencingNumber) -> EngineEvent, served: bool) {
+    let mut agent = Agent::of_service("decode-1");
+    let actions = agent.handle(0, inventory(EngineRole::Decode, &["notes", "other"]));
+    let (fencing, repeated) = order(&actions).expect("an order");
+    let role = EngineRole::Decode;
+    assert_eq!(repeated, EngineOrder::SetRole { role });
+    let body = agent.ask(1, reserve(1, "kiosks", "notes")).body;
+    assert_eq!(body, refused(RefusalReason::Starting));
+    agent.handle(ms, AgentEvent::Engine(answer(fencing)));
+    let body = agent.ask(ms, reserve(2, "kiosks", "notes")).body;
+    assert_eq!(matches!(body, ReplyBody::Reserved(_)), served, "{body:?}");
+}
+
+/// Guards against an engine that was unreachable for the first order and never sees a number.
+#[test]
+fn first_order_is_repeated_after_an_unreachable_engine() {
+    let mut agent = Agent::of_service("decode-1");
+    agent.handle(0, inventory(EngineRole::Decode, &["notes", "other"]));
+    agent.handle(1, AgentEvent::Engine(EngineEvent::Unreachable));
+    let actions = agent.handle(2_000, inventory(EngineRole::Decode, &["notes", "other"]));
+    assert!(order(&actions).is_some());
+}
--- a/crates/agent-core/tests/support/mod.rs
+++ b/crates/agent-core/tests/support/mod.rs
@@ -6,12 +6,13 @@
 use cuminlead_agent_core::{AgentAction, AgentConfig, AgentContext, AgentEvent, CallRef};
 use cuminlead_lists::Lists;
 use cuminlead_protocol::{
-    AgentReply, AgentRequest, EngineEvent, EngineInventory, EngineRole, Envelope, HttpRequest,
-    IssuePermit, LoadedModel, ModelTarget, Prefill, RefusalReason, ReplyBody, Reserve, RunCall,
+    AgentReply, AgentRequest, EngineCommand, EngineEvent, EngineInventory, EngineOrder, EngineRole,
+    Envelope, HttpRequest, IssuePermit, LoadedModel, ModelTarget, Prefill, RefusalReason,
+    ReplyBody, Reserve, RunCall,
 };
 use cuminlead_types::{
-    Attempt, AttemptId, DurationUs, Incarnation, KvPieces, Now, PermitId, RequestId, Revision,
-    TimeUs, Tokens, UnixMs,
+    Attempt, AttemptId, DurationUs, FencingNumber, Incarnation, KvPieces, Now, PermitId, RequestId,
+    Revision, TimeUs, Tokens, UnixMs,
 };
 
 pub(crate) const START_UNIX_MS: u64 = 1_700_000_000_000;
@@ -75,10 +76,17 @@
     /// Agent of an engine that has lists and inventory.
     pub(crate) fn of_engine(server: &str, role: EngineRole) -> Self {
         let mut agent = Self::of_service(server);
-        agent.handle(0, inventory(role, &["notes", "other"]));
+        agent.show_engine(0, inventory(role, &["notes", "other"]));
         agent
     }
 
+    /// Hands over the first inventory, and the answer to the order that shows the fencing number.
+    pub(crate) fn show_engine(&mut self, ms: u64, inventory: AgentEvent) {
+        let actions = self.handle(ms, inventory);
+        let (fencing, _) = order(&actions).expect("the order that shows the fencing number");
+        self.handle(ms, AgentEvent::Engine(EngineEvent::OrderDone { fencing }));
+    }
+
     /// Agent that has lists.
     pub(crate) fn of_service(server: &str) -> Self {
         let mut agent = Self::starting(server);
@@ -106,6 +114,16 @@
     }
 }
 
+/// The order to the engine among the actions.
+pub(crate) fn order(actions: &[AgentAction]) -> Option<(FencingNumber, EngineOrder)> {
+    actions.iter().find_map(|action| match action {
+        AgentAction::Engine(EngineCommand::Order { fencing, order }) => {
+            Some((*fencing, order.clone()))
+        }
+        _ => None,
+    })
+}
+
 pub(crate) fn replies(actions: &[AgentAction]) -> Vec<AgentReply> {
     let replies = actions.iter().filter_map(|action| match action {
         AgentAction::Reply { reply, .. } => Some(reply.clone()),
--- a/crates/dev/src/capacity/agent.rs
+++ b/crates/dev/src/capacity/agent.rs
@@ -8,9 +8,9 @@
 use cuminlead_lists::Lists;
 use cuminlead_permits::{KeyId, owner_of};
 use cuminlead_protocol::{
-    AgentRequest, DecodeControl, DecodeMode, DecodeOpen, DecodeStart, EngineEvent, EngineInventory,
-    EngineRole, FinishReason, HttpRequest, HttpResponse, IssuePermit, KvHandle, LoadedModel,
-    Prefill, Release, ReplyBody, Reserve, RunCall, RunRef, ServiceEvent,
+    AgentRequest, DecodeControl, DecodeMode, DecodeOpen, DecodeStart, EngineCommand, EngineEvent,
+    EngineInventory, EngineRole, FinishReason, HttpRequest, HttpResponse, IssuePermit, KvHandle,
+    LoadedModel, Prefill, Release, ReplyBody, Reserve, RunCall, RunRef, ServiceEvent,
 };
 use cuminlead_types::{
     AttemptId, DurationUs, IdempotencyKey, Incarnation, KvPieces, Now, PermitId, RequestId,
@@ -404,9 +404,21 @@
                 ..EngineInventory::default()
             },
         )));
+        agent.answer_order();
         agent
     }
 
+    /// The engine has done the order that shows it the agent's fencing number.
+    fn answer_order(&mut self) {
+        let mut orders = self.actions.iter().filter_map(|action| match action {
+            AgentAction::Engine(EngineCommand::Order { fencing, .. }) => Some(*fencing),
+            _ => None,
+        });
+        if let Some(fencing) = orders.next_back() {
+            self.handle(AgentEvent::Engine(EngineEvent::OrderDone { fencing }));
+        }
+    }
+
     fn with_lists(lists: &Arc<Lists>, server: &str) -> Self {
         let start_ms = 1_700_000_000_000;
         let mut agent = Self {
--- a/crates/orders/src/config.rs
+++ b/crates/orders/src/config.rs
@@ -15,6 +15,8 @@
     pub backoff_max_us: DurationUs,
     /// Time after which an order without answer has failed.
     pub order_timeout_us: DurationUs,
+    /// Time after which the first order, which only shows the fencing number, is given up.
+    pub fence_timeout_us: DurationUs,
 }
 
 impl OrdersConfig {
@@ -30,6 +32,7 @@
             backoff_min_us: DurationUs::from_ms(3_000),
             backoff_max_us: DurationUs::from_ms(96_000),
             order_timeout_us: DurationUs::from_ms(300_000),
+            fence_timeout_us: DurationUs::from_ms(2_000),
         }
     }
 }
--- a/crates/orders/src/orders.rs
+++ b/crates/orders/src/orders.rs
@@ -30,6 +30,18 @@
     },
 }
 
+/// Whether the engine has seen a number of this incarnation.
+///
+/// An order that an earlier incarnation had written to its socket can arrive late. An engine that
+/// checks fencing numbers carries it out unless it has seen a later number, so the first order of an
+/// incarnation repeats the role that the engine has, before any work is accepted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Fence {
+    Needed,
+    UnderWay,
+    Settled,
+}
+
 /// Order that the engine has not answered.
 #[derive(Clone, Debug)]
 struct UnderWay {
@@ -49,6 +61,7 @@
     unconfirmed: Option<EngineOrder>,
     backoff: Backoff,
     last_order: u64,
+    fence: Fence,
     fenced_by: Option<FencingNumber>,
 }
 
@@ -64,6 +77,7 @@
             unconfirmed: None,
             backoff: Backoff::default(),
             last_order: 0,
+            fence: Fence::Needed,
             fenced_by: None,
         }
     }
@@ -92,6 +106,24 @@
         }
     }
 
+    /// Order that shows the engine the number of this incarnation, when an inventory has come and
+    /// no such order was sent; it is under way from then on.
+    pub fn next_fence(&mut self, now: TimeUs) -> Option<EngineCommand> {
+        if self.fence != Fence::Needed || self.under_way.is_some() {
+            return None;
+        }
+        let role = self.actual.as_ref()?.role;
+        self.fence = Fence::UnderWay;
+        let until = now + self.config.fence_timeout_us;
+        Some(self.send(until, EngineOrder::SetRole { role }))
+    }
+
+    /// Whether the engine has answered the order of [`Orders::next_fence`], or it was given up: an
+    /// engine that cannot answer it must not be out of use for good.
+    pub fn is_fence_settled(&self) -> bool {
+        self.fence == Fence::Settled
+    }
+
     /// Next order to send, if there is one; it is under way from then on.
     ///
     /// To be called after every event, after the end of leases and at [`Orders::next_deadline`].
@@ -103,12 +135,14 @@
             .missing()
             .into_iter()
             .find(|order| self.is_due(now, order) && !held.forbids(order))?;
-        Some(self.send(now, order))
+        let until = now + self.config.order_timeout_us;
+        Some(self.send(until, order))
     }
 
     /// Gives up an order that was not answered in time.
     pub fn expire(&mut self, now: TimeUs) -> Option<OrderReport> {
         let late = self.under_way.take_if(|order| order.until <= now)?;
+        self.settle_fence();
         Some(self.fail(now, late.order))
     }
 
@@ -168,7 +202,7 @@
         self.role_since + self.config.role_hysteresis_us
     }
 
-    fn send(&mut self, now: TimeUs, order: EngineOrder) -> EngineCommand {
+    fn send(&mut self, until: TimeUs, order: EngineOrder) -> EngineCommand {
         self.last_order += 1;
         let fencing = FencingNumber {
             incarnation: self.config.incarnation,
@@ -177,7 +211,7 @@
         self.under_way = Some(UnderWay {
             fencing,
             order: order.clone(),
-            until: now + self.config.order_timeout_us,
+            until,
         });
         EngineCommand::Order { fencing, order }
     }
@@ -197,12 +231,15 @@
 
     fn take_done(&mut self, fencing: FencingNumber) -> Option<OrderReport> {
         let done = self.take_under_way(fencing)?;
-        self.unconfirmed = Some(done);
+        if !self.settle_fence() {
+            self.unconfirmed = Some(done);
+        }
         None
     }
 
     fn take_failed(&mut self, now: TimeUs, fencing: FencingNumber) -> Option<OrderReport> {
         let failed = self.take_under_way(fencing)?;
+        self.settle_fence();
         Some(self.fail(now, failed))
     }
 
@@ -215,6 +252,9 @@
         highest: FencingNumber,
     ) -> Option<OrderReport> {
         let refused = self.take_under_way(fencing);
+        if refused.is_some() {
+            self.settle_fence();
+        }
         let own = FencingNumber {
             incarnation: self.config.incarnation,
             order: self.last_order,
@@ -233,9 +273,22 @@
         self.actual = None;
         self.unconfirmed = None;
         let lost = self.under_way.take()?;
+        if self.fence == Fence::UnderWay {
+            self.fence = Fence::Needed;
+            return None;
+        }
         Some(self.fail(now, lost.order))
     }
 
+    /// The order that was under way is answered or given up; whether it was the first one.
+    fn settle_fence(&mut self) -> bool {
+        let was_under_way = self.fence == Fence::UnderWay;
+        if was_under_way {
+            self.fence = Fence::Settled;
+        }
+        was_under_way
+    }
+
     fn take_under_way(&mut self, fencing: FencingNumber) -> Option<EngineOrder> {
         let answered = self.under_way.take_if(|order| order.fencing == fencing)?;
         Some(answered.order)
