Run changes of engines' duties through the fault matrix

Cause: orders to engines, and engines that ignore fencing numbers, were covered by the tests of one package only.

Four paths change a decode engine's role or its models and adapters three times while model calls run, with engines that check fencing numbers and engines that ignore them. Six steps are crossed with the 14 faults of agent, engine, lists and drain. The verifier checks that numbers grow, that no order ends a sequence whose agent and request are there, and that engines serve in the end what the newest lists want; a late order of an earlier incarnation is excused for engines that ignore numbers.

Ruled out: crossing every path with the changes, which would multiply the pairs without another order.

Removing all orders or only the first order of an incarnation is noticed.

--- a/crates/dev/src/bench/agent.rs
+++ b/crates/dev/src/bench/agent.rs
@@ -1,7 +1,6 @@
 //! Agents: [`AgentContext`] with its connections and back end.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::sync::Arc;
 
 use cuminlead_agent_core::{
     AgentAction, AgentConfig, AgentContext, AgentEvent, AgentRecord, CallRef, StreamRef,
@@ -147,7 +146,14 @@
             return;
         }
         if let Some(lists) = agent.lists.lists().cloned() {
-            self.decide(node, AgentEvent::Lists(Arc::clone(&lists)));
+            let stage = self.duty_stage_of(lists.revision);
+            self.decide(node, AgentEvent::Lists(lists));
+            if stage >= 1 {
+                self.reached_duty(Step::DutyInForce, node);
+            }
+            if stage >= 2 {
+                self.reached_duty(Step::LaterDutyInForce, node);
+            }
         }
     }
 
@@ -230,6 +236,7 @@
         if matches!(event, EngineEvent::Inventory(_) | EngineEvent::Unreachable) {
             self.agent_mut(node).inventory_asked = None;
         }
+        let is_order_done = matches!(event, EngineEvent::OrderDone { .. });
         let done = match &event {
             EngineEvent::PrefillDone { id, .. } => Some(id.request),
             _ => None,
@@ -238,6 +245,9 @@
         if let Some(request) = done {
             self.reached(Step::PrefillDone, request);
         }
+        if is_order_done {
+            self.reached_duty(Step::OrderDone, node);
+        }
     }
 
     fn decide(&mut self, node: NodeId, event: AgentEvent) {
@@ -360,12 +370,33 @@
             let event = ProcessEvent::InventoryTimeout(number);
             self.push_process(INVENTORY_TIMEOUT, node, event);
         }
+        let is_order = matches!(command, EngineCommand::Order { .. });
         let agent_generation = self.nodes[node.0].generation;
         let event = BackendEvent::Engine {
             agent_generation,
             command,
         };
         self.push_to_backend(node, event);
+        if is_order {
+            self.order_sent(node);
+        }
+    }
+
+    fn order_sent(&mut self, node: NodeId) {
+        let now = self.now;
+        let state = self.agent_mut(node).context.state(now);
+        if self.duty_stage_of(state.lists_revision) >= 2 {
+            self.reached_duty(Step::LaterOrderSent, node);
+        }
+        self.reached_duty(Step::OrderSent, node);
+    }
+
+    /// Changes of duties in the lists of a revision.
+    fn duty_stage_of(&self, revision: Revision) -> usize {
+        let index = usize::try_from(revision.get()).unwrap_or(0);
+        let stages = &self.platform.duty_stages;
+        let stage = index.checked_sub(1).and_then(|index| stages.get(index));
+        stage.copied().unwrap_or(0)
     }
 
     fn agent_record(&mut self, node: NodeId, started_by: Option<AttemptId>, record: &AgentRecord) {
--- a/crates/dev/src/bench/caller.rs
+++ b/crates/dev/src/bench/caller.rs
@@ -9,6 +9,7 @@
 use strum::{Display, EnumIter, EnumString, IntoStaticStr};
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::duty::DutyChange;
 use super::engine::generation_of;
 use super::event::NodeId;
 use super::layout;
@@ -42,13 +43,44 @@
     NonIdempotent,
     /// Application call that may run once, with an idempotency key.
     Keyed,
+    /// Model calls while the lists change the role of a decode engine to and fro.
+    RoleChange,
+    /// The same with engines that ignore fencing numbers.
+    RoleChangeUnfenced,
+    /// Model calls while the lists change the models and adapters of a decode engine.
+    ModelChange,
+    /// The same with engines that ignore fencing numbers.
+    ModelChangeUnfenced,
 }
 
 impl PathKind {
+    /// Whether the request is a model call.
+    pub const fn is_model(self) -> bool {
+        matches!(self.request_kind(), RequestKind::Model)
+    }
+
+    /// What the lists change while the request runs.
+    pub const fn change(self) -> Option<DutyChange> {
+        match self {
+            Self::RoleChange | Self::RoleChangeUnfenced => Some(DutyChange::Role),
+            Self::ModelChange | Self::ModelChangeUnfenced => Some(DutyChange::Models),
+            _ => None,
+        }
+    }
+
+    /// Whether the engines check fencing numbers.
+    pub const fn is_fenced(self) -> bool {
+        !matches!(self, Self::RoleChangeUnfenced | Self::ModelChangeUnfenced)
+    }
+
     /// Kind of the request.
     pub const fn request_kind(self) -> RequestKind {
         match self {
-            Self::Model => RequestKind::Model,
+            Self::Model
+            | Self::RoleChange
+            | Self::RoleChangeUnfenced
+            | Self::ModelChange
+            | Self::ModelChangeUnfenced => RequestKind::Model,
             Self::Idempotent => RequestKind::Idempotent,
             Self::NonIdempotent | Self::Keyed => RequestKind::NonIdempotent,
         }
@@ -110,7 +142,7 @@
             return None;
         }
         Some(match self.path {
-            PathKind::Model => {
+            path if path.is_model() => {
                 let output_max = self.output_max_tokens.get();
                 let generation = generation_of(&self.prompt, output_max, is_whole);
                 digest(generation.text(0, generation.count).as_bytes())
@@ -166,7 +198,7 @@
 
 impl World {
     pub(super) fn accepted(&mut self, spec: &RequestSpec) {
-        let service = (spec.path != PathKind::Model).then(|| layout::id(layout::SERVICE));
+        let service = (!spec.path.is_model()).then(|| layout::id(layout::SERVICE));
         let process = self.places[spec.entry.0].host.clone();
         self.observe(Observation::RequestAccepted {
             request: spec.request,
--- a/crates/dev/src/bench/cell.rs
+++ b/crates/dev/src/bench/cell.rs
@@ -49,6 +49,22 @@
 /// Delay of faults with other seeds: long enough to fall between any two steps.
 const STRIKE_DELAY: DurationUs = DurationUs::from_ms(20);
 
+/// Times at which the lists change what an engine should serve: a role that has changed is changed
+/// back while an order that was late by `BenchConfig::late_order_us` is still under way.
+const CHANGES_AFTER: [DurationUs; 3] = [
+    DurationUs::from_ms(0),
+    DurationUs::from_ms(20_000),
+    DurationUs::from_ms(45_000),
+];
+/// Time during which requests run through the changes: the last one, its hysteresis (10 s) and the
+/// order.
+const CHANGES_TIME: DurationUs = DurationUs::from_ms(60_000);
+const THROUGH_INTERVAL: DurationUs = DurationUs::from_ms(700);
+/// With the step below an answer takes 2.4 s, so every engine has work at any time.
+const THROUGH_OUTPUT: Tokens = Tokens(40);
+const THROUGH_STEP: DurationUs = DurationUs::from_ms(60);
+const FIRST_THROUGH: u64 = 1_000;
+
 const PROMPT: Tokens = Tokens(4_000);
 const TARGET: u64 = 1;
 const FRESH_TARGET: u64 = 2;
@@ -190,6 +206,13 @@
         config.jitter_us = JITTER;
         config.injection_delay_us = STRIKE_DELAY;
     }
+    config.is_fenced = cell.path.is_fenced();
+    config.change = cell.path.change();
+    if config.change.is_some() {
+        config.change_at = CHANGES_AFTER.map(|after| SENT_AT + after).to_vec();
+        config.has_whole_outputs = true;
+        config.decode_step_us = THROUGH_STEP;
+    }
     if cell.injections.iter().any(|s| s.step.needs_slow_service()) {
         config.service_run_us = SLOW_RUN;
     }
@@ -205,6 +228,7 @@
     send_repeats(&mut world, &target);
     world.send_at(SENT_AT, target);
     send_others(&mut world);
+    send_through_changes(&mut world);
     run_faults(&mut world);
     let mut findings = Vec::new();
     let settled_at = world.now() + SETTLE;
@@ -273,8 +297,28 @@
     }
 }
 
+/// Model calls that run at all engines while the lists change what one of them should serve.
+fn send_through_changes(world: &mut World) {
+    if world.config().change.is_none() {
+        return;
+    }
+    let entries = world.entry_nodes();
+    let count = CHANGES_TIME.get() / THROUGH_INTERVAL.get();
+    for number in 0..count {
+        let index = usize::try_from(number).unwrap_or(0);
+        let entry = entries[index % entries.len()];
+        let at = SENT_AT + DurationUs(number * THROUGH_INTERVAL.get());
+        let mut spec = RequestSpec::new(FIRST_THROUGH + number, PathKind::Model, entry, PROMPT);
+        spec.output_max_tokens = THROUGH_OUTPUT;
+        world.send_at(at, spec);
+    }
+}
+
 fn run_faults(world: &mut World) {
     world.run_until(SENT_AT + FAULTS_MIN);
+    if world.config().change.is_some() {
+        world.run_until(SENT_AT + CHANGES_TIME);
+    }
     let until = SENT_AT + FAULTS_MAX;
     while world.now() < until && !is_over(world) {
         world.run_until(world.now() + LOOK_INTERVAL);
@@ -284,7 +328,7 @@
 fn is_over(world: &World) -> bool {
     let results = world.results().values();
     let are_ended = results.into_iter().all(|result| result.ending.is_some());
-    are_ended && world.is_healed()
+    are_ended && world.is_healed() && world.are_duties_published()
 }
 
 fn check_empty(world: &World, when: &str, findings: &mut Vec<String>) {
--- a/crates/dev/src/bench/config.rs
+++ b/crates/dev/src/bench/config.rs
@@ -1,8 +1,11 @@
 //! Settings of a run.
 
 use cuminlead_entry_core::CallConfig;
-use cuminlead_types::{BitsPerSecond, DurationUs, KvPieces, Slots, Tokens, TokensPerSecond};
+use cuminlead_types::{
+    BitsPerSecond, DurationUs, KvPieces, Slots, TimeUs, Tokens, TokensPerSecond,
+};
 
+use super::duty::DutyChange;
 use super::layout::Place;
 
 /// Settings of a run; the defaults are a small fleet with the latencies of `docs/design.md`.
@@ -34,6 +37,13 @@
     pub between_tokens_us: DurationUs,
     /// Whether the engines check fencing numbers.
     pub is_fenced: bool,
+    /// What the lists change of one decode engine, at [`BenchConfig::change_at`].
+    pub change: Option<DutyChange>,
+    /// When the lists change it.
+    pub change_at: Vec<TimeUs>,
+    /// Time by which an order arrives late whose agent died before the engine read it; drawn with
+    /// the seed up to twice this time when runs have jitter.
+    pub late_order_us: DurationUs,
     /// One-way latency within an availability zone.
     pub zone_latency_us: DurationUs,
     /// One-way latency between availability zones of a region.
@@ -97,6 +107,9 @@
             first_token_us: DurationUs::from_ms(2_000),
             between_tokens_us: DurationUs::from_ms(60),
             is_fenced: true,
+            change: None,
+            change_at: Vec::new(),
+            late_order_us: DurationUs::from_ms(13_000),
             zone_latency_us: DurationUs(200),
             region_latency_us: DurationUs(1_500),
             far_latency_us: DurationUs::from_ms(20),
--- a/crates/dev/src/bench/engine.rs
+++ b/crates/dev/src/bench/engine.rs
@@ -5,12 +5,13 @@
 //! stand-in engine, a function of the prompt.
 
 mod faults;
+mod orders;
 
 use std::collections::BTreeMap;
 
 use cuminlead_protocol::{
-    EngineCommand, EngineEvent, EngineInventory, EngineOrder, EngineRole, FinishReason, KvHandle,
-    LoadedModel,
+    EngineCommand, EngineEvent, EngineInventory, EngineRole, FinishReason, KvHandle, LoadedModel,
+    ModelTarget,
 };
 use cuminlead_types::{
     AdapterName, AttemptId, BackendServerId, DurationUs, FencingNumber, KvPieces, Priority, TimeUs,
@@ -25,13 +26,12 @@
 use super::world::World;
 use crate::engine::text::Generation;
 
-/// Time that an order takes.
-const ORDER_TIME: DurationUs = DurationUs::from_ms(500);
-
 /// What an engine holds and serves.
 #[derive(Debug)]
 pub struct Engine {
     pub(super) server: BackendServerId,
+    /// Role and model after a start.
+    launched: Launched,
     role: EngineRole,
     models: Vec<LoadedModel>,
     adapters: Vec<AdapterName>,
@@ -46,10 +46,17 @@
     pub(super) computed_tokens: Tokens,
 }
 
+#[derive(Debug)]
+struct Launched {
+    role: EngineRole,
+    model: LoadedModel,
+}
+
 /// Sequence in the memory of an engine.
 #[derive(Debug)]
 pub struct Sequence {
     serial: u64,
+    target: ModelTarget,
     pieces: KvPieces,
     priority: Priority,
     /// Life of the agent that reads from it.
@@ -90,6 +97,10 @@
     pub fn new(server: BackendServerId, role: EngineRole, model: LoadedModel) -> Self {
         Self {
             server,
+            launched: Launched {
+                role,
+                model: model.clone(),
+            },
             role,
             models: vec![model],
             adapters: Vec::new(),
@@ -161,21 +172,6 @@
         let decoding = sequences.filter(|s| matches!(s.work, Work::Decoding { .. }));
         decoding.count() as u64
     }
-
-    fn apply(&mut self, order: EngineOrder) {
-        match order {
-            EngineOrder::LoadModel { model, version } => {
-                self.models.push(LoadedModel { model, version });
-            }
-            EngineOrder::UnloadModel { model, version } => {
-                let removed = LoadedModel { model, version };
-                self.models.retain(|loaded| *loaded != removed);
-            }
-            EngineOrder::LoadAdapter { adapter } => self.adapters.push(adapter),
-            EngineOrder::UnloadAdapter { adapter } => self.adapters.retain(|a| *a != adapter),
-            EngineOrder::SetRole { role } => self.role = role,
-        }
-    }
 }
 
 impl World {
@@ -185,26 +181,58 @@
         agent_generation: u64,
         command: EngineCommand,
     ) {
+        let reader = Some(agent_generation);
+        match &command {
+            EngineCommand::Prefill { id, target, .. }
+            | EngineCommand::Decode { id, target, .. }
+                if !self.engine_mut(node).serves(role_of(&command), target) =>
+            {
+                self.emit(node, reader, EngineEvent::SequenceFailed { id: *id });
+            }
+            _ => self.accepted_command(node, agent_generation, command),
+        }
+    }
+
+    fn accepted_command(&mut self, node: NodeId, agent_generation: u64, command: EngineCommand) {
         let reader = Some(agent_generation);
         match command {
             EngineCommand::Prefill {
                 id,
+                target,
                 priority,
                 prompt,
-                ..
             } => {
-                let pieces = Tokens::estimate(&prompt).kv_pieces();
-                let work = Work::Queued { prompt };
-                self.add_sequence(node, id, priority, pieces, reader, work);
+                let sequence = Sequence {
+                    serial: 0,
+                    target,
+                    pieces: Tokens::estimate(&prompt).kv_pieces(),
+                    priority,
+                    reader,
+                    work: Work::Queued { prompt },
+                };
+                self.add_sequence(node, id, sequence);
                 self.compute_next(node);
             }
             EngineCommand::Decode {
                 id,
+                target,
                 priority,
                 kv,
                 output_max_tokens,
-                ..
-            } => self.import(node, id, priority, &kv, output_max_tokens, agent_generation),
+            } => {
+                let sequence = Sequence {
+                    serial: 0,
+                    target,
+                    pieces: output_max_tokens.kv_pieces(),
+                    priority,
+                    reader,
+                    work: Work::Importing {
+                        prompt: String::new(),
+                        output_max: output_max_tokens,
+                    },
+                };
+                self.import(node, id, &kv, output_max_tokens, sequence);
+            }
             EngineCommand::ResumeDecode {
                 id,
                 received_tokens,
@@ -217,27 +245,10 @@
                 let inventory = self.engine_mut(node).inventory();
                 self.emit(node, reader, EngineEvent::Inventory(inventory));
             }
-            EngineCommand::Order { fencing, order } => self.order(node, reader, fencing, order),
-        }
-    }
-
-    fn order(
-        &mut self,
-        node: NodeId,
-        reader: Option<u64>,
-        fencing: FencingNumber,
-        order: EngineOrder,
-    ) {
-        let engine = self.engine_mut(node);
-        let highest = engine.highest;
-        if engine.is_fenced && fencing <= highest {
-            self.emit(node, reader, EngineEvent::OrderFenced { fencing, highest });
-            return;
+            EngineCommand::Order { fencing, order } => {
+                self.order(node, agent_generation, fencing, order)
+            }
         }
-        engine.highest = engine.highest.max(fencing);
-        engine.apply(order);
-        let event = ProcessEvent::Engine(EngineEvent::OrderDone { fencing });
-        self.push_process(ORDER_TIME, node, event);
     }
 
     /// Sends an event to the agent that reads; one of another life has lost its connection.
@@ -248,25 +259,11 @@
         }
     }
 
-    fn add_sequence(
-        &mut self,
-        node: NodeId,
-        id: AttemptId,
-        priority: Priority,
-        pieces: KvPieces,
-        reader: Option<u64>,
-        work: Work,
-    ) -> bool {
+    fn add_sequence(&mut self, node: NodeId, id: AttemptId, mut sequence: Sequence) -> bool {
         let engine = self.engine_mut(node);
-        let serial = engine.next_serial();
+        sequence.serial = engine.next_serial();
+        let reader = sequence.reader;
         let is_known = engine.sequences.contains_key(&id);
-        let sequence = Sequence {
-            serial,
-            pieces,
-            priority,
-            reader,
-            work,
-        };
         let is_added = !is_known && engine.add(id, sequence);
         let server = engine.server.clone();
         if is_added {
@@ -337,23 +334,22 @@
         &mut self,
         node: NodeId,
         id: AttemptId,
-        priority: Priority,
         kv: &KvHandle,
         output_max: Tokens,
-        agent_generation: u64,
+        mut sequence: Sequence,
     ) {
-        let reader = Some(agent_generation);
+        let reader = sequence.reader;
         let Some(source) = self.export_of(kv) else {
             self.emit(node, reader, EngineEvent::ImportFailed { id });
             return;
         };
         let tokens = Tokens::estimate(&source.prompt);
-        let pieces = (tokens + output_max).kv_pieces();
-        let work = Work::Importing {
+        sequence.pieces = (tokens + output_max).kv_pieces();
+        sequence.work = Work::Importing {
             prompt: source.prompt,
             output_max,
         };
-        if !self.add_sequence(node, id, priority, pieces, reader, work) {
+        if !self.add_sequence(node, id, sequence) {
             return;
         }
         let serial = self.engine_mut(node).serials_count;
@@ -527,6 +523,13 @@
     }
 }
 
+fn role_of(command: &EngineCommand) -> EngineRole {
+    match command {
+        EngineCommand::Prefill { .. } => EngineRole::Prefill,
+        _ => EngineRole::Decode,
+    }
+}
+
 struct Export {
     node: NodeId,
     prompt: String,
--- a/crates/dev/src/bench/engine/faults.rs
+++ b/crates/dev/src/bench/engine/faults.rs
@@ -33,6 +33,7 @@
         let server = engine.server.clone();
         let sequences = std::mem::take(&mut engine.sequences);
         engine.finished.clear();
+        engine.relaunch();
         engine.cache.clear();
         for (id, sequence) in sequences {
             self.count_cancelled(id, &sequence.work);
--- /dev/null
+++ b/crates/dev/src/bench/engine/orders.rs
@@ -0,0 +1,179 @@
+//! Orders to an engine.
+//!
+//! An engine whose role changes ends all its sequences, and one that unloads a model or adapter ends
+//! those that use it. An order whose agent died before the engine read it arrives late, as one that
+//! waits in a socket does; it is lost when the engine dies meanwhile.
+
+use cuminlead_protocol::{EngineEvent, EngineOrder, EngineRole, LoadedModel, ModelTarget};
+use cuminlead_types::{AttemptId, DurationUs, FencingNumber};
+use cuminlead_verifier::{EngineDutyText, Observation};
+
+use super::{Engine, Sequence};
+use crate::bench::cell::EXACT_SEED;
+use crate::bench::duty;
+use crate::bench::event::{BackendEvent, NodeId, ProcessEvent};
+use crate::bench::step::Step;
+use crate::bench::world::World;
+
+/// Time that an order takes.
+const ORDER_TIME: DurationUs = DurationUs::from_ms(500);
+
+impl Engine {
+    /// Whether the engine has the role and what the target names.
+    pub(super) fn serves(&self, role: EngineRole, target: &ModelTarget) -> bool {
+        let model = loaded(target);
+        let adapter = target.adapter.as_ref();
+        self.role == role
+            && self.models.contains(&model)
+            && adapter.is_none_or(|adapter| self.adapters.contains(adapter))
+    }
+
+    /// Returns to what the engine serves after a start, which has seen no order.
+    pub(super) fn relaunch(&mut self) {
+        self.role = self.launched.role;
+        self.models = vec![self.launched.model.clone()];
+        self.adapters.clear();
+        self.highest = FencingNumber::default();
+    }
+
+    fn duty(&self) -> EngineDutyText {
+        duty::text(self.role, &self.models, &self.adapters)
+    }
+
+    fn apply(&mut self, order: &EngineOrder) {
+        match order.clone() {
+            EngineOrder::LoadModel { model, version } => {
+                self.models.push(LoadedModel { model, version });
+                self.models.sort_unstable();
+                self.models.dedup();
+            }
+            EngineOrder::UnloadModel { model, version } => {
+                let removed = LoadedModel { model, version };
+                self.models.retain(|loaded| *loaded != removed);
+            }
+            EngineOrder::LoadAdapter { adapter } => {
+                self.adapters.push(adapter);
+                self.adapters.sort_unstable();
+                self.adapters.dedup();
+            }
+            EngineOrder::UnloadAdapter { adapter } => self.adapters.retain(|a| *a != adapter),
+            EngineOrder::SetRole { role } => self.role = role,
+        }
+    }
+
+    /// Sequences that the engine cannot go on with after an order.
+    fn ended_by(&self, order: &EngineOrder) -> Vec<AttemptId> {
+        let is_ended = |sequence: &Sequence| match order {
+            EngineOrder::SetRole { role } => *role != self.role,
+            EngineOrder::UnloadModel { model, version } => {
+                let target = &sequence.target;
+                target.model == *model && target.version == *version
+            }
+            EngineOrder::UnloadAdapter { adapter } => {
+                sequence.target.adapter.as_ref() == Some(adapter)
+            }
+            EngineOrder::LoadModel { .. } | EngineOrder::LoadAdapter { .. } => false,
+        };
+        let sequences = self.sequences.iter();
+        let ended = sequences.filter(|(_, sequence)| is_ended(sequence));
+        ended.map(|(id, _)| *id).collect()
+    }
+}
+
+fn loaded(target: &ModelTarget) -> LoadedModel {
+    LoadedModel {
+        model: target.model.clone(),
+        version: target.version.clone(),
+    }
+}
+
+impl World {
+    /// Takes an order; one of an agent that has died meanwhile arrives late.
+    pub(super) fn order(
+        &mut self,
+        node: NodeId,
+        agent_generation: u64,
+        fencing: FencingNumber,
+        order: EngineOrder,
+    ) {
+        if self.is_reading(node, agent_generation) {
+            self.carry_out_order(node, agent_generation, fencing, order);
+            return;
+        }
+        let late = self.config.late_order_us;
+        let delay = match self.config.seed {
+            EXACT_SEED => late,
+            _ => self.draw(late + late),
+        };
+        let event = BackendEvent::LateOrder {
+            agent_generation,
+            fencing,
+            order,
+        };
+        self.push_backend(delay, node, event);
+    }
+
+    pub(in crate::bench) fn carry_out_order(
+        &mut self,
+        node: NodeId,
+        agent_generation: u64,
+        fencing: FencingNumber,
+        order: EngineOrder,
+    ) {
+        let reader = Some(agent_generation);
+        let engine = self.engine_mut(node);
+        let highest = engine.highest;
+        let is_checked = engine.is_fenced;
+        if is_checked && fencing <= highest {
+            self.emit(node, reader, EngineEvent::OrderFenced { fencing, highest });
+            return;
+        }
+        engine.highest = highest.max(fencing);
+        let ended = engine.ended_by(&order);
+        let server = engine.server.clone();
+        self.observe(Observation::OrderCarriedOut {
+            server,
+            fencing,
+            is_checked,
+        });
+        for id in ended {
+            self.end_sequence(node, id, fencing);
+        }
+        self.engine_mut(node).apply(&order);
+        self.observe_served(node);
+        self.reached_duty(Step::OrderCarriedOut, node);
+        if self.is_reading(node, agent_generation) {
+            let event = ProcessEvent::Engine(EngineEvent::OrderDone { fencing });
+            self.push_process(ORDER_TIME, node, event);
+        }
+    }
+
+    /// Ends a sequence. One whose agent has died is of no use to its request any more.
+    fn end_sequence(&mut self, node: NodeId, id: AttemptId, fencing: FencingNumber) {
+        let engine = self.engine_mut(node);
+        let server = engine.server.clone();
+        let reader = engine.sequences.get(&id).and_then(|s| s.reader);
+        if reader.is_none_or(|reader| self.is_reading(node, reader)) {
+            self.observe(Observation::SequenceCutOff {
+                server,
+                id,
+                fencing,
+            });
+        }
+        self.free_sequence(node, id);
+        self.emit(node, reader, EngineEvent::SequenceFailed { id });
+    }
+
+    fn is_reading(&self, node: NodeId, agent_generation: u64) -> bool {
+        let life = &self.nodes[node.0];
+        life.is_running && life.generation == agent_generation
+    }
+
+    pub(in crate::bench) fn observe_served(&mut self, node: NodeId) {
+        if let Some(engine) = self.engines.get(&node) {
+            let server = engine.server.clone();
+            let duty = engine.duty();
+            self.observe(Observation::DutyServed { server, duty });
+        }
+    }
+}
--- a/crates/dev/src/bench/entry.rs
+++ b/crates/dev/src/bench/entry.rs
@@ -213,7 +213,7 @@
         let entry = &self.entries[&node];
         let hosts_revision = entry.membership.hosts_revision();
         let customer = layout::id(layout::CUSTOMER);
-        if spec.path == PathKind::Model {
+        if spec.path.is_model() {
             let model = layout::id(layout::MODEL);
             let grant = lists.choose_model(&customer, &model, None, None);
             let grant = grant.expect("the plan allows the model");
--- a/crates/dev/src/bench/event.rs
+++ b/crates/dev/src/bench/event.rs
@@ -5,10 +5,10 @@
 use cuminlead_lists::{HostList, Snapshot};
 use cuminlead_protocol::{
     AgentReply, AgentRequest, DecodeControl, DecodeEvent, DecodeOpen, EngineCommand, EngineEvent,
-    ServiceCommand, ServiceEvent,
+    EngineOrder, ServiceCommand, ServiceEvent,
 };
 use cuminlead_retry::Evidence;
-use cuminlead_types::{AttemptId, RequestId};
+use cuminlead_types::{AttemptId, FencingNumber, RequestId};
 
 use super::caller::RequestSpec;
 use super::disturb::Disturbance;
@@ -57,6 +57,8 @@
     Heal(Heal),
     /// The configuration service accepts a change of the lists.
     PublishLists,
+    /// It accepts the next change of what the changed engine should serve.
+    ChangeDuty,
 }
 
 /// End of a fault.
@@ -135,6 +137,15 @@
         /// Command.
         command: EngineCommand,
     },
+    /// An order whose agent died before the engine read it.
+    LateOrder {
+        /// Life of the agent that sent it.
+        agent_generation: u64,
+        /// Fencing number.
+        fencing: FencingNumber,
+        /// Order.
+        order: EngineOrder,
+    },
     /// The step of a sequence is over.
     SequenceStep {
         /// Sequence.
--- a/crates/dev/src/bench/fault.rs
+++ b/crates/dev/src/bench/fault.rs
@@ -148,9 +148,33 @@
         }
     }
 
+    /// Whether the fault affects orders to engines: agent, engine or lists.
+    const fn affects_orders(self) -> bool {
+        matches!(
+            self,
+            Self::AgentDeath
+                | Self::ServerHostDeath
+                | Self::EngineDeath
+                | Self::EngineConnectionLoss
+                | Self::AgentPauseShort
+                | Self::AgentPauseLong
+                | Self::AgentPauseLongest
+                | Self::EnginePauseShort
+                | Self::EnginePauseLong
+                | Self::EnginePauseLongest
+                | Self::PlatformDown
+                | Self::PlatformStale
+                | Self::AgentDrain
+                | Self::HostLeaving
+        )
+    }
+
     /// Whether the path has what the fault affects.
     pub const fn applies_to(self, path: PathKind) -> bool {
-        let is_model = matches!(path, PathKind::Model);
+        let is_model = path.is_model();
+        if path.change().is_some() {
+            return self.affects_orders();
+        }
         match self {
             Self::OtherAgentDeath
             | Self::EngineDeath
@@ -253,7 +277,10 @@
         self.heals_count -= 1;
         match heal {
             Heal::StartProcess(node) => self.start_process(node),
-            Heal::StartBackend(node) => self.backends[node.0].is_running = true,
+            Heal::StartBackend(node) => {
+                self.backends[node.0].is_running = true;
+                self.observe_served(node);
+            }
             Heal::ResumeProcess(node) => self.resume(node),
             Heal::ResumeBackend(node) => self.resume_backend(node),
             Heal::JoinWay { from, to } => self.join(from, to),
--- a/crates/dev/src/bench/layout.rs
+++ b/crates/dev/src/bench/layout.rs
@@ -7,6 +7,8 @@
 use cuminlead_types::{AvailabilityZoneName, BackendServerId, HostId, RegionName, Revision};
 
 use super::config::BenchConfig;
+use super::duty::Duties;
+use super::event::NodeId;
 
 /// Customer of all requests.
 pub const CUSTOMER: &str = "kiosks";
@@ -142,10 +144,20 @@
 }
 
 /// Lists at a revision; the burst of the plan tells revisions apart.
-pub fn snapshot(config: &BenchConfig, places: &[Place], revision: Revision) -> Snapshot {
+pub fn snapshot(
+    config: &BenchConfig,
+    places: &[Place],
+    duty_of: impl Fn(NodeId) -> Option<Duties>,
+    revision: Revision,
+) -> Snapshot {
+    let duties: Vec<Option<Duties>> = (0..places.len()).map(NodeId).map(duty_of).collect();
     let parts = [
         part("plans/base", revision, plans(config, revision)),
-        part("allowances/base", revision, allowances(config, places)),
+        part(
+            "allowances/base",
+            revision,
+            allowances(config, places, &duties),
+        ),
     ];
     Snapshot::new(revision, parts)
 }
@@ -171,34 +183,47 @@
     )
 }
 
-fn allowances(config: &BenchConfig, places: &[Place]) -> String {
+fn allowances(config: &BenchConfig, places: &[Place], duties: &[Option<Duties>]) -> String {
     let mut text = "schema = 1\n".to_string();
-    for place in places {
-        text += &server(config, place);
+    for (place, duties) in places.iter().zip(duties) {
+        text += &server(config, place, duties.as_ref());
     }
+    let mut allowed = places.to_vec();
+    let mut duties = duties.iter();
+    allowed.retain(|_| {
+        duties
+            .next()
+            .is_some_and(|d| d.as_ref().is_none_or(|d| d.is_allowed))
+    });
     text += &format!(
         "[[route]]\nservice = \"{SERVICE}\"\nmethod = \"GET\"\npath_prefix = \"/stock\"\n\
          idempotent = true\n[[allowance]]\nplan = \"standard\"\n\
          [[allowance.model]]\nmodel = \"{MODEL}\"\nversion = \"{VERSION}\"\npriority = 5\n\
          servers = {engines}\n[[allowance.service]]\nservice = \"{SERVICE}\"\n\
          servers = {services}\n",
-        engines = quoted(places, |duty| matches!(duty, Duty::Engine(_))),
+        engines = quoted(&allowed, |duty| matches!(duty, Duty::Engine(_))),
         services = quoted(places, |duty| *duty == Duty::Service),
     );
     text
 }
 
-fn server(config: &BenchConfig, place: &Place) -> String {
+fn server(config: &BenchConfig, place: &Place, duties: Option<&Duties>) -> String {
     let mut text = String::new();
     let written = match &place.duty {
         Duty::Entry => Ok(()),
-        Duty::Engine(role) => write!(
-            text,
-            "[[server]]\nid = \"{}\"\nkind = \"engine\"\nrole = \"{role}\"\n\
-             models = [{{ model = \"{MODEL}\", version = \"{VERSION}\" }}]\nadapters = []\n\
-             fenced = {}\n",
-            place.host, config.is_fenced,
-        ),
+        Duty::Engine(_) => {
+            let duties = duties.expect("an engine has duties");
+            write!(
+                text,
+                "[[server]]\nid = \"{}\"\nkind = \"engine\"\nrole = \"{}\"\n\
+                 models = [{}]\nadapters = [{}]\nfenced = {}\n",
+                place.host,
+                duties.role,
+                duties.models_toml(),
+                duties.adapters_toml(),
+                config.is_fenced,
+            )
+        }
         Duty::Service => write!(
             text,
             "[[server]]\nid = \"{}\"\nkind = \"service\"\nservice = \"{SERVICE}\"\n",
--- a/crates/dev/src/bench/mod.rs
+++ b/crates/dev/src/bench/mod.rs
@@ -14,6 +14,7 @@
 //! | [`event`] | events and what travels on connections |
 //! | [`network`] | connections, cuts and silence |
 //! | [`engine`] | fake model engine |
+//! | [`duty`] | what engines should serve, and its changes |
 //! | `cache` | prefix cache of the engine |
 //! | [`service`] | fake plain service |
 //! | [`platform`] | fake configuration service and host list |
@@ -37,6 +38,7 @@
 pub mod cell;
 pub mod config;
 pub mod disturb;
+pub mod duty;
 pub mod engine;
 pub mod entry;
 pub mod event;
--- a/crates/dev/src/bench/platform.rs
+++ b/crates/dev/src/bench/platform.rs
@@ -10,6 +10,7 @@
 use cuminlead_types::{DurationUs, Revision};
 use cuminlead_verifier::{LeavingSource, Observation};
 
+use super::duty;
 use super::event::{Event, NodeId, ProcessEvent};
 use super::layout;
 use super::world::World;
@@ -38,6 +39,10 @@
     pub(super) leaving: BTreeSet<NodeId>,
     hosts_revision: Revision,
     has_waiting_change: bool,
+    /// Changes of the changed engine's duty that operators have made.
+    pub(super) duty_stage: usize,
+    /// The same for each revision.
+    pub(super) duty_stages: Vec<usize>,
 }
 
 impl World {
@@ -47,8 +52,13 @@
             return;
         }
         let revision = Revision(self.platform.snapshots.len() as u64 + 1);
-        let snapshot = layout::snapshot(&self.config, &self.places, revision);
+        let stage = self.platform.duty_stage;
+        let changed = self.changed;
+        let duties = |node| duty::at_stage(&self.config, &self.places, changed, stage, node);
+        let snapshot = layout::snapshot(&self.config, &self.places, duties, revision);
         self.platform.snapshots.push(snapshot);
+        self.platform.duty_stages.push(stage);
+        self.observe_published(stage);
         self.observe(Observation::ListsPublished { revision });
         for node in self.all_nodes() {
             self.send_lists(node);
--- a/crates/dev/src/bench/step.rs
+++ b/crates/dev/src/bench/step.rs
@@ -70,6 +70,18 @@
     IdempotentRunStarted,
     /// The service has answered an idempotent call.
     IdempotentRunAnswered,
+    /// The agent has lists that change what its engine should serve.
+    DutyInForce,
+    /// The agent sends an order to its engine.
+    OrderSent,
+    /// The engine has carried out an order.
+    OrderCarriedOut,
+    /// The agent hears that an order is done.
+    OrderDone,
+    /// The agent has lists that change it for the second time.
+    LaterDutyInForce,
+    /// The agent sends an order that follows from those.
+    LaterOrderSent,
 }
 
 /// Server that a step is about.
@@ -78,6 +90,7 @@
     Decode,
     Prefill,
     Service,
+    Changed,
 }
 
 impl Step {
@@ -110,6 +123,17 @@
             Self::IdempotentRunSent | Self::IdempotentRunStarted | Self::IdempotentRunAnswered => {
                 &[PathKind::Idempotent]
             }
+            Self::DutyInForce
+            | Self::OrderSent
+            | Self::OrderCarriedOut
+            | Self::OrderDone
+            | Self::LaterDutyInForce
+            | Self::LaterOrderSent => &[
+                PathKind::RoleChange,
+                PathKind::RoleChangeUnfenced,
+                PathKind::ModelChange,
+                PathKind::ModelChangeUnfenced,
+            ],
         }
     }
 
@@ -145,6 +169,12 @@
             | Self::MiddleChunk
             | Self::LastChunk
             | Self::Acknowledge => About::Decode,
+            Self::DutyInForce
+            | Self::OrderSent
+            | Self::OrderCarriedOut
+            | Self::OrderDone
+            | Self::LaterDutyInForce
+            | Self::LaterOrderSent => About::Changed,
             _ => About::Service,
         }
     }
@@ -201,12 +231,21 @@
         }
     }
 
+    /// Notes a step of the engine whose duty the lists change, from the first change on.
+    pub(super) fn reached_duty(&mut self, step: Step, node: NodeId) {
+        if self.changed == Some(node) && self.platform.duty_stage > 0 {
+            let target = self.plan.target;
+            self.reached(step, target);
+        }
+    }
+
     fn targets(&self, step: Step, request: RequestId) -> Targets {
         let used = self.used.get(&request).copied().unwrap_or_default();
         let (server, other) = match step.about() {
             About::Decode => (used.decode, used.prefill),
             About::Prefill => (used.prefill, used.decode),
             About::Service => (used.service, None),
+            About::Changed => (self.changed, None),
         };
         let entry = self.results.get(&request).map(|result| result.spec.entry);
         Targets {
@@ -220,7 +259,7 @@
     pub(super) fn reached_route(&mut self, request: RequestId) {
         let path = self.results.get(&request).map(|result| result.spec.path);
         match path {
-            Some(PathKind::Model) => self.reached(Step::Route, request),
+            Some(path) if path.is_model() => self.reached(Step::Route, request),
             _ => self.reached(Step::ServiceRoute, request),
         }
     }
--- a/crates/dev/src/bench/world.rs
+++ b/crates/dev/src/bench/world.rs
@@ -12,6 +12,7 @@
 use super::caller::{RequestSpec, Results};
 use super::carry::Carried;
 use super::config::BenchConfig;
+use super::duty;
 use super::engine::Engine;
 use super::entry::{Entry, Used};
 use super::event::{BackendEvent, CarriedId, ConnectionId, Event, NodeId, ProcessEvent};
@@ -65,6 +66,8 @@
     pub(super) used: BTreeMap<RequestId, Used>,
     pub(super) results: Results,
     pub(super) plan: Plan,
+    /// Engine whose duty the lists change.
+    pub(super) changed: Option<NodeId>,
     pub(super) heals_count: u32,
     pub(super) wasted_tokens: Tokens,
     pub(super) retries_count: u64,
@@ -105,6 +108,7 @@
             used: BTreeMap::new(),
             results: Results::new(),
             plan: Plan::default(),
+            changed: config.change.and_then(|_| duty::changed(&places)),
             heals_count: 0,
             wasted_tokens: Tokens::ZERO,
             retries_count: 0,
@@ -126,6 +130,9 @@
         self.publish_hosts();
         self.publish_lists();
         self.publish_lists();
+        for at in self.config.change_at.clone() {
+            self.push(at.since(self.now), Event::ChangeDuty);
+        }
     }
 
     fn begin_backend(&mut self, node: NodeId) {
@@ -142,6 +149,7 @@
                 let engine = Engine::new(server, role, model);
                 let engine = engine.with_limits(&self.config);
                 self.engines.insert(node, engine);
+                self.observe_served(node);
             }
             _ => {
                 self.services.insert(node, Service::new(server));
@@ -253,6 +261,7 @@
             Event::Disturb(disturbance) => self.disturb(disturbance),
             Event::Heal(heal) => self.heal(heal),
             Event::PublishLists => self.publish_lists(),
+            Event::ChangeDuty => self.change_duty(),
         }
     }
 
@@ -303,6 +312,11 @@
                 agent_generation,
                 command,
             } => self.engine_command(node, agent_generation, command),
+            BackendEvent::LateOrder {
+                agent_generation,
+                fencing,
+                order,
+            } => self.carry_out_order(node, agent_generation, fencing, order),
             BackendEvent::SequenceStep { id, serial } => self.sequence_step(node, id, serial),
             BackendEvent::Service {
                 agent_generation,
--- a/crates/dev/tests/matrix_guards.rs
+++ b/crates/dev/tests/matrix_guards.rs
@@ -3,8 +3,8 @@
 //! Each guard is removed by a wrapper of the driver or of a call; the product has no switch for it.
 
 use cuminlead_agent_core::{AgentAction, AgentEvent};
-use cuminlead_dev::bench::Tamper;
 use cuminlead_dev::bench::cell::{EXACT_SEED, run_cell, singles};
+use cuminlead_dev::bench::{Cell, Tamper};
 use cuminlead_entry_core::{
     Call, CallAction, CallEvent, CallerError, Delivery, Outcome, SendOutcome,
 };
@@ -212,6 +212,29 @@
     }
 }
 
+/// Orders: engines do not get the orders of their agents.
+#[derive(Debug)]
+struct NoOrders;
+
+impl Tamper for NoOrders {
+    fn passes_command(&self, command: &EngineCommand) -> bool {
+        !matches!(command, EngineCommand::Order { .. })
+    }
+}
+
+/// Orders: an agent does not show its fencing number before it accepts work.
+#[derive(Debug)]
+struct NoFirstOrder;
+
+impl Tamper for NoFirstOrder {
+    fn passes_command(&self, command: &EngineCommand) -> bool {
+        let EngineCommand::Order { fencing, .. } = command else {
+            return true;
+        };
+        fencing.order > 1
+    }
+}
+
 /// Guards against checks that do not notice a broken promise: the first cell with one fault that
 /// breaks a promise must exist and break no other one.
 #[parameterized(
@@ -225,11 +248,33 @@
     p8_take_older_lists = { "P8", || Box::new(TakeOlderLists) },
 )]
 fn removed_guard_is_noticed(promise: &str, tamper: fn() -> Box<dyn Tamper>) {
-    let found = singles().into_iter().find_map(|cell| {
+    let found = first_broken(singles(), promise, tamper);
+    println!("{promise}: {found:?}");
+    assert!(found.is_some(), "no cell breaks {promise} alone");
+}
+
+/// The same for the rules for orders, with the cells in which the lists change duties.
+#[parameterized(
+    no_orders = { || Box::new(NoOrders) },
+    no_first_order = { || Box::new(NoFirstOrder) },
+)]
+fn removed_guard_of_orders_is_noticed(tamper: fn() -> Box<dyn Tamper>) {
+    let mut cells = singles();
+    cells.retain(|cell| cell.path.change().is_some());
+    let found = first_broken(cells, "Orders", tamper);
+    println!("Orders: {found:?}");
+    assert!(found.is_some(), "no cell breaks the rules for orders alone");
+}
+
+/// First cell that breaks a promise and no other one.
+fn first_broken(
+    cells: Vec<Cell>,
+    promise: &str,
+    tamper: fn() -> Box<dyn Tamper>,
+) -> Option<String> {
+    cells.into_iter().find_map(|cell| {
         let report = run_cell(&cell, EXACT_SEED, tamper());
         let broken: Vec<String> = report.broken.into_iter().collect();
         (broken == [promise]).then(|| format!("{cell}: {}", report.findings.join("; ")))
-    });
-    println!("{promise}: {found:?}");
-    assert!(found.is_some(), "no cell breaks {promise} alone");
+    })
 }
--- a/crates/dev/tests/matrix_paths.rs
+++ b/crates/dev/tests/matrix_paths.rs
@@ -1,5 +1,6 @@
 //! One undisturbed run of each path through the driver.
 
+use cuminlead_dev::bench::cell::{Cell, EXACT_SEED, run_cell};
 use cuminlead_dev::bench::tamper::NoTamper;
 use cuminlead_dev::bench::{BenchConfig, Ending, NodeId, PathKind, RequestSpec, World};
 use cuminlead_types::{RequestId, TimeUs, Tokens};
@@ -37,6 +38,26 @@
     assert!(findings.is_empty(), "{findings}{}", world.record());
 }
 
+/// Guards against a change of the lists that disturbs requests without any fault.
+#[parameterized(
+    role = { PathKind::RoleChange },
+    role_unfenced = { PathKind::RoleChangeUnfenced },
+    models = { PathKind::ModelChange },
+    models_unfenced = { PathKind::ModelChangeUnfenced },
+)]
+fn changed_duty_disturbs_no_request(path: PathKind) {
+    let cell = Cell {
+        path,
+        injections: Vec::new(),
+    };
+    let report = run_cell(&cell, EXACT_SEED, Box::new(NoTamper));
+    assert_eq!(report.findings, Vec::<String>::new());
+    let count = |text: &str| report.record.matches(text).count();
+    assert_eq!(count("request_failed"), 0);
+    assert_eq!(count("sequence_cut_off"), 0);
+    assert!(count("order_carried_out") > 3, "{}", report.record);
+}
+
 /// Guards against runs that differ with the same seed, which could not be repeated.
 #[test]
 fn same_seed_gives_the_same_record() {
--- a/crates/verifier/src/bounds.rs
+++ b/crates/verifier/src/bounds.rs
@@ -17,6 +17,8 @@
     pub leaving_us: DurationUs,
     /// P8: until a change is in force everywhere.
     pub lists_us: DurationUs,
+    /// Orders: until an engine serves what the newest lists want.
+    pub duty_us: DurationUs,
 }
 
 impl Default for Bounds {
@@ -28,6 +30,9 @@
             key_retention_us: DurationUs::from_ms(600_000),
             leaving_us: DurationUs::from_ms(5_000),
             lists_us: DurationUs::from_ms(9_000),
+            // Lists (9 s), hysteresis of the role (10 s), the longest request (100 s) and an
+            // inventory (2 s).
+            duty_us: DurationUs::from_ms(121_000),
         }
     }
 }
--- a/crates/verifier/src/observation.rs
+++ b/crates/verifier/src/observation.rs
@@ -4,8 +4,8 @@
 use std::str::FromStr;
 
 use cuminlead_types::{
-    AttemptId, BackendServerId, CustomerId, HostId, IdempotencyKey, PermitId, RequestId, Revision,
-    Sequence, ServiceName,
+    AttemptId, BackendServerId, CustomerId, FencingNumber, HostId, IdempotencyKey, PermitId,
+    RequestId, Revision, Sequence, ServiceName,
 };
 use strum::{Display, EnumString};
 
@@ -86,6 +86,36 @@
     }
 }
 
+/// Role, models and adapters of an engine in one word, made by observers in the same way.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EngineDutyText(String);
+
+impl EngineDutyText {
+    /// Text of a role and of the names of models and adapters, in any order.
+    pub fn new(role: &str, mut names: Vec<String>) -> Self {
+        names.sort_unstable();
+        names.dedup();
+        Self(format!("{role}:{}", names.join(",")))
+    }
+}
+
+impl fmt::Display for EngineDutyText {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl FromStr for EngineDutyText {
+    type Err = ParseObservationError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text.contains(':') {
+            true => Ok(Self(text.to_string())),
+            false => Err(ParseObservationError::new(text)),
+        }
+    }
+}
+
 /// Defines the observations with the text form `name key=value key=value`.
 macro_rules! observations {
     ($(
@@ -194,6 +224,38 @@
         /// Engine.
         server: BackendServerId,
     }
+    /// An engine carried out an order.
+    OrderCarriedOut = "order_carried_out" {
+        /// Engine.
+        server: BackendServerId,
+        /// Fencing number of the order.
+        fencing: FencingNumber,
+        /// Whether the engine checks fencing numbers.
+        is_checked: bool,
+    }
+    /// An order ended a sequence that the agent beside the engine still read.
+    SequenceCutOff = "sequence_cut_off" {
+        /// Engine.
+        server: BackendServerId,
+        /// Attempt.
+        id: AttemptId,
+        /// Fencing number of the order.
+        fencing: FencingNumber,
+    }
+    /// The newest lists want an engine to serve this.
+    DutyPublished = "duty_published" {
+        /// Engine.
+        server: BackendServerId,
+        /// What it should serve.
+        duty: EngineDutyText,
+    }
+    /// An engine began to serve this.
+    DutyServed = "duty_served" {
+        /// Engine.
+        server: BackendServerId,
+        /// What it serves.
+        duty: EngineDutyText,
+    }
     /// An agent received a cancel or a release of an attempt.
     CancelReceived = "cancel_received" {
         /// Backend server of the agent.
--- a/crates/verifier/src/promises.rs
+++ b/crates/verifier/src/promises.rs
@@ -7,6 +7,7 @@
 use crate::record::Record;
 use crate::report::Report;
 
+mod orders;
 mod p1_memory;
 mod p2_once;
 mod p3_whole;
@@ -27,8 +28,8 @@
 /// Check of one promise.
 pub(crate) type Check = fn(&Input, &mut Report);
 
-/// All checks in order of the promises.
-pub(crate) const CHECKS: [Check; 8] = [
+/// All checks in order of the promises, then the rules for orders.
+pub(crate) const CHECKS: [Check; 9] = [
     p1_memory::check,
     p2_once::check,
     p3_whole::check,
@@ -37,4 +38,5 @@
     p6_leaving::check,
     p7_shutdown::check,
     p8_lists::check,
+    orders::check,
 ];
--- a/crates/verifier/src/report.rs
+++ b/crates/verifier/src/report.rs
@@ -26,6 +26,8 @@
     P7,
     /// An accepted change is in force everywhere in time and never reverts.
     P8,
+    /// Engines follow the newest lists, later orders win, and no order cuts off a request.
+    Orders,
 }
 
 /// Collects findings.
--- a/crates/verifier/tests/promises.rs
+++ b/crates/verifier/tests/promises.rs
@@ -58,6 +58,12 @@
     p8_in_time = { "0 process_started process=e1; 1 lists_published revision=5; 9001 lists_in_force process=e1 revision=5" },
     p8_newer = { "0 process_started process=e1; 1 lists_published revision=5; 2 lists_published revision=6; 3 lists_in_force process=e1 revision=6" },
     p8_isolated = { "0 process_started process=e1; 1 isolation_began process=e1; 2 lists_published revision=5; 60000 isolation_ended process=e1; 69000 lists_in_force process=e1 revision=5" },
+    orders_grow = { "0 order_carried_out server=d fencing=5.1 is_checked=true; 1 order_carried_out server=d fencing=7.1 is_checked=true" },
+    orders_after_engine_restart = { "0 order_carried_out server=d fencing=7.1 is_checked=true; 1 engine_restarted server=d; 2 order_carried_out server=d fencing=5.1 is_checked=true" },
+    orders_late_and_ignored = { "0 M1; 1 order_carried_out server=d fencing=7.1 is_checked=false; 2 order_carried_out server=d fencing=5.9 is_checked=false; 2 sequence_cut_off server=d id=R1/1 fencing=5.9; 3 answer_ended request=R1 answer=" },
+    orders_of_a_request_that_is_gone = { "0 M1; 1 answer_ended request=R1 answer=; 2 order_carried_out server=d fencing=7.1 is_checked=true; 2 sequence_cut_off server=d id=R1/1 fencing=7.1" },
+    orders_followed = { "0 duty_published server=d duty=decode:a; 1 duty_served server=d duty=prefill:a; 2 duty_served server=d duty=decode:a" },
+    orders_not_yet_due = { "79000 duty_published server=d duty=decode:a" },
     p8_killed = { "0 process_started process=e1; 1 lists_published revision=5; 9000 process_killed process=e1" },
 )]
 fn keeps(script: &str) {
@@ -121,6 +127,22 @@
     p6_late = { "0 leaving_reported server=s source=agent; 4000 leaving_reported server=s source=published; 5001 work_accepted server=s id=R1/1", "record:3: P6 s" },
     p7_request_open = { "0 M1; 1 process_stopped process=e1 open_count=0; 2 answer_ended request=R1 answer=", "record:2: P7 R1" },
     p7_lease_open = { "0 process_stopped process=a1 open_count=2", "record:1: P7 a1" },
+    orders_late = {
+        "0 order_carried_out server=d fencing=7.1 is_checked=true; 1 order_carried_out server=d fencing=5.9 is_checked=true",
+        "record:2: Orders d"
+    },
+    orders_twice_in_one_incarnation = {
+        "0 order_carried_out server=d fencing=7.2 is_checked=false; 1 order_carried_out server=d fencing=7.1 is_checked=false",
+        "record:2: Orders d"
+    },
+    orders_cut_off = {
+        "0 M1; 1 order_carried_out server=d fencing=7.1 is_checked=false; 1 sequence_cut_off server=d id=R1/1 fencing=7.1; 2 answer_ended request=R1 answer=",
+        "record:3: Orders d"
+    },
+    orders_not_followed = {
+        "0 duty_published server=d duty=decode:a; 1 duty_served server=d duty=decode:a,b; 2 duty_published server=d duty=decode:a",
+        "record:1: Orders d"
+    },
     p8_late = { "0 process_started process=e1; 1 lists_published revision=5; 9002 lists_in_force process=e1 revision=5", "record:2: P8 e1" },
     p8_reverts = {
         "0 process_started process=e1; 1 lists_in_force process=e1 revision=5; 2 lists_in_force process=e1 revision=4",
