--- a/crates/routing/src/servers.rs
+++ b/crates/routing/src/servers.rs
@@ -119,7 +119,7 @@
             }
             is_listed
         });
-        for (id, server) in &lists.servers {
+        for (id, server) in lists.servers.iter() {
             let key = self.key_or_insert(id);
             if let Some(record) = self.records.get_mut(key) {
                 record.group = group_of(&server.duty);
