Keep the keys of customers in one sorted vector

Cause: almost every one of 4,400 customers has a bucket of its own, and a vector with one entry has room for four, so the look-up of keys took 1.2 MB.

The entries are now in one vector in order of the first two bytes of the digest; a look-up still depends on these two bytes only and compares the whole digest with every entry of the bucket.

--- a/crates/lists/src/keys.rs
+++ b/crates/lists/src/keys.rs
@@ -4,8 +4,9 @@
 //! customers costs some 0.3 ms for a request, too much for the overhead allowed to a node, so the
 //! first two bytes select a bucket and the whole digest is compared in constant time with every
 //! entry of the bucket. The time of a look-up thus depends on two bytes of a digest only.
-
-use std::collections::BTreeMap;
+//!
+//! All entries are in one vector in order of their buckets. A vector for each bucket has room for
+//! four entries at least, and almost every bucket has one.
 
 use cuminlead_types::CustomerId;
 use sha2::{Digest, Sha256};
@@ -16,7 +17,8 @@
 /// Customers by the SHA-256 of their keys.
 #[derive(Clone, Debug, Default)]
 pub struct CustomerKeys {
-    buckets: BTreeMap<u16, Vec<KeyEntry>>,
+    /// In order of [`bucket_of`].
+    entries: Vec<KeyEntry>,
 }
 
 #[derive(Clone, Debug)]
@@ -28,22 +30,21 @@
 impl CustomerKeys {
     /// Keys of all customers of the lists.
     pub fn new(lists: &Lists) -> Self {
-        let mut keys = Self::default();
-        for customer in lists.customers.values() {
-            let entry = KeyEntry {
+        let customers = lists.customers.values();
+        let mut entries: Vec<KeyEntry> = customers
+            .map(|customer| KeyEntry {
                 key_sha256: customer.key_sha256,
                 customer: customer.id.clone(),
-            };
-            let bucket = keys.buckets.entry(bucket_of(&entry.key_sha256));
-            bucket.or_default().push(entry);
-        }
-        keys
+            })
+            .collect();
+        entries.sort_by_key(|entry| bucket_of(&entry.key_sha256));
+        Self { entries }
     }
 
     /// Customer with this key.
     pub fn find(&self, key: &[u8]) -> Option<&CustomerId> {
         let digest: [u8; 32] = Sha256::digest(key).into();
-        let bucket = self.buckets.get(&bucket_of(&digest))?;
+        let bucket = self.bucket(bucket_of(&digest));
         let mut found = u64::MAX;
         for (index, entry) in bucket.iter().enumerate() {
             let is_equal = entry.key_sha256.ct_eq(&digest);
@@ -52,6 +53,16 @@
         let index = usize::try_from(found).ok()?;
         bucket.get(index).map(|entry| &entry.customer)
     }
+
+    fn bucket(&self, number: u16) -> &[KeyEntry] {
+        let position = |is_before: fn(u16, u16) -> bool| {
+            let is_before = |entry: &KeyEntry| is_before(bucket_of(&entry.key_sha256), number);
+            self.entries.partition_point(is_before)
+        };
+        let start = position(|bucket, number| bucket < number);
+        let end = position(|bucket, number| bucket <= number);
+        &self.entries[start..end]
+    }
 }
 
 fn bucket_of(digest: &[u8; 32]) -> u16 {
