Measure the memory of processes that start under the design's lists

Cause: the capacity tool published the lists part by part into running processes, so the peak of a process that takes the whole lists at its start was not in the figures.

After the idle measurement every process is restarted and measured again.

--- a/crates/dev/src/capacity/process.rs
+++ b/crates/dev/src/capacity/process.rs
@@ -36,7 +36,7 @@
 }
 
 pub(crate) fn run(report: &mut Report) -> io::Result<()> {
-    let fleet = Fleet::start(FleetConfig::new(relojeria()))?;
+    let mut fleet = Fleet::start(FleetConfig::new(relojeria()))?;
     idle(
         report,
         &fleet,
@@ -47,9 +47,18 @@
     publish_design_hosts(&fleet)?;
     answers(report, &fleet)?;
     idle(report, &fleet, "design_lists_and_hosts", ENGINES_COUNT)?;
+    restart_all(&mut fleet)?;
+    idle(report, &fleet, "restarted_with_design_lists", ENGINES_COUNT)?;
     fleet.stop()
 }
 
+/// Starts every process again, so that it takes whole lists and not one part after another.
+fn restart_all(fleet: &mut Fleet) -> io::Result<()> {
+    let own = fleet.processes().filter(|p| p.address("admin").is_some());
+    let names: Vec<String> = own.map(|process| process.name().to_string()).collect();
+    names.iter().try_for_each(|name| fleet.restart(name))
+}
+
 /// Sizes of the platform's answers, which each reader fetches.
 fn answers(report: &mut Report, fleet: &Fleet) -> io::Result<()> {
     let (lists, hosts) = (
