Bound the queue of an agent by the bytes of its prompts

Cause: the queue was bounded by number only, so 64 waiting prompts of the largest accepted size (4 MiB) could hold 268 MB.

The new setting queue_max_bytes bounds the prompts that wait, 8 MiB by default: two of the largest, and three times what 64 prompts of 10,000 tokens take. A request that would exceed it is refused as queue_full, like one that finds the queue full by number: it has not been given to the engine, so it has not run, and the existing metric and alarm count it. A request that is served at once is not bounded, and reservations hold no prompt.

Ruled out: refusing before the queue is looked at, because a new request can make room or be served at once; a reason of its own, because entries and operators act in the same way on both.

The differential test now draws prompts up to and above the limit. It and the cases fail when the bytes are not compared or not taken off again.

--- a/crates/admission/src/arrival.rs
+++ b/crates/admission/src/arrival.rs
@@ -269,11 +269,17 @@
         let wait_until = still_waits.map(|waiting| waiting.wait_until);
         if wait_until.is_some_and(|until| until <= now) {
             self.refuse_waiting(key, RefusalReason::WaitEnded, actions);
-        } else if self.queue.len() > self.config.queue_max_count {
+        } else if self.is_queue_over_limit() {
             self.refuse_waiting(key, RefusalReason::QueueFull, actions);
         }
     }
 
+    /// Whether more waits than the limits allow, in number or in bytes of prompts.
+    pub(crate) fn is_queue_over_limit(&self) -> bool {
+        self.queue.len() > self.config.queue_max_count
+            || self.queue.prompt_bytes() > self.config.queue_max_bytes
+    }
+
     fn early_refusal(&self, now: TimeUs, waiting: &Waiting) -> Option<RefusalReason> {
         if self.is_draining {
             Some(RefusalReason::Draining)
--- a/crates/admission/src/config.rs
+++ b/crates/admission/src/config.rs
@@ -1,6 +1,6 @@
 //! Limits of admission.
 
-use cuminlead_types::{DurationUs, Incarnation, KvPieces, Slots, TokensPerSecond};
+use cuminlead_types::{Bytes, DurationUs, Incarnation, KvPieces, Slots, TokensPerSecond};
 
 /// Limits of admission; the defaults are those of `docs/design.md`.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -13,6 +13,8 @@
     pub pieces: KvPieces,
     /// Most requests that wait.
     pub queue_max_count: usize,
+    /// Most bytes of the prompts of requests that wait.
+    pub queue_max_bytes: Bytes,
     /// Longest lease without a sign of the entry.
     pub lease_max_us: DurationUs,
     /// Time after which an attempt without an attached entry is cancelled.
@@ -36,6 +38,7 @@
             slots: Slots(20),
             pieces: KvPieces(256),
             queue_max_count: 64,
+            queue_max_bytes: Bytes(8_388_608),
             lease_max_us: DurationUs::from_ms(30_000),
             orphan_us: DurationUs::from_ms(5_000),
             kv_hold_us: DurationUs::from_ms(10_000),
--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -4,7 +4,9 @@
 //! large requests are not starved. The queue is short (64), so the first one is found by a scan.
 
 use cuminlead_protocol::ModelTarget;
-use cuminlead_types::{AttemptId, CustomerId, DurationUs, EntryId, Priority, TimeUs, Tokens};
+use cuminlead_types::{
+    AttemptId, Bytes, CustomerId, DurationUs, EntryId, Priority, TimeUs, Tokens,
+};
 use slotmap::{SlotMap, new_key_type};
 
 use crate::action::CallRef;
@@ -76,6 +78,14 @@
         }
     }
 
+    /// Bytes of the prompt that is kept while the request waits.
+    pub fn prompt_bytes(&self) -> Bytes {
+        match &self.purpose {
+            Purpose::Prefill { prompt } => Bytes(prompt.len() as u64),
+            Purpose::Reserve { .. } => Bytes(0),
+        }
+    }
+
     /// Whether the first token can come in time when this is served next.
     ///
     /// A decode agent knows neither load nor cache of the prefill servers, so a reservation is
@@ -119,6 +129,7 @@
 pub struct Queue {
     places: SlotMap<WaitKey, Place>,
     arrivals: u64,
+    prompt_bytes: Bytes,
 }
 
 impl Queue {
@@ -132,8 +143,14 @@
         self.places.is_empty()
     }
 
+    /// Bytes of the prompts of all requests that wait.
+    pub fn prompt_bytes(&self) -> Bytes {
+        self.prompt_bytes
+    }
+
     /// Adds a request.
     pub fn push(&mut self, waiting: Waiting) -> WaitKey {
+        self.prompt_bytes.0 += waiting.prompt_bytes().0;
         let arrival = self.arrivals;
         self.arrivals += 1;
         self.places.insert(Place { waiting, arrival })
@@ -141,7 +158,9 @@
 
     /// Takes a request out.
     pub fn remove(&mut self, key: WaitKey) -> Option<Waiting> {
-        self.places.remove(key).map(|place| place.waiting)
+        let waiting = self.places.remove(key)?.waiting;
+        self.prompt_bytes.0 -= waiting.prompt_bytes().0;
+        Some(waiting)
     }
 
     /// Request of a key.
--- a/crates/admission/src/verify.rs
+++ b/crates/admission/src/verify.rs
@@ -21,8 +21,10 @@
     OverCapacity,
     /// The ledger differs from the sum of the leases.
     LedgerDiffers,
-    /// More requests wait than the queue may hold.
+    /// More requests wait than the queue may hold, in number or in bytes.
     QueueTooLong,
+    /// The bytes of the queue differ from the sum of its prompts.
+    QueueBytesDiffer,
     /// An attempt waits and holds something, or does so twice.
     AttemptTwice(AttemptId),
     /// An attempt is not found by its id.
@@ -98,9 +100,13 @@
     }
 
     fn verify_queue(&self, now: TimeUs, violations: &mut Vec<Violation>) {
-        if self.queue.len() > self.config.queue_max_count {
+        if self.is_queue_over_limit() {
             violations.push(Violation::QueueTooLong);
         }
+        let bytes = self.queue.iter().map(|(_, w)| w.prompt_bytes().0);
+        if bytes.sum::<u64>() != self.queue.prompt_bytes().0 {
+            violations.push(Violation::QueueBytesDiffer);
+        }
         for (_, waiting) in self.queue.iter() {
             if waiting.wait_until <= now {
                 violations.push(Violation::Overdue(waiting.id));
--- a/crates/admission/tests/admission.rs
+++ b/crates/admission/tests/admission.rs
@@ -144,6 +144,43 @@
     assert_eq!(replied(&actions, 50), expected.map(refusal).as_ref());
 }
 
+/// Guards against waiting prompts that take any amount of memory, and against bytes that stay
+/// counted when a request leaves the queue. Two prompts run; `waiting` are those behind them.
+#[parameterized(
+    exactly_full = { &[60], 40, None },
+    over_by_one = { &[60], 41, Some(RefusalReason::QueueFull) },
+    larger_than_the_limit = { &[], 101, Some(RefusalReason::QueueFull) },
+    empty_prompt_behind_a_full_queue = { &[100], 0, None },
+)]
+fn prompts_that_wait_are_bounded(waiting: &[usize], bytes: usize, expected: Option<RefusalReason>) {
+    let mut admission = Admission::new(config());
+    let mut actions = Vec::new();
+    let mut ask = |admission: &mut Admission, number: u64, bytes: usize| {
+        let mut message = prefill(u128::from(number), 1);
+        message.prompt = "x".repeat(bytes);
+        message.due_us = DurationUs::from_ms(90_000);
+        admission.prefill(ms(0), CallRef(number), message, terms(1), &mut actions);
+    };
+    ask(&mut admission, 1, 1_000);
+    ask(&mut admission, 2, 1_000);
+    for (number, bytes) in (3..).zip(waiting) {
+        ask(&mut admission, number, *bytes);
+    }
+    ask(&mut admission, 50, bytes);
+    for (number, _) in (3..).zip(waiting) {
+        let message = support::release(number);
+        admission.release(ms(0), CallRef(1_000), &message, &mut Vec::new());
+    }
+    ask(
+        &mut admission,
+        51,
+        if expected.is_some() { 100 } else { 100 - bytes },
+    );
+    assert_eq!(replied(&actions, 50), expected.map(refusal).as_ref());
+    assert_eq!(replied(&actions, 51), None);
+    assert!(admission.verify(ms(0)).is_empty());
+}
+
 /// Guards against a stream that reads or changes the attempt of another entry or incarnation.
 #[parameterized(
     other_entry = { "entry-2", 7, 0, Some(RefusalReason::NoSuchLease) },
--- a/crates/admission/tests/differential.rs
+++ b/crates/admission/tests/differential.rs
@@ -45,11 +45,14 @@
 
 fn ask() -> impl Strategy<Value = Ask> {
     let pieces = prop_oneof![6 => 1..3_u64, 1 => 3..8_u64];
-    let size = (0..6_u128, prop::bool::weighted(0.45), pieces, any::<bool>());
+    // The limit is 100 bytes: the longest prompt can be granted and not wait.
+    let prompt_bytes = prop_oneof![4 => 0..40_usize, 2 => 40..70_usize, 1 => 99..102_usize];
+    let is_prefill = prop::bool::weighted(0.45);
+    let size = (0..6_u128, is_prefill, pieces, any::<bool>(), prompt_bytes);
     let due_steps = prop_oneof![1 => 0..5_u64, 1 => 0..40_u64];
     let limits = (0..3_u8, 0..3_u8, 0..20_u64, due_steps);
     (size, limits).prop_map(|(size, limits)| {
-        let (number, is_prefill, pieces, is_long) = size;
+        let (number, is_prefill, pieces, is_long, prompt_bytes) = size;
         let (customer, priority, wait_steps, due_steps) = limits;
         let message = Reserve {
             envelope: envelope(number, &format!("c{customer}")),
@@ -63,6 +66,7 @@
         Ask {
             call: 0,
             is_prefill,
+            prompt_bytes,
             priority,
             weight: u32::from(customer) + 1,
             message,
@@ -268,6 +272,7 @@
             prompt_tokens: message.prompt_tokens,
             due_us: message.due_us,
             wait_max_us: message.wait_max_us,
+            prompt: "x".repeat(ask.prompt_bytes),
             ..Prefill::default()
         };
         self.real.prefill(self.now, call, message, terms, actions);
--- a/crates/admission/tests/support/mod.rs
+++ b/crates/admission/tests/support/mod.rs
@@ -9,8 +9,8 @@
     FinishReason, KvHandle, Prefill, Release, Reserve,
 };
 use cuminlead_types::{
-    Attempt, AttemptId, DurationUs, Incarnation, KvPieces, Priority, RequestId, Sequence, Slots,
-    TimeUs, Tokens, TokensPerSecond,
+    Attempt, AttemptId, Bytes, DurationUs, Incarnation, KvPieces, Priority, RequestId, Sequence,
+    Slots, TimeUs, Tokens, TokensPerSecond,
 };
 
 pub(crate) const INCARNATION: Incarnation = Incarnation(7);
@@ -22,6 +22,7 @@
         slots: Slots(2),
         pieces: KvPieces(6),
         queue_max_count: 3,
+        queue_max_bytes: Bytes(100),
         prefill_rate: TokensPerSecond(16_384),
         ..AdmissionConfig::default()
     }
--- a/crates/admission/tests/support/naive.rs
+++ b/crates/admission/tests/support/naive.rs
@@ -21,6 +21,8 @@
 pub(crate) struct Ask {
     pub(crate) call: u64,
     pub(crate) is_prefill: bool,
+    /// Length of the prompt of a prefill.
+    pub(crate) prompt_bytes: usize,
     pub(crate) priority: u8,
     pub(crate) weight: u32,
     pub(crate) message: Reserve,
@@ -280,7 +282,7 @@
                 id: ask.message.envelope.id,
                 target: Default::default(),
                 priority: Priority(ask.priority),
-                prompt: String::new(),
+                prompt: "x".repeat(ask.prompt_bytes),
             }));
             return;
         }
@@ -331,8 +333,11 @@
         self.items.push(item);
         self.grant(now);
         let index = self.find(id).expect("was added");
-        let waiting = self.items.iter().filter(|i| i.step == Step::Waiting);
-        let is_full = waiting.count() > self.config.queue_max_count;
+        let waiting = || self.items.iter().filter(|i| i.step == Step::Waiting);
+        let prompts = waiting().filter(|i| i.ask.is_prefill);
+        let bytes: usize = prompts.map(|i| i.ask.prompt_bytes).sum();
+        let is_full = waiting().count() > self.config.queue_max_count
+            || bytes as u64 > self.config.queue_max_bytes.0;
         if self.items[index].step == Step::Waiting && until <= now {
             self.remove(now, index, refused(RefusalReason::WaitEnded));
         } else if self.items[index].step == Step::Waiting && is_full {
--- a/crates/agent-core/src/config.rs
+++ b/crates/agent-core/src/config.rs
@@ -2,7 +2,9 @@
 
 use cuminlead_admission::AdmissionConfig;
 use cuminlead_permits::PermitsConfig;
-use cuminlead_types::{BackendServerId, DurationUs, Incarnation, KvPieces, Slots, TokensPerSecond};
+use cuminlead_types::{
+    BackendServerId, Bytes, DurationUs, Incarnation, KvPieces, Slots, TokensPerSecond,
+};
 
 /// Limits of an agent's decisions; the defaults are those of `docs/design.md`.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -17,6 +19,8 @@
     pub pieces: KvPieces,
     /// Most requests that wait.
     pub queue_max_count: u32,
+    /// Most bytes of the prompts of requests that wait.
+    pub queue_max_bytes: Bytes,
     /// Longest reserved lease.
     pub lease_max_us: DurationUs,
     /// Time after which a decode without an attached entry is cancelled.
@@ -50,6 +54,7 @@
             slots: Slots(20),
             pieces: KvPieces(256),
             queue_max_count: 64,
+            queue_max_bytes: Bytes(8_388_608),
             lease_max_us: DurationUs::from_ms(30_000),
             orphan_us: DurationUs::from_ms(5_000),
             kv_hold_us: DurationUs::from_ms(10_000),
@@ -70,6 +75,7 @@
             slots: self.slots,
             pieces: self.pieces,
             queue_max_count: usize::try_from(self.queue_max_count).unwrap_or(usize::MAX),
+            queue_max_bytes: self.queue_max_bytes,
             lease_max_us: self.lease_max_us,
             orphan_us: self.orphan_us,
             kv_hold_us: self.kv_hold_us,
--- a/crates/agent/src/process.rs
+++ b/crates/agent/src/process.rs
@@ -213,6 +213,7 @@
         slots: *settings.slots_count(),
         pieces: *settings.kv_pieces_count(),
         queue_max_count: settings.queue_max_count().0,
+        queue_max_bytes: *settings.queue_max_bytes(),
         lease_max_us: (*settings.lease_max_ms()).into(),
         orphan_us: (*settings.orphan_ms()).into(),
         kv_hold_us: (*settings.kv_hold_ms()).into(),
--- a/crates/settings/src/agent.rs
+++ b/crates/settings/src/agent.rs
@@ -3,7 +3,8 @@
 use std::net::SocketAddr;
 
 use cuminlead_types::{
-    AvailabilityZoneName, BackendServerId, HostId, KvPieces, RegionName, Slots, TokensPerSecond,
+    AvailabilityZoneName, BackendServerId, Bytes, HostId, KvPieces, RegionName, Slots,
+    TokensPerSecond,
 };
 
 use crate::entry::is_same;
@@ -45,6 +46,10 @@
         kv_pieces_count: KvPieces = Default("256") in 1..=1048576;
         /// Most requests that wait. A request that finds the queue full is refused.
         queue_max_count: Count = Default("64") in 0..=65536;
+        /// Most bytes of the prompts of requests that wait, two of the largest that entries accept
+        /// by default. A request that would exceed them is refused like one that finds the queue
+        /// full.
+        queue_max_bytes: Bytes = Default("8388608") in 0..=1073741824;
         /// Longest lease of a reserved place. Memory of a request that is gone must be free
         /// within 30000 ms.
         lease_max_ms: DurationMs = Default("30000") in 100..=30000;
