Hold each text of a permit record once

Cause: a record held the customer and the service twice and the key's texts a third time in the map of keys, in a map whose nodes stay half full because numbers only grow. 30,000 records with keys and 8 MiB of responses could take 30 MB beside the lists.

The map of keys now holds the hash of a key and the number of its permit, and the record is compared in full, so keys that share a hash are told apart. Records are in boxes. What a record knows, when it may be forgotten and when a key is freed did not change; the differential test of permits passes unchanged.

Ruled out: fewer records, because calls would be refused at a lower rate; fewer bytes of responses, because outcomes that are known would be answered as unknown; forgetting records with a key before their time, because a call could run twice.

--- a/crates/permits/src/permits.rs
+++ b/crates/permits/src/permits.rs
@@ -227,7 +227,7 @@
             request: message.envelope.id.request,
             customer: message.envelope.customer.clone(),
             service: message.service.clone(),
-            key,
+            key: key.map(|key| key.key),
             state: PermitState::Issued,
             until: Some(now + expires_in_us),
         });
--- a/crates/permits/src/table.rs
+++ b/crates/permits/src/table.rs
@@ -1,9 +1,14 @@
 //! Records of permits, by number, key and deadline.
+//!
+//! Tens of thousands of records are kept for minutes, so each text is held once: a key is found by
+//! its hash and compared with the record, and the map holds its records in boxes, because a node of
+//! a map that grows in order of its keys is only half full.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet};
+use std::hash::{BuildHasher, RandomState};
 
 use cuminlead_protocol::HttpResponse;
-use cuminlead_types::{CustomerId, RequestId, ServiceName, TimeUs};
+use cuminlead_types::{CustomerId, IdempotencyKey, RequestId, ServiceName, TimeUs};
 
 use crate::owner::KeyId;
 
@@ -31,14 +36,29 @@
     pub customer: CustomerId,
     /// Service that it was issued for.
     pub service: ServiceName,
-    /// Idempotency key that it was issued for.
-    pub key: Option<KeyId>,
+    /// Idempotency key that it was issued for, within its customer and service.
+    pub key: Option<IdempotencyKey>,
     /// What is known.
     pub state: PermitState,
     /// When the state ends, if it does.
     pub until: Option<TimeUs>,
 }
 
+impl PermitRecord {
+    fn is_of(&self, id: &KeyId) -> bool {
+        self.key.as_ref() == Some(&id.key)
+            && self.customer == id.customer
+            && self.service == id.service
+    }
+}
+
+/// Permit that a key maps to, by the hash of the key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct KeyPlace {
+    hash: u64,
+    number: u64,
+}
+
 /// End of the state of a permit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Due {
@@ -52,8 +72,9 @@
 #[derive(Clone, Debug, Default)]
 pub struct PermitTable {
     next_number: u64,
-    records: BTreeMap<u64, PermitRecord>,
-    by_key: HashMap<KeyId, u64>,
+    records: BTreeMap<u64, Box<PermitRecord>>,
+    hasher: RandomState,
+    by_key: BTreeSet<KeyPlace>,
     due: BTreeSet<Due>,
     done: BTreeSet<u64>,
     done_bytes: u64,
@@ -67,23 +88,30 @@
     pub fn insert(&mut self, record: PermitRecord) -> u64 {
         let number = self.next_number;
         self.next_number += 1;
-        if let Some(key) = &record.key {
-            self.by_key.insert(key.clone(), number);
+        if let Some(place) = self.key_place(number, &record) {
+            self.by_key.insert(place);
         }
         self.add_due(number, record.until);
-        self.records.insert(number, record);
+        self.records.insert(number, Box::new(record));
         self.count(number);
         number
     }
 
     /// Record of a permit.
     pub fn get(&self, number: u64) -> Option<&PermitRecord> {
-        self.records.get(&number)
+        self.records.get(&number).map(Box::as_ref)
     }
 
-    /// Number of the permit that a key maps to.
+    /// Number of the permit that a key maps to; the newest, if it was inserted twice.
     pub fn number_of_key(&self, key: &KeyId) -> Option<u64> {
-        self.by_key.get(key).copied()
+        let hash = self.hash(&key.customer, &key.service, &key.key);
+        let place = |number| KeyPlace { hash, number };
+        let mut places = self.by_key.range(place(0)..=place(u64::MAX)).rev();
+        let found = places.find(|place| {
+            let record = self.records.get(&place.number);
+            record.is_some_and(|record| record.is_of(key))
+        });
+        found.map(|place| place.number)
     }
 
     /// Changes the state of a permit; a voided one frees its key.
@@ -187,14 +215,23 @@
     }
 
     fn free_key(&mut self, number: u64) {
-        let key = self.records.get(&number).and_then(|r| r.key.as_ref());
-        if let Some(key) = key
-            && self.by_key.get(key) == Some(&number)
-        {
-            self.by_key.remove(key);
+        let record = self.records.get(&number);
+        let place = record.and_then(|record| self.key_place(number, record));
+        if let Some(place) = place {
+            self.by_key.remove(&place);
         }
     }
 
+    fn key_place(&self, number: u64, record: &PermitRecord) -> Option<KeyPlace> {
+        let key = record.key.as_ref()?;
+        let hash = self.hash(&record.customer, &record.service, key);
+        Some(KeyPlace { hash, number })
+    }
+
+    fn hash(&self, customer: &CustomerId, service: &ServiceName, key: &IdempotencyKey) -> u64 {
+        self.hasher.hash_one((customer, service, key))
+    }
+
     fn count(&mut self, number: u64) {
         let Some(record) = self.records.get(&number) else {
             return;
