Parse the old text of changed parts only where other parts of the kind stay

Cause: a change of allowances, which are one part of 461 KB at the design scale, parsed the old and the new text.

When all parts of a kind changed, the entries of that kind are dropped without parsing. Lost plans and changed servers are found by comparing the lists, so they no longer need the old text.

--- a/crates/lists/src/change.rs
+++ b/crates/lists/src/change.rs
@@ -1,19 +1,20 @@
 //! Checks a snapshot by what differs from the valid one in force.
 //!
-//! Only changed parts are parsed, in their old and their new text: the entries of the old text are
-//! taken out of the lists in force and those of the new text are added. Keeping the parsed entries
-//! of each part instead would hold them a second time beside the lists. Whatever is not valid makes
-//! the caller check all parts, so findings and their order never depend on the lists in force.
+//! Only changed parts are parsed, in their new text and, unless all parts of their kind changed, in
+//! their old text: the entries of the old text are taken out of the lists in force and those of the
+//! new text are added. Keeping the parsed entries of each part instead would hold them a second time
+//! beside the lists. Whatever is not valid makes the caller check all parts, so findings and their
+//! order never depend on the lists in force.
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use cuminlead_types::Findings;
 
-use crate::check::{Read, assemble, check_part_revision, read_part, serves};
+use crate::check::{assemble, check_part_revision, read_part, serves};
 use crate::lists::{Lists, ModelAllowance, ServerDuty, ServiceAllowance, WantedRole};
 use crate::parse::Document;
-use crate::part::Part;
+use crate::part::{Part, PartKind};
 use crate::snapshot::Snapshot;
 
 /// Lists of `next`, when it is valid; `lists` are those of `base`, which is valid.
@@ -22,20 +23,47 @@
     for part in next.parts() {
         check_part_revision(part, next, &mut findings);
     }
-    let old = read_parts(base.parts_not_in(next), &mut findings);
-    let new = read_parts(next.parts_not_in(base), &mut findings);
     let mut changed = lists.clone();
-    for read in &old {
-        remove_entries(&mut changed, &read.document);
+    for kind in [PartKind::Plans, PartKind::Allowances] {
+        remove_old(&mut changed, kind, base, next);
     }
+    let new = next.parts_not_in(base);
+    let new = new
+        .filter_map(|part| read_part(part, &mut findings))
+        .collect();
     changed = assemble(changed, new, &mut findings);
     changed.revision = next.revision();
-    let is_valid = findings.is_empty() && references_hold(&changed, lists, &old);
+    let is_valid = findings.is_empty() && references_hold(&changed, lists);
     is_valid.then_some(changed)
 }
 
-fn read_parts<'a>(parts: impl Iterator<Item = &'a Part>, findings: &mut Findings) -> Vec<Read<'a>> {
-    parts.filter_map(|part| read_part(part, findings)).collect()
+/// Takes out the entries of the parts of a kind that `next` does not have in the same text. When
+/// that is all of them, as with allowances in one part, the old text is not parsed.
+fn remove_old(lists: &mut Lists, kind: PartKind, base: &Snapshot, next: &Snapshot) {
+    let is_of_kind = |part: &&Part| part.key.kind() == Some(kind);
+    let old: Vec<&Part> = base.parts_not_in(next).filter(is_of_kind).collect();
+    if old.len() == base.parts().filter(is_of_kind).count() {
+        return clear_entries(lists, kind);
+    }
+    for part in old {
+        let read = read_part(part, &mut Findings::new());
+        read.iter()
+            .for_each(|read| remove_entries(lists, &read.document));
+    }
+}
+
+fn clear_entries(lists: &mut Lists, kind: PartKind) {
+    match kind {
+        PartKind::Plans => {
+            lists.plans.clear();
+            lists.customers = Arc::default();
+        }
+        PartKind::Allowances => {
+            lists.servers = Arc::default();
+            lists.routes.clear();
+            lists.allowances = Arc::default();
+        }
+    }
 }
 
 /// Takes out the entries of a part; in valid lists no other part has an entry of the same name.
@@ -58,15 +86,12 @@
 }
 
 /// Whether the entries of unchanged parts still refer to entries that serve them.
-fn references_hold(lists: &Lists, before: &Lists, old: &[Read<'_>]) -> bool {
-    let has_lost_plan = old.iter().any(|read| {
-        let mut names = read.document.plans.iter().map(|plan| &plan.value.name);
-        names.any(|name| !lists.plans.contains_key(name))
-    });
-    let has_changed_server = old.iter().any(|read| {
-        let mut ids = read.document.servers.iter().map(|server| &server.value.id);
-        ids.any(|id| lists.servers.get(id) != before.servers.get(id))
-    });
+fn references_hold(lists: &Lists, before: &Lists) -> bool {
+    let mut plans = before.plans.keys();
+    let has_lost_plan = plans.any(|name| !lists.plans.contains_key(name));
+    let mut servers = before.servers.iter();
+    let has_changed_server = !Arc::ptr_eq(&lists.servers, &before.servers)
+        && servers.any(|(id, server)| lists.servers.get(id) != Some(server));
     (!has_lost_plan || plans_exist(lists)) && (!has_changed_server || servers_serve(lists))
 }
 
