Send changed parts between processes as patches

A process keeps the last patch of each part that it has in force. A follower, or a peer that pulls, at a revision with the text before it gets the patch; any other one gets the whole part. A process whose text has another hash takes nothing of the update and pulls with `whole_parts`. Ruled out: chains of patches for processes that are several changes of one part behind, which are rare and are served by the whole part. The worlds of crates/distribution/tests use patches throughout. Conclusion: what is checked and put in force is still the text as published.

--- a/crates/dev/src/capacity/wire.rs
+++ b/crates/dev/src/capacity/wire.rs
@@ -84,6 +84,7 @@
         },
         confirmed_age: DurationUs(1_234_567),
         hosts_confirmed_age: DurationUs(1_234_567),
+        ..Update::default()
     }
 }
 
--- a/crates/dev/src/capacity/world.rs
+++ b/crates/dev/src/capacity/world.rs
@@ -7,8 +7,8 @@
 use std::sync::Arc;
 
 use cuminlead_distribution::{
-    Action, Answer, CallRef, Distribution, Event, FollowRef, FollowerRef, Identity, Peer, PullRef,
-    Revisions, Source, Update,
+    Action, Answer, CallRef, Distribution, Event, FollowRef, FollowerRef, Identity, PartForm, Peer,
+    PullRef, Revisions, Source, Update,
 };
 use cuminlead_lists::{HostList, Snapshot};
 use cuminlead_types::{DurationUs, HostId, Revision, TimeUs};
@@ -58,6 +58,7 @@
         pull: PullRef,
         target: usize,
         since: Revisions,
+        form: PartForm,
     },
 }
 
@@ -226,7 +227,8 @@
                 pull,
                 target,
                 since,
-            } => self.pull(node, pull, target, since),
+                form,
+            } => self.pull(node, pull, target, since, form),
         }
     }
 
@@ -329,7 +331,12 @@
                 );
             }
             Action::StopFollowing { follow } => self.send(NEAR, Delivery::Close { node, follow }),
-            Action::PullFromPeer { pull, peer, since } => {
+            Action::PullFromPeer {
+                pull,
+                peer,
+                since,
+                form,
+            } => {
                 let target = self.number_of(&peer);
                 let delay = self.latency(node, target);
                 self.send(
@@ -339,6 +346,7 @@
                         pull,
                         target,
                         since,
+                        form,
                     },
                 );
             }
@@ -432,14 +440,21 @@
         }
     }
 
-    fn pull(&mut self, node: usize, pull: PullRef, target: usize, since: Revisions) {
+    fn pull(
+        &mut self,
+        node: usize,
+        pull: PullRef,
+        target: usize,
+        since: Revisions,
+        form: PartForm,
+    ) {
         if !self.nodes[target].is_up {
             let event = Event::PullFailed { pull };
             self.send(REFUSED_AFTER, Delivery::Event { node, event });
             return;
         }
         let distribution = &self.nodes[target].distribution;
-        let update = distribution.update_since(self.now, since);
+        let update = distribution.update_since(self.now, since, form);
         let peer = distribution.peer_on(&self.hosts.hosts[node].host);
         let seen = Event::RevisionsSeen {
             revisions: since,
--- a/crates/distribution/src/action.rs
+++ b/crates/distribution/src/action.rs
@@ -7,7 +7,7 @@
 use strum::{Display, EnumIter, IntoStaticStr};
 
 use crate::election::Peer;
-use crate::event::{CallRef, FollowRef, FollowerRef, PullRef, Revisions, Update};
+use crate::event::{CallRef, FollowRef, FollowerRef, PartForm, PullRef, Revisions, Update};
 
 /// Value that the platform publishes.
 #[derive(
@@ -77,6 +77,8 @@
         peer: Peer,
         /// Revisions that the changes start from.
         since: Revisions,
+        /// Form of changed parts.
+        form: PartForm,
     },
     /// Sends an update or a heartbeat to a follower.
     SendUpdate {
--- a/crates/distribution/src/context.rs
+++ b/crates/distribution/src/context.rs
@@ -3,16 +3,16 @@
 
 use std::sync::Arc;
 
-use cuminlead_lists::{Delta, HostList, HostStore, ListStore, Offer, Snapshot};
-use cuminlead_types::{
-    AvailabilityZoneName, DurationUs, Findings, HostId, RegionName, Revision, TimeUs,
+use cuminlead_lists::{
+    Delta, HostList, HostStore, ListStore, Offer, PartPatch, PatchLog, Snapshot, patched_parts,
 };
+use cuminlead_types::{DurationUs, Findings, HostId, Revision, TimeUs};
 use rand::rngs::StdRng;
 use strum::IntoEnumIterator;
 
 use crate::action::{Action, Source};
-use crate::election::{Peer, candidates};
-use crate::event::{Answer, CallRef, Event, NEVER_CONFIRMED, PullRef, Revisions, Update};
+use crate::election::{Identity, Peer, candidates};
+use crate::event::{Answer, CallRef, Event, NEVER_CONFIRMED, PartForm, PullRef, Revisions, Update};
 use crate::follow::{Following, Need, Sender};
 use crate::limits::{
     CONFIRM_INTERVAL, CONFIRM_LIMIT, CONFIRM_RETRY, HOSTS_GRACE, HOSTS_READ_LIMIT,
@@ -22,17 +22,7 @@
 use crate::serve::Followers;
 use crate::service::{Outcome, ServiceCalls};
 use crate::startup::Startup;
-
-/// Place of a process.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Identity {
-    /// Host.
-    pub host: HostId,
-    /// Region of the host.
-    pub region: RegionName,
-    /// Availability zone of the host.
-    pub zone: AvailabilityZoneName,
-}
+use crate::update::{Ages, Holdings};
 
 /// Peer that was told of a revision that it lacked.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -41,19 +31,15 @@
     revisions: Revisions,
 }
 
-/// Times since the lists and the host list of a process were confirmed.
-#[derive(Clone, Copy, Debug)]
-struct Ages {
-    lists: DurationUs,
-    hosts: DurationUs,
-}
-
 /// How the revisions of the lists and of the host list reach one process.
 #[derive(Debug)]
 pub struct Distribution {
     own: Identity,
     rng: StdRng,
     lists: ListStore,
+    patches: PatchLog,
+    /// Form of the parts to ask for: whole after a patch that did not fit.
+    form: PartForm,
     hosts: HostStore,
     confirmed_at: Option<TimeUs>,
     /// Last time at which the own watch confirmed.
@@ -79,6 +65,8 @@
             own,
             rng,
             lists: ListStore::new(),
+            patches: PatchLog::default(),
+            form: PartForm::default(),
             hosts: HostStore::new(),
             confirmed_at: None,
             watch_fresh_at: TimeUs::ZERO,
@@ -148,8 +136,14 @@
 
     /// Answer to a pull: what a peer at these revisions lacks. The process hands the revisions of
     /// the request on as [`Event::RevisionsSeen`].
-    pub fn update_since(&self, now: TimeUs, since: Revisions) -> Update {
-        make_update(&self.lists, &self.hosts, self.ages(now), since)
+    pub fn update_since(&self, now: TimeUs, since: Revisions, form: PartForm) -> Update {
+        let holdings = Holdings {
+            lists: &self.lists,
+            patches: &self.patches,
+            hosts: &self.hosts,
+            ages: self.ages(now),
+        };
+        holdings.update_since(since, form)
     }
 
     /// Decides on an event and appends the resulting actions.
@@ -226,8 +220,9 @@
             }
             Answer::ListChanges(delta) => {
                 let delta = delta.continued_from(self.lists.revision());
-                self.take_lists(&delta, actions);
-                delta.revision
+                let revision = delta.revision;
+                self.take_lists(delta, &[], actions);
+                revision
             }
             Answer::HostChanges(delta) => {
                 let delta = delta.continued_from(self.hosts.revision());
@@ -284,7 +279,7 @@
         }
         let since = self.revisions();
         if let Some(peer) = peer.or(self.following.peer_to_ask()) {
-            self.pulls.ask(now, peer, since, actions);
+            self.pulls.ask(now, peer, since, self.form, actions);
         }
     }
 
@@ -310,7 +305,7 @@
         update: &Update,
         actions: &mut Vec<Action>,
     ) {
-        self.take_lists(&update.lists, actions);
+        self.take_lists(update.lists.clone(), &update.patches, actions);
         let is_newer = self.hosts.apply(&update.hosts).is_ok();
         self.use_hosts(now, is_newer, actions);
         self.take_confirmation(now, sender, update, actions);
@@ -350,18 +345,27 @@
             revisions: self.revisions(),
         };
         if self.hint.as_ref() != Some(&hint) && !self.pulls.is_open() {
-            self.pulls.begin(now, peer, self.revisions(), actions);
+            let since = hint.revisions;
+            self.pulls.begin(now, peer, since, self.form, actions);
             self.hint = Some(hint);
         }
     }
 
-    fn take_lists(&mut self, delta: &Delta, actions: &mut Vec<Action>) {
+    fn take_lists(&mut self, mut delta: Delta, patches: &[PartPatch], actions: &mut Vec<Action>) {
         let initial = Snapshot::default();
         let base = self.lists.snapshot().unwrap_or(&initial);
-        if delta.revision <= base.revision() {
+        let is_based = delta.is_full || delta.from_revision == base.revision();
+        if delta.revision <= base.revision() || !is_based {
             return;
         }
-        if let Ok(snapshot) = base.apply(delta) {
+        match patched_parts(base, patches) {
+            Ok(parts) => delta.parts.extend(parts),
+            Err(_) => {
+                self.form = PartForm::Whole;
+                return;
+            }
+        }
+        if let Ok(snapshot) = base.apply(&delta) {
             self.offer_lists(snapshot, actions);
         }
     }
@@ -369,8 +373,14 @@
     fn offer_lists(&mut self, snapshot: Snapshot, actions: &mut Vec<Action>) {
         let revision = snapshot.revision();
         let is_known = self.lists.refused_revision() == Some(revision);
+        self.form = PartForm::Patch;
+        let mut patches = self.patches.clone();
+        if let Some(earlier) = self.lists.snapshot() {
+            patches.record(earlier, &snapshot);
+        }
         match self.lists.offer(snapshot) {
             Offer::Applied => {
+                self.patches = patches;
                 if let (Some(lists), Some(keys)) = (self.lists.lists(), self.lists.keys()) {
                     actions.push(Action::ApplyLists {
                         lists: Arc::clone(lists),
@@ -445,7 +455,7 @@
         let nearest = peers.iter().take(nearest_count);
         let farthest = peers.iter().skip(nearest_count).next_back();
         for peer in nearest.chain(farthest) {
-            self.pulls.begin(now, peer, since, actions);
+            self.pulls.begin(now, peer, since, self.form, actions);
         }
     }
 
@@ -479,8 +489,9 @@
 
     fn ask_for_confirmation(&mut self, now: TimeUs, actions: &mut Vec<Action>) {
         self.confirm_asked_at = now;
+        let since = self.revisions();
         if let Some(peer) = self.following.peer_to_ask() {
-            self.pulls.ask(now, peer, self.revisions(), actions);
+            self.pulls.ask(now, peer, since, self.form, actions);
         }
     }
 
@@ -546,9 +557,13 @@
         self.is_hosts_told = is_hosts_told;
         let ages = self.ages(now);
         let own = self.revisions();
-        let lists = &self.lists;
-        let hosts = &self.hosts;
-        let update_since = |since| make_update(lists, hosts, ages, since);
+        let holdings = Holdings {
+            lists: &self.lists,
+            patches: &self.patches,
+            hosts: &self.hosts,
+            ages,
+        };
+        let update_since = |since| holdings.update_since(since, PartForm::Patch);
         let rng = &mut self.rng;
         self.followers.step(now, own, update_since, rng, actions);
     }
@@ -579,17 +594,6 @@
     }
 }
 
-fn make_update(lists: &ListStore, hosts: &HostStore, ages: Ages, since: Revisions) -> Update {
-    let snapshot = lists.snapshot();
-    let lists = snapshot.map(|snapshot| snapshot.delta_since(since.lists));
-    Update {
-        lists: lists.unwrap_or_default(),
-        hosts: hosts.delta_since(since.hosts),
-        confirmed_age: ages.lists,
-        hosts_confirmed_age: ages.hosts,
-    }
-}
-
 fn refuse(revision: Revision, findings: Findings, actions: &mut Vec<Action>) {
     actions.push(Action::Refused { revision, findings });
 }
--- a/crates/distribution/src/election.rs
+++ b/crates/distribution/src/election.rs
@@ -10,10 +10,9 @@
 //! lists may follow a host that does not read; its confirmation grows old then, and they look on.
 
 use cuminlead_lists::{HostEntry, HostList, HostState};
-use cuminlead_types::{AvailabilityZoneName, HostId};
+use cuminlead_types::{AvailabilityZoneName, HostId, RegionName};
 use xxhash_rust::xxh3::Xxh3;
 
-use crate::context::Identity;
 use crate::limits::{READERS_COUNT, STANDBYS_COUNT, readers_count};
 
 /// Seed of the election, fixed so that all processes choose alike.
@@ -21,6 +20,17 @@
 /// Seed of the order in which a process tries peers, so that followers spread over the readers.
 pub const ORDER_SEED: u64 = 0x6f72_6465_7270_6565;
 
+/// Place of a process.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Identity {
+    /// Host.
+    pub host: HostId,
+    /// Region of the host.
+    pub region: RegionName,
+    /// Availability zone of the host.
+    pub zone: AvailabilityZoneName,
+}
+
 /// Process that can be followed or asked.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Peer {
--- a/crates/distribution/src/event.rs
+++ b/crates/distribution/src/event.rs
@@ -1,6 +1,6 @@
 //! Events that the distribution decides on.
 
-use cuminlead_lists::{Delta, HostDelta, HostList, Snapshot};
+use cuminlead_lists::{Delta, HostDelta, HostList, PartPatch, Snapshot};
 use cuminlead_types::{DurationUs, Findings, Revision};
 
 use crate::election::Peer;
@@ -27,8 +27,10 @@
 /// Message of a peer to a follower or in answer to a pull; without changes it is a heartbeat.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Update {
-    /// Changed parts of the lists.
+    /// Changed parts of the lists, without those that travel as patches.
     pub lists: Delta,
+    /// Patches of changed parts.
+    pub patches: Vec<PartPatch>,
     /// Changed hosts.
     pub hosts: HostDelta,
     /// Time since the sender's lists were confirmed as the newest.
@@ -38,6 +40,16 @@
     pub hosts_confirmed_age: DurationUs,
 }
 
+/// Form in which a process asks for changed parts.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum PartForm {
+    /// As a patch where the asked process has one.
+    #[default]
+    Patch,
+    /// Whole, because a patch did not fit.
+    Whole,
+}
+
 /// Revisions of one process.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Revisions {
--- a/crates/distribution/src/lib.rs
+++ b/crates/distribution/src/lib.rs
@@ -18,6 +18,7 @@
 //! | `follow` | the choice of a peer to follow |
 //! | `pull` | single questions to peers |
 //! | `serve` | followers of this process |
+//! | `update` | what a process tells another one |
 //! | `startup` | what a fresh process asks before it is ready |
 
 pub mod action;
@@ -30,8 +31,9 @@
 mod serve;
 mod service;
 mod startup;
+mod update;
 
 pub use action::*;
-pub use context::{Distribution, Identity};
-pub use election::{Candidates, Peer, candidates, readers_of_zone};
+pub use context::Distribution;
+pub use election::{Candidates, Identity, Peer, candidates, readers_of_zone};
 pub use event::*;
--- a/crates/distribution/src/pull.rs
+++ b/crates/distribution/src/pull.rs
@@ -6,7 +6,7 @@
 
 use crate::action::Action;
 use crate::election::Peer;
-use crate::event::{PullRef, Revisions};
+use crate::event::{PartForm, PullRef, Revisions};
 use crate::limits::{PULL_INTERVAL_MIN, PULL_TIMEOUT};
 
 /// Pulls of one process.
@@ -32,12 +32,13 @@
         now: TimeUs,
         peer: &Peer,
         since: Revisions,
+        form: PartForm,
         actions: &mut Vec<Action>,
     ) {
         if self.is_open() || now < self.next_at {
             return;
         }
-        self.begin(now, peer, since, actions);
+        self.begin(now, peer, since, form, actions);
     }
 
     /// Asks a peer now.
@@ -46,6 +47,7 @@
         now: TimeUs,
         peer: &Peer,
         since: Revisions,
+        form: PartForm,
         actions: &mut Vec<Action>,
     ) {
         self.next_pull += 1;
@@ -56,6 +58,7 @@
             pull,
             peer: peer.clone(),
             since,
+            form,
         });
         self.open.insert(pull, Pull { peer, sent_at: now });
     }
--- /dev/null
+++ b/crates/distribution/tests/patches.rs
@@ -0,0 +1,95 @@
+//! Patches between two processes, and the whole part where a patch does not fit.
+
+use cuminlead_distribution::{
+    Action, Answer, CallRef, Distribution, Event, Identity, PartForm, Peer, PullRef, Revisions,
+};
+use cuminlead_lists::{Part, PartKey, Snapshot};
+use cuminlead_types::{DurationUs, Revision, TimeUs};
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use yare::parameterized;
+
+/// Time between two events, longer than the interval of pulls.
+const STEP: DurationUs = DurationUs::from_ms(1_000);
+
+fn snapshot(revision: u64, comment: &str) -> Snapshot {
+    let part = |key: &str, revision: u64, text: String| Part {
+        key: PartKey::new(key),
+        revision: Revision(revision),
+        text,
+    };
+    let text = format!("schema = 1\n# {}\n# {comment}\n", "unchanged ".repeat(9));
+    let allowances = part("allowances/base", 1, "schema = 1\n".to_string());
+    let parts = [part("plans/base", revision, text), allowances];
+    Snapshot::new(Revision(revision), parts)
+}
+
+/// Process that holds these lists, and its time.
+struct Process {
+    distribution: Distribution,
+    now: TimeUs,
+}
+
+impl Process {
+    fn new(lists: Snapshot) -> Self {
+        let own = Identity::default();
+        let mut process = Self {
+            distribution: Distribution::new(own, StdRng::seed_from_u64(1)),
+            now: TimeUs(1_000_000),
+        };
+        process.publish(lists);
+        process
+    }
+
+    fn publish(&mut self, lists: Snapshot) {
+        let answer = Answer::Lists(lists);
+        let call = CallRef(0);
+        self.handle(Event::Answered { call, answer });
+    }
+
+    /// Pulls that an event leads to.
+    fn handle(&mut self, event: Event) -> Vec<(PullRef, Revisions, PartForm)> {
+        self.now = self.now + STEP;
+        let mut actions = Vec::new();
+        self.distribution.handle(self.now, event, &mut actions);
+        let pulls = actions.into_iter().filter_map(|action| match action {
+            Action::PullFromPeer {
+                pull, since, form, ..
+            } => Some((pull, since, form)),
+            _ => None,
+        });
+        pulls.collect()
+    }
+}
+
+/// Guards against lists that differ from the published ones because a patch was applied to another
+/// text, and against a process that stays behind after a patch did not fit.
+#[parameterized(
+    same_base = { "1", &[PartForm::Patch] },
+    other_base = { "other", &[PartForm::Patch, PartForm::Whole] },
+)]
+fn part_is_pulled_whole_after_a_mismatch(held: &str, expected: &[PartForm]) {
+    let mut reader = Process::new(snapshot(1, "1"));
+    reader.publish(snapshot(2, "2"));
+    let mut follower = Process::new(snapshot(1, held));
+    let peer = Peer {
+        host: "reader".parse().expect("host"),
+        address: "127.0.0.1:1".to_string(),
+    };
+    let mut pulls = follower.handle(Event::RevisionsSeen {
+        revisions: reader.distribution.revisions(),
+        peer: Some(peer),
+    });
+    let mut forms = Vec::new();
+    while let Some((pull, since, form)) = pulls.pop() {
+        forms.push(form);
+        let update = reader.distribution.update_since(reader.now, since, form);
+        let is_patched = form == PartForm::Patch;
+        assert_eq!(update.patches.len(), usize::from(is_patched));
+        assert_eq!(update.lists.parts.len(), usize::from(!is_patched));
+        pulls = follower.handle(Event::PullReply { pull, update });
+    }
+    assert_eq!(forms, expected);
+    let in_force = follower.distribution.lists().snapshot();
+    assert_eq!(in_force, Some(&snapshot(2, "2")));
+}
--- a/crates/distribution/tests/world/mod.rs
+++ b/crates/distribution/tests/world/mod.rs
@@ -9,8 +9,8 @@
 use std::sync::Arc;
 
 use cuminlead_distribution::{
-    Action, Distribution, Event, FollowRef, FollowerRef, Identity, Peer, PullRef, Revisions,
-    Source, Update,
+    Action, Distribution, Event, FollowRef, FollowerRef, Identity, PartForm, Peer, PullRef,
+    Revisions, Source, Update,
 };
 use cuminlead_lists::{HostList, HostState};
 use cuminlead_types::{DurationUs, Revision, TimeUs};
@@ -45,6 +45,7 @@
         pull: PullRef,
         target: usize,
         since: Revisions,
+        form: PartForm,
     },
 }
 
@@ -385,7 +386,12 @@
             Action::StopFollowing { follow } => {
                 self.peer_message(node, Delivery::Close { node, follow });
             }
-            Action::PullFromPeer { pull, peer, since } => {
+            Action::PullFromPeer {
+                pull,
+                peer,
+                since,
+                form,
+            } => {
                 let target = self.number_of(&peer);
                 self.peer_message(
                     node,
@@ -394,6 +400,7 @@
                         pull,
                         target,
                         since,
+                        form,
                     },
                 );
             }
@@ -471,7 +478,8 @@
                 pull,
                 target,
                 since,
-            } => self.pull(node, pull, target, since),
+                form,
+            } => self.pull(node, pull, target, since, form),
         }
     }
 
@@ -506,12 +514,19 @@
         );
     }
 
-    fn pull(&mut self, node: usize, pull: PullRef, target: usize, since: Revisions) {
+    fn pull(
+        &mut self,
+        node: usize,
+        pull: PullRef,
+        target: usize,
+        since: Revisions,
+        form: PartForm,
+    ) {
         if !self.reach(node, target) || !self.nodes[target].is_up || self.is_lost() {
             return;
         }
         let distribution = &self.nodes[target].distribution;
-        let update = distribution.update_since(self.now, since);
+        let update = distribution.update_since(self.now, since, form);
         let peer = distribution.peer_on(&self.hosts.hosts[node].host);
         let seen = Event::RevisionsSeen {
             revisions: since,
--- a/crates/lists/src/lib.rs
+++ b/crates/lists/src/lib.rs
@@ -4,6 +4,7 @@
 //! |---|---|
 //! | [`part`] | the published values that the lists consist of |
 //! | [`snapshot`] | all parts at one revision, and what changed since another one |
+//! | [`patch`] | how a changed part travels between processes |
 //! | `continued` | changes of the platform that arrive after the lists have moved on |
 //! | [`store`] | the lists in force in one process |
 //! | [`lists`] | the checked lists in force and the questions asked of them |
@@ -20,6 +21,7 @@
 pub mod lists;
 mod parse;
 pub mod part;
+pub mod patch;
 mod reader;
 pub mod snapshot;
 pub mod store;
@@ -31,5 +33,6 @@
 pub use lists::*;
 pub use parse::{PRIORITY_MAX, SCHEMA};
 pub use part::*;
+pub use patch::*;
 pub use snapshot::*;
 pub use store::*;
--- a/crates/process/src/feed.rs
+++ b/crates/process/src/feed.rs
@@ -11,8 +11,8 @@
 
 use arc_swap::ArcSwap;
 use cuminlead_distribution::{
-    Action, CallRef, Distribution, Event, FollowRef, FollowerRef, Identity, Peer, Revisions,
-    Source, Update,
+    Action, CallRef, Distribution, Event, FollowRef, FollowerRef, Identity, PartForm, Peer,
+    Revisions, Source, Update,
 };
 use cuminlead_kernel::WorkerPool;
 use cuminlead_lists::{CustomerKeys, HostList, Lists};
@@ -55,6 +55,8 @@
         host: String,
         /// Revisions of the peer.
         revisions: Revisions,
+        /// Form of changed parts.
+        form: PartForm,
         /// Where the answer goes.
         reply: oneshot::Sender<proto::PeerUpdate>,
     },
@@ -186,9 +188,10 @@
             FeedEvent::Pull {
                 host,
                 revisions,
+                form,
                 reply,
             } => {
-                let update = self.distribution.update_since(now, revisions);
+                let update = self.distribution.update_since(now, revisions, form);
                 // The asking peer may be gone.
                 let _ = reply.send(self.to_wire(&update));
                 // The asking peer may be ahead.
@@ -284,12 +287,17 @@
                     task.abort();
                 }
             }
-            Action::PullFromPeer { pull, peer, since } => {
+            Action::PullFromPeer {
+                pull,
+                peer,
+                since,
+                form,
+            } => {
                 let sender = Arc::clone(&self.parts.sender);
-                let asked = self
-                    .parts
-                    .peers
-                    .pull(peer.address, since, self.parts.metrics.clone());
+                let asked =
+                    self.parts
+                        .peers
+                        .pull(peer.address, since, form, self.parts.metrics.clone());
                 self.parts.runtime.spawn(async move {
                     let event = match asked.await {
                         Some(update) => Event::PullReply { pull, update },
--- a/crates/process/src/peer.rs
+++ b/crates/process/src/peer.rs
@@ -3,7 +3,7 @@
 use std::pin::Pin;
 use std::time::Duration;
 
-use cuminlead_distribution::{Event, FollowRef, Revisions, Update};
+use cuminlead_distribution::{Event, FollowRef, PartForm, Revisions, Update};
 use cuminlead_telemetry::{CommonMetrics, Label};
 use cuminlead_wire::peer::pull_request;
 use cuminlead_wire::proto::peer_client::PeerClient as TonicClient;
@@ -64,11 +64,13 @@
     ) -> Result<Response<proto::PeerUpdate>, Status> {
         self.secret.check(&request)?;
         let revisions = Revisions::from(request.get_ref());
+        let form = PartForm::from(request.get_ref());
         let host = request.into_inner().host;
         let (reply, answered) = oneshot::channel();
         (self.sender)(FeedEvent::Pull {
             host,
             revisions,
+            form,
             reply,
         });
         let update = answered
@@ -122,12 +124,13 @@
         &self,
         address: String,
         since: Revisions,
+        form: PartForm,
         metrics: CommonMetrics,
     ) -> impl Future<Output = Option<Update>> + Send + 'static {
         let client = self.clone();
         async move {
             let asked = async {
-                let request = client.request(since);
+                let request = client.request(since, form);
                 client.connect(&address).await?.pull(request).await.ok()
             };
             let reply = tokio::time::timeout(PULL_TIMEOUT, asked)
@@ -144,7 +147,10 @@
         revisions: Revisions,
     ) -> Option<tonic::Streaming<proto::PeerUpdate>> {
         let mut client = self.connect(address).await?;
-        let reply = client.follow(self.request(revisions)).await.ok()?;
+        let reply = client
+            .follow(self.request(revisions, PartForm::Patch))
+            .await
+            .ok()?;
         Some(reply.into_inner())
     }
 
@@ -158,8 +164,8 @@
         Some(TonicClient::new(channel).max_decoding_message_size(LISTS_MAX_BYTES))
     }
 
-    fn request(&self, revisions: Revisions) -> Request<proto::PullRequest> {
-        let mut request = Request::new(pull_request(&self.host, revisions));
+    fn request(&self, revisions: Revisions, form: PartForm) -> Request<proto::PullRequest> {
+        let mut request = Request::new(pull_request(&self.host, revisions, form));
         self.secret.attach(&mut request);
         request
     }
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -1,7 +1,7 @@
 //! Conversions of updates between processes.
 
-use cuminlead_distribution::{Revisions, Update};
-use cuminlead_lists::{Delta, HostDelta, HostEntry, Part, PartKey};
+use cuminlead_distribution::{PartForm, Revisions, Update};
+use cuminlead_lists::{Delta, HostDelta, HostEntry, Part, PartKey, PartPatch, TextPatch};
 use cuminlead_types::{DurationUs, Revision};
 
 use crate::error::{WireError, required};
@@ -10,7 +10,7 @@
 impl From<&Update> for proto::PeerUpdate {
     fn from(update: &Update) -> Self {
         Self {
-            lists: Some(list_delta_to_wire(&update.lists)),
+            lists: Some(list_delta_to_wire(&update.lists, &update.patches)),
             hosts: Some(host_delta_to_wire(&update.hosts)),
             confirmed_age_us: update.confirmed_age.0,
             hosts_confirmed_age_us: update.hosts_confirmed_age.0,
@@ -22,8 +22,12 @@
     type Error = WireError;
 
     fn try_from(update: proto::PeerUpdate) -> Result<Self, WireError> {
+        let mut lists = required("lists", update.lists)?;
+        let patches = std::mem::take(&mut lists.patches);
+        let patches: Result<_, WireError> = patches.into_iter().map(patch_from_wire).collect();
         Ok(Self {
-            lists: list_delta_from_wire(required("lists", update.lists)?),
+            lists: list_delta_from_wire(lists),
+            patches: patches?,
             hosts: host_delta_from_wire(required("hosts", update.hosts)?)?,
             confirmed_age: DurationUs(update.confirmed_age_us),
             hosts_confirmed_age: DurationUs(update.hosts_confirmed_age_us),
@@ -40,16 +44,54 @@
     }
 }
 
+impl From<&proto::PullRequest> for PartForm {
+    fn from(request: &proto::PullRequest) -> Self {
+        if request.whole_parts {
+            Self::Whole
+        } else {
+            Self::Patch
+        }
+    }
+}
+
 /// Message that asks a peer for what a process at `revisions` lacks.
-pub fn pull_request(host: &str, revisions: Revisions) -> proto::PullRequest {
+pub fn pull_request(host: &str, revisions: Revisions, form: PartForm) -> proto::PullRequest {
     proto::PullRequest {
         host: host.to_string(),
         lists_revision: revisions.lists.0,
         hosts_revision: revisions.hosts.0,
+        whole_parts: form == PartForm::Whole,
     }
 }
 
-fn list_delta_to_wire(delta: &Delta) -> proto::ListDelta {
+fn patch_to_wire(patch: &PartPatch) -> proto::PartPatch {
+    proto::PartPatch {
+        key: patch.key.to_string(),
+        revision: patch.revision.0,
+        start_bytes: patch.change.start_bytes as u64,
+        end_bytes: patch.change.end_bytes as u64,
+        text: patch.change.text.clone(),
+        old_hash: patch.change.old_hash,
+        new_hash: patch.change.new_hash,
+    }
+}
+
+fn patch_from_wire(patch: proto::PartPatch) -> Result<PartPatch, WireError> {
+    let length = |name, bytes| usize::try_from(bytes).map_err(|_| WireError::Invalid(name));
+    Ok(PartPatch {
+        key: PartKey::new(patch.key),
+        revision: Revision(patch.revision),
+        change: TextPatch {
+            start_bytes: length("start_bytes", patch.start_bytes)?,
+            end_bytes: length("end_bytes", patch.end_bytes)?,
+            text: patch.text,
+            old_hash: patch.old_hash,
+            new_hash: patch.new_hash,
+        },
+    })
+}
+
+fn list_delta_to_wire(delta: &Delta, patches: &[PartPatch]) -> proto::ListDelta {
     let parts = delta.parts.iter().map(|part| proto::Part {
         key: part.key.to_string(),
         revision: part.revision.0,
@@ -61,6 +103,7 @@
         is_full: delta.is_full,
         parts: parts.collect(),
         removed: delta.removed.iter().map(ToString::to_string).collect(),
+        patches: patches.iter().map(patch_to_wire).collect(),
     }
 }
 
--- a/crates/wire/tests/round_trip.rs
+++ b/crates/wire/tests/round_trip.rs
@@ -5,7 +5,9 @@
 #![allow(clippy::unwrap_used, reason = "test data is valid")]
 
 use cuminlead_distribution::Update;
-use cuminlead_lists::{Delta, HostDelta, HostEntry, HostState, Part, PartKey, ProcessKind};
+use cuminlead_lists::{
+    Delta, HostDelta, HostEntry, HostState, Part, PartKey, PartPatch, ProcessKind, TextPatch,
+};
 use cuminlead_protocol::*;
 use cuminlead_types::*;
 use cuminlead_wire::stream::DecodeMessage;
@@ -182,6 +184,11 @@
             }],
             removed: vec![PartKey::new("plans/old")],
         },
+        patches: vec![PartPatch {
+            key: PartKey::new("plans/patched"),
+            revision: Revision(2),
+            change: TextPatch::between("schema = 1", "schema = 2"),
+        }],
         hosts: HostDelta {
             from_revision: Revision(3),
             revision: Revision(4),
