Measure patches and changes only in the capacity tool

Cause: the tool measured whole parts and whole host lists, which are no longer what travels. It now measures the patch of one customer (`wire_patch_of_one_customer`), the platform's answers to a reader that is one change behind, with the head of HTTP, the readers of the host list, and the time until a host list is in use after a fault. A change at the measured reader is one customer and no longer all customers of a part. Ruled out: one customer in a whole part as the only case; `wire_delta_of_one_part` stays, as it is what a pull of the whole part costs.

--- a/crates/dev/src/capacity/fixture.rs
+++ b/crates/dev/src/capacity/fixture.rs
@@ -169,6 +169,26 @@
     part(&format!("plans/group-{group:03}"), revision, text)
 }
 
+/// Text in which the key of one customer is another one for each `salt`.
+pub(crate) fn change_customer(text: &str, number: usize, salt: u64) -> String {
+    let lines = customers_text(number..number + 1, salt);
+    let entry = lines.trim_start_matches("schema = 1\n");
+    let id = format!("[[customer]]\nid = \"{}\"", customer(number));
+    let start = text.find(&id).expect("customer");
+    let end = start + entry.len();
+    [&text[..start], entry, &text[end..]].concat()
+}
+
+/// Part with one group of the customers, of which the first one has changed.
+pub(crate) fn changed_part(size: ListSize, part: &Part, group: usize, revision: u64) -> Part {
+    let first = size.customers * group / size.parts;
+    Part {
+        key: part.key.clone(),
+        revision: Revision(revision),
+        text: change_customer(&part.text, first, revision),
+    }
+}
+
 /// Snapshot of a size; all parts were changed at the revision.
 pub(crate) fn snapshot(size: ListSize, revision: u64) -> Snapshot {
     let groups = (0..size.parts).map(|group| group_part(size, group, revision));
--- a/crates/dev/src/capacity/process.rs
+++ b/crates/dev/src/capacity/process.rs
@@ -1,18 +1,22 @@
 //! Resident memory and processor time of real processes beside stand-ins.
 
 use std::fs;
-use std::io;
+use std::io::{self, Read, Write};
+use std::net::TcpStream;
 use std::thread;
 use std::time::Duration;
 
 use serde_json::{Value, json};
 
 use super::Report;
-use super::fixture::{DESIGN_LISTS, ENGINES_COUNT, allowances_text, group_part, hosts, plans_text};
+use super::fixture::{
+    DESIGN_LISTS, ENGINES_COUNT, allowances_text, changed_part, group_part, hosts, plans_text,
+};
 use cuminlead_dev::client;
 use cuminlead_dev::fleet::deployment::relojeria;
 use cuminlead_dev::fleet::{Fleet, FleetConfig};
 use cuminlead_dev::platform::HostRecord;
+use cuminlead_lists::HostState;
 
 /// Entries of the design scale.
 const ENTRIES_COUNT: usize = 370;
@@ -46,6 +50,7 @@
     publish_design_lists(&fleet)?;
     publish_design_hosts(&fleet)?;
     answers(report, &fleet)?;
+    answers_to_changes(report, &fleet)?;
     idle(report, &fleet, "design_lists_and_hosts", ENGINES_COUNT)?;
     fleet.stop()
 }
@@ -72,6 +77,60 @@
     Ok(())
 }
 
+/// Sizes of the platform's answers to a reader that is one change behind, with the head of HTTP.
+fn answers_to_changes(report: &mut Report, fleet: &Fleet) -> io::Result<()> {
+    let hosts_count = ENGINES_COUNT + ENTRIES_COUNT;
+    let hosts = published(fleet, HOSTS_PATH)?;
+    let held = hosts["revision"].clone();
+    let hosts_since = format!("{HOSTS_PATH}?since={held}");
+    let unchanged = answer_bytes(fleet, &hosts_since)?;
+    report.add(
+        "platform_hosts_unchanged_answer",
+        "bytes",
+        hosts_count,
+        unchanged,
+    );
+    let mut records: Vec<HostRecord> = serde_json::from_value(hosts["hosts"].clone())?;
+    if let Some(last) = records.last_mut() {
+        last.state = HostState::Leaving.to_string();
+    }
+    publish_hosts(fleet, &records)?;
+    let changed = answer_bytes(fleet, &hosts_since)?;
+    report.add("platform_host_change_answer", "bytes", hosts_count, changed);
+    let held = published(fleet, CONFIG_PATH)?["revision"].clone();
+    let unchanged = answer_bytes(fleet, &format!("/v1/watch?since={held}&wait_ms=0"))?;
+    report.add(
+        "platform_lists_unchanged_answer",
+        "bytes",
+        DESIGN_LISTS.customers,
+        unchanged,
+    );
+    let part = group_part(DESIGN_LISTS, 0, 1);
+    let changed = changed_part(DESIGN_LISTS, &part, 0, 2);
+    fleet.publish(changed.key.as_str(), &changed.text)?;
+    let changed = answer_bytes(fleet, &format!("/v1/config?since={held}"))?;
+    report.add(
+        "platform_customer_change_answer",
+        "bytes",
+        DESIGN_LISTS.customers / DESIGN_LISTS.parts,
+        changed,
+    );
+    Ok(())
+}
+
+/// Bytes that the platform sends for a call.
+fn answer_bytes(fleet: &Fleet, path: &str) -> io::Result<f64> {
+    let address = fleet.address("platform", "address")?;
+    let mut stream = TcpStream::connect(&address)?;
+    write!(
+        stream,
+        "GET {path} HTTP/1.1\r\nhost: {address}\r\nconnection: close\r\n\r\n"
+    )?;
+    let mut answer = Vec::new();
+    stream.read_to_end(&mut answer)?;
+    Ok(answer.len() as f64)
+}
+
 /// Processes whose lists are those that the platform publishes.
 fn in_force_count(fleet: &Fleet) -> io::Result<usize> {
     let newest = published(fleet, CONFIG_PATH)?["revision"].clone();
@@ -193,6 +252,10 @@
                 server: entry.server.as_ref().map(ToString::to_string),
             }),
     );
+    publish_hosts(fleet, &records)
+}
+
+fn publish_hosts(fleet: &Fleet, records: &[HostRecord]) -> io::Result<()> {
     let url = format!(
         "http://{}/control/hosts",
         fleet.address("platform", "address")?
--- a/crates/dev/src/capacity/serve.rs
+++ b/crates/dev/src/capacity/serve.rs
@@ -5,7 +5,7 @@
 use cuminlead_distribution::{
     Action, Answer, CallRef, Distribution, Event, FollowerRef, Identity, Source, Update,
 };
-use cuminlead_lists::{HostList, Part, Snapshot};
+use cuminlead_lists::{Delta, HostList, Part, Snapshot};
 use cuminlead_types::{DurationUs, Revision, TimeUs};
 use cuminlead_wire::proto;
 use prost::Message;
@@ -13,7 +13,7 @@
 use rand::rngs::StdRng;
 
 use super::Report;
-use super::fixture::{DESIGN_LISTS, group_part, host, snapshot};
+use super::fixture::{DESIGN_LISTS, changed_part, host, snapshot};
 use super::measure::{Times, hold};
 
 const FOLLOWERS: [usize; 3] = [10, 100, 450];
@@ -176,25 +176,29 @@
         Snapshot::new(Revision(self.revision), self.parts.iter().cloned())
     }
 
-    /// Changes one part at the platform and returns the answer to a watch.
-    fn publish(&mut self) -> Snapshot {
+    /// Changes one customer at the platform and returns the answer to a watch.
+    fn publish(&mut self) -> Delta {
+        let held = Revision(self.revision);
         self.revision += 1;
         let groups = DESIGN_LISTS.parts as u64;
         let group = usize::try_from(self.revision % groups).unwrap_or(0);
-        let changed = group_part(DESIGN_LISTS, group, self.revision);
-        for part in &mut self.parts {
-            if part.key == changed.key {
-                *part = changed.clone();
-            }
+        let key = format!("plans/group-{group:03}");
+        let mut parts = self.parts.iter_mut();
+        let part = parts.find(|part| part.key.as_str() == key).expect("group");
+        *part = changed_part(DESIGN_LISTS, part, group, self.revision);
+        Delta {
+            from_revision: held,
+            revision: Revision(self.revision),
+            parts: vec![part.clone()],
+            ..Delta::default()
         }
-        self.snapshot()
     }
 
     /// Answers the open watch of the lists.
-    fn answer(&mut self, snapshot: Snapshot) {
+    fn answer(&mut self, change: Delta) {
         let open = self.calls.iter().position(|call| call.1 == Source::Lists);
         let (call, _) = self.calls.remove(open.expect("open watch"));
-        let answer = Answer::Lists(snapshot);
+        let answer = Answer::ListChanges(change);
         self.handle(Event::Answered { call, answer });
         self.now = self.now + SECOND;
         self.tick();
--- a/crates/dev/src/capacity/spread.rs
+++ b/crates/dev/src/capacity/spread.rs
@@ -69,6 +69,14 @@
     );
     let watching = world.nodes.iter().filter(|n| n.distribution.is_watching());
     report.add("readers", "processes", processes, watching.count() as f64);
+    let reading = world.nodes.iter();
+    let reading = reading.filter(|n| n.distribution.is_reading_hosts());
+    report.add(
+        "hosts_readers",
+        "processes",
+        processes,
+        reading.count() as f64,
+    );
     let sent = world.nodes.iter().zip(before);
     let most = sent.map(|(node, before)| node.sent_bytes - before).max();
     let rate = most.unwrap_or(0) as f64 / seconds;
@@ -81,10 +89,14 @@
     world.run(1);
     let since = world.now;
     world.publish();
+    world.publish_hosts();
     world.run(CHANGE_MS);
     let last = world.last_in_force(since);
     let ms = last.map_or(f64::INFINITY, |last| last.0 as f64 / 1_000.0);
     report.add(&format!("change_in_force_{case}"), "ms", processes, ms);
+    let last = world.last_with_hosts(since);
+    let ms = last.map_or(f64::INFINITY, |last| last.0 as f64 / 1_000.0);
+    report.add(&format!("hosts_in_use_{case}"), "ms", processes, ms);
     let calls = peak_calls(world);
     report.add(
         &format!("platform_calls_peak_{case}"),
--- a/crates/dev/src/capacity/wire.rs
+++ b/crates/dev/src/capacity/wire.rs
@@ -1,7 +1,7 @@
 //! Encoded messages and their conversions.
 
 use cuminlead_distribution::Update;
-use cuminlead_lists::{Delta, HostDelta};
+use cuminlead_lists::{Delta, HostDelta, PartKey, PartPatch, TextPatch};
 use cuminlead_protocol::{
     AgentReply, AgentRequest, AgentState, Chunk, DecodeControl, DecodeEvent, KvHandle, LoadReport,
     Prefill, Prefilled, ReplyBody, Reserve, Reserved,
@@ -13,8 +13,8 @@
 
 use super::Report;
 use super::fixture::{
-    CUSTOMERS_COUNT, DESIGN_LISTS, ENGINES_COUNT, customers_text, envelope, host, hosts, name,
-    part, snapshot, target,
+    CUSTOMERS_COUNT, DESIGN_LISTS, ENGINES_COUNT, change_customer, customers_text, envelope, host,
+    hosts, name, part, snapshot, target,
 };
 use super::measure::Times;
 
@@ -46,6 +46,23 @@
             REPEATS / 10,
         );
     }
+    for customers in PART_CUSTOMERS {
+        let old = customers_text(0..customers, 1);
+        let new = change_customer(&old, customers / 2, 2);
+        let mut delta = heartbeat();
+        delta.patches = vec![PartPatch {
+            key: PartKey::new("plans/group-000"),
+            revision: Revision(100_000),
+            change: TextPatch::between(&old, &new),
+        }];
+        update(
+            report,
+            "wire_patch_of_one_customer",
+            customers,
+            &delta,
+            REPEATS / 10,
+        );
+    }
     for customers in FULL_CUSTOMERS {
         let mut size = DESIGN_LISTS;
         size.customers = customers;
--- a/crates/dev/src/capacity/world.rs
+++ b/crates/dev/src/capacity/world.rs
@@ -10,7 +10,7 @@
     Action, Answer, CallRef, Distribution, Event, FollowRef, FollowerRef, Identity, PartForm, Peer,
     PullRef, Revisions, Source, Update,
 };
-use cuminlead_lists::{HostList, Snapshot};
+use cuminlead_lists::{HostList, HostState, Snapshot};
 use cuminlead_types::{DurationUs, HostId, Revision, TimeUs};
 use cuminlead_wire::proto;
 use prost::Message;
@@ -85,6 +85,7 @@
     pub(crate) is_up: bool,
     deadline: Option<TimeUs>,
     in_force_at: BTreeMap<u64, TimeUs>,
+    hosts_in_use_at: BTreeMap<Revision, TimeUs>,
     /// Bytes of updates that it sent.
     pub(crate) sent_bytes: u64,
 }
@@ -142,6 +143,7 @@
             is_up: true,
             deadline: None,
             in_force_at: BTreeMap::new(),
+            hosts_in_use_at: BTreeMap::new(),
             sent_bytes: 0,
         }
     }
@@ -167,6 +169,26 @@
         }
     }
 
+    /// Publishes the next host list, in which the last host changes between live and leaving.
+    pub(crate) fn publish_hosts(&mut self) {
+        self.hosts.revision = Revision(self.hosts.revision.0 + 1);
+        if let Some(last) = self.hosts.hosts.last_mut() {
+            last.state = match last.state {
+                HostState::Live => HostState::Leaving,
+                HostState::Leaving => HostState::Live,
+            };
+        }
+    }
+
+    /// The same as [`World::last_in_force`] for the host list.
+    pub(crate) fn last_with_hosts(&self, since: TimeUs) -> Option<DurationUs> {
+        let mut up = self.nodes.iter().filter(|node| node.is_up);
+        up.try_fold(DurationUs::ZERO, |last, node| {
+            let at = node.hosts_in_use_at.get(&self.hosts.revision)?;
+            Some(last.max(at.since(since)))
+        })
+    }
+
     /// Time from now back to when the newest lists came in force at the last running process, or
     /// nothing while one of them is behind; `since` is the time of publishing.
     pub(crate) fn last_in_force(&self, since: TimeUs) -> Option<DurationUs> {
@@ -248,6 +270,8 @@
         node.distribution.handle(now, event, &mut actions);
         let revision = node.distribution.lists().revision().0;
         node.in_force_at.entry(revision).or_insert(now);
+        let hosts = node.distribution.revisions().hosts;
+        node.hosts_in_use_at.entry(hosts).or_insert(now);
         let deadline = node.distribution.next_deadline();
         if let Some(earlier) = std::mem::replace(&mut node.deadline, deadline) {
             self.ticks.remove(&(earlier, number));
