--- a/crates/agent-core/src/context.rs
+++ b/crates/agent-core/src/context.rs
@@ -245,7 +245,8 @@
         self.admission.is_idle() && self.runs.is_empty() && open_count == 0
     }
 
-    fn load(&self, now: TimeUs) -> LoadReport {
+    /// Load for the agent's state and its metrics.
+    pub fn load(&self, now: TimeUs) -> LoadReport {
         let mut load = self.admission.load(now);
         let runs_count = u32::try_from(self.runs.len()).unwrap_or(u32::MAX);
         load.running_count = load.running_count.saturating_add(runs_count);
--- a/crates/agent/src/controller.rs
+++ b/crates/agent/src/controller.rs
@@ -16,6 +16,7 @@
 use cuminlead_protocol::{
     AgentReply, AgentRequest, DecodeEvent, DecodeOpen, EngineEvent, Envelope, ServiceEvent,
 };
+use cuminlead_telemetry::BusyTime;
 use cuminlead_types::{BackendServerId, DurationUs, HostId, Now, TimeUs};
 use slog::{Logger, debug, info, warn};
 use tokio::sync::{mpsc, oneshot};
@@ -99,6 +100,7 @@
     /// When a drain that has not ended is cut off.
     drain_until: Option<TimeUs>,
     is_drained: bool,
+    busy: BusyTime,
 }
 
 impl AgentController {
@@ -111,6 +113,7 @@
             actions: Vec::new(),
             drain_until: None,
             is_drained: false,
+            busy: BusyTime::default(),
         };
         let update = controller.parts.feed.start(now.mono_us);
         controller.apply(now, update);
@@ -139,11 +142,11 @@
     }
 
     fn decide(&mut self, now: Now, event: AgentEvent) {
-        let started = Instant::now();
         let mut actions = std::mem::take(&mut self.actions);
         self.parts.context.handle(now, event, &mut actions);
-        let busy_us = u64::try_from(started.elapsed().as_micros()).unwrap_or(u64::MAX);
-        self.parts.metrics.common.control_busy_us.inc_by(busy_us);
+        self.parts
+            .metrics
+            .set_load(&self.parts.context.load(now.mono_us));
         for action in actions.drain(..) {
             self.carry_out(action);
         }
@@ -257,6 +260,11 @@
         self.decide(now, AgentEvent::Lists(lists));
     }
 
+    fn count_busy(&mut self, started: Instant) {
+        let busy_us = &self.parts.metrics.common.control_busy_us;
+        self.busy.add(started.elapsed(), busy_us);
+    }
+
     fn drain(&mut self, now: Now) {
         if !self.parts.flags.is_draining.swap(true, Ordering::Relaxed) {
             info!(self.parts.log, "agent draining"; "server" => %self.parts.server);
@@ -270,6 +278,33 @@
     type Event = ControlEvent;
 
     fn handle(&mut self, now: Now, event: ControlEvent) {
+        let started = Instant::now();
+        self.take(now, event);
+        self.count_busy(started);
+    }
+
+    fn tick(&mut self, now: Now) {
+        let started = Instant::now();
+        self.pass_time(now);
+        self.count_busy(started);
+    }
+
+    fn next_deadline(&self) -> Option<TimeUs> {
+        let deadlines = [
+            self.parts.context.next_deadline(),
+            self.parts.feed.next_deadline(),
+            self.drain_until,
+        ];
+        deadlines.into_iter().flatten().min()
+    }
+
+    fn is_done(&self) -> bool {
+        self.is_drained
+    }
+}
+
+impl AgentController {
+    fn take(&mut self, now: Now, event: ControlEvent) {
         match event {
             ControlEvent::Call {
                 call,
@@ -315,7 +350,7 @@
         }
     }
 
-    fn tick(&mut self, now: Now) {
+    fn pass_time(&mut self, now: Now) {
         if is_due(self.parts.feed.next_deadline(), now) {
             let update = self.parts.feed.tick(now.mono_us);
             self.apply(now, update);
@@ -328,19 +363,6 @@
             self.is_drained = true;
         }
     }
-
-    fn next_deadline(&self) -> Option<TimeUs> {
-        let deadlines = [
-            self.parts.context.next_deadline(),
-            self.parts.feed.next_deadline(),
-            self.drain_until,
-        ];
-        deadlines.into_iter().flatten().min()
-    }
-
-    fn is_done(&self) -> bool {
-        self.is_drained
-    }
 }
 
 fn is_due(deadline: Option<TimeUs>, now: Now) -> bool {
--- a/crates/agent/src/status.rs
+++ b/crates/agent/src/status.rs
@@ -4,15 +4,19 @@
 use std::sync::atomic::Ordering;
 
 use arc_swap::ArcSwap;
+use cuminlead_admission::ReleaseCause;
 use cuminlead_agent_core::AgentRecord;
 use cuminlead_orders::OrderReport;
 use cuminlead_process::admin::AdminSource;
 use cuminlead_process::feed::FeedView;
-use cuminlead_telemetry::metrics::Counters;
+use cuminlead_protocol::{LoadReport, RefusalReason};
+use cuminlead_telemetry::metrics::{Counters, start_at_zero};
 use cuminlead_telemetry::{CommonMetrics, Label, Metrics};
 use cuminlead_types::{BackendServerId, Incarnation, Revision};
 use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::gauge::Gauge;
 use serde_json::json;
+use strum::IntoEnumIterator;
 
 use crate::controller::AgentFlags;
 
@@ -22,6 +26,10 @@
     /// Metrics that both processes have.
     pub common: CommonMetrics,
     refusals: Counters,
+    leases_held: Gauge,
+    requests_queued: Gauge,
+    free_slots: Gauge,
+    free_kv_pieces: Gauge,
     releases: Counters,
     wasted_prefill_tokens: Counters,
     unknown_sequences: Counter,
@@ -32,8 +40,12 @@
 impl AgentMetrics {
     /// Registers the metrics of an agent.
     pub fn new(metrics: &mut Metrics) -> Self {
-        Self {
+        let agent = Self {
             common: metrics.common.clone(),
+            leases_held: metrics.gauge("leases_held", "Leases and application calls held"),
+            requests_queued: metrics.gauge("requests_queued", "Requests that wait for a place"),
+            free_slots: metrics.gauge("free_slots", "Free places in the engine's batch"),
+            free_kv_pieces: metrics.gauge("free_kv_pieces", "Free pieces of engine memory"),
             refusals: metrics.counters("refusals", "Refused messages by reason"),
             releases: metrics.counters("leases_released", "Released attempts by cause"),
             wasted_prefill_tokens: metrics.counters(
@@ -49,7 +61,26 @@
                 "order_failures",
                 "Engine orders that had no effect, by cause",
             ),
+        };
+        agent.start_at_zero();
+        agent
+    }
+
+    fn start_at_zero(&self) {
+        start_at_zero(&self.refusals, "reason", &names::<RefusalReason>());
+        for counters in [&self.releases, &self.wasted_prefill_tokens] {
+            start_at_zero(counters, "cause", &names::<ReleaseCause>());
         }
+        start_at_zero(&self.permits, "outcome", &["voided", "started"]);
+        start_at_zero(&self.order_failures, "cause", &["fenced_out", "failed"]);
+    }
+
+    /// Shows what is held and what is free.
+    pub fn set_load(&self, load: &LoadReport) {
+        self.leases_held.set(load.running_count.into());
+        self.requests_queued.set(load.queued_count.into());
+        self.free_slots.set(load.free_slots.0.into());
+        self.free_kv_pieces.set(load.free_pieces.0.into());
     }
 
     /// Counts a decision.
@@ -93,6 +124,11 @@
     }
 }
 
+/// Names of all values of an enumeration.
+fn names<T: IntoEnumIterator + Into<&'static str>>() -> Vec<&'static str> {
+    T::iter().map(Into::into).collect()
+}
+
 fn inc(counters: &Counters, label: &'static str, value: &str, amount: u64) {
     counters
         .get_or_create(&Label::new(label, value))
@@ -131,6 +167,7 @@
             "server": self.server.to_string(),
             "incarnation": self.incarnation.0,
             "ready": self.is_ready(),
+            "reader": view.is_reader,
             "draining": self.flags.is_draining.load(Ordering::Relaxed),
             "lists_revision": view.lists.revision.0,
             "hosts_revision": view.hosts.revision.0,
--- a/crates/dev/src/fleet/probe.rs
+++ b/crates/dev/src/fleet/probe.rs
@@ -67,15 +67,20 @@
         revision.ok_or_else(|| io::Error::other("no lists_revision"))
     }
 
-    /// Sum of the samples of a metric over its labels; zero when there is none.
-    pub fn metric(&self, name: &str, metric: &str) -> io::Result<f64> {
+    /// All metrics of an agent or entry.
+    pub fn metrics(&self, name: &str) -> io::Result<String> {
         let url = format!("http://{}/metrics", self.address(name, "admin")?);
         let answer = client::agent(CALL_LIMIT).get(&url).call();
         let text = answer
             .map_err(io::Error::other)?
             .body_mut()
             .read_to_string();
-        let text = text.map_err(io::Error::other)?;
+        text.map_err(io::Error::other)
+    }
+
+    /// Sum of the samples of a metric over its labels; zero when there is none.
+    pub fn metric(&self, name: &str, metric: &str) -> io::Result<f64> {
+        let text = self.metrics(name)?;
         let samples = text.lines().filter(|line| line.starts_with(metric));
         let values = samples.filter_map(|line| line.rsplit(' ').next());
         Ok(values.filter_map(|value| value.parse::<f64>().ok()).sum())
--- a/crates/entry-core/src/application/keys.rs
+++ b/crates/entry-core/src/application/keys.rs
@@ -1,6 +1,6 @@
 //! Replies about idempotency keys.
 
-use cuminlead_retry::Evidence;
+use cuminlead_retry::{Evidence, Step};
 
 use super::ApplicationCall;
 use super::state::Phase;
@@ -16,9 +16,9 @@
 
     /// The agent's lists name another owner. The revisions on its reply let the side that is behind
     /// catch up, so another route may find the owner.
-    pub(super) fn not_owner(&mut self, turn: &mut Turn, cause: Cause) {
+    pub(super) fn not_owner(&mut self, turn: &mut Turn, step: Step, cause: Cause) {
         if self.may_route(turn) {
-            self.count_retry(turn, cause);
+            self.count_retry(turn, step, cause);
             self.phase = Phase::RoutePause(turn.now + self.config.repeat_pause_us);
         } else {
             self.fail(turn, cause);
--- a/crates/entry-core/src/application/recover.rs
+++ b/crates/entry-core/src/application/recover.rs
@@ -17,12 +17,14 @@
             self.proof.is_last_open &= may_have_run(self.kind(), step, cause.evidence);
         }
         if cause.refusal == Some(RefusalReason::NotOwner) {
-            self.not_owner(turn, cause);
+            self.not_owner(turn, step, cause);
             return;
         }
         match decide(self.kind(), step, cause.evidence) {
-            Decision::RetryElsewhere | Decision::RetrySame => self.retry_elsewhere(turn, cause),
-            Decision::AskOwner | Decision::Resume => self.ask_owner(turn, cause),
+            Decision::RetryElsewhere | Decision::RetrySame => {
+                self.retry_elsewhere(turn, step, cause)
+            }
+            Decision::AskOwner | Decision::Resume => self.ask_owner(turn, step, cause),
             Decision::ReportNotRun | Decision::ReportUnknown | Decision::Stop => {
                 self.report_failure(turn, cause);
                 self.fail(turn, cause);
@@ -40,13 +42,13 @@
             return;
         }
         self.limits.repeat_count += 1;
-        self.count_retry(turn, cause);
+        self.count_retry(turn, Step::Permit, cause);
         self.send_permit(turn, true);
     }
 
-    fn retry_elsewhere(&mut self, turn: &mut Turn, cause: Cause) {
+    fn retry_elsewhere(&mut self, turn: &mut Turn, step: Step, cause: Cause) {
         if self.must_ask() {
-            self.ask_owner(turn, cause);
+            self.ask_owner(turn, step, cause);
             return;
         }
         self.report_failure(turn, cause);
@@ -59,7 +61,7 @@
         if !self.excluded.contains(&self.server) {
             self.excluded.push(self.server.clone());
         }
-        self.count_retry(turn, cause);
+        self.count_retry(turn, step, cause);
         self.route(turn);
     }
 
@@ -69,10 +71,10 @@
     }
 
     /// Asks about the call at once after its answer was lost, and after a pause from then on.
-    fn ask_owner(&mut self, turn: &mut Turn, cause: Cause) {
+    fn ask_owner(&mut self, turn: &mut Turn, step: Step, cause: Cause) {
         match self.phase {
             Phase::Run(run) if self.permit.is_some() => {
-                self.count_retry(turn, cause);
+                self.count_retry(turn, step, cause);
                 self.send_ask(turn, run, true);
             }
             Phase::Ask { run, .. } => {
@@ -99,8 +101,10 @@
         self.limits.route_count < self.config.attempts_max_count && turn.now < self.limits.ends_at
     }
 
-    pub(super) fn count_retry(&self, turn: &mut Turn, cause: Cause) {
+    pub(super) fn count_retry(&self, turn: &mut Turn, step: Step, cause: Cause) {
         turn.push(CallAction::Retried {
+            kind: self.kind(),
+            step,
             evidence: cause.evidence,
         });
     }
--- a/crates/entry-core/src/call.rs
+++ b/crates/entry-core/src/call.rs
@@ -3,7 +3,7 @@
 use cuminlead_protocol::{
     AgentReply, AgentRequest, DecodeControl, DecodeEvent, DecodeOpen, FinishReason, HttpResponse,
 };
-use cuminlead_retry::Evidence;
+use cuminlead_retry::{CallKind, Evidence, Step};
 use cuminlead_routing::{NoRoute, Route, RouteNeed};
 use cuminlead_types::{BackendServerId, Sequence, TimeUs, Tokens};
 
@@ -136,6 +136,10 @@
     },
     /// Counts a retry by its row in the table.
     Retried {
+        /// Kind of the call.
+        kind: CallKind,
+        /// Step that failed.
+        step: Step,
         /// Evidence that led to the retry.
         evidence: Evidence,
     },
--- a/crates/entry-core/src/model/recover.rs
+++ b/crates/entry-core/src/model/recover.rs
@@ -37,7 +37,7 @@
             return;
         }
         self.attempt.repeat_count += 1;
-        self.count_retry(turn, cause);
+        self.count_retry(turn, step, cause);
         if step == Step::Reserve || self.must_reserve(turn.now) {
             self.send_reserve(turn, true);
         } else {
@@ -53,7 +53,7 @@
             return;
         }
         self.attempt.resume_count += 1;
-        self.count_retry(turn, cause);
+        self.count_retry(turn, step, cause);
         self.close_stream(turn, false);
         self.open_stream(turn, true);
     }
@@ -62,9 +62,9 @@
         self.report_failure(turn, step, cause);
         let is_prefill_fault = step == Step::Prefill || cause.is_transfer;
         if is_prefill_fault && self.lease_lasts(turn) {
-            self.other_prefill(turn, cause);
+            self.other_prefill(turn, step, cause);
         } else {
-            self.new_attempt(turn, cause);
+            self.new_attempt(turn, step, cause);
         }
     }
 
@@ -74,14 +74,14 @@
         self.attempt.lease_ends_at.is_some_and(|end| done_at < end)
     }
 
-    fn other_prefill(&mut self, turn: &mut Turn, cause: Cause) {
+    fn other_prefill(&mut self, turn: &mut Turn, step: Step, cause: Cause) {
         if !self.may_route(turn) {
             self.fail(turn, cause);
             return;
         }
         self.close_stream(turn, false);
         self.discard_prefill(turn, cause.evidence);
-        self.count_retry(turn, cause);
+        self.count_retry(turn, step, cause);
         self.route_prefill(turn);
     }
 
@@ -95,7 +95,7 @@
         self.release(turn, &server, self.attempt.number, fresh);
     }
 
-    pub(super) fn new_attempt(&mut self, turn: &mut Turn, cause: Cause) {
+    pub(super) fn new_attempt(&mut self, turn: &mut Turn, step: Step, cause: Cause) {
         if self.is_answer_whole() {
             self.finish_at_length(turn, cause.evidence);
             return;
@@ -109,7 +109,7 @@
         } else {
             self.abandon(turn, cause.evidence);
         }
-        self.count_retry(turn, cause);
+        self.count_retry(turn, step, cause);
         self.renew_due(turn, cause);
         self.route_pair(turn);
     }
@@ -134,8 +134,10 @@
         self.limits.route_count < self.config.attempts_max_count && turn.now < self.limits.ends_at
     }
 
-    pub(super) fn count_retry(&self, turn: &mut Turn, cause: Cause) {
+    pub(super) fn count_retry(&self, turn: &mut Turn, step: Step, cause: Cause) {
         turn.push(CallAction::Retried {
+            kind: CallKind::Model,
+            step,
             evidence: cause.evidence,
         });
     }
--- a/crates/entry-core/src/model/steps.rs
+++ b/crates/entry-core/src/model/steps.rs
@@ -46,7 +46,7 @@
             (Phase::RoutePrefill | Phase::RoutePair, Err(NoRoute::RetryBudget)) => {
                 self.fail_route(turn);
             }
-            (Phase::RoutePrefill, _) => self.new_attempt(turn, Cause::NO_SERVER),
+            (Phase::RoutePrefill, _) => self.new_attempt(turn, Step::Route, Cause::NO_SERVER),
             (Phase::RoutePair, _) => self.no_pair(turn),
             _ => {}
         }
@@ -106,7 +106,7 @@
     /// release that was sent to it, so it is used again only under a new attempt.
     fn use_prefill(&mut self, turn: &mut Turn, server: BackendServerId) {
         if self.holds.is_given_up(&server, self.attempt.number) {
-            self.new_attempt(turn, Cause::NO_SERVER);
+            self.new_attempt(turn, Step::Route, Cause::NO_SERVER);
             return;
         }
         self.attempt.prefill = server;
--- a/crates/entry-core/src/model/stream.rs
+++ b/crates/entry-core/src/model/stream.rs
@@ -154,7 +154,7 @@
             self.recover(turn, Step::Transfer, cause);
             return;
         }
-        self.count_retry(turn, cause);
+        self.count_retry(turn, Step::Transfer, cause);
         self.close_stream(turn, false);
         self.open_stream(turn, false);
     }
--- a/crates/entry-core/tests/common/mod.rs
+++ b/crates/entry-core/tests/common/mod.rs
@@ -250,7 +250,7 @@
             format!("report {server} {text}")
         }
         CallAction::WastedPrefill { tokens, cause } => format!("wasted {tokens} {cause}"),
-        CallAction::Retried { evidence } => format!("retried {evidence}"),
+        CallAction::Retried { evidence, .. } => format!("retried {evidence}"),
     }
 }
 
--- a/crates/entry/src/controller.rs
+++ b/crates/entry/src/controller.rs
@@ -13,7 +13,8 @@
 use cuminlead_process::feed::{Feed, FeedEvent, FeedUpdate};
 use cuminlead_protocol::AgentState;
 use cuminlead_retry::Evidence;
-use cuminlead_routing::{RouteNeed, Router, Usability};
+use cuminlead_routing::{LinkUse, RouteNeed, Router, Usability};
+use cuminlead_telemetry::BusyTime;
 use cuminlead_types::{
     BackendServerId, Bytes, CustomerId, DurationUs, HostId, Now, RequestsPerSecond, TimeUs,
 };
@@ -123,6 +124,9 @@
     hosts: Arc<HostList>,
     rates: RateLimits,
     entries_count: u32,
+    /// Use of the paid link that the metrics show.
+    link: LinkUse,
+    busy: BusyTime,
     stop_asked_at_us: Option<TimeUs>,
     stop_check_at_us: Option<TimeUs>,
     is_done: bool,
@@ -151,6 +155,8 @@
             hosts: Arc::default(),
             rates: RateLimits::default(),
             entries_count: 1,
+            link: LinkUse::default(),
+            busy: BusyTime::default(),
             stop_asked_at_us: None,
             stop_check_at_us: None,
             is_done: false,
@@ -188,11 +194,9 @@
     }
 
     fn route(&mut self, now: Now, need: &RouteNeed, reply: &Sender<CallEvent>) {
-        let started = Instant::now();
         let view = MembershipView(&self.membership);
         let result = self.parts.router.route(now.mono_us, &view, need);
-        let busy_us = u64::try_from(started.elapsed().as_micros()).unwrap_or(u64::MAX);
-        self.parts.metrics.common.control_busy_us.inc_by(busy_us);
+        self.count_link();
         if let Err(reason) = result {
             info!(self.parts.log, "no server for a call"; "customer" => %need.customer,
                 "reason" => ?reason);
@@ -201,6 +205,17 @@
         let _ = reply.send(CallEvent::Routed(result));
     }
 
+    fn count_link(&mut self) {
+        let link = self.parts.router.link_use();
+        self.parts.metrics.count_link(self.link, link);
+        self.link = link;
+    }
+
+    fn count_busy(&mut self, started: Instant) {
+        let busy_us = &self.parts.metrics.common.control_busy_us;
+        self.busy.add(started.elapsed(), busy_us);
+    }
+
     fn report(&mut self, now: Now, server: &BackendServerId, evidence: Option<Evidence>) {
         let is_failure = evidence.is_some_and(counts_against_server);
         if is_failure {
@@ -285,6 +300,33 @@
     type Event = ControlEvent;
 
     fn handle(&mut self, now: Now, event: ControlEvent) {
+        let started = Instant::now();
+        self.take(now, event);
+        self.count_busy(started);
+    }
+
+    fn tick(&mut self, now: Now) {
+        let started = Instant::now();
+        self.pass_time(now);
+        self.count_busy(started);
+    }
+
+    fn next_deadline(&self) -> Option<TimeUs> {
+        let deadlines = [
+            self.stop_check_at_us,
+            self.parts.feed.next_deadline(),
+            self.membership.next_probe_at(),
+        ];
+        deadlines.into_iter().flatten().min()
+    }
+
+    fn is_done(&self) -> bool {
+        self.is_done
+    }
+}
+
+impl EntryController {
+    fn take(&mut self, now: Now, event: ControlEvent) {
         match event {
             ControlEvent::Route { need, reply } => self.route(now, &need, &reply),
             ControlEvent::Admit {
@@ -312,7 +354,7 @@
             }
             ControlEvent::Answered { server, size } => {
                 self.parts.router.count_answer(now.mono_us, &server, size);
-                self.parts.metrics.set_link(self.parts.router.link_use());
+                self.count_link();
             }
             ControlEvent::Feed(event) => {
                 let update = self.parts.feed.handle(now.mono_us, event);
@@ -322,7 +364,7 @@
         }
     }
 
-    fn tick(&mut self, now: Now) {
+    fn pass_time(&mut self, now: Now) {
         if self
             .parts
             .feed
@@ -337,17 +379,4 @@
         }
         self.advance_stop(now);
     }
-
-    fn next_deadline(&self) -> Option<TimeUs> {
-        let deadlines = [
-            self.stop_check_at_us,
-            self.parts.feed.next_deadline(),
-            self.membership.next_probe_at(),
-        ];
-        deadlines.into_iter().flatten().min()
-    }
-
-    fn is_done(&self) -> bool {
-        self.is_done
-    }
 }
--- a/crates/entry/src/driver.rs
+++ b/crates/entry/src/driver.rs
@@ -208,7 +208,11 @@
             CallAction::WastedPrefill { tokens, cause } => {
                 self.context.metrics.count_wasted_prefill(tokens, cause);
             }
-            CallAction::Retried { evidence } => self.context.metrics.count_retry(evidence),
+            CallAction::Retried {
+                kind,
+                step,
+                evidence,
+            } => self.context.metrics.count_retry(kind, step, evidence),
         }
     }
 
--- a/crates/entry/src/http/model.rs
+++ b/crates/entry/src/http/model.rs
@@ -86,7 +86,7 @@
     let driver = CallDriver::new(context.driver.clone(), Box::new(call));
     let (sender, receiver) = mpsc::unbounded_channel();
     tokio::task::spawn_blocking(move || task.run(driver, &sender));
-    respond(&caller, body.stream, receiver, open).await
+    respond(context, &caller, body.stream, receiver, open).await
 }
 
 fn request(
@@ -119,6 +119,7 @@
 }
 
 async fn respond(
+    context: &HttpContext,
     caller: &Caller,
     is_streamed: bool,
     mut parts: mpsc::UnboundedReceiver<Part>,
@@ -138,12 +139,14 @@
         Err(_) => None,
     };
     let request = caller.request;
+    let metrics = context.driver.metrics.clone();
     let rest = UnboundedReceiverStream::new(parts);
     let body = tokio_stream::iter(first).chain(rest).map(move |part| {
         let _ = &open;
         let text = match part {
             Part::Events(text) => text,
             Part::Error(error) => {
+                metrics.count_error(error.code);
                 format!(
                     "event: error\ndata: {}\n\n",
                     answer::error_json(request, &error)
--- a/crates/entry/src/status.rs
+++ b/crates/entry/src/status.rs
@@ -7,12 +7,13 @@
 use cuminlead_entry_core::ErrorCode;
 use cuminlead_process::admin::AdminSource;
 use cuminlead_process::feed::FeedView;
-use cuminlead_retry::Evidence;
+use cuminlead_retry::{CallKind, Evidence, Step};
 use cuminlead_routing::LinkUse;
-use cuminlead_telemetry::metrics::{Counters, Gauges, Latencies};
+use cuminlead_telemetry::metrics::{Counters, Latencies, RowCounters, start_at_zero};
 use cuminlead_telemetry::{CommonMetrics, Label, Metrics};
-use cuminlead_types::{DurationUs, EntryId, Revision, Tokens};
+use cuminlead_types::{Bytes, DurationUs, EntryId, Revision, Tokens};
 use serde_json::json;
+use strum::IntoEnumIterator;
 
 use crate::controller::EntryFlags;
 
@@ -25,23 +26,26 @@
     pub common: CommonMetrics,
     requests: Counters,
     errors: Counters,
-    retries: Counters,
+    retries: RowCounters,
     wasted_prefill_tokens: Counters,
     latencies: Latencies,
-    link_bytes: Gauges,
+    link_bytes: Counters,
 }
 
 impl EntryMetrics {
     /// Registers the metrics of an entry.
     pub fn new(metrics: &mut Metrics) -> Self {
-        Self {
+        let entry = Self {
             common: metrics.common.clone(),
             requests: metrics.counters(
                 "requests",
                 "Completed requests by whether both latency targets were met",
             ),
             errors: metrics.counters("errors", "Requests that ended with an error, by code"),
-            retries: metrics.counters("retries", "Retries by the evidence that led to them"),
+            retries: metrics.row_counters(
+                "retries",
+                "Retries by row of the retry table: kind of call, step and evidence",
+            ),
             wasted_prefill_tokens: metrics.counters(
                 "wasted_prefill_tokens",
                 "Prompt tokens computed and then discarded, by cause",
@@ -50,7 +54,26 @@
                 "latency_seconds",
                 "Time to first token and mean time between tokens",
             ),
-            link_bytes: metrics.gauges("link_bytes", "Bytes over the paid link by direction"),
+            link_bytes: metrics.counters(
+                "link_bytes",
+                "Bytes of prompts to and answers from other regions",
+            ),
+        };
+        entry.start_at_zero();
+        entry
+    }
+
+    fn start_at_zero(&self) {
+        start_at_zero(
+            &self.requests,
+            "result",
+            &["within_targets", "late", "answered"],
+        );
+        start_at_zero(&self.errors, "code", &names::<ErrorCode>());
+        start_at_zero(&self.wasted_prefill_tokens, "cause", &names::<Evidence>());
+        start_at_zero(&self.link_bytes, "direction", &["prompts", "answers"]);
+        for kind in ["first_token", "between_tokens"] {
+            drop(self.latencies.get_or_create(&Label::new("kind", kind)));
         }
     }
 
@@ -85,10 +108,13 @@
     }
 
     /// Counts a retry.
-    pub fn count_retry(&self, evidence: Evidence) {
-        self.retries
-            .get_or_create(&Label::new("evidence", evidence.to_string()))
-            .inc();
+    pub fn count_retry(&self, kind: CallKind, step: Step, evidence: Evidence) {
+        let row = [
+            ("kind", kind.into()),
+            ("step", step.into()),
+            ("evidence", evidence.into()),
+        ];
+        self.retries.get_or_create(&row).inc();
     }
 
     /// Counts discarded prompt tokens.
@@ -108,19 +134,25 @@
             .set(value);
     }
 
-    /// Shows the use of the paid link.
-    pub fn set_link(&self, link: LinkUse) {
-        let show = |direction: &str, bytes: u64| {
-            let value = i64::try_from(bytes).unwrap_or(i64::MAX);
+    /// Counts the use of the paid link since it was counted last.
+    pub fn count_link(&self, before: LinkUse, link: LinkUse) {
+        let count = |direction: &str, bytes: Bytes| {
             self.link_bytes
                 .get_or_create(&Label::new("direction", direction))
-                .set(value);
+                .inc_by(bytes.0);
         };
-        show("prompts", link.prompt_bytes.0);
-        show("answers", link.answer_bytes.0);
+        let prompt_bytes = link.prompt_bytes.saturating_sub(before.prompt_bytes);
+        let answer_bytes = link.answer_bytes.saturating_sub(before.answer_bytes);
+        count("prompts", prompt_bytes);
+        count("answers", answer_bytes);
     }
 }
 
+/// Names of all values of an enumeration.
+fn names<T: IntoEnumIterator + Into<&'static str>>() -> Vec<&'static str> {
+    T::iter().map(Into::into).collect()
+}
+
 /// What the admin address of an entry reports.
 #[derive(Debug)]
 pub struct EntryAdmin {
@@ -149,6 +181,7 @@
             "process": "entry",
             "name": self.name.to_string(),
             "ready": self.is_ready(),
+            "reader": view.is_reader,
             "open_requests": self.flags.open_requests.load(Ordering::Relaxed),
             "lists_revision": view.lists.revision.0,
             "hosts_revision": view.hosts.revision.0,
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -10,5 +10,5 @@
 pub mod metrics;
 pub mod trace;
 
-pub use metrics::{CommonMetrics, Label, Metrics};
+pub use metrics::{BusyTime, CommonMetrics, Label, Metrics};
 pub use trace::{HopSpan, Tracing};
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -4,6 +4,7 @@
 //! bounded; callers cannot create series.
 
 use std::fmt;
+use std::time::Duration;
 
 use prometheus_client::encoding::text::encode;
 use prometheus_client::encoding::{EncodeLabelSet, LabelSetEncoder};
@@ -49,6 +50,8 @@
 
 /// Counters with one label.
 pub type Counters = Family<Label, Counter>;
+/// Counters with three labels, whose values come from closed enumerations.
+pub type RowCounters = Family<[(&'static str, &'static str); 3], Counter>;
 /// Gauges with one label.
 pub type Gauges = Family<Label, Gauge>;
 /// Latency histograms with one label.
@@ -67,10 +70,34 @@
     pub control_bytes: Counters,
     /// Calls to the configuration service.
     pub platform_calls: Counter,
-    /// Microseconds that the control thread spent on decisions.
+    /// Microseconds that the control thread spent on its events.
     pub control_busy_us: Counter,
 }
 
+/// Time that the control thread was busy. Most events take less than a microsecond, so the rest
+/// below one is carried over.
+#[derive(Debug, Default)]
+pub struct BusyTime {
+    rest_ns: u64,
+}
+
+impl BusyTime {
+    /// Counts the time of one event.
+    pub fn add(&mut self, time: Duration, busy_us: &Counter) {
+        let time_ns = u64::try_from(time.as_nanos()).unwrap_or(u64::MAX);
+        let total_ns = self.rest_ns.saturating_add(time_ns);
+        busy_us.inc_by(total_ns / 1_000);
+        self.rest_ns = total_ns % 1_000;
+    }
+}
+
+/// Creates the counters of all values of a label, so that every series starts at zero.
+pub fn start_at_zero(counters: &Counters, label: &'static str, values: &[&'static str]) {
+    for value in values {
+        drop(counters.get_or_create(&Label::new(label, *value)));
+    }
+}
+
 impl CommonMetrics {
     fn register(&self, registry: &mut Registry) {
         registry.register(
@@ -100,9 +127,13 @@
         );
         registry.register(
             "control_busy_us",
-            "Microseconds that the control thread spent on decisions",
+            "Microseconds that the control thread spent on its events",
             self.control_busy_us.clone(),
         );
+        for list in ["lists", "hosts"] {
+            drop(self.revision.get_or_create(&Label::new("list", list)));
+        }
+        start_at_zero(&self.control_bytes, "direction", &["sent", "received"]);
     }
 }
 
@@ -130,6 +161,13 @@
         family
     }
 
+    /// Registers counters with three labels.
+    pub fn row_counters(&mut self, name: &str, help: &str) -> RowCounters {
+        let family = RowCounters::default();
+        self.registry.register(name, help, family.clone());
+        family
+    }
+
     /// Registers one counter.
     pub fn counter(&mut self, name: &str, help: &str) -> Counter {
         let counter = Counter::default();
