Hand a fleet over between two revisions and back

Cause: the hand-over test replaces processes by the same binaries, so nothing showed that two versions can run side by side.

The table of decisions is in crates/dev/src/fleet, so that tests can use it as well.

Conclusion: both revisions have the same messages and settings, so a change of either remains to be shown.

--- a/crates/dev/src/fleet/mod.rs
+++ b/crates/dev/src/fleet/mod.rs
@@ -8,6 +8,7 @@
 //! | module | holds |
 //! |---|---|
 //! | [`claims`] | non-idempotent calls and what their callers were told |
+//! | [`decisions`] | what a fleet decides on a table of requests |
 //! | [`deployment`] | sizes and places of both deployments |
 //! | [`handover`] | replacement of running processes |
 //! | [`process`] | one started process and its signals |
@@ -18,6 +19,7 @@
 //! | [`requests`] | requests whose right answer is known |
 
 pub mod claims;
+pub mod decisions;
 pub mod deployment;
 pub mod handover;
 pub mod lists;
@@ -84,6 +86,8 @@
     pub service_arguments: Vec<String>,
     /// Age of the published host list.
     pub hosts_lag_ms: u64,
+    /// Directory of the agents' and entries' binaries; that of this build without one.
+    pub binaries: Option<PathBuf>,
 }
 
 impl FleetConfig {
@@ -104,6 +108,7 @@
             engine_arguments: Vec::new(),
             service_arguments: Vec::new(),
             hosts_lag_ms: 0,
+            binaries: None,
         }
     }
 }
@@ -121,6 +126,8 @@
     /// Number of the host that a process is on, for processes that were replaced.
     generations: BTreeMap<String, u32>,
     peer_addresses: BTreeMap<String, String>,
+    /// Directory of the binary, for processes that differ from the configuration.
+    binaries: BTreeMap<String, PathBuf>,
     is_kept: bool,
 }
 
@@ -156,6 +163,7 @@
             routed: BTreeMap::new(),
             generations: BTreeMap::new(),
             peer_addresses: BTreeMap::new(),
+            binaries: BTreeMap::new(),
             is_kept: false,
         })
     }
@@ -222,6 +230,12 @@
         self.spawn_binary("cuminlead-agent", &name, &text)
     }
 
+    /// Starts a process from the binaries of a directory from its next start on.
+    pub fn use_binaries(&mut self, name: &str, directory: &Path) {
+        let directory = directory.to_path_buf();
+        self.binaries.insert(name.to_string(), directory);
+    }
+
     /// Starts an entry.
     pub fn spawn_entry(&mut self, place: &EntryPlace) -> io::Result<()> {
         let platform = self.platform_address()?;
@@ -234,7 +248,9 @@
     fn spawn_binary(&mut self, file: &str, name: &str, settings: &str) -> io::Result<()> {
         let path = self.directory.join(format!("{name}.toml"));
         fs::write(&path, settings)?;
-        let mut program = Program::new(name, binary(file));
+        let directory = self.binaries.get(name).or(self.config.binaries.as_ref());
+        let path_of_binary = directory.map_or_else(|| binary(file), |found| found.join(file));
+        let mut program = Program::new(name, path_of_binary);
         let path = path.display().to_string();
         program.arguments = vec!["--settings".to_string(), path, "run".to_string()];
         self.spawn(&program)
--- a/crates/dev/src/fleet/process.rs
+++ b/crates/dev/src/fleet/process.rs
@@ -62,8 +62,8 @@
     build_directory().join("examples").join(name)
 }
 
-/// Directory above the `examples` or `deps` directory that this executable is in.
-fn build_directory() -> PathBuf {
+/// Directory of this build: above the `examples` or `deps` directory that this executable is in.
+pub fn build_directory() -> PathBuf {
     let executable = std::env::current_exe().unwrap_or_default();
     let directory = executable.parent().and_then(Path::parent);
     directory.map(Path::to_path_buf).unwrap_or_default()
