Report an entry's calls without progress to membership

Cause: Membership::record_stall had no caller, although design 5.7 counts the age of the oldest call without progress as first-hand evidence. An agent reports stalls on its replies only, and a server whose calls all hang sends none.

A wrapper of every call, used by the entry and by the driver of the fault matrix, reports a server after 3 s without progress, repeats the report every second, and takes it back at the first progress, at the move to another server and at the end of the call; a report that is not repeated for 5 s is dropped. Heartbeats, repeats of a lost message and questions about a permit are no progress. The control thread passes on the age of the oldest call.

Ruled out: telling the control thread of every chunk, which would be an event for each token.

Conclusion: the rule of 5.7 holds for evidence of agent and entry.

--- a/crates/dev/src/bench/entry.rs
+++ b/crates/dev/src/bench/entry.rs
@@ -5,7 +5,8 @@
 
 use cuminlead_entry_core::{
     ApplicationCall, ApplicationRequest, Call, CallAction, CallEvent, CallStreamRef, CallerError,
-    ErrorCode, ModelCall, ModelRequest, Outcome, SendOutcome, SendRef, counts_against_server,
+    ErrorCode, ModelCall, ModelRequest, Outcome, SendOutcome, SendRef, Stalls, Watched,
+    counts_against_server,
 };
 use cuminlead_lists::{HostList, HostStore, ListStore, Lists, Offer, Snapshot};
 use cuminlead_membership::{Membership, ServerStatus};
@@ -38,6 +39,7 @@
     id: EntryId,
     router: Router,
     pub(super) membership: Membership,
+    stalls: Stalls,
     lists: ListStore,
     hosts: HostStore,
     /// Lists in force when a test lets the process take older ones.
@@ -100,6 +102,7 @@
             id: layout::id(place.host.as_str()),
             router,
             membership: Membership::new(),
+            stalls: Stalls::default(),
             lists: ListStore::new(),
             hosts: HostStore::new(),
             older: None,
@@ -198,6 +201,7 @@
             return;
         };
         let call = self.new_call(node, &spec, &lists);
+        let call = Box::new(Watched::new(request, call));
         let call = self.tamper.wrap_call(call);
         let slot = Slot {
             call,
@@ -391,6 +395,16 @@
                 self.close(node, request);
             }
             CallAction::Report { server, evidence } => self.report(node, &server, evidence),
+            CallAction::Stalled {
+                request,
+                server,
+                since,
+            } => {
+                let now = self.now;
+                let entry = self.entry_mut(node);
+                let age = entry.stalls.record(now, &server, request, since);
+                entry.membership.record_stall(now, &server, age);
+            }
             CallAction::WastedPrefill { tokens, .. } => self.wasted_tokens += tokens,
             CallAction::Retried { .. } => self.retries_count += 1,
         }
--- a/crates/dev/src/bench/world.rs
+++ b/crates/dev/src/bench/world.rs
@@ -208,6 +208,11 @@
         self.entries.keys().copied().collect()
     }
 
+    /// Host of a backend server.
+    pub fn host_of(&self, server: &BackendServerId) -> Option<NodeId> {
+        self.by_server.get(server).copied()
+    }
+
     /// Whether all injected faults have ended.
     pub fn is_healed(&self) -> bool {
         let is_up = |life: &Life| life.is_running && !life.is_paused;
--- a/crates/entry-core/src/application.rs
+++ b/crates/entry-core/src/application.rs
@@ -13,8 +13,9 @@
 //! | `ending` | the one ending of the call |
 
 use cuminlead_protocol::{HttpRequest, PermitIssued};
+use cuminlead_retry::Step;
 use cuminlead_types::{
-    Attempt, BackendServerId, CustomerId, EntryId, IdempotencyKey, RequestId, Revision,
+    Attempt, BackendServerId, CustomerId, EntryId, IdempotencyKey, RequestId, Revision, Sequence,
     ServiceName, TimeUs, UnixMs,
 };
 
@@ -23,6 +24,7 @@
 use crate::config::CallConfig;
 use crate::sends::Sends;
 use crate::turn::Turn;
+use crate::watch::Awaited;
 
 mod ending;
 mod keys;
@@ -130,4 +132,23 @@
     fn is_ended(&self) -> bool {
         self.phase == Phase::Ended
     }
+
+    fn awaited(&self) -> Option<Awaited> {
+        let step = match self.phase {
+            Phase::Permit(_) => Step::Permit,
+            // A question about a call is no progress of the call.
+            Phase::Run(_) | Phase::Ask { .. } | Phase::AskPause { .. } => Step::Run,
+            Phase::Created
+            | Phase::Route
+            | Phase::RoutePause(_)
+            | Phase::KeyPause(_)
+            | Phase::Ended => return None,
+        };
+        Some(Awaited {
+            server: self.server.clone(),
+            step,
+            attempt: self.attempt,
+            next: Sequence::ZERO,
+        })
+    }
 }
--- a/crates/entry-core/src/call.rs
+++ b/crates/entry-core/src/call.rs
@@ -5,9 +5,10 @@
 };
 use cuminlead_retry::Evidence;
 use cuminlead_routing::{NoRoute, Route, RouteNeed};
-use cuminlead_types::{BackendServerId, Sequence, TimeUs, Tokens};
+use cuminlead_types::{BackendServerId, RequestId, Sequence, TimeUs, Tokens};
 
 use crate::error::CallerError;
+use crate::watch::Awaited;
 
 /// A call that a driver advances with events.
 pub trait Call: Send {
@@ -19,6 +20,11 @@
 
     /// Whether the call has ended and every message that frees resources was sent.
     fn is_ended(&self) -> bool;
+
+    /// Answer of a server that the call waits for.
+    fn awaited(&self) -> Option<Awaited> {
+        None
+    }
 }
 
 /// Message sent to an agent; numbers grow within one call and are not reused.
@@ -127,6 +133,15 @@
         /// `None` when the server did what it was asked.
         evidence: Option<Evidence>,
     },
+    /// Reports that the call waits for a server without progress, to [`crate::Stalls`].
+    Stalled {
+        /// The call.
+        request: RequestId,
+        /// Server.
+        server: BackendServerId,
+        /// Last progress; `None` takes the report back.
+        since: Option<TimeUs>,
+    },
     /// Counts prompt tokens that were computed and then discarded.
     WastedPrefill {
         /// Tokens.
--- a/crates/entry-core/src/lib.rs
+++ b/crates/entry-core/src/lib.rs
@@ -12,9 +12,11 @@
 pub mod model;
 mod sends;
 mod turn;
+pub mod watch;
 
 pub use application::{ApplicationCall, ApplicationRequest};
 pub use call::*;
 pub use config::CallConfig;
 pub use error::{CallerError, ErrorCode, Outcome};
 pub use model::{ModelCall, ModelRequest};
+pub use watch::{Awaited, Stalls, Watched};
--- a/crates/entry-core/src/model.rs
+++ b/crates/entry-core/src/model.rs
@@ -13,6 +13,7 @@
 //! | `ending` | the one ending of the call |
 
 use cuminlead_protocol::ModelTarget;
+use cuminlead_retry::Step;
 use cuminlead_types::{
     BackendServerId, CustomerId, DurationUs, EntryId, Priority, RequestId, Revision, TimeUs, Tokens,
 };
@@ -22,6 +23,7 @@
 use crate::config::CallConfig;
 use crate::sends::Sends;
 use crate::turn::Turn;
+use crate::watch::Awaited;
 
 mod ending;
 mod holds;
@@ -138,4 +140,19 @@
             self.sends.next_deadline().is_none() && self.holds.next_deadline().is_none();
         self.phase == Phase::Ended && is_settled
     }
+
+    fn awaited(&self) -> Option<Awaited> {
+        let (server, step) = match &self.phase {
+            Phase::Reserve(_) => (&self.attempt.decode, Step::Reserve),
+            Phase::Prefill(_) => (&self.attempt.prefill, Step::Prefill),
+            Phase::Stream(_) => (&self.attempt.decode, self.stream_step()),
+            Phase::Created | Phase::RoutePair | Phase::RoutePrefill | Phase::Ended => return None,
+        };
+        Some(Awaited {
+            server: server.clone(),
+            step,
+            attempt: self.attempt.number,
+            next: self.answer.next,
+        })
+    }
 }
--- a/crates/entry-core/tests/common/mod.rs
+++ b/crates/entry-core/tests/common/mod.rs
@@ -235,6 +235,7 @@
             DecodeControl::Cancel => format!("cancel#{}", stream.0),
         },
         CallAction::CloseStream { stream } => format!("close#{}", stream.0),
+        CallAction::Stalled { server, since, .. } => format!("stalled {server} {since:?}"),
         CallAction::Deliver(delivery) => {
             let end = if delivery.finish.is_some() {
                 " end"
--- a/crates/entry/src/controller.rs
+++ b/crates/entry/src/controller.rs
@@ -6,7 +6,7 @@
 
 use crossbeam::channel::Sender;
 use cuminlead_distribution::{Event, Peer, Revisions};
-use cuminlead_entry_core::{CallEvent, counts_against_server};
+use cuminlead_entry_core::{CallEvent, Stalls, counts_against_server};
 use cuminlead_kernel::Controller;
 use cuminlead_lists::{HostList, HostState, Lists, ProcessKind};
 use cuminlead_membership::Membership;
@@ -15,7 +15,8 @@
 use cuminlead_retry::Evidence;
 use cuminlead_routing::{RouteNeed, Router, Usability};
 use cuminlead_types::{
-    BackendServerId, Bytes, CustomerId, DurationUs, HostId, Now, RequestsPerSecond, TimeUs,
+    BackendServerId, Bytes, CustomerId, DurationUs, HostId, Now, RequestId, RequestsPerSecond,
+    TimeUs,
 };
 use slog::{Logger, info, warn};
 use tokio::sync::oneshot;
@@ -57,6 +58,15 @@
         /// Failure, or none when the server did what it was asked.
         evidence: Option<Evidence>,
     },
+    /// A call waits for a server without progress, or does so no more.
+    Stalled {
+        /// The call.
+        request: RequestId,
+        /// Server.
+        server: BackendServerId,
+        /// Last progress; `None` takes the report back.
+        since: Option<TimeUs>,
+    },
     /// A probe was answered or lost.
     Probed {
         /// Server.
@@ -119,6 +129,7 @@
 pub struct EntryController {
     parts: ControllerParts,
     membership: Membership,
+    stalls: Stalls,
     lists: Arc<Lists>,
     hosts: Arc<HostList>,
     rates: RateLimits,
@@ -147,6 +158,7 @@
         let mut controller = Self {
             parts,
             membership: Membership::new(),
+            stalls: Stalls::default(),
             lists: Arc::default(),
             hosts: Arc::default(),
             rates: RateLimits::default(),
@@ -303,6 +315,14 @@
             }
             ControlEvent::Observed(state) => self.observe(now, &state),
             ControlEvent::Report { server, evidence } => self.report(now, &server, evidence),
+            ControlEvent::Stalled {
+                request,
+                server,
+                since,
+            } => {
+                let age = self.stalls.record(now.mono_us, &server, request, since);
+                self.membership.record_stall(now.mono_us, &server, age);
+            }
             ControlEvent::Probed {
                 server,
                 is_answered,
--- a/crates/entry/src/driver.rs
+++ b/crates/entry/src/driver.rs
@@ -205,6 +205,17 @@
             CallAction::Report { server, evidence } => {
                 self.tell(ControlEvent::Report { server, evidence });
             }
+            CallAction::Stalled {
+                request,
+                server,
+                since,
+            } => {
+                self.tell(ControlEvent::Stalled {
+                    request,
+                    server,
+                    since,
+                });
+            }
             CallAction::WastedPrefill { tokens, cause } => {
                 self.context.metrics.count_wasted_prefill(tokens, cause);
             }
--- a/crates/entry/src/http/service.rs
+++ b/crates/entry/src/http/service.rs
@@ -5,7 +5,9 @@
 
 use axum::http::request::Parts;
 use axum::response::Response;
-use cuminlead_entry_core::{ApplicationCall, ApplicationRequest, CallerError, ErrorCode, Outcome};
+use cuminlead_entry_core::{
+    ApplicationCall, ApplicationRequest, CallerError, ErrorCode, Outcome, Watched,
+};
 use cuminlead_process::feed::FeedView;
 use cuminlead_protocol::HttpRequest;
 use cuminlead_types::{BackendServerId, IdempotencyKey, ServiceName, UnixMs};
@@ -85,7 +87,9 @@
         hosts_revision: view.hosts.revision,
         traceparent: span.traceparent().to_string(),
     };
+    let request_id = application.id;
     let call = ApplicationCall::new(context.calls.clone(), application);
+    let call = Watched::new(request_id, Box::new(call));
     let driver = CallDriver::new(context.driver.clone(), Box::new(call));
     let (sender, ending) = oneshot::channel();
     tokio::task::spawn_blocking(move || drive(driver, sender));
