Bound the resumptions of an engine's stream

Cause: the agent answered each lost stream of its engine with ResumeDecode at once. An engine that accepts the connection and ends it at once was asked again without pause or end for as long as the entry acknowledged.

The first loss is resumed at once; a further one without a token or import in between after 500 ms, and after four such resumptions the attempt has failed, so the entry begins another one within request_max_ms. The naive version of the differential test has the same rule, and its sequences lose streams four times as often.

Ruled out: a fault of the same kind at the entry. It resumes at most twice in a row without a chunk, and then the attempt goes elsewhere; a test now shows this. Resumptions that each bring a chunk have no pause there; they are bounded by the chunks of the answer.

Before: the new test of the agent saw a resumption at each loss without end.

Conclusion: a lost stream costs at most four requests to an engine that brings nothing.

--- a/crates/admission/src/config.rs
+++ b/crates/admission/src/config.rs
@@ -23,6 +23,10 @@
     pub answer_hold_us: DurationUs,
     /// Time after which an import has failed.
     pub import_timeout_us: DurationUs,
+    /// Pause before an engine's stream is resumed again although the last resumption brought nothing.
+    pub resume_pause_us: DurationUs,
+    /// Most resumptions of an engine's stream in a row without progress.
+    pub resumes_max_count: u32,
     /// Longest silence on a decode stream.
     pub heartbeat_us: DurationUs,
     /// Prefill rate of the engine.
@@ -41,6 +45,10 @@
             kv_hold_us: DurationUs::from_ms(10_000),
             answer_hold_us: DurationUs::from_ms(5_000),
             import_timeout_us: DurationUs::from_ms(2_000),
+            // Four resumptions, the first one at once, take 1.5 s: less than the 5 s after which a
+            // decode without its entry is given up.
+            resume_pause_us: DurationUs::from_ms(500),
+            resumes_max_count: 4,
             heartbeat_us: DurationUs::from_ms(1_000),
             prefill_rate: TokensPerSecond(20_000),
         }
--- a/crates/admission/src/engine.rs
+++ b/crates/admission/src/engine.rs
@@ -46,7 +46,7 @@
                 };
                 self.generated(now, id, generated, actions);
             }
-            EngineEvent::StreamLost { id } => self.stream_lost(id, actions),
+            EngineEvent::StreamLost { id } => self.stream_lost(now, id, actions),
             EngineEvent::SequenceFailed { id } => self.sequence_failed(now, id, actions),
             EngineEvent::Inventory(inventory) => self.inventory(now, &inventory, actions),
             EngineEvent::Unreachable => self.unreachable(now, actions),
@@ -105,7 +105,7 @@
             return;
         }
         decoding.phase = Phase::Generating;
-        decoding.progress_at = now;
+        decoding.progressed(now);
         if let Some(attached) = &mut decoding.attached {
             attached.sent_at = now;
             let stream = attached.stream;
@@ -179,7 +179,7 @@
                 return;
             }
         };
-        decoding.progress_at = now;
+        decoding.progressed(now);
         if let Some(attached) = &mut decoding.attached {
             attached.sent_at = now;
             let stream = attached.stream;
@@ -199,15 +199,45 @@
         let held = std::mem::take(&mut lease.held);
         if let Some(decoding) = lease.decoding_mut() {
             decoding.phase = Phase::Finished { at: now };
+            decoding.resume_at = None;
         }
         self.ledger.give(held);
     }
 
-    fn stream_lost(&mut self, id: AttemptId, actions: &mut Vec<AdmissionAction>) {
-        let Some(decoding) = self.lease_mut(id).and_then(Lease::decoding_mut) else {
+    /// Resumes the engine's stream.
+    ///
+    /// An engine that ends every stream at once would be asked again without end, so further
+    /// resumptions without progress wait, and their number is limited.
+    fn stream_lost(&mut self, now: TimeUs, id: AttemptId, actions: &mut Vec<AdmissionAction>) {
+        let resumes_max_count = self.config.resumes_max_count;
+        let resume_at = now + self.config.resume_pause_us;
+        let Some(key) = self.leases.find(id) else {
+            return;
+        };
+        let lease = self.leases.get_mut(key);
+        let Some(decoding) = lease.and_then(Lease::decoding_mut) else {
+            return;
+        };
+        if !decoding.is_in_engine() || decoding.resume_at.is_some() {
+            return;
+        }
+        decoding.lost_count += 1;
+        if decoding.lost_count > resumes_max_count {
+            self.free(now, key, ReleaseCause::EngineFailed, actions);
+        } else if decoding.lost_count == 1 {
+            self.resume_stream(key, actions);
+        } else {
+            decoding.resume_at = Some(resume_at);
+        }
+    }
+
+    pub(crate) fn resume_stream(&mut self, key: LeaseKey, actions: &mut Vec<AdmissionAction>) {
+        let Some(lease) = self.leases.get_mut(key) else {
             return;
         };
-        if decoding.is_in_engine() {
+        let id = lease.id;
+        if let Some(decoding) = lease.decoding_mut() {
+            decoding.resume_at = None;
             let received_tokens = decoding.output.received_tokens();
             actions.push(AdmissionAction::Engine(EngineCommand::ResumeDecode {
                 id,
--- a/crates/admission/src/expiry.rs
+++ b/crates/admission/src/expiry.rs
@@ -69,6 +69,7 @@
         match self.step_that_ends(now, lease) {
             Step::Free(cause) => self.free(now, key, cause, actions),
             Step::FailImport => self.import_failed(key, actions),
+            Step::Resume => self.resume_stream(key, actions),
             Step::Heartbeat => self.send_heartbeat(now, key, actions),
         }
     }
@@ -92,6 +93,7 @@
         }
         match decoding.phase {
             Phase::Importing { until } if until <= now => Step::FailImport,
+            _ if decoding.resume_at.is_some_and(|at| at <= now) => Step::Resume,
             _ => Step::Heartbeat,
         }
     }
@@ -114,5 +116,6 @@
 enum Step {
     Free(ReleaseCause),
     FailImport,
+    Resume,
     Heartbeat,
 }
--- a/crates/admission/src/lease.rs
+++ b/crates/admission/src/lease.rs
@@ -112,6 +112,10 @@
     pub phase: Phase,
     /// Last import or token.
     pub progress_at: TimeUs,
+    /// Losses of the engine's stream since then.
+    pub lost_count: u32,
+    /// When the engine's stream is resumed, after a pause.
+    pub resume_at: Option<TimeUs>,
     /// Last time that the entry attached or acknowledged.
     pub heard_at: TimeUs,
     /// Stream of the entry.
@@ -214,6 +218,12 @@
         }
     }
 
+    /// Notes an import or a token.
+    pub fn progressed(&mut self, now: TimeUs) {
+        self.progress_at = now;
+        self.lost_count = 0;
+    }
+
     /// Time at which a heartbeat is due.
     pub fn heartbeat_at(&self, config: &AdmissionConfig) -> Option<TimeUs> {
         let interval_us = config.heartbeat_us.max(SHORTEST_HEARTBEAT_US);
@@ -225,6 +235,9 @@
         if let Phase::Importing { until } = self.phase {
             deadline = deadline.min(until);
         }
+        if let Some(resume_at) = self.resume_at {
+            deadline = deadline.min(resume_at);
+        }
         self.heartbeat_at(config)
             .map_or(deadline, |at| at.min(deadline))
     }
--- a/crates/admission/src/stream.rs
+++ b/crates/admission/src/stream.rs
@@ -153,6 +153,8 @@
                 until: now + self.config.import_timeout_us,
             },
             progress_at: now,
+            lost_count: 0,
+            resume_at: None,
             heard_at: now,
             attached: None,
             output: Output::new(lease.id, self.config.incarnation, start.first_sequence),
--- a/crates/admission/tests/admission.rs
+++ b/crates/admission/tests/admission.rs
@@ -7,7 +7,9 @@
 };
 use cuminlead_protocol::{AgentFailure, EngineCommand, EngineEvent, RefusalReason, ReplyBody};
 use cuminlead_types::DurationUs;
-use support::{config, envelope, id, inventory, ms, prefill, reserve, resume, start, terms};
+use support::{
+    config, envelope, generated, id, inventory, ms, prefill, reserve, resume, start, terms,
+};
 use yare::parameterized;
 
 /// A request that waits: customer, priority, weight and time until its first token is due.
@@ -196,3 +198,38 @@
     admission.engine_event(ms(2_200), inventory(&[], 0), &mut actions);
     assert!(admission.has_attempt(id(1)));
 }
+
+/// Guards against an engine that ends every stream at once and is asked again without pause or end,
+/// and against losses long before the last token that count against it.
+#[parameterized(
+    never_any_token = { false, &[0, 500, 1_000, 1_500], true },
+    tokens_in_between = { true, &[0, 0, 0, 0, 0], false },
+)]
+fn lost_streams_are_resumed_with_pauses(has_tokens: bool, expected_ms: &[u64], fails: bool) {
+    let mut admission = Admission::new(config());
+    let mut actions = Vec::new();
+    admission.reserve(ms(0), CallRef(1), &reserve(1, 1), terms(1), &mut actions);
+    admission.stream_opened(ms(0), StreamRef(1), start(1, 1, 0), &mut actions);
+    admission.engine_event(ms(0), EngineEvent::Imported { id: id(1) }, &mut actions);
+    let mut resumed_ms = Vec::new();
+    let mut now = ms(0);
+    for token in 0..5 {
+        if has_tokens {
+            admission.engine_event(now, generated(1, token, false), &mut actions);
+        }
+        actions.clear();
+        admission.engine_event(now, EngineEvent::StreamLost { id: id(1) }, &mut actions);
+        let is_resume =
+            |action: &Action| matches!(action, Action::Engine(EngineCommand::ResumeDecode { .. }));
+        while !actions.iter().any(is_resume) && admission.has_attempt(id(1)) {
+            now = admission.next_deadline().expect("the attempt is held");
+            admission.tick(now, &mut actions);
+        }
+        if admission.has_attempt(id(1)) {
+            resumed_ms.push(now.since(ms(0)).as_ms());
+        }
+    }
+    assert_eq!(resumed_ms, expected_ms);
+    let is_failed = sent(&actions).contains(&failed(AgentFailure::EngineFailed));
+    assert_eq!(is_failed, fails);
+}
--- a/crates/admission/tests/differential.rs
+++ b/crates/admission/tests/differential.rs
@@ -84,7 +84,7 @@
         6 => Just(prefill_done as fn(u128) -> EngineEvent),
         8 => Just((|number| EngineEvent::Imported { id: id(number) }) as fn(u128) -> EngineEvent),
         3 => Just((|number| EngineEvent::ImportFailed { id: id(number) }) as fn(u128) -> EngineEvent),
-        1 => Just((|number| EngineEvent::StreamLost { id: id(number) }) as fn(u128) -> EngineEvent),
+        4 => Just((|number| EngineEvent::StreamLost { id: id(number) }) as fn(u128) -> EngineEvent),
         1 => Just((|number| EngineEvent::SequenceFailed { id: id(number) }) as fn(u128) -> EngineEvent),
     ]
 }
--- a/crates/admission/tests/support/naive.rs
+++ b/crates/admission/tests/support/naive.rs
@@ -56,6 +56,8 @@
     chunks: Vec<Chunk>,
     acknowledged: u64,
     misses: u32,
+    losses: u32,
+    resume_at: Option<TimeUs>,
 }
 
 impl Item {
@@ -235,6 +237,15 @@
         if item.step == Step::Importing && item.until <= now {
             return self.import_failed(id);
         }
+        if item.in_engine() && item.resume_at.is_some_and(|at| at <= now) {
+            item.resume_at = None;
+            let received_tokens = item.received();
+            self.out.push(Action::Engine(EngineCommand::ResumeDecode {
+                id,
+                received_tokens,
+            }));
+        }
+        let item = self.decode(id)?;
         let stream = item.stream.filter(|_| item.sent + heartbeat_us <= now)?;
         item.sent = now;
         self.send(stream, StreamNote::Heartbeat);
--- a/crates/admission/tests/support/naive/decode.rs
+++ b/crates/admission/tests/support/naive/decode.rs
@@ -67,6 +67,8 @@
         item.chunks.clear();
         item.acknowledged = start.first_sequence.0;
         item.misses = 0;
+        item.losses = 0;
+        item.resume_at = None;
         self.out.push(Action::Engine(EngineCommand::Decode {
             id: item.id,
             target: Default::default(),
@@ -204,7 +206,20 @@
                 return self.generated(now, first_token, chunk);
             }
             EngineEvent::StreamLost { id } => {
+                let config = self.config.clone();
                 let item = self.decode(id).filter(|i| i.in_engine())?;
+                if item.resume_at.is_some() {
+                    return None;
+                }
+                item.losses += 1;
+                if item.losses > config.resumes_max_count {
+                    self.remove_where(now, AgentFailure::EngineFailed, |i| i.id == id);
+                    return Some(());
+                }
+                if item.losses > 1 {
+                    item.resume_at = Some(now + config.resume_pause_us);
+                    return Some(());
+                }
                 let received_tokens = item.received();
                 let command = EngineCommand::ResumeDecode {
                     id,
@@ -248,6 +263,7 @@
     fn imported(&mut self, now: TimeUs, id: AttemptId) -> Option<()> {
         let item = self.decode(id).filter(|i| i.step == Step::Importing)?;
         item.step = Step::Generating;
+        item.losses = 0;
         let stream = item.stream?;
         item.sent = now;
         self.send(stream, StreamNote::Imported);
@@ -267,6 +283,7 @@
         }
         chunk.sequence = Sequence(item.made());
         item.chunks.push(chunk.clone());
+        item.losses = 0;
         if chunk.finish.is_some() {
             item.step = Step::Finished;
             item.until = now;
--- a/crates/agent-core/src/config.rs
+++ b/crates/agent-core/src/config.rs
@@ -77,6 +77,7 @@
             import_timeout_us: self.import_timeout_us,
             heartbeat_us: self.heartbeat_us,
             prefill_rate: self.prefill_rate,
+            ..AdmissionConfig::default()
         }
     }
 
--- a/crates/entry-core/tests/model_failures.rs
+++ b/crates/entry-core/tests/model_failures.rs
@@ -277,3 +277,22 @@
         actions => panic!("unexpected actions {actions:?}"),
     }
 }
+
+/// Guards against a decode stream that is opened again without end while it brings nothing: at most
+/// two resumptions follow each other at once, then the attempt goes elsewhere.
+#[test]
+fn lost_stream_is_resumed_twice_without_a_chunk() {
+    let mut driver = Driver::model(CallConfig::default());
+    driver.run(DELIVERED);
+    assert_eq!(
+        driver.run("cut 0 silent"),
+        "retried silent; close#0; resume@1#1 d/1 fresh"
+    );
+    assert_eq!(
+        driver.run("cut 1 silent"),
+        "retried silent; close#1; resume@1#2 d/1 fresh"
+    );
+    let given_up = driver.run("cut 2 silent");
+    assert!(given_up.starts_with("report d silent"), "{given_up}");
+    assert!(!given_up.contains("resume"), "{given_up}");
+}
