Send patches only to processes that say that they take them

Cause: a process of a version without patches ignores the field, takes an update without the patched parts for complete, and says that it has the new revision while an older text is in force. It would also be taken to have read the host list just now, because it does not send the age. Ruled out: a version number in each message; the two facts are said where they matter. Before: peers_of_an_earlier_version_are_told_apart could not be written, a request without the new field asked for patches. After: it and follower_gets_the_form_that_it_takes pass; crates wire and distribution pass as a whole. Conclusion: fleets of both versions can run side by side, as in a hand-over.

--- a/crates/dev/src/capacity/serve.rs
+++ b/crates/dev/src/capacity/serve.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use cuminlead_distribution::{
-    Action, Answer, CallRef, Distribution, Event, FollowerRef, Identity, Source, Update,
+    Action, Answer, CallRef, Distribution, Event, FollowerRef, Identity, PartForm, Source, Update,
 };
 use cuminlead_lists::{Delta, HostList, Part, Snapshot};
 use cuminlead_types::{DurationUs, Revision, TimeUs};
@@ -222,6 +222,7 @@
             self.handle(Event::FollowerJoined {
                 follower: FollowerRef(number),
                 revisions,
+                form: PartForm::Patch,
                 peer: None,
             });
         }
--- a/crates/dev/src/capacity/world.rs
+++ b/crates/dev/src/capacity/world.rs
@@ -449,6 +449,7 @@
         let joined = Event::FollowerJoined {
             follower,
             revisions,
+            form: PartForm::Patch,
             peer,
         };
         self.handle(target, joined);
--- a/crates/distribution/src/context.rs
+++ b/crates/distribution/src/context.rs
@@ -173,9 +173,10 @@
             Event::FollowerJoined {
                 follower,
                 revisions,
+                form,
                 peer,
             } => {
-                self.followers.join(now, follower, revisions);
+                self.followers.join(now, follower, revisions, form);
                 self.on_revisions(now, revisions, peer.as_ref(), actions);
             }
             Event::FollowerLeft { follower } => self.followers.leave(follower),
@@ -563,7 +564,7 @@
             hosts: &self.hosts,
             ages,
         };
-        let update_since = |since| holdings.update_since(since, PartForm::Patch);
+        let update_since = |since, form| holdings.update_since(since, form);
         let rng = &mut self.rng;
         self.followers.step(now, own, update_since, rng, actions);
     }
--- a/crates/distribution/src/event.rs
+++ b/crates/distribution/src/event.rs
@@ -41,12 +41,12 @@
 }
 
 /// Form in which a process asks for changed parts.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub enum PartForm {
     /// As a patch where the asked process has one.
     #[default]
     Patch,
-    /// Whole, because a patch did not fit.
+    /// Whole, because a patch did not fit or the process is of a version without patches.
     Whole,
 }
 
@@ -113,6 +113,8 @@
         follower: FollowerRef,
         /// Its revisions.
         revisions: Revisions,
+        /// Form of changed parts that it takes.
+        form: PartForm,
         /// The peer, when its address is known.
         peer: Option<Peer>,
     },
--- a/crates/distribution/src/serve.rs
+++ b/crates/distribution/src/serve.rs
@@ -8,7 +8,7 @@
 use rand::rngs::StdRng;
 
 use crate::action::Action;
-use crate::event::{FollowerRef, Revisions, Update};
+use crate::event::{FollowerRef, PartForm, Revisions, Update};
 use crate::limits::{HEARTBEAT_MAX, HEARTBEAT_MIN};
 
 /// Followers of one process.
@@ -21,14 +21,22 @@
 struct Follower {
     /// Revisions that the follower has once everything sent has arrived.
     revisions: Revisions,
+    form: PartForm,
     heartbeat_at: TimeUs,
 }
 
 impl Followers {
     /// Adds a follower, which gets its first message at the next step.
-    pub(crate) fn join(&mut self, now: TimeUs, id: FollowerRef, revisions: Revisions) {
+    pub(crate) fn join(
+        &mut self,
+        now: TimeUs,
+        id: FollowerRef,
+        revisions: Revisions,
+        form: PartForm,
+    ) {
         let follower = Follower {
             revisions,
+            form,
             heartbeat_at: now,
         };
         self.followers.insert(id, follower);
@@ -45,16 +53,17 @@
     }
 
     /// Sends to every follower that is behind or due for a heartbeat. `update_since` makes the
-    /// message for a follower at some revisions; those at the same ones share it.
+    /// message for a follower at some revisions; those at the same ones that take the same form share
+    /// it.
     pub(crate) fn step(
         &mut self,
         now: TimeUs,
         own: Revisions,
-        update_since: impl Fn(Revisions) -> Update,
+        update_since: impl Fn(Revisions, PartForm) -> Update,
         rng: &mut StdRng,
         actions: &mut Vec<Action>,
     ) {
-        let mut updates: BTreeMap<Revisions, Arc<Update>> = BTreeMap::new();
+        let mut updates: BTreeMap<(Revisions, PartForm), Arc<Update>> = BTreeMap::new();
         for (id, follower) in &mut self.followers {
             let base = follower.revisions;
             let is_behind = base.lists < own.lists || base.hosts < own.hosts;
@@ -62,8 +71,8 @@
                 continue;
             }
             let update = updates
-                .entry(base)
-                .or_insert_with(|| Arc::new(update_since(base)));
+                .entry((base, follower.form))
+                .or_insert_with(|| Arc::new(update_since(base, follower.form)));
             follower.revisions.lists = base.lists.max(own.lists);
             follower.revisions.hosts = base.hosts.max(own.hosts);
             follower.heartbeat_at = now + jittered_interval(rng);
--- a/crates/distribution/tests/patches.rs
+++ b/crates/distribution/tests/patches.rs
@@ -1,7 +1,8 @@
 //! Patches between two processes, and the whole part where a patch does not fit.
 
 use cuminlead_distribution::{
-    Action, Answer, CallRef, Distribution, Event, Identity, PartForm, Peer, PullRef, Revisions,
+    Action, Answer, CallRef, Distribution, Event, FollowerRef, Identity, PartForm, Peer, PullRef,
+    Revisions,
 };
 use cuminlead_lists::{Part, PartKey, Snapshot};
 use cuminlead_types::{DurationUs, Revision, TimeUs};
@@ -49,16 +50,23 @@
 
     /// Pulls that an event leads to.
     fn handle(&mut self, event: Event) -> Vec<(PullRef, Revisions, PartForm)> {
+        let pulls = self
+            .actions(event)
+            .into_iter()
+            .filter_map(|action| match action {
+                Action::PullFromPeer {
+                    pull, since, form, ..
+                } => Some((pull, since, form)),
+                _ => None,
+            });
+        pulls.collect()
+    }
+
+    fn actions(&mut self, event: Event) -> Vec<Action> {
         self.now = self.now + STEP;
         let mut actions = Vec::new();
         self.distribution.handle(self.now, event, &mut actions);
-        let pulls = actions.into_iter().filter_map(|action| match action {
-            Action::PullFromPeer {
-                pull, since, form, ..
-            } => Some((pull, since, form)),
-            _ => None,
-        });
-        pulls.collect()
+        actions
     }
 }
 
@@ -93,3 +101,31 @@
     let in_force = follower.distribution.lists().snapshot();
     assert_eq!(in_force, Some(&snapshot(2, "2")));
 }
+
+/// Guards against a follower of a version without patches that takes an update for complete.
+#[parameterized(
+    takes_patches = { PartForm::Patch, 1 },
+    whole_parts_only = { PartForm::Whole, 0 },
+)]
+fn follower_gets_the_form_that_it_takes(form: PartForm, patches_count: usize) {
+    let mut reader = Process::new(snapshot(1, "1"));
+    let joined = Event::FollowerJoined {
+        follower: FollowerRef(1),
+        revisions: reader.distribution.revisions(),
+        form,
+        peer: None,
+    };
+    reader.handle(joined);
+    let answer = Answer::Lists(snapshot(2, "2"));
+    let call = CallRef(0);
+    let update = reader
+        .actions(Event::Answered { call, answer })
+        .into_iter()
+        .find_map(|action| match action {
+            Action::SendUpdate { update, .. } => Some(update),
+            _ => None,
+        })
+        .expect("update");
+    assert_eq!(update.patches.len(), patches_count);
+    assert_eq!(update.lists.parts.len(), 1 - patches_count);
+}
--- a/crates/distribution/tests/world/mod.rs
+++ b/crates/distribution/tests/world/mod.rs
@@ -509,6 +509,7 @@
             Event::FollowerJoined {
                 follower,
                 revisions,
+                form: PartForm::Patch,
                 peer,
             },
         );
--- a/crates/process/src/feed.rs
+++ b/crates/process/src/feed.rs
@@ -46,6 +46,8 @@
         host: String,
         /// Revisions of the peer.
         revisions: Revisions,
+        /// Form of changed parts that it takes.
+        form: PartForm,
         /// Where its updates go.
         updates: mpsc::Sender<proto::PeerUpdate>,
     },
@@ -170,6 +172,7 @@
             FeedEvent::Joined {
                 host,
                 revisions,
+                form,
                 updates,
             } => {
                 let follower = FollowerRef(self.next_follower);
@@ -181,6 +184,7 @@
                     Event::FollowerJoined {
                         follower,
                         revisions,
+                        form,
                         peer,
                     },
                 )
--- a/crates/process/src/peer.rs
+++ b/crates/process/src/peer.rs
@@ -46,11 +46,13 @@
     ) -> Result<Response<Self::FollowStream>, Status> {
         self.secret.check(&request)?;
         let revisions = Revisions::from(request.get_ref());
+        let form = PartForm::from(request.get_ref());
         let host = request.into_inner().host;
         let (updates, receiver) = mpsc::channel(FOLLOWER_QUEUE);
         (self.sender)(FeedEvent::Joined {
             host,
             revisions,
+            form,
             updates,
         });
         Ok(Response::new(Box::pin(
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -1,6 +1,6 @@
 //! Conversions of updates between processes.
 
-use cuminlead_distribution::{PartForm, Revisions, Update};
+use cuminlead_distribution::{NEVER_CONFIRMED, PartForm, Revisions, Update};
 use cuminlead_lists::{Delta, HostDelta, HostEntry, Part, PartKey, PartPatch, TextPatch};
 use cuminlead_types::{DurationUs, Revision};
 
@@ -13,7 +13,7 @@
             lists: Some(list_delta_to_wire(&update.lists, &update.patches)),
             hosts: Some(host_delta_to_wire(&update.hosts)),
             confirmed_age_us: update.confirmed_age.0,
-            hosts_confirmed_age_us: update.hosts_confirmed_age.0,
+            hosts_confirmed_age_us: Some(update.hosts_confirmed_age.0),
         }
     }
 }
@@ -30,7 +30,9 @@
             patches: patches?,
             hosts: host_delta_from_wire(required("hosts", update.hosts)?)?,
             confirmed_age: DurationUs(update.confirmed_age_us),
-            hosts_confirmed_age: DurationUs(update.hosts_confirmed_age_us),
+            hosts_confirmed_age: update
+                .hosts_confirmed_age_us
+                .map_or(NEVER_CONFIRMED, DurationUs),
         })
     }
 }
@@ -46,10 +48,10 @@
 
 impl From<&proto::PullRequest> for PartForm {
     fn from(request: &proto::PullRequest) -> Self {
-        if request.whole_parts {
-            Self::Whole
-        } else {
+        if request.takes_patches {
             Self::Patch
+        } else {
+            Self::Whole
         }
     }
 }
@@ -60,7 +62,7 @@
         host: host.to_string(),
         lists_revision: revisions.lists.0,
         hosts_revision: revisions.hosts.0,
-        whole_parts: form == PartForm::Whole,
+        takes_patches: form == PartForm::Patch,
     }
 }
 
--- a/crates/wire/tests/round_trip.rs
+++ b/crates/wire/tests/round_trip.rs
@@ -4,12 +4,13 @@
 
 #![allow(clippy::unwrap_used, reason = "test data is valid")]
 
-use cuminlead_distribution::Update;
+use cuminlead_distribution::{NEVER_CONFIRMED, PartForm, Revisions, Update};
 use cuminlead_lists::{
     Delta, HostDelta, HostEntry, HostState, Part, PartKey, PartPatch, ProcessKind, TextPatch,
 };
 use cuminlead_protocol::*;
 use cuminlead_types::*;
+use cuminlead_wire::peer::pull_request;
 use cuminlead_wire::stream::DecodeMessage;
 use cuminlead_wire::{WireError, proto};
 use yare::parameterized;
@@ -210,3 +211,20 @@
     let wire = proto::PeerUpdate::from(&update);
     assert_eq!(Update::try_from(wire), Ok(update));
 }
+
+/// Guards against a process of a version without patches that misses the parts that travel as
+/// patches, and against an age of its host list that it did not tell.
+#[test]
+fn peers_of_an_earlier_version_are_told_apart() {
+    let asked = proto::PullRequest::default();
+    assert_eq!(PartForm::from(&asked), PartForm::Whole);
+    let asked = pull_request("host-1", Revisions::default(), PartForm::Patch);
+    assert_eq!(PartForm::from(&asked), PartForm::Patch);
+    let told = proto::PeerUpdate {
+        lists: Some(proto::ListDelta::default()),
+        hosts: Some(proto::HostDelta::default()),
+        ..proto::PeerUpdate::default()
+    };
+    let update = Update::try_from(told).expect("update");
+    assert_eq!(update.hosts_confirmed_age, NEVER_CONFIRMED);
+}
