Check the lists by a new customer during a hand-over between versions

Cause: the edits of dev/handover were comments, and the check compared revisions only, so a process that has a new revision with an older text would have passed. Each edit now adds a customer with a key of its own, whose model call must be answered by both entries.

--- a/crates/dev/examples/handover.rs
+++ b/crates/dev/examples/handover.rs
@@ -8,6 +8,7 @@
 
 use cuminlead_dev::fleet::handover::{Balancer, Traffic};
 use cuminlead_dev::fleet::process::build_directory;
+use cuminlead_dev::fleet::requests::{Question, RawRequest};
 use cuminlead_dev::fleet::small::{Sizes, small};
 use cuminlead_dev::fleet::{Fleet, FleetConfig, PLANS_KEY, lists};
 use gumdrop::Options;
@@ -165,11 +166,12 @@
         Err(io::Error::other(reason))
     }
 
-    /// Publishes an edit and waits until every process has it, whichever version sends it on.
+    /// Publishes a customer and waits until every process has it, whichever version sends it on.
     fn publish_edit(&mut self) -> io::Result<()> {
         self.edits_count += 1;
+        let key = format!("key-of-edit-{}", self.edits_count);
         let plans = lists::plans(&self.fleet.config, &self.fleet.key);
-        let edited = format!("{plans}# edit {}\n", self.edits_count);
+        let edited = plans + &lists::customer("of-edit", &key);
         self.fleet.publish(PLANS_KEY, &edited)?;
         let wanted = self.revision + 1;
         for process in self.fleet.own_processes() {
@@ -179,6 +181,23 @@
             })?;
         }
         self.revision = wanted;
+        self.check_customer(&key)
+    }
+
+    /// Error unless both entries and the agents of a request know the customer: a process can have a
+    /// revision without its text when versions understand a message differently.
+    fn check_customer(&self, key: &str) -> io::Result<()> {
+        let body = self.fleet.body_of(&Question::new(key, 2));
+        let request = RawRequest::new("/v1/chat/completions", body)
+            .with("authorization", format!("Bearer {key}"));
+        for entry in ["entry-1", "entry-2"] {
+            let address = self.fleet.address(entry, "callers")?;
+            let answer = request.send(&address, REQUEST_LIMIT)?;
+            if answer.status != 200 {
+                let reason = format!("{entry} answers {}: {}", answer.status, answer.body);
+                return Err(io::Error::other(reason));
+            }
+        }
         Ok(())
     }
 
--- a/crates/dev/src/fleet/lists.rs
+++ b/crates/dev/src/fleet/lists.rs
@@ -86,16 +86,21 @@
 
 /// Plans part with one plan and one customer.
 pub fn plans(config: &FleetConfig, key: &str) -> String {
-    let digest = digest(key);
-    format!(
+    let plan = format!(
         "schema = 1\n[[plan]]\nname = \"{PLAN}\"\nrequests_per_second = {rate}\n\
          burst_requests = {rate}\nfirst_token_ms = {first}\nbetween_tokens_ms = {between}\n\
-         weight = 1\n[[customer]]\nid = \"{CUSTOMER}\"\nplan = \"{PLAN}\"\n\
-         key_sha256 = \"{digest}\"\n",
+         weight = 1\n",
         rate = config.requests_per_second,
         first = config.first_token_ms,
         between = config.between_tokens_ms,
-    )
+    );
+    plan + &customer(CUSTOMER, key)
+}
+
+/// Further customer of a plans part.
+pub fn customer(id: &str, key: &str) -> String {
+    let digest = digest(key);
+    format!("[[customer]]\nid = \"{id}\"\nplan = \"{PLAN}\"\nkey_sha256 = \"{digest}\"\n")
 }
 
 /// Allowances part in which the plan may use everything.
