Print the table of the measuring tool for real processes

Cause: the load tool had columns of its own, so its figures could not be put beside those of ./dev/measure, and it had no script, no seed and no capacity.

Header, cells, latencies against the targets and the line about the capacity are one piece of code for both tools. Stand-in engines get options for the size of the prefix cache and for answers that end at their limit, so that they can have the engine parameters of a site, and count the computed tokens that were exported.

Differences from the measuring tool: wasted prefill is what was computed and never exported, plus the prompts of incomplete answers; bytes between regions are those that entries count; loopback has no latency between zones and regions.

Ruled out: wasted prefill from the entries' own metric, because it would measure the product by itself.

--- a/crates/dev/examples/engine.rs
+++ b/crates/dev/examples/engine.rs
@@ -27,6 +27,14 @@
     total_pieces: u32,
     #[options(help = "prompt tokens computed in a second", default = "20000")]
     prefill_rate: u64,
+    #[options(
+        help = "blocks of prompts in the prefix cache",
+        default = "4096",
+        no_short
+    )]
+    cache_blocks: usize,
+    #[options(help = "whether answers end at their limit only", no_short)]
+    answers_to_limit: bool,
     #[options(help = "time of a decode step", default = "8000")]
     step_us: u64,
     #[options(help = "time that each sequence adds to a step", default = "300")]
@@ -51,6 +59,8 @@
         fenced: arguments.fenced.parse()?,
         batch_max: arguments.batch_max,
         total_pieces: arguments.total_pieces,
+        cache_blocks: arguments.cache_blocks,
+        answers_to_limit: arguments.answers_to_limit,
         prefill_tokens_per_second: arguments.prefill_rate,
         step: Duration::from_micros(arguments.step_us),
         step_per_sequence: Duration::from_micros(arguments.step_per_sequence_us),
--- a/crates/dev/examples/measure.rs
+++ b/crates/dev/examples/measure.rs
@@ -4,7 +4,6 @@
 use std::path::Path;
 
 use cuminlead_dev::fleet::deployment::Deployment;
-use cuminlead_dev::measure::site::Capacity;
 use cuminlead_dev::measure::{HEADER, RunFault, RunPlan, Site, plot, run_all};
 use cuminlead_types::DurationUs;
 use gumdrop::Options;
@@ -42,7 +41,8 @@
     let arguments = Arguments::parse_args_default_or_exit();
     let deployment: Deployment = arguments.deployment.parse()?;
     let site = Site::new(deployment);
-    print_capacity(&site.capacity(), arguments.seed, arguments.seconds);
+    println!("# {}", site.capacity());
+    println!("# seed {}, {} s", arguments.seed, arguments.seconds);
     let rows = run_all(&site, &plans(&arguments));
     println!("{HEADER}");
     for row in &rows {
@@ -54,22 +54,6 @@
     Ok(())
 }
 
-fn print_capacity(capacity: &Capacity, seed: u64, seconds: u64) {
-    println!(
-        "# capacity {:.2} calls/s: prefill {:.2} ({} engines, {:.0} of {:.0} prompt tokens after \
-         the guide), decode {:.2} ({} engines, {:.0} output tokens)",
-        capacity.rate(),
-        capacity.prefill_rate,
-        capacity.prefills_count,
-        capacity.unshared_tokens,
-        capacity.prompt_tokens,
-        capacity.decode_rate,
-        capacity.decodes_count,
-        capacity.output_tokens,
-    );
-    println!("# seed {seed}, {seconds} s");
-}
-
 /// One plan for each policy, fault and load.
 fn plans(arguments: &Arguments) -> Vec<RunPlan> {
     let or = |given: &[f64], default: &[f64]| match given {
--- a/crates/dev/src/caller.rs
+++ b/crates/dev/src/caller.rs
@@ -33,6 +33,8 @@
     pub finish: Option<String>,
     /// Code of an error.
     pub error_code: Option<String>,
+    /// Outcome that an error states.
+    pub outcome: Option<String>,
     /// Time until each part of the text arrived.
     pub arrivals: Vec<Duration>,
 }
@@ -110,7 +112,9 @@
     let text = response.body_mut().read_to_string();
     received.text = text.map_err(io::Error::other)?;
     if received.status >= 400 {
-        received.error_code = error_code(&serde_json::from_str(&received.text).unwrap_or_default());
+        let body: Value = serde_json::from_str(&received.text).unwrap_or_default();
+        received.error_code = error_code(&body);
+        received.outcome = outcome(&body);
     }
     Ok(received)
 }
@@ -138,6 +142,7 @@
 fn read_event(received: &mut Received, event: &Value, elapsed: Duration) {
     if let Some(code) = error_code(event) {
         received.error_code = Some(code);
+        received.outcome = outcome(event);
     }
     let choice = &event["choices"][0];
     let text = choice["delta"]["content"].as_str().unwrap_or_default();
@@ -167,3 +172,7 @@
 fn error_code(body: &Value) -> Option<String> {
     body["error"]["code"].as_str().map(str::to_string)
 }
+
+fn outcome(body: &Value) -> Option<String> {
+    body["error"]["outcome"].as_str().map(str::to_string)
+}
--- a/crates/dev/src/engine/api.rs
+++ b/crates/dev/src/engine/api.rs
@@ -176,7 +176,10 @@
             state.sequences.remove(&request.id);
             return Answer::error(503, NO_MEMORY);
         }
-        let generation = Generation::of(&head.prompt, request.output_max_tokens);
+        let generation = match self.config.answers_to_limit {
+            true => Generation::to_limit(&head.prompt, request.output_max_tokens),
+            false => Generation::of(&head.prompt, request.output_max_tokens),
+        };
         if let Some(sequence) = state.sequences.get_mut(&request.id) {
             sequence.prompt_tokens = head.prompt_tokens;
             sequence.work = Work::Decode {
--- a/crates/dev/src/engine/cache.rs
+++ b/crates/dev/src/engine/cache.rs
@@ -5,7 +5,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Bytes of prompt in one block: 64 tokens of four bytes.
-pub(super) const BLOCK_BYTES: usize = 256;
+pub const BLOCK_BYTES: usize = 256;
 const BLOCK_TOKENS: u64 = 64;
 
 /// Change of the cache.
--- a/crates/dev/src/engine/import.rs
+++ b/crates/dev/src/engine/import.rs
@@ -49,15 +49,22 @@
 
 impl Engine {
     pub(super) fn export(&self, handle: &str) -> Answer {
-        let state = self.lock();
-        let mut sequences = state.sequences.values();
+        let mut state = self.lock();
+        let mut sequences = state.sequences.values_mut();
         let exported = sequences
             .find(|s| s.handle == handle && matches!(s.work, Work::Exported))
-            .cloned();
-        drop(state);
+            .map(|sequence| {
+                let earlier = sequence.clone();
+                sequence.is_export_counted = true;
+                earlier
+            });
         let Some(sequence) = exported else {
             return Answer::error(404, "unknown_handle");
         };
+        if !sequence.is_export_counted {
+            state.counts.exported_tokens += sequence.prompt_tokens - sequence.cached_tokens;
+        }
+        drop(state);
         let head = ExportHead {
             prompt: sequence.prompt,
             prompt_tokens: sequence.prompt_tokens,
--- a/crates/dev/src/engine/mod.rs
+++ b/crates/dev/src/engine/mod.rs
@@ -14,7 +14,7 @@
 //! | `POST /v1/orders {fencing: "incarnation.order", order: {kind, model?, version?, adapter?, role?}}` | `{}` when done |
 //! | `GET /v1/load` | load at an earlier time: `{running, waiting, free_pieces, pending_prompt_tokens}` |
 //! | `GET /v1/events?since=N` | cache events, late and with gaps: `{events: [{number, kind, block}]}` |
-//! | `GET /control/counts` | work done since the start: `{prefills, computed_tokens, cached_tokens, decodes, generated_tokens}` |
+//! | `GET /control/counts` | work done since the start: `{prefills, computed_tokens, cached_tokens, exported_tokens, decodes, generated_tokens}` |
 //!
 //! Order kinds are `load_model`, `load_adapter`, `unload_model`, `unload_adapter` and `set_role`.
 //! A stream that ends without `finish` is broken; the decode
@@ -27,7 +27,7 @@
 
 mod api;
 mod batch;
-mod cache;
+pub mod cache;
 mod import;
 mod loads;
 mod reports;
@@ -83,6 +83,8 @@
     pub weight_bytes_per_second: u64,
     /// Age of load reports and cache events.
     pub report_lag: Duration,
+    /// Whether answers end at their limit only, instead of after a length that the prompt gives.
+    pub answers_to_limit: bool,
 }
 
 impl Default for EngineConfig {
@@ -104,6 +106,7 @@
             weight_bytes: 100_000_000,
             weight_bytes_per_second: 200_000_000,
             report_lag: Duration::from_secs(1),
+            answers_to_limit: false,
         }
     }
 }
--- a/crates/dev/src/engine/state.rs
+++ b/crates/dev/src/engine/state.rs
@@ -43,6 +43,7 @@
     pub(super) prompt_tokens: u64,
     pub(super) cached_tokens: u64,
     pub(super) handle: String,
+    pub(super) is_export_counted: bool,
     pub(super) work: Work,
 }
 
@@ -59,6 +60,8 @@
     pub(super) prefills: u64,
     pub(super) computed_tokens: u64,
     pub(super) cached_tokens: u64,
+    /// Computed tokens of prompts whose KV cache was sent at least once.
+    pub(super) exported_tokens: u64,
     pub(super) decodes: u64,
     pub(super) generated_tokens: u64,
 }
@@ -119,6 +122,7 @@
             prompt_tokens: 0,
             cached_tokens: 0,
             handle: format!("kv-{}", self.arrivals),
+            is_export_counted: false,
             work: Work::Importing,
         };
         self.sequences.insert(id.to_string(), sequence);
--- a/crates/dev/src/engine/text.rs
+++ b/crates/dev/src/engine/text.rs
@@ -36,6 +36,15 @@
         }
     }
 
+    /// Answer to a prompt that does not end before its limit.
+    pub fn to_limit(prompt: &str, output_max: u64) -> Self {
+        Self {
+            count: output_max,
+            stops: false,
+            ..Self::of(prompt, output_max)
+        }
+    }
+
     /// Text of the tokens from `start` to before `end`, both counted from this generation's first.
     pub fn text(&self, start: u64, end: u64) -> String {
         (start..end)
@@ -55,6 +64,12 @@
     generation.text(0, generation.count)
 }
 
+/// Whole answer of an engine whose answers end at their limit only.
+pub fn answer_to_limit(prompt: &str, output_max: u64) -> String {
+    let generation = Generation::to_limit(prompt, output_max);
+    generation.text(0, generation.count)
+}
+
 /// Whether a text is one whole answer of at most `output_max` tokens to some prompt.
 pub fn is_whole(text: &str, output_max: u64) -> bool {
     let Some(hash) = text.strip_prefix(" w").and_then(leading_hash) else {
--- a/crates/dev/src/fleet/requests.rs
+++ b/crates/dev/src/fleet/requests.rs
@@ -17,7 +17,7 @@
 /// Fleets that may run at once in one test executable; each has up to 15 processes.
 const FLEETS_AT_ONCE: usize = 2;
 /// What the entry puts before the text of a message.
-const USER_PREFIX: &str = "user: ";
+pub const USER_PREFIX: &str = "user: ";
 /// Longest answer that is asked for.
 const OUTPUT_MAX: u64 = 64;
 
--- a/crates/dev/src/lib.rs
+++ b/crates/dev/src/lib.rs
@@ -11,6 +11,7 @@
 //! | [`platform`] | configuration service and host list |
 //! | [`fleet`] | launcher of a whole system on loopback |
 //! | [`caller`] | requests to entries, as callers send them |
+//! | [`load`] | load on the real processes |
 //! | [`measure`] | measurement of routing policies |
 //! | [`relay`] | TCP relay that cuts connections |
 
@@ -21,6 +22,7 @@
 pub mod engine;
 pub mod fleet;
 pub mod http;
+pub mod load;
 pub mod measure;
 pub mod platform;
 pub mod relay;
--- /dev/null
+++ b/crates/dev/src/load/target.rs
@@ -0,0 +1,230 @@
+//! Addresses of a running fleet, and fleets with the engine parameters of a site.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::time::Duration;
+
+use cuminlead_protocol::EngineRole;
+use cuminlead_types::{DurationUs, KvPieces, Slots, TokensPerSecond};
+use serde_json::Value;
+
+use crate::client;
+use crate::engine::EngineConfig;
+use crate::engine::cache::BLOCK_BYTES;
+use crate::fleet::deployment::{Deployment, EntryPlace, ServerPlace};
+use crate::fleet::{Fleet, FleetConfig};
+use crate::measure::Site;
+
+const CALL_LIMIT: Duration = Duration::from_secs(5);
+/// Bytes that `Tokens::estimate` takes for one token.
+const TOKEN_BYTES: u64 = 4;
+
+/// Entry and its addresses.
+#[derive(Clone, Debug)]
+pub struct RunningEntry {
+    /// Place.
+    pub place: EntryPlace,
+    /// Address for callers.
+    pub callers: String,
+    /// Admin address.
+    pub admin: String,
+}
+
+/// Backend server and its address.
+#[derive(Clone, Debug)]
+pub struct RunningServer {
+    /// Place.
+    pub place: ServerPlace,
+    /// Address.
+    pub address: String,
+}
+
+/// Running fleet.
+#[derive(Clone, Debug)]
+pub struct Target {
+    /// Deployment.
+    pub deployment: Deployment,
+    /// Key of the customer.
+    pub key: String,
+    /// Entries.
+    pub entries: Vec<RunningEntry>,
+    /// Backend servers.
+    pub servers: Vec<RunningServer>,
+}
+
+impl Target {
+    /// Addresses of a fleet of this process.
+    pub fn of(fleet: &Fleet) -> io::Result<Self> {
+        let deployment = fleet.config.deployment.clone();
+        Self::new(deployment, &fleet.key, |name, key| fleet.address(name, key))
+    }
+
+    /// Reads what `./dev/demo --keep` printed.
+    pub fn parse(deployment: Deployment, text: &str) -> io::Result<Self> {
+        let key = text.lines().find_map(|line| line.strip_prefix("key="));
+        let key = key.ok_or_else(|| io::Error::other("the fleet has no line key="))?;
+        let lines = text.lines().filter(|line| line.starts_with("process="));
+        let processes: Vec<BTreeMap<&str, &str>> = lines.map(words).collect();
+        Self::new(deployment, key, |name, key| {
+            let mut named = processes.iter().filter(|p| p.get("process") == Some(&name));
+            let address = named.next().and_then(|process| process.get(key));
+            let missing = || io::Error::other(format!("no {key} address of process {name}"));
+            address.map(ToString::to_string).ok_or_else(missing)
+        })
+    }
+
+    fn new(
+        deployment: Deployment,
+        key: &str,
+        address: impl Fn(&str, &str) -> io::Result<String>,
+    ) -> io::Result<Self> {
+        let mut target = Self {
+            key: key.to_string(),
+            entries: Vec::new(),
+            servers: Vec::new(),
+            deployment,
+        };
+        for place in target.deployment.entries.clone() {
+            target.entries.push(RunningEntry {
+                callers: address(&place.name, "callers")?,
+                admin: address(&place.name, "admin")?,
+                place,
+            });
+        }
+        for place in target.deployment.servers.clone() {
+            let address = address(&place.id, "address")?;
+            target.servers.push(RunningServer { place, address });
+        }
+        Ok(target)
+    }
+
+    /// Servers of a role; `None` gives the plain services.
+    pub fn with_role(&self, role: Option<EngineRole>) -> impl Iterator<Item = &RunningServer> {
+        let name = role.map(|role| match role {
+            EngineRole::Prefill => "prefill",
+            EngineRole::Decode => "decode",
+        });
+        let servers = self.servers.iter();
+        servers.filter(move |server| server.place.role() == name)
+    }
+
+    /// Place of a server by its id.
+    pub fn place(&self, id: &str) -> Option<&ServerPlace> {
+        let places = self.deployment.servers.iter();
+        places.into_iter().find(|place| place.id == id)
+    }
+
+    /// Sum of a count over the engines.
+    pub fn count(&self, count: &str) -> io::Result<u64> {
+        let mut sum = 0;
+        for server in self.servers.iter().filter(|s| s.place.role().is_some()) {
+            let counts = read(&server.address, "/control/counts")?;
+            let value = counts[count].as_u64();
+            sum += value.ok_or_else(|| io::Error::other(format!("no count {count}")))?;
+        }
+        Ok(sum)
+    }
+
+    /// KV pieces that the engines hold.
+    pub fn held_pieces(&self) -> io::Result<u64> {
+        let mut held = 0;
+        for server in self.servers.iter().filter(|s| s.place.role().is_some()) {
+            let inventory = read(&server.address, "/v1/inventory")?;
+            let pieces = |name: &str| {
+                let count = inventory[name].as_u64();
+                count.ok_or_else(|| io::Error::other(format!("no {name}")))
+            };
+            held += pieces("total_pieces")?.saturating_sub(pieces("free_pieces")?);
+        }
+        Ok(held)
+    }
+
+    /// Number of times that each reference took effect at the services.
+    pub fn effects(&self) -> io::Result<BTreeMap<String, u64>> {
+        let mut effects = BTreeMap::new();
+        for server in self.with_role(None) {
+            let answer = read(&server.address, "/effects")?;
+            let counts = answer["effects"].as_object();
+            let counts = counts.ok_or_else(|| io::Error::other("no effects"))?;
+            for (reference, count) in counts {
+                let sum: &mut u64 = effects.entry(reference.clone()).or_default();
+                *sum += count.as_u64().unwrap_or_default();
+            }
+        }
+        Ok(effects)
+    }
+
+    /// Sum of the samples of a metric over the entries.
+    pub fn metric(&self, metric: &str) -> io::Result<u64> {
+        let mut sum = 0;
+        for entry in &self.entries {
+            let url = format!("http://{}/metrics", entry.admin);
+            let answer = client::agent(CALL_LIMIT).get(&url).call();
+            let text = answer
+                .map_err(io::Error::other)?
+                .body_mut()
+                .read_to_string();
+            let text = text.map_err(io::Error::other)?;
+            let samples = text.lines().filter(|line| line.starts_with(metric));
+            let values = samples.filter_map(|line| line.rsplit(' ').next());
+            sum += values
+                .filter_map(|value| value.parse::<u64>().ok())
+                .sum::<u64>();
+        }
+        Ok(sum)
+    }
+}
+
+fn words(line: &str) -> BTreeMap<&str, &str> {
+    let words = line.split_whitespace();
+    words.filter_map(|word| word.split_once('=')).collect()
+}
+
+fn read(address: &str, path: &str) -> io::Result<Value> {
+    let url = format!("http://{address}{path}");
+    let answer = client::get(&client::agent(CALL_LIMIT), &url).map_err(io::Error::other)?;
+    Ok(answer.body)
+}
+
+/// Fleet whose stand-in engines have the parameters of a site.
+pub fn fleet_config(site: &Site, policy: &str) -> FleetConfig {
+    let config = &site.config;
+    let mut fleet = FleetConfig::new(site.deployment.clone());
+    fleet.first_token_ms = config.first_token_us.as_ms();
+    fleet.between_tokens_ms = config.between_tokens_us.as_ms();
+    let policy = ("routing_policy".to_string(), format!("\"{policy}\""));
+    fleet.entry_settings.extend([policy]);
+    // A step with one sequence takes `decode_step_us` at the site.
+    let step_us = config.decode_step_us.saturating_sub(config.decode_slot_us);
+    let cache_bytes = config.cache.get() * TOKEN_BYTES;
+    let values = [
+        ("--prefill-rate", config.prefill_rate.get()),
+        ("--step-us", step_us.get()),
+        ("--step-per-sequence-us", config.decode_slot_us.get()),
+        ("--batch-max", config.slots.get().into()),
+        ("--total-pieces", config.pieces.get().into()),
+        ("--cache-blocks", cache_bytes / BLOCK_BYTES as u64),
+    ];
+    for (name, value) in values {
+        let pair = [name.to_string(), value.to_string()];
+        fleet.engine_arguments.extend(pair);
+    }
+    let whole = "--answers-to-limit".to_string();
+    fleet.engine_arguments.push(whole);
+    fleet
+}
+
+/// Site with the engine parameters of `./dev/demo`.
+pub fn demo_site(deployment: Deployment) -> Site {
+    let engine = EngineConfig::default();
+    let mut site = Site::new(deployment);
+    let us = |time: Duration| u64::try_from(time.as_micros()).unwrap_or(u64::MAX);
+    let slots = u32::try_from(engine.batch_max).unwrap_or(u32::MAX);
+    let step = engine.step + engine.step_per_sequence;
+    site.config.prefill_rate = TokensPerSecond(engine.prefill_tokens_per_second);
+    site.config.decode_step_us = DurationUs(us(step));
+    site.config.decode_slot_us = DurationUs(us(engine.step_per_sequence));
+    site.config.slots = Slots(slots);
+    site.config.pieces = KvPieces(engine.total_pieces);
+    site
+}
--- a/crates/dev/src/measure/mod.rs
+++ b/crates/dev/src/measure/mod.rs
@@ -8,9 +8,11 @@
 //! | [`site`] | places, engine parameters and capacity of a deployment |
 //! | [`workload`] | requests, their prompts, arrival times and cancels |
 //! | [`run`] | one run, and many of them in parallel |
+//! | [`latency`] | latencies of answered calls against the targets |
 //! | [`row`] | figures of one run, and the table |
 //! | [`plot`] | goodput and wasted prefill over load as a picture |
 
+pub mod latency;
 pub mod plot;
 pub mod row;
 pub mod run;
--- a/crates/dev/src/measure/row.rs
+++ b/crates/dev/src/measure/row.rs
@@ -2,17 +2,14 @@
 
 use std::collections::BTreeMap;
 
-use cuminlead_types::{RequestId, TimeUs};
+use cuminlead_types::{DurationUs, RequestId, TimeUs};
 use cuminlead_verifier::Observation;
-use hdrhistogram::Histogram;
 
+use super::latency::{Latencies, Targets};
 use super::run::RunPlan;
 use super::site::as_f64;
 use crate::bench::{CallerResult, Ending, PathKind, World};
 
-/// Longest time that a histogram tells apart; a request lasts 100 s at most.
-const LONGEST_US: u64 = 200_000_000;
-
 /// Names of the columns.
 pub const HEADER: &str = "policy\tfault\tload\toffered\tcompleted\tgoodput\tttft_p50_ms\t\
     ttft_p95_ms\tttft_p99_ms\ttbt_p50_ms\ttbt_p95_ms\ttbt_p99_ms\twasted_prefill_tokens\t\
@@ -84,15 +81,22 @@
         row.count_prefills(world);
         row.count_calls(world);
         let rate = world.config().region_link.map_or(0, |rate| rate.get());
-        let carried = as_f64(rate / 8 * sent_s * 2);
-        row.link_share = as_f64(row.region_bytes) / carried.max(1.0);
+        row.set_link_share(rate, sent_s);
         row
     }
 
+    /// Computes the share of what links of this rate could carry in both directions.
+    pub fn set_link_share(&mut self, bits_per_second: u64, sent_s: u64) {
+        let carried = as_f64(bits_per_second / 8 * sent_s * 2);
+        self.link_share = as_f64(self.region_bytes) / carried.max(1.0);
+    }
+
     fn count_calls(&mut self, world: &World) {
         let config = world.config();
-        let mut first = histogram();
-        let mut between = histogram();
+        let mut latencies = Latencies::new(Targets {
+            first_token_us: config.first_token_us,
+            between_tokens_us: config.between_tokens_us,
+        });
         let results = world.results().values();
         for result in results.filter(|result| result.spec.path == PathKind::Model) {
             self.offered += 1;
@@ -100,17 +104,18 @@
             if result.ending != Some(Ending::Answered) {
                 continue;
             }
-            let first_us = first_token_us(result);
-            first.saturating_record(first_us);
-            between.saturating_record(result.longest_gap_us.get());
-            let is_late_first = first_us > config.first_token_us.get();
-            let is_late_between = result.longest_gap_us > config.between_tokens_us;
-            self.late_first += u64::from(is_late_first);
-            self.late_between += u64::from(is_late_between);
-            self.goodput += u64::from(!is_late_first && !is_late_between);
+            latencies.record(first_token_us(result), result.longest_gap_us);
         }
-        self.ttft_ms = percentiles(&first);
-        self.tbt_ms = percentiles(&between);
+        self.set_latencies(&latencies);
+    }
+
+    /// Takes the figures of the answered calls.
+    pub fn set_latencies(&mut self, latencies: &Latencies) {
+        self.ttft_ms = latencies.first_ms();
+        self.tbt_ms = latencies.between_ms();
+        self.late_first = latencies.late_first;
+        self.late_between = latencies.late_between;
+        self.goodput = latencies.good;
     }
 
     fn count_ending(&mut self, result: &CallerResult) {
@@ -175,17 +180,9 @@
     }
 }
 
-fn first_token_us(result: &CallerResult) -> u64 {
+fn first_token_us(result: &CallerResult) -> DurationUs {
     let first_at = result.first_at.unwrap_or(TimeUs(u64::MAX));
-    first_at.since(result.sent_at).get()
-}
-
-fn histogram() -> Histogram<u64> {
-    Histogram::new_with_bounds(1, LONGEST_US, 3).expect("the bounds are valid")
-}
-
-fn percentiles(times_us: &Histogram<u64>) -> [f64; 3] {
-    [0.50, 0.95, 0.99].map(|share| as_f64(times_us.value_at_quantile(share)) / 1_000.0)
+    first_at.since(result.sent_at)
 }
 
 /// Requests that took effect or were answered more than once.
--- a/crates/dev/src/measure/site.rs
+++ b/crates/dev/src/measure/site.rs
@@ -1,5 +1,7 @@
 //! Places, engine parameters and capacity of a deployment.
 
+use std::fmt;
+
 use cuminlead_protocol::EngineRole;
 use cuminlead_types::{BitsPerSecond, DurationUs, KvPieces, Slots, Tokens, TokensPerSecond};
 
@@ -53,6 +55,24 @@
     }
 }
 
+impl fmt::Display for Capacity {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "capacity {:.2} calls/s: prefill {:.2} ({} engines, {:.0} of {:.0} prompt tokens after \
+             the guide), decode {:.2} ({} engines, {:.0} output tokens)",
+            self.rate(),
+            self.prefill_rate,
+            self.prefills_count,
+            self.unshared_tokens,
+            self.prompt_tokens,
+            self.decode_rate,
+            self.decodes_count,
+            self.output_tokens,
+        )
+    }
+}
+
 impl Site {
     /// Site of a deployment, with the latencies of design 1.4.
     pub fn new(deployment: Deployment) -> Self {
@@ -177,6 +197,6 @@
 
 /// A count as a number for means and rates; all counts here are far below 2^52.
 #[allow(clippy::cast_precision_loss)]
-pub(super) fn as_f64(count: u64) -> f64 {
+pub(crate) fn as_f64(count: u64) -> f64 {
     count as f64
 }
