Measure the delay that entry and agent add

Cause: nothing showed what the two processes cost on the real path; the old option compared one request in ten at other times.

Its engines have steps of 2 ms so that the added delay is a visible part. Differences are those of percentiles.

Ruled out: concurrent requests, because the batch of an engine then decides more than the path; and one prompt for both paths, because the prefix cache would serve the second one.

--- a/crates/dev/examples/load.rs
+++ b/crates/dev/examples/load.rs
@@ -1,15 +1,16 @@
-//! Open-loop load on the real processes.
+//! Open-loop load on the real processes, and the delay that they add.
 //!
 //! Prints the table of `measure`, with what real processes and stand-ins did in place of the bench.
 
 use std::error::Error;
 use std::fs;
 use std::io;
+use std::time::Duration;
 
-use cuminlead_dev::fleet::Fleet;
 use cuminlead_dev::fleet::deployment::Deployment;
+use cuminlead_dev::fleet::{Fleet, FleetConfig};
 use cuminlead_dev::load::table::{self, Counts};
-use cuminlead_dev::load::{LoadPlan, Target, run, target};
+use cuminlead_dev::load::{AddedDelay, AddedPlan, LoadPlan, Target, added, run, target};
 use cuminlead_dev::measure::{HEADER, Site};
 use cuminlead_types::DurationUs;
 use gumdrop::Options;
@@ -37,11 +38,18 @@
         no_short
     )]
     fleet: Option<String>,
+    #[options(help = "measure the delay that entry and agent add", no_short)]
+    added_delay: bool,
+    #[options(help = "prompt tokens with --added-delay", default = "1000", no_short)]
+    prompt_tokens: usize,
 }
 
 fn main() -> Result<(), Box<dyn Error>> {
     let arguments = Arguments::parse_args_default_or_exit();
     let deployment: Deployment = arguments.deployment.parse()?;
+    if arguments.added_delay {
+        return measure_added_delay(&arguments, deployment);
+    }
     if let Some(path) = &arguments.fleet {
         if !arguments.policy.is_empty() {
             return Err("--policy needs a fleet that this tool starts".into());
@@ -94,3 +102,35 @@
     }
     Ok(())
 }
+
+fn measure_added_delay(
+    arguments: &Arguments,
+    deployment: Deployment,
+) -> Result<(), Box<dyn Error>> {
+    let plan = AddedPlan {
+        seed: arguments.seed,
+        length: Duration::from_secs(arguments.seconds),
+        prompt_tokens: arguments.prompt_tokens,
+    };
+    if let Some(path) = &arguments.fleet {
+        let target = Target::parse(deployment, &fs::read_to_string(path)?)?;
+        return Ok(print_added(&target, plan)?);
+    }
+    let mut config = FleetConfig::new(deployment);
+    config.engine_arguments = added::ENGINE_ARGUMENTS.map(str::to_string).to_vec();
+    let fleet = Fleet::start(config)?;
+    let printed = print_added(&Target::of(&fleet)?, plan);
+    printed.map_err(|error| fleet.explain(&error))?;
+    Ok(fleet.stop()?)
+}
+
+fn print_added(target: &Target, plan: AddedPlan) -> io::Result<()> {
+    let (seed, seconds, tokens) = (plan.seed, plan.length.as_secs(), plan.prompt_tokens);
+    println!("# seed {seed}, {seconds} s, {tokens} prompt tokens");
+    let delay = AddedDelay::measure(target, plan)?;
+    println!("{}", added::HEADER);
+    for line in delay.lines() {
+        println!("{line}");
+    }
+    Ok(())
+}
--- a/crates/dev/src/lib.rs
+++ b/crates/dev/src/lib.rs
@@ -11,7 +11,7 @@
 //! | [`platform`] | configuration service and host list |
 //! | [`fleet`] | launcher of a whole system on loopback |
 //! | [`caller`] | requests to entries, as callers send them |
-//! | [`load`] | load on the real processes |
+//! | [`load`] | load on the real processes, and the delay that they add |
 //! | [`measure`] | measurement of routing policies |
 //! | [`relay`] | TCP relay that cuts connections |
 
--- a/crates/dev/src/load/table.rs
+++ b/crates/dev/src/load/table.rs
@@ -165,6 +165,6 @@
 }
 
 /// Microseconds of a duration.
-fn micros(duration: Duration) -> DurationUs {
+pub(super) fn micros(duration: Duration) -> DurationUs {
     DurationUs(u64::try_from(duration.as_micros()).unwrap_or(u64::MAX))
 }
--- a/crates/dev/src/measure/latency.rs
+++ b/crates/dev/src/measure/latency.rs
@@ -94,4 +94,9 @@
     pub fn max_ms(&self) -> f64 {
         as_f64(self.0.max()) / 1_000.0
     }
+
+    /// Number of times.
+    pub fn count(&self) -> u64 {
+        self.0.len()
+    }
 }
