--- a/crates/dev/src/lib.rs
+++ b/crates/dev/src/lib.rs
@@ -12,6 +12,7 @@
 //! | [`platform`] | configuration service and host list |
 //! | [`fleet`] | launcher of a whole system on loopback |
 //! | [`caller`] | requests to entries, as callers send them |
+//! | [`load`] | load on the real processes, and the delay that they add |
 //! | [`measure`] | measurement of routing policies |
 //! | [`relay`] | TCP relay that cuts connections |
 
@@ -23,6 +24,7 @@
 pub mod engine;
 pub mod fleet;
 pub mod http;
+pub mod load;
 pub mod measure;
 pub mod platform;
 pub mod relay;
--- a/crates/process/src/platform.rs
+++ b/crates/process/src/platform.rs
@@ -11,6 +11,8 @@
 use serde::de::DeserializeOwned;
 use ureq::Agent;
 
+use crate::http_client;
+
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
 const VALUE_MAX_BYTES: u64 = 64 * 1024 * 1024;
@@ -51,7 +53,7 @@
             .build();
         Self {
             base: format!("http://{address}"),
-            http: config.into(),
+            http: http_client::agent(config),
         }
     }
 
