--- a/crates/dev/src/capacity/process.rs
+++ b/crates/dev/src/capacity/process.rs
@@ -49,6 +49,8 @@
     idle(report, &fleet, "design_lists_and_hosts", ENGINES_COUNT)?;
     restart_all(&mut fleet)?;
     idle(report, &fleet, "restarted_with_design_lists", ENGINES_COUNT)?;
+    publish_allowances(&fleet, "fenced = false")?;
+    idle(report, &fleet, "changed_allowances", ENGINES_COUNT)?;
     fleet.stop()
 }
 
@@ -170,11 +172,15 @@
     report.add(&format!("{quantity}_core_most"), "%", servers, most(share));
 }
 
+/// Publishes the allowances, in which `fenced` stands for the line of one engine.
+fn publish_allowances(fleet: &Fleet, fenced: &str) -> io::Result<()> {
+    let text = allowances_text(ENGINES_COUNT).replace("counter", "till");
+    let text = text.replacen("fenced = true", fenced, 1);
+    fleet.publish("allowances/design", &text)
+}
+
 fn publish_design_lists(fleet: &Fleet) -> io::Result<()> {
-    fleet.publish(
-        "allowances/design",
-        &allowances_text(ENGINES_COUNT).replace("counter", "till"),
-    )?;
+    publish_allowances(fleet, "fenced = true")?;
     fleet.publish("plans/design", &plans_text())?;
     for group in 0..DESIGN_LISTS.parts {
         let part = group_part(DESIGN_LISTS, group, 1);
