--- a/crates/dev/src/fleet/requests.rs
+++ b/crates/dev/src/fleet/requests.rs
@@ -211,7 +211,12 @@
         self.stream.set_read_timeout(Some(limit))?;
         let mut buffer = [0; 4_096];
         while !self.text.contains(wanted) {
-            let size = self.stream.read(&mut buffer)?;
+            let size = match self.stream.read(&mut buffer) {
+                Ok(size) => size,
+                // A read with a timeout is not restarted by the system after a signal.
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => continue,
+                Err(error) => return Err(error),
+            };
             if size == 0 {
                 let reason = format!("ended without {wanted:?}: {}", self.text);
                 return Err(io::Error::other(reason));
