Try an agent's decisions with random sequences of events

Cause: admission, permits and orders had random tests of their own, but nothing ran random events through AgentContext, which combines them.

Ruled out as a fault: an agent that is drained before it has seen two inventories exits while its engine still holds sequences of an earlier life. Its successor cancels them; a host without a successor keeps them until its engine ends.

--- a/crates/agent-core/src/context.rs
+++ b/crates/agent-core/src/context.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use cuminlead_admission::{Admission, AdmissionAction};
+use cuminlead_admission::{Admission, AdmissionAction, Violation};
 use cuminlead_lists::Lists;
 use cuminlead_orders::{Orders, OrdersConfig};
 use cuminlead_permits::Permits;
@@ -81,6 +81,11 @@
         }
     }
 
+    /// Violations of the rules of admission at `now`, after an event at `now`; tests call it.
+    pub fn verify(&self, now: TimeUs) -> Vec<Violation> {
+        self.admission.verify(now)
+    }
+
     /// Decides on an event and appends the resulting actions.
     pub fn handle(&mut self, now: Now, event: AgentEvent, actions: &mut Vec<AgentAction>) {
         self.handled_at = now.mono_us;
