Keep the questions for lists and hosts of a silent fleet apart

Processes whose peers refuse at once ask for the lists while the questions for the host list still spread. Questions for the lists now use the part of their jitter after that of the host list. Ruled out: adding the whole jitter after it, which made the lists later by up to 1.3 s; change_is_in_force_in_time failed with readers and standbys stopped.

--- a/crates/distribution/src/context.rs
+++ b/crates/distribution/src/context.rs
@@ -464,6 +464,7 @@
         let need = self.need(now);
         self.following.step(now, need, self.revisions(), actions);
         self.settle_watch(actions);
+        self.settle_hosts(now, actions);
         let is_cut_off = !self.following.is_confirmed() && self.following.have_primaries_failed();
         if is_cut_off || !self.lists.has_lists() {
             self.service
@@ -471,7 +472,6 @@
         } else {
             self.service.cancel_query(Source::Lists);
         }
-        self.settle_hosts(now, actions);
         if self.confirm_due_at().is_some_and(|at| now >= at) {
             self.ask_for_confirmation(now, actions);
         }
--- a/crates/distribution/src/limits.rs
+++ b/crates/distribution/src/limits.rs
@@ -10,6 +10,9 @@
 //! | jitter before the platform is asked ([`QUERY_JITTER_MAX`]) | 8 s |
 //! | answer of the platform, in milliseconds | below 9 s |
 //!
+//! Peers that refuse connections are given up sooner, so that the questions for the lists would come
+//! together with those for the host list; they then use only the part of the jitter after these.
+//!
 //! A reader that lost the platform is as slow: its confirmation is too old after 3 s
 //! ([`CONFIRM_LIMIT`]), which its next heartbeat tells within 2 s ([`HEARTBEAT_MAX`]).
 //!
@@ -75,7 +78,7 @@
 /// Time in which a process that began to read the host list may still say that it relies on it.
 pub const HOSTS_GRACE: DurationUs = DurationUs::from_ms(500);
 /// Longest jitter before a process asks for the host list: 2,670 processes then cause 1,571 calls/s,
-/// within the 2,000 calls/s of the configuration service, before the first of them ask for the lists.
+/// within the 2,000 calls/s of the configuration service. Questions for the lists wait until they are over.
 pub const HOSTS_QUERY_JITTER_MAX: DurationUs = DurationUs::from_ms(1_700);
 /// Pause after a failed watch.
 pub const WATCH_RETRY: DurationUs = DurationUs::from_ms(1_000);
--- a/crates/distribution/src/service.rs
+++ b/crates/distribution/src/service.rs
@@ -30,6 +30,8 @@
     is_watching: bool,
     query_at: Option<TimeUs>,
     queried_at: Option<TimeUs>,
+    /// End of the time over which the questions of many processes spread that lost the same peers.
+    spread_until: TimeUs,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -94,15 +96,26 @@
         }
     }
 
-    /// Asks for a question after a jitter, within the interval.
+    /// Asks for a question after a jitter, within the interval. Questions for the lists wait until those
+    /// for the host list are over, as both together would exceed the rate of the platform; the jitter
+    /// for the lists is longer than that for the host list, so some of it is left.
     pub(crate) fn request_query(&mut self, now: TimeUs, source: Source, rng: &mut StdRng) {
+        let start = match source {
+            Source::Lists => self.hosts.spread_until.max(now),
+            Source::Hosts => now,
+        };
         let channel = self.channel(source);
         if channel.query_at.is_some() || channel.is_watching {
             return;
         }
-        let jitter = DurationUs(rng.random_range(0..query_jitter_max(source).get()));
+        let end = now + query_jitter_max(source);
+        let jitter = DurationUs(rng.random_range(0..end.since(start).get()));
         let earliest = channel.queried_at.map(|at| at + QUERY_INTERVAL_MIN);
-        channel.query_at = Some((now + jitter).max(earliest.unwrap_or_default()));
+        let earliest = earliest.unwrap_or_default();
+        if earliest <= start {
+            channel.spread_until = end;
+        }
+        channel.query_at = Some((start + jitter).max(earliest));
     }
 
     /// Withdraws a question that is not sent yet.
