Do not take a queued reservation for a stalled call

Under overload a reservation waits in the queue of a full decode server for more than 3 s, which says nothing about the server's health. Conclusion: prefills, decodes and application calls are watched, reservations are not.

--- a/crates/entry-core/src/model.rs
+++ b/crates/entry-core/src/model.rs
@@ -143,10 +143,14 @@
 
     fn awaited(&self) -> Option<Awaited> {
         let (server, step) = match &self.phase {
-            Phase::Reserve(_) => (&self.attempt.decode, Step::Reserve),
             Phase::Prefill(_) => (&self.attempt.prefill, Step::Prefill),
             Phase::Stream(_) => (&self.attempt.decode, self.stream_step()),
-            Phase::Created | Phase::RoutePair | Phase::RoutePrefill | Phase::Ended => return None,
+            // A reservation waits in the queue of a full server, which is no sign of a stall.
+            Phase::Created
+            | Phase::RoutePair
+            | Phase::Reserve(_)
+            | Phase::RoutePrefill
+            | Phase::Ended => return None,
         };
         Some(Awaited {
             server: server.clone(),
