Run processes with an allocator that gives memory back

Cause: a change of the 461 KB allowances left followers with 38.9 to 40.2 MB and readers with 51.8 to 52.7 MB, because the C library keeps in the arenas of its threads what parsing needs for a moment; 32 MB are allowed. Ruled out by trials with ./dev/capacity: mimalloc as the allocator of both binaries (48 to 61 MB idle, readers 89 to 96 MB); malloc_trim from the process, which needs unsafe code, and that is forbidden here. Conclusion: operators set three variables for the slot of each process; the fleets of tests, demo and capacity tool do the same.

--- a/crates/dev/src/fleet/process.rs
+++ b/crates/dev/src/fleet/process.rs
@@ -12,6 +12,13 @@
 const POLL: Duration = Duration::from_millis(5);
 const LISTENING: &str = "listening ";
 const LOG_TAIL_LINES: usize = 15;
+/// Environment of a host's slot, as `docs/operators.md` asks for: the allocator of the C library
+/// otherwise keeps in each thread's arena what taking the lists needs for a moment.
+const ENVIRONMENT: [(&str, &str); 3] = [
+    ("MALLOC_ARENA_MAX", "1"),
+    ("MALLOC_MMAP_THRESHOLD_", "131072"),
+    ("MALLOC_TRIM_THRESHOLD_", "131072"),
+];
 
 /// Signal sent to a process by its id.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display, IntoStaticStr)]
@@ -88,6 +95,7 @@
         let log_file = File::options().create(true).append(true).open(&log)?;
         let child = Command::new(&program.path)
             .args(&program.arguments)
+            .envs(ENVIRONMENT)
             .stdin(Stdio::null())
             .stdout(File::create(&output)?)
             .stderr(log_file)
