--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -9,12 +9,12 @@
 //! | [`config`] | settings of a router |
 //! | [`usability`] | the question that membership answers |
 //! | [`load`] | load of one server: its last report and own decisions since |
+//! | [`mean_load`] | estimate for a server without a recent report |
 //! | [`prefix`] | which servers have lately computed which prompt prefixes |
 //! | [`link`] | volume and backlog of the paid links between regions |
 //! | [`ring`] | consistent hashing over the servers of a pool |
 //! | [`servers`] | backend servers known to a router |
 //! | [`pools`] | servers for each plan and model or service, by region and role |
-//! | [`usual`] | estimate for a server without a recent report |
 //! | [`policy`] | the trait of policies, and their registration |
 //! | [`policies`] | the policies |
 //! | [`router`] | [`Router`], the context of an entry |
@@ -22,6 +22,7 @@
 pub mod config;
 pub mod link;
 pub mod load;
+pub mod mean_load;
 pub mod need;
 pub mod policies;
 pub mod policy;
@@ -31,7 +32,6 @@
 pub mod router;
 pub mod servers;
 pub mod usability;
-pub mod usual;
 
 pub use config::RoutingConfig;
 pub use link::LinkUse;
--- a/crates/routing/src/load.rs
+++ b/crates/routing/src/load.rs
@@ -9,7 +9,7 @@
 use cuminlead_types::{DurationUs, KvPieces, TimeUs, Tokens};
 
 use crate::config::RoutingConfig;
-use crate::usual::UsualLoad;
+use crate::mean_load::MeanLoad;
 
 /// What a decision adds to the load of a server.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -74,19 +74,14 @@
     }
 
     /// Time until the server has computed the prompts that wait.
-    pub fn prefill_wait(
-        &self,
-        now: TimeUs,
-        usual: &UsualLoad,
-        config: &RoutingConfig,
-    ) -> DurationUs {
+    pub fn prefill_wait(&self, now: TimeUs, mean: &MeanLoad, config: &RoutingConfig) -> DurationUs {
         let own = config.prefill_rate.time_for(self.sum.prompt_tokens);
         let reported = match self.report_age(now, config) {
             Some(age) => config
                 .prefill_rate
                 .time_for(self.report.pending_prompt_tokens)
                 .saturating_sub(age),
-            None => usual.prefill_wait(now, config),
+            None => mean.prefill_wait(now, config),
         };
         own.saturating_add(reported)
             .saturating_add(self.failure_cost(now, config))
@@ -97,7 +92,7 @@
         &self,
         now: TimeUs,
         pieces: KvPieces,
-        usual: &UsualLoad,
+        mean: &MeanLoad,
         config: &RoutingConfig,
     ) -> DurationUs {
         let reported = match self.report_age(now, config) {
@@ -106,7 +101,7 @@
                 let batch = times(config.decode_slot_cost_us, running);
                 batch.saturating_add(self.queue_wait(pieces, config))
             }
-            None => usual.decode_wait(now, config),
+            None => mean.decode_wait(now, config),
         };
         times(config.decode_slot_cost_us, u64::from(self.sum.slots))
             .saturating_add(reported)
@@ -114,10 +109,10 @@
     }
 
     /// Requests that the server has.
-    pub fn requests(&self, now: TimeUs, usual: &UsualLoad, config: &RoutingConfig) -> u64 {
+    pub fn requests(&self, now: TimeUs, mean: &MeanLoad, config: &RoutingConfig) -> u64 {
         let reported = match self.report_age(now, config) {
             Some(_) => u64::from(self.report.running_count) + u64::from(self.report.queued_count),
-            None => usual.requests(now, config),
+            None => mean.requests(now, config),
         };
         reported + u64::from(self.sum.slots)
     }
--- a/crates/routing/src/usual.rs
+++ b/crates/routing/src/mean_load.rs
@@ -1,4 +1,4 @@
-//! `UsualLoad`: what the servers of one group lately report, as the estimate for one that does not.
+//! `MeanLoad`: what the servers of one group lately report, as the estimate for one that does not.
 //!
 //! Reports come only on replies, so an entry of a large fleet has no recent report of most servers.
 //! A fixed estimate is wrong at one load or the other: taken for busier than the rest, a server
@@ -42,14 +42,14 @@
 
 /// Mean load that the servers of a group lately reported.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct UsualLoad {
+pub struct MeanLoad {
     reported_at: Option<TimeUs>,
     running: Mean,
     queued: Mean,
     pending_prompt_tokens: Mean,
 }
 
-impl UsualLoad {
+impl MeanLoad {
     /// Takes the report of any server of the group.
     pub fn observe(&mut self, now: TimeUs, report: &LoadReport, config: &RoutingConfig) {
         let is_first = !self.is_valid(now, config);
--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -169,22 +169,20 @@
 
     /// Time until a server has computed the prompts that wait.
     pub fn prefill_wait(&self, record: &ServerRecord) -> DurationUs {
-        let usual = self.servers.usual(record.group);
-        record.load.prefill_wait(self.now, usual, self.config)
+        let mean = self.servers.mean_load(record.group);
+        record.load.prefill_wait(self.now, mean, self.config)
     }
 
     /// Time until a server has a place for a decode of this size.
     pub fn decode_wait(&self, record: &ServerRecord, pieces: KvPieces) -> DurationUs {
-        let usual = self.servers.usual(record.group);
-        record
-            .load
-            .decode_wait(self.now, pieces, usual, self.config)
+        let mean = self.servers.mean_load(record.group);
+        record.load.decode_wait(self.now, pieces, mean, self.config)
     }
 
     /// Requests that a server has.
     pub fn requests(&self, record: &ServerRecord) -> u64 {
-        let usual = self.servers.usual(record.group);
-        record.load.requests(self.now, usual, self.config)
+        let mean = self.servers.mean_load(record.group);
+        record.load.requests(self.now, mean, self.config)
     }
 
     /// Regions with the entry's own first.
--- a/crates/routing/src/servers.rs
+++ b/crates/routing/src/servers.rs
@@ -14,7 +14,7 @@
 
 use crate::config::RoutingConfig;
 use crate::load::ServerLoad;
-use crate::usual::UsualLoad;
+use crate::mean_load::MeanLoad;
 
 new_key_type! {
     /// Backend server within one router.
@@ -105,7 +105,7 @@
 pub struct Servers {
     records: SlotMap<ServerKey, ServerRecord>,
     keys: HashMap<BackendServerId, ServerKey>,
-    usual: [UsualLoad; ServerGroup::COUNT],
+    mean_loads: [MeanLoad; ServerGroup::COUNT],
 }
 
 impl Servers {
@@ -129,8 +129,8 @@
     }
 
     /// Load that servers of a group lately reported.
-    pub fn usual(&self, group: ServerGroup) -> &UsualLoad {
-        &self.usual[group as usize]
+    pub fn mean_load(&self, group: ServerGroup) -> &MeanLoad {
+        &self.mean_loads[group as usize]
     }
 
     /// Record of a server.
@@ -168,7 +168,7 @@
             record.salt = salt(&record.id, record.host(), state.incarnation);
         }
         record.load.observe(now, state.load, config);
-        self.usual[record.group as usize].observe(now, &state.load, config);
+        self.mean_loads[record.group as usize].observe(now, &state.load, config);
     }
 
     fn key_or_insert(&mut self, id: &BackendServerId) -> ServerKey {
