Count a repeat of an attempt that a paused agent has accepted as no new work

P6 counts a message that waited in a paused agent at the time at which it arrived; the driver did not note such an attempt as accepted, so a repeat of the same message, which arrived later and joined the lease, was taken for new work. Ruled out: new work accepted by a draining agent. In the trace the attempt's first message arrived before the host list that made the agent drain, and noting it as accepted is what changes the verdict. Conclusion: the bound is unchanged; a repeat of an attempt is no new work, as the rule already said.

--- a/crates/dev/src/bench/agent.rs
+++ b/crates/dev/src/bench/agent.rs
@@ -420,11 +420,11 @@
         let due_at = self.leaving_since.get(&node).map(|at| *at + LEAVING_BOUND);
         let is_in_time = due_at.is_some_and(|due_at| self.arrived_at <= due_at);
         let is_from_pause = self.arrived_at < self.now;
-        if is_in_time && is_from_pause {
+        let is_new = self.agent_mut(node).accepted.insert(id);
+        if !is_new || (is_in_time && is_from_pause) {
             return;
         }
-        let is_new = self.agent_mut(node).accepted.insert(id);
-        if let Some(server) = self.places[node.0].server().filter(|_| is_new) {
+        if let Some(server) = self.places[node.0].server() {
             self.observe(Observation::WorkAccepted { server, id });
         }
     }
