--- /dev/null
+++ b/crates/direct-core/src/call.rs
@@ -0,0 +1,514 @@
+//! The state of one request.
+//!
+//! [`Call::next`] says what to do, the caller does it and reports the [`Outcome`], until the call
+//! ends with an answer or a refusal. What may be repeated is looked up in the retry table. There is
+//! no owner to ask about a run here, so the table's question to the owner means an unknown outcome.
+
+use cuminlead_retry::{CallKind, Decision, Evidence, Step, decide};
+use cuminlead_types::{DurationUs, RegionName, ServiceName, TimeUs, Tokens};
+use strum::{Display, IntoStaticStr};
+
+use crate::catalogue::RequestKind;
+use crate::placement::{Need, NoServer, choose, retry_after};
+use crate::server::Stage;
+use crate::servers::ServerKey;
+use crate::serving::Serving;
+
+/// Rate at which a loaded engine computes prompts, in tokens a millisecond; half of an idle one's.
+const PREFILL_TOKENS_PER_MS: u64 = 25;
+/// Time of a prefill call beyond the computation: the way there and a short queue.
+const PREFILL_MARGIN: DurationUs = DurationUs::from_ms(200);
+/// Part of the remaining time that one attempt of several may take, in percent.
+const ATTEMPT_SHARE_PERCENT: u64 = 45;
+/// Attempts of a stream may take this many times the goal until the first event.
+const STREAM_ATTEMPT_GOALS: u64 = 2;
+/// Most prefill calls for one request; each one after the first repeats work.
+const PREFILLS_MAX: u32 = 2;
+/// Most servers that may turn one request away before it is refused.
+const REFUSALS_MAX: u32 = 3;
+
+/// What a request needs, fixed at its arrival.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CallSpec {
+    /// Service.
+    pub service: ServiceName,
+    /// What may be repeated.
+    pub kind: RequestKind,
+    /// Tokens of the prompt; set for model calls.
+    pub prompt_tokens: Option<Tokens>,
+    /// Most servers on which it may run.
+    pub attempts_max_count: u32,
+    /// Time within which the answer is of full use.
+    pub goal: DurationUs,
+    /// Time at which the caller or the route gives up.
+    pub deadline: TimeUs,
+}
+
+/// KV cache that waits at a prefill server.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CacheRef {
+    /// Server that computed it.
+    pub server: ServerKey,
+    /// Name of the cache at that server.
+    pub handle: String,
+}
+
+/// Next step of a call.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Have the prompt computed.
+    Prefill {
+        /// Prefill server.
+        server: ServerKey,
+        /// Time after which the call goes on without.
+        timeout: DurationUs,
+    },
+    /// Run the request.
+    Run {
+        /// Server.
+        server: ServerKey,
+        /// KV cache to take, if there is one.
+        cache: Option<CacheRef>,
+        /// Time until the first part of the answer, if another attempt may follow.
+        timeout: Option<DurationUs>,
+    },
+    /// Pass on the failure that the server answered.
+    Deliver,
+    /// Answer the caller without a server.
+    Refuse(Refusal),
+}
+
+/// What became of a step.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum Outcome {
+    /// No connection was made, or nothing was sent on it.
+    Unreachable,
+    /// The server turned the request away and has not run it.
+    TurnedAway,
+    /// Another incarnation has the address; the request was not run.
+    OtherIncarnation,
+    /// The KV cache could not be taken; the request was not run.
+    CacheGone,
+    /// The server answered that it failed.
+    Failed,
+    /// The connection ended before the answer was whole.
+    Lost,
+    /// What came back is not the answer to this request.
+    Garbled,
+    /// No answer within the attempt's time.
+    TimedOut,
+}
+
+/// Why a call ends without an answer of a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum RefusalReason {
+    /// No server can take it.
+    NoServer,
+    /// Servers turned it away.
+    TurnedAway,
+    /// Repeats of the service have used up their budget.
+    RetryBudget,
+    /// Its time is over.
+    TimedOut,
+    /// It was sent, and what became of it is not known.
+    OutcomeUnknown,
+}
+
+/// Answer without a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    /// Whether the request is known not to have run and never to run.
+    pub is_not_run: bool,
+    /// Why.
+    pub reason: RefusalReason,
+    /// Time after which to come back, if it has not run.
+    pub retry_after: DurationUs,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum PrefillState {
+    /// Another prefill may be tried.
+    Open,
+    Done(CacheRef),
+    /// The decode server computes the prompt.
+    Skipped,
+}
+
+/// State of one request.
+#[derive(Clone, Debug)]
+pub struct Call {
+    spec: CallSpec,
+    prefill: PrefillState,
+    prefills_count: u32,
+    /// Servers that may have run the request.
+    runs_count: u32,
+    turned_away_count: u32,
+    sends_count: u32,
+    excluded: Vec<ServerKey>,
+    excluded_prefills: Vec<ServerKey>,
+    /// Decode server chosen before the prefill, so that a cache has a place to go.
+    decode: Option<ServerKey>,
+    /// Cache of the run under way, which a server that turns the request away leaves in place.
+    cache_in_use: Option<CacheRef>,
+    /// Whether a server has answered with a failure that can be passed on.
+    has_failure: bool,
+    end: Option<Action>,
+}
+
+impl Call {
+    /// Call that has not begun.
+    pub fn new(spec: CallSpec) -> Self {
+        let prefill = if spec.prompt_tokens.is_some() {
+            PrefillState::Open
+        } else {
+            PrefillState::Skipped
+        };
+        Self {
+            spec,
+            prefill,
+            prefills_count: 0,
+            runs_count: 0,
+            turned_away_count: 0,
+            sends_count: 0,
+            excluded: Vec::new(),
+            excluded_prefills: Vec::new(),
+            decode: None,
+            cache_in_use: None,
+            has_failure: false,
+            end: None,
+        }
+    }
+
+    /// What the call needs.
+    pub fn spec(&self) -> &CallSpec {
+        &self.spec
+    }
+
+    /// Servers to which the request was sent to run.
+    pub fn sends_count(&self) -> u32 {
+        self.sends_count
+    }
+
+    /// Whether a server may have run the request.
+    pub fn may_have_run(&self) -> bool {
+        self.runs_count > 0
+    }
+
+    /// Refusal at the end of the call's time.
+    pub fn timed_out(&self) -> Refusal {
+        self.refusal(RefusalReason::TimedOut, DurationUs::from_ms(1_000))
+    }
+
+    /// Next step.
+    pub fn next(&mut self, now: TimeUs, serving: &mut Serving) -> Action {
+        if let Some(end) = &self.end {
+            return end.clone();
+        }
+        if now >= self.spec.deadline {
+            return Action::Refuse(self.timed_out());
+        }
+        let server = match self.choose_server(now, serving) {
+            Ok(server) => server,
+            Err(no_server) => return self.refuse_no_server(now, no_server),
+        };
+        if self.prefill == PrefillState::Open {
+            if let Some(action) = self.next_prefill(now, serving, server) {
+                return action;
+            }
+            self.prefill = PrefillState::Skipped;
+        }
+        self.next_run(now, serving, server)
+    }
+
+    fn choose_server(&mut self, now: TimeUs, serving: &mut Serving) -> Result<ServerKey, NoServer> {
+        if let Some(key) = self.decode
+            && !self.excluded.contains(&key)
+            && serving
+                .servers
+                .get(key)
+                .is_some_and(|server| !server.health.is_paused(now))
+        {
+            return Ok(key);
+        }
+        let stage = self.spec.prompt_tokens.map(|_| Stage::Decode);
+        let region = self.cache_region(serving);
+        let mut need = Need {
+            service: &self.spec.service,
+            stage,
+            origin: &serving.config.origin,
+            region: region.as_ref(),
+            excluded: &self.excluded,
+        };
+        let mut chosen = choose(now, &serving.servers, need, &mut serving.rng);
+        if chosen.is_err() && region.is_some() {
+            // A cache does not cross regions, so it is given up.
+            self.prefill = PrefillState::Skipped;
+            need.region = None;
+            chosen = choose(now, &serving.servers, need, &mut serving.rng);
+        }
+        self.decode = chosen.ok();
+        chosen
+    }
+
+    /// Region of the cache that waits for this call.
+    fn cache_region(&self, serving: &Serving) -> Option<RegionName> {
+        let PrefillState::Done(cache) = &self.prefill else {
+            return None;
+        };
+        serving.servers.get(cache.server)?.region.clone()
+    }
+
+    fn next_prefill(
+        &mut self,
+        now: TimeUs,
+        serving: &mut Serving,
+        decode: ServerKey,
+    ) -> Option<Action> {
+        let tokens = self.spec.prompt_tokens?;
+        if self.prefills_count >= PREFILLS_MAX {
+            return None;
+        }
+        let region = serving.servers.get(decode)?.region.clone()?;
+        let need = Need {
+            service: &self.spec.service,
+            stage: Some(Stage::Prefill),
+            origin: &serving.config.origin,
+            region: Some(&region),
+            excluded: &self.excluded_prefills,
+        };
+        let server = choose(now, &serving.servers, need, &mut serving.rng).ok()?;
+        if self.prefills_count > 0 && !serving.budget(&self.spec.service).allows(now) {
+            return None;
+        }
+        self.prefills_count += 1;
+        let compute = DurationUs::from_ms(tokens.0 / PREFILL_TOKENS_PER_MS);
+        Some(Action::Prefill {
+            server,
+            timeout: compute
+                .saturating_add(PREFILL_MARGIN)
+                .min(self.spec.deadline.since(now)),
+        })
+    }
+
+    fn next_run(&mut self, now: TimeUs, serving: &mut Serving, server: ServerKey) -> Action {
+        let budget = serving.budget(&self.spec.service);
+        if self.sends_count == 0 {
+            budget.count_request(now);
+        } else if !budget.try_retry(now) {
+            return self.finish(RefusalReason::RetryBudget, DurationUs::from_ms(1_000));
+        }
+        self.sends_count += 1;
+        let cache = match std::mem::replace(&mut self.prefill, PrefillState::Skipped) {
+            PrefillState::Done(cache) => Some(cache),
+            PrefillState::Open | PrefillState::Skipped => None,
+        };
+        self.cache_in_use.clone_from(&cache);
+        Action::Run {
+            server,
+            cache,
+            timeout: self.attempt_timeout(now),
+        }
+    }
+
+    /// Time for one attempt, if another may follow it.
+    fn attempt_timeout(&self, now: TimeUs) -> Option<DurationUs> {
+        if self.runs_count + 1 >= self.spec.attempts_max_count {
+            return None;
+        }
+        let left = self.spec.deadline.since(now);
+        match self.spec.kind {
+            RequestKind::Idempotent => Some(DurationUs(left.0 / 100 * ATTEMPT_SHARE_PERCENT)),
+            RequestKind::Stream { resumable: true } => {
+                Some(DurationUs(self.spec.goal.0 * STREAM_ATTEMPT_GOALS).min(left))
+            }
+            RequestKind::NonIdempotent | RequestKind::Stream { resumable: false } => None,
+        }
+    }
+
+    /// Records a finished prefill.
+    pub fn prefill_done(&mut self, now: TimeUs, serving: &mut Serving, cache: CacheRef) {
+        if let Some(server) = serving.servers.get_mut(cache.server) {
+            server.health.record_success(now);
+        }
+        self.prefill = PrefillState::Done(cache);
+    }
+
+    /// Records a prefill that gave no cache.
+    ///
+    /// A prefill that may have been accepted is not tried at a second server if the route allows one
+    /// server only: the second one would count as another. The decode server computes the prompt.
+    pub fn prefill_failed(
+        &mut self,
+        now: TimeUs,
+        serving: &mut Serving,
+        server: ServerKey,
+        outcome: Outcome,
+    ) {
+        record_outcome(now, serving, server, outcome);
+        self.excluded_prefills.push(server);
+        if outcome != Outcome::Unreachable {
+            serving.budget(&self.spec.service).count_retry(now);
+        }
+        let is_refused = matches!(
+            outcome,
+            Outcome::Unreachable | Outcome::TurnedAway | Outcome::OtherIncarnation
+        );
+        if !is_refused {
+            self.prefill = PrefillState::Skipped;
+        }
+    }
+
+    /// Records a run that was answered.
+    pub fn run_answered(&mut self, now: TimeUs, serving: &mut Serving, server: ServerKey) {
+        if let Some(server) = serving.servers.get_mut(server) {
+            server.health.record_success(now);
+        }
+        self.runs_count += 1;
+    }
+
+    /// Records a run without a usable answer.
+    pub fn run_failed(
+        &mut self,
+        now: TimeUs,
+        serving: &mut Serving,
+        server: ServerKey,
+        outcome: Outcome,
+    ) {
+        record_outcome(now, serving, server, outcome);
+        match outcome {
+            // The decode server itself is fine, it can compute the prompt.
+            Outcome::CacheGone => {}
+            _ => self.excluded.push(server),
+        }
+        if !is_proof_of_no_run(outcome) {
+            self.runs_count += 1;
+        }
+        if outcome == Outcome::Unreachable {
+            // Nothing reached a server, so nothing counts as a repeat.
+            self.sends_count -= 1;
+        }
+        if outcome == Outcome::TurnedAway {
+            self.turned_away_count += 1;
+        }
+        let cache = self.cache_in_use.take();
+        if let Some(cache) = cache
+            && leaves_cache(outcome)
+        {
+            self.prefill = PrefillState::Done(cache);
+        }
+        self.has_failure |= outcome == Outcome::Failed;
+        self.end = self.decide_end(outcome);
+    }
+
+    /// End of the call after a failed run, unless another server may be tried.
+    fn decide_end(&self, outcome: Outcome) -> Option<Action> {
+        let decision = decide(self.table_kind(), Step::Run, evidence(outcome));
+        let may_repeat = decision == Decision::RetryElsewhere
+            && self.runs_count < self.spec.attempts_max_count
+            && self.turned_away_count < REFUSALS_MAX;
+        if may_repeat {
+            return None;
+        }
+        Some(match outcome {
+            Outcome::Failed => Action::Deliver,
+            Outcome::TurnedAway => {
+                Action::Refuse(self.refusal(RefusalReason::TurnedAway, DurationUs::from_ms(500)))
+            }
+            Outcome::TimedOut => Action::Refuse(self.timed_out()),
+            _ => Action::Refuse(
+                self.refusal(RefusalReason::OutcomeUnknown, DurationUs::from_ms(500)),
+            ),
+        })
+    }
+
+    fn table_kind(&self) -> CallKind {
+        match self.spec.kind {
+            RequestKind::Idempotent | RequestKind::Stream { resumable: true } => {
+                CallKind::Idempotent
+            }
+            RequestKind::NonIdempotent | RequestKind::Stream { resumable: false } => {
+                CallKind::NonIdempotent
+            }
+        }
+    }
+
+    fn refuse_no_server(&mut self, now: TimeUs, no_server: NoServer) -> Action {
+        let reason = if self.turned_away_count > 0 {
+            RefusalReason::TurnedAway
+        } else {
+            RefusalReason::NoServer
+        };
+        self.finish(reason, retry_after(now, no_server))
+    }
+
+    /// A failure that a server answered says more to the caller than a refusal.
+    fn finish(&mut self, reason: RefusalReason, retry_after: DurationUs) -> Action {
+        let end = if self.has_failure {
+            Action::Deliver
+        } else {
+            Action::Refuse(self.refusal(reason, retry_after))
+        };
+        self.end = Some(end.clone());
+        end
+    }
+
+    fn refusal(&self, reason: RefusalReason, retry_after: DurationUs) -> Refusal {
+        Refusal {
+            is_not_run: !self.may_have_run(),
+            reason,
+            retry_after,
+        }
+    }
+}
+
+fn record_outcome(now: TimeUs, serving: &mut Serving, key: ServerKey, outcome: Outcome) {
+    if outcome == Outcome::OtherIncarnation {
+        serving.servers.forget(key);
+        return;
+    }
+    let Some(server) = serving.servers.get_mut(key) else {
+        return;
+    };
+    match outcome {
+        Outcome::Unreachable => server.health.record_unreachable(now),
+        Outcome::TurnedAway
+        | Outcome::Failed
+        | Outcome::Lost
+        | Outcome::Garbled
+        | Outcome::TimedOut => server.health.record_failure(now),
+        Outcome::CacheGone | Outcome::OtherIncarnation => {}
+    }
+}
+
+/// Whether the KV cache offered with a run is still there afterwards.
+fn leaves_cache(outcome: Outcome) -> bool {
+    matches!(
+        outcome,
+        Outcome::Unreachable | Outcome::TurnedAway | Outcome::OtherIncarnation
+    )
+}
+
+fn is_proof_of_no_run(outcome: Outcome) -> bool {
+    match outcome {
+        Outcome::Unreachable
+        | Outcome::TurnedAway
+        | Outcome::OtherIncarnation
+        | Outcome::CacheGone => true,
+        Outcome::Failed | Outcome::Lost | Outcome::Garbled | Outcome::TimedOut => false,
+    }
+}
+
+fn evidence(outcome: Outcome) -> Evidence {
+    match outcome {
+        Outcome::Unreachable => Evidence::ConnectFailed,
+        Outcome::TurnedAway | Outcome::OtherIncarnation | Outcome::CacheGone => {
+            Evidence::RefusedNotRun
+        }
+        Outcome::Failed => Evidence::EngineFailed,
+        Outcome::Lost => Evidence::Silent,
+        Outcome::Garbled => Evidence::OutcomeUnknown,
+        Outcome::TimedOut => Evidence::TimedOut,
+    }
+}
--- /dev/null
+++ b/crates/direct-core/src/events.rs
@@ -0,0 +1,66 @@
+//! Boundaries of events in a stream of server-sent events.
+//!
+//! A stream that another server may continue is passed on in whole events, because the server that
+//! continues starts with the event after the last id. Half an event of a lost server would be
+//! joined with the whole one of the next.
+
+/// Splits a stream into whole events and remembers the last id.
+#[derive(Clone, Debug, Default)]
+pub struct EventScanner {
+    pending: Vec<u8>,
+    last_id: Option<String>,
+}
+
+impl EventScanner {
+    /// Scanner at the start of a stream.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Adds bytes; returns all whole events so far.
+    pub fn push(&mut self, bytes: &[u8]) -> Vec<u8> {
+        self.pending.extend_from_slice(bytes);
+        let Some(end) = end_of_last_event(&self.pending) else {
+            return Vec::new();
+        };
+        let rest = self.pending.split_off(end);
+        let whole = std::mem::replace(&mut self.pending, rest);
+        if let Some(id) = last_id(&whole) {
+            self.last_id = Some(id);
+        }
+        whole
+    }
+
+    /// Bytes of an event that has not ended.
+    pub fn rest(&mut self) -> Vec<u8> {
+        std::mem::take(&mut self.pending)
+    }
+
+    /// Id of the last whole event.
+    pub fn last_id(&self) -> Option<&str> {
+        self.last_id.as_deref()
+    }
+}
+
+/// Position after the last blank line.
+fn end_of_last_event(bytes: &[u8]) -> Option<usize> {
+    let mut line_start = 0;
+    let mut end = None;
+    for (index, byte) in bytes.iter().enumerate() {
+        if *byte != b'\n' {
+            continue;
+        }
+        let line = &bytes[line_start..index];
+        if line.is_empty() || line == b"\r" {
+            end = Some(index + 1);
+        }
+        line_start = index + 1;
+    }
+    end
+}
+
+fn last_id(events: &[u8]) -> Option<String> {
+    let text = String::from_utf8_lossy(events);
+    let id = text.lines().rev().find_map(|line| line.strip_prefix("id:"));
+    id.map(|id| id.trim().to_string())
+}
--- /dev/null
+++ b/crates/direct-core/src/lib.rs
@@ -0,0 +1,35 @@
+//! Decisions of an entry that calls backend servers itself, without agents.
+//!
+//! Nothing here does I/O or reads a clock; `cuminlead-direct` carries the decisions out.
+//!
+//! | module | holds |
+//! |---|---|
+//! | [`catalogue`] | routes, services and limits of one version of the configuration |
+//! | [`server`] | what is known of one backend server |
+//! | [`servers`] | the table of all backend servers |
+//! | [`health`] | failures seen first hand, and the pause that follows them |
+//! | [`placement`] | which server a request goes to |
+//! | [`call`] | the state of one request |
+//! | [`serving`] | catalogue, servers and budgets, as one context |
+//! | [`follow`] | following the registry without ever going back |
+//! | [`events`] | boundaries of events in a stream |
+
+pub mod call;
+pub mod catalogue;
+pub mod events;
+pub mod follow;
+pub mod health;
+pub mod placement;
+pub mod server;
+pub mod servers;
+pub mod serving;
+
+pub use call::{Action, Call, CallSpec, Outcome, Refusal, RefusalReason};
+pub use catalogue::{
+    CallerLimits, Catalogue, RequestKind, Route, RouteMatch, ServiceSpec, WeightedService,
+};
+pub use events::EventScanner;
+pub use follow::{Follower, Published, Query, RegistryError, Update};
+pub use server::{ServerRecord, ServerState, Stage};
+pub use servers::{ServerKey, ServerTable};
+pub use serving::Serving;
--- /dev/null
+++ b/crates/direct-core/src/placement.rs
@@ -0,0 +1,176 @@
+//! Which server a request goes to.
+//!
+//! Answers the load of these deployments: engines and services below half of their capacity, with
+//! short bursts, and with servers that fail. The cost of a server is the time that the request is
+//! expected to spend there: the way to it, the work of this process already under way at it, and
+//! the time lost if it fails. Reports of load are not read: they lag by a second, while the
+//! requests under way are known at once and fall together with a burst.
+
+use std::cmp::Ordering;
+
+use cuminlead_types::{AvailabilityZoneName, DurationUs, RegionName, ServiceName, TimeUs};
+use rand::{Rng, RngExt};
+
+use crate::server::Stage;
+use crate::servers::{REMOVED_HOLD, Server, ServerKey, ServerTable, Standing};
+
+/// Way to a server in the same availability zone and back.
+const WITHIN_ZONE_MS: f64 = 0.4;
+/// Way to a server in another availability zone of the region and back.
+const BETWEEN_ZONES_MS: f64 = 2.8;
+/// Way to a server in another region and back, with the time that its bytes take on the shared
+/// link.
+const BETWEEN_REGIONS_MS: f64 = 42.0;
+/// Time lost by a request that a server fails: the repeat and the time until the failure shows.
+const FAILURE_MS: f64 = 400.0;
+/// Delay by one request that is under way at a server, for plain requests.
+const PLAIN_WORK_MS: f64 = 12.0;
+/// Delay by one prompt that is being computed: 5,200 tokens at 55 tokens a ms.
+const PREFILL_WORK_MS: f64 = 95.0;
+/// Delay by one answer that is being generated: the longer steps of a fuller batch.
+const DECODE_WORK_MS: f64 = 12.0;
+/// Costs closer than this count as equal, so that work spreads.
+const TIE_MS: f64 = 0.5;
+
+/// Where a request comes from.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Origin {
+    /// Availability zone.
+    pub availability_zone: AvailabilityZoneName,
+    /// Region.
+    pub region: RegionName,
+}
+
+/// What a request needs.
+#[derive(Clone, Copy, Debug)]
+pub struct Need<'a> {
+    /// Service.
+    pub service: &'a ServiceName,
+    /// Stage, for engines.
+    pub stage: Option<Stage>,
+    /// Where the bytes come from.
+    pub origin: &'a Origin,
+    /// Only servers of this region.
+    pub region: Option<&'a RegionName>,
+    /// Servers that have refused or failed this request.
+    pub excluded: &'a [ServerKey],
+}
+
+/// Why no server was chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NoServer {
+    /// All are paused; the first pause ends at the given time.
+    PausedUntil(TimeUs),
+    /// None is published, or all have refused this request.
+    None,
+}
+
+/// Chooses the server with the lowest cost; among equals, one at random.
+pub fn choose(
+    now: TimeUs,
+    servers: &ServerTable,
+    need: Need<'_>,
+    rng: &mut dyn Rng,
+) -> Result<ServerKey, NoServer> {
+    let is_ready = |server: &Server| server.standing == Standing::Ready;
+    let is_removed = |server: &Server| match server.standing {
+        Standing::Removed(since) => now.since(since) < REMOVED_HOLD,
+        Standing::Ready | Standing::Leaving => false,
+    };
+    let ready = cheapest(now, servers, need, rng, is_ready);
+    match ready {
+        Ok(key) => Ok(key),
+        Err(no_server) => cheapest(now, servers, need, rng, is_removed).map_err(|_| no_server),
+    }
+}
+
+fn cheapest(
+    now: TimeUs,
+    servers: &ServerTable,
+    need: Need<'_>,
+    rng: &mut dyn Rng,
+    is_allowed: impl Fn(&Server) -> bool,
+) -> Result<ServerKey, NoServer> {
+    let mut best: Option<(f64, ServerKey)> = None;
+    let mut ties = 1_u32;
+    let mut first_pause_end: Option<TimeUs> = None;
+    for (key, server) in servers.of_service(need.service) {
+        if !is_allowed(server) || !fits(server, need) || need.excluded.contains(&key) {
+            continue;
+        }
+        if server.health.is_paused(now) {
+            let until = server.health.paused_until();
+            first_pause_end = Some(first_pause_end.map_or(until, |first| first.min(until)));
+            continue;
+        }
+        let cost = cost_ms(now, server, need);
+        let order = best.map_or(Ordering::Less, |(least, _)| compare(cost, least));
+        match order {
+            Ordering::Less => {
+                best = Some((cost, key));
+                ties = 1;
+            }
+            Ordering::Equal => {
+                ties += 1;
+                if rng.random_range(0..ties) == 0 {
+                    best = Some((cost, key));
+                }
+            }
+            Ordering::Greater => {}
+        }
+    }
+    match (best, first_pause_end) {
+        (Some((_, key)), _) => Ok(key),
+        (None, Some(until)) => Err(NoServer::PausedUntil(until)),
+        (None, None) => Err(NoServer::None),
+    }
+}
+
+fn fits(server: &Server, need: Need<'_>) -> bool {
+    let is_stage = need.stage.is_none() || server.record.stage == need.stage;
+    let is_region = need.region.is_none() || server.region.as_ref() == need.region;
+    is_stage && is_region
+}
+
+fn compare(cost: f64, least: f64) -> Ordering {
+    if (cost - least).abs() < TIE_MS {
+        Ordering::Equal
+    } else {
+        cost.total_cmp(&least)
+    }
+}
+
+/// Expected time of a request at a server beyond its own work.
+pub fn cost_ms(now: TimeUs, server: &Server, need: Need<'_>) -> f64 {
+    let work_ms = match need.stage {
+        Some(Stage::Prefill) => PREFILL_WORK_MS,
+        Some(Stage::Decode) => DECODE_WORK_MS,
+        None => PLAIN_WORK_MS,
+    };
+    distance_ms(server, need.origin)
+        + f64::from(server.in_flight_count) * work_ms
+        + server.health.failure_rate(now) * FAILURE_MS
+}
+
+fn distance_ms(server: &Server, origin: &Origin) -> f64 {
+    if server.record.availability_zone == origin.availability_zone {
+        WITHIN_ZONE_MS
+    } else if server.region.as_ref() == Some(&origin.region) {
+        BETWEEN_ZONES_MS
+    } else {
+        BETWEEN_REGIONS_MS
+    }
+}
+
+/// Time after which a refused caller finds a server, as far as this is known.
+pub fn retry_after(now: TimeUs, no_server: NoServer) -> DurationUs {
+    match no_server {
+        NoServer::PausedUntil(until) => until.since(now).max(RETRY_AFTER_MIN),
+        NoServer::None => RETRY_AFTER_UNKNOWN,
+    }
+}
+
+/// Shortest announced time; a caller that comes back sooner meets the same refusal.
+const RETRY_AFTER_MIN: DurationUs = DurationUs::from_ms(200);
+/// Announced time when no server is known. Published entries are renewed about every second.
+const RETRY_AFTER_UNKNOWN: DurationUs = DurationUs::from_ms(1_000);
--- /dev/null
+++ b/crates/direct-core/src/servers.rs
@@ -0,0 +1,166 @@
+//! The table of all backend servers.
+//!
+//! A removed entry is not forgotten at once. Entries lapse together while the registry is away and
+//! come back within two seconds of its return, so a removed server stays for
+//! [`REMOVED_HOLD`] as a last resort: it gets work only if its service has no other server.
+
+use std::collections::HashMap;
+
+use cuminlead_types::{BackendServerId, DurationUs, RegionName, ServiceName, TimeUs};
+use slotmap::{SlotMap, new_key_type};
+
+use crate::health::Health;
+use crate::server::{ServerRecord, ServerState};
+
+/// Time for which a removed server is a last resort. It covers the two seconds in which lapsed
+/// entries come back and is below the 2.5 s after which a leaving server must get no work.
+pub const REMOVED_HOLD: DurationUs = DurationUs::from_ms(2_200);
+
+new_key_type! {
+    /// Reference to a server of the table.
+    pub struct ServerKey;
+}
+
+/// Whether a server may get new work, as far as it is published.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// Published as ready.
+    Ready,
+    /// Its entry is gone since the given time.
+    Removed(TimeUs),
+    /// It gets no new work.
+    Leaving,
+}
+
+/// A backend server with what this process knows of it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Server {
+    /// Published entry.
+    pub record: ServerRecord,
+    /// Region of its availability zone.
+    pub region: Option<RegionName>,
+    /// Whether it may get new work.
+    pub standing: Standing,
+    /// First-hand evidence.
+    pub health: Health,
+    /// Requests of this process that are under way there.
+    pub in_flight_count: u32,
+}
+
+/// All backend servers, by key, id and service.
+#[derive(Clone, Debug, Default)]
+pub struct ServerTable {
+    servers: SlotMap<ServerKey, Server>,
+    by_id: HashMap<BackendServerId, ServerKey>,
+    by_service: HashMap<ServiceName, Vec<ServerKey>>,
+}
+
+impl ServerTable {
+    /// Server, unless it is gone.
+    pub fn get(&self, key: ServerKey) -> Option<&Server> {
+        self.servers.get(key)
+    }
+
+    /// Server for changes, unless it is gone.
+    pub fn get_mut(&mut self, key: ServerKey) -> Option<&mut Server> {
+        self.servers.get_mut(key)
+    }
+
+    /// Servers of a service.
+    pub fn of_service(&self, service: &ServiceName) -> impl Iterator<Item = (ServerKey, &Server)> {
+        let keys = self.by_service.get(service).into_iter().flatten();
+        keys.filter_map(|key| self.servers.get(*key).map(|server| (*key, server)))
+    }
+
+    /// All servers.
+    pub fn iter(&self) -> impl Iterator<Item = (ServerKey, &Server)> {
+        self.servers.iter()
+    }
+
+    /// Key of an id.
+    pub fn key_of(&self, id: &BackendServerId) -> Option<ServerKey> {
+        self.by_id.get(id).copied()
+    }
+
+    /// Applies a published entry.
+    ///
+    /// An entry under a known id with another address, service or start is another incarnation:
+    /// what was known of the earlier one does not hold for it.
+    pub fn publish(&mut self, record: ServerRecord, region: Option<RegionName>) -> ServerKey {
+        let standing = match record.state {
+            ServerState::Ready => Standing::Ready,
+            ServerState::Draining => Standing::Leaving,
+        };
+        if let Some(key) = self.key_of(&record.id) {
+            if let Some(server) = self.servers.get_mut(key)
+                && is_same_incarnation(&server.record, &record)
+            {
+                server.record = record;
+                server.region = region;
+                server.standing = standing;
+                return key;
+            }
+            self.forget(key);
+        }
+        let (id, service) = (record.id.clone(), record.service.clone());
+        let key = self.servers.insert(Server {
+            record,
+            region,
+            standing,
+            health: Health::default(),
+            in_flight_count: 0,
+        });
+        self.by_id.insert(id, key);
+        self.by_service.entry(service).or_default().push(key);
+        key
+    }
+
+    /// Applies the removal of an entry.
+    pub fn remove(&mut self, now: TimeUs, id: &BackendServerId) {
+        let Some(key) = self.key_of(id) else { return };
+        let Some(server) = self.servers.get_mut(key) else {
+            return;
+        };
+        match server.standing {
+            Standing::Ready => server.standing = Standing::Removed(now),
+            Standing::Removed(_) => {}
+            Standing::Leaving => self.forget(key),
+        }
+    }
+
+    /// Forgets a server that is known to have ended, such as one whose address answers as another.
+    pub fn forget(&mut self, key: ServerKey) {
+        let Some(server) = self.servers.remove(key) else {
+            return;
+        };
+        if self.by_id.get(&server.record.id) == Some(&key) {
+            self.by_id.remove(&server.record.id);
+        }
+        if let Some(keys) = self.by_service.get_mut(&server.record.service) {
+            keys.retain(|other| *other != key);
+        }
+    }
+
+    /// Forgets servers whose entries have been gone for [`REMOVED_HOLD`].
+    pub fn expire(&mut self, now: TimeUs) {
+        let is_expired = |server: &Server| match server.standing {
+            Standing::Removed(since) => now.since(since) >= REMOVED_HOLD,
+            Standing::Ready | Standing::Leaving => false,
+        };
+        let keys: Vec<_> = self
+            .servers
+            .iter()
+            .filter(|(_, server)| is_expired(server))
+            .map(|(key, _)| key)
+            .collect();
+        for key in keys {
+            self.forget(key);
+        }
+    }
+}
+
+fn is_same_incarnation(known: &ServerRecord, published: &ServerRecord) -> bool {
+    known.address == published.address
+        && known.service == published.service
+        && known.started_at_ms == published.started_at_ms
+}
--- /dev/null
+++ b/crates/direct-core/src/serving.rs
@@ -0,0 +1,125 @@
+//! Catalogue, servers and budgets, as the one context that requests decide over.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use cuminlead_retry::{RetryBudget, RetryLimits};
+use cuminlead_types::{AvailabilityZoneName, RegionName, ServiceName, TimeUs};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use crate::catalogue::{Catalogue, Route};
+use crate::follow::Update;
+use crate::placement::Origin;
+use crate::servers::{ServerKey, ServerTable};
+
+/// Settings of the context.
+#[derive(Clone, Debug)]
+pub struct ServingConfig {
+    /// Where this process runs.
+    pub origin: Origin,
+    /// Region of each availability zone.
+    pub regions: HashMap<AvailabilityZoneName, RegionName>,
+    /// Bound on repeats for each service.
+    pub retry_limits: RetryLimits,
+    /// Seed of random choices.
+    pub seed: u64,
+}
+
+/// What requests decide over; owned by the traffic thread.
+#[derive(Debug)]
+pub struct Serving {
+    pub(crate) config: ServingConfig,
+    catalogue: Option<Arc<Catalogue>>,
+    /// Backend servers.
+    pub servers: ServerTable,
+    budgets: HashMap<ServiceName, RetryBudget>,
+    is_synced: bool,
+    pub(crate) rng: SmallRng,
+}
+
+impl Serving {
+    /// Context that knows nothing yet.
+    pub fn new(config: ServingConfig) -> Self {
+        let rng = SmallRng::seed_from_u64(config.seed);
+        Self {
+            config,
+            catalogue: None,
+            servers: ServerTable::default(),
+            budgets: HashMap::new(),
+            is_synced: false,
+            rng,
+        }
+    }
+
+    /// Applies a change of what is published.
+    pub fn apply(&mut self, now: TimeUs, update: Update) {
+        match update {
+            Update::Catalogue(catalogue) => {
+                let is_newer = self
+                    .catalogue
+                    .as_ref()
+                    .is_none_or(|known| catalogue.version() > known.version());
+                if is_newer {
+                    self.catalogue = Some(catalogue);
+                }
+            }
+            Update::Server(record) => {
+                let region = self.config.regions.get(&record.availability_zone).cloned();
+                self.servers.publish(record, region);
+            }
+            Update::ServerRemoved(id) => self.servers.remove(now, &id),
+            Update::Synced(_) => self.is_synced = true,
+            Update::Unusable { .. } | Update::Lost(_) | Update::Regained => {}
+        }
+    }
+
+    /// Configuration in force.
+    pub fn catalogue(&self) -> Option<&Arc<Catalogue>> {
+        self.catalogue.as_ref()
+    }
+
+    /// Whether requests can be served: the configuration and the servers have been read.
+    pub fn is_ready(&self) -> bool {
+        self.is_synced && self.catalogue.is_some()
+    }
+
+    /// Service for a request of a route, by the weights of the route.
+    pub fn pick_service(&mut self, route: &Route) -> Option<ServiceName> {
+        use rand::RngExt;
+        let total: u32 = route.services.iter().map(|part| part.weight).sum();
+        if total == 0 {
+            return route.services.first().map(|part| part.service.clone());
+        }
+        let mut drawn = self.rng.random_range(0..total);
+        for part in &route.services {
+            if drawn < part.weight {
+                return Some(part.service.clone());
+            }
+            drawn -= part.weight;
+        }
+        None
+    }
+
+    /// Budget of repeats for a service.
+    pub fn budget(&mut self, service: &ServiceName) -> &mut RetryBudget {
+        let limits = self.config.retry_limits;
+        self.budgets
+            .entry(service.clone())
+            .or_insert_with(|| RetryBudget::with_limits(limits))
+    }
+
+    /// Counts a request as under way at a server.
+    pub fn begin(&mut self, key: ServerKey) {
+        if let Some(server) = self.servers.get_mut(key) {
+            server.in_flight_count += 1;
+        }
+    }
+
+    /// Counts a request as ended at a server.
+    pub fn end(&mut self, key: ServerKey) {
+        if let Some(server) = self.servers.get_mut(key) {
+            server.in_flight_count = server.in_flight_count.saturating_sub(1);
+        }
+    }
+}
--- /dev/null
+++ b/crates/direct/src/adapter.rs
@@ -0,0 +1,115 @@
+//! The borders that a platform implements.
+//!
+//! A platform decides how configuration and backend servers are published, and which headers carry
+//! the identity of a request, its remaining time and the evidence of a run. An adapter translates
+//! that into the types of `cuminlead-direct-core` and registers itself here by name.
+
+use std::sync::Arc;
+
+use cuminlead_direct_core::follow::{Page, Query, RegistryError};
+use cuminlead_settings::EntrySettings;
+use cuminlead_types::{BackendServerId, DurationUs, Tokens};
+use http::{HeaderMap, Method, StatusCode};
+
+/// Where configuration and backend servers are published.
+pub trait Registry: Send {
+    /// Answers a query; blocks until then.
+    fn query(&mut self, query: &Query) -> Result<Page, RegistryError>;
+}
+
+/// What a request says of itself.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct CallerRequest {
+    /// Identity, unique for each attempt of the caller.
+    pub id: String,
+    /// Time that the caller waits.
+    pub patience: Option<DurationUs>,
+    /// Tokens of the prompt, for model calls.
+    pub prompt_tokens: Option<Tokens>,
+}
+
+/// What a run tells its server.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RunOrder<'a> {
+    /// Incarnation that is meant.
+    pub server: &'a BackendServerId,
+    /// Time left for the answer.
+    pub time_left: DurationUs,
+    /// Address and name of the KV cache to take.
+    pub cache: Option<(std::net::SocketAddr, &'a str)>,
+    /// Id of the last event that the caller has; the stream continues after it.
+    pub resume_after: Option<&'a str>,
+}
+
+/// What the head of an answer means.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AnswerMeaning {
+    /// The request succeeded.
+    Success,
+    /// The server ran the request and failed, and says so in a form that can be passed on.
+    Failure,
+    /// The server did not run the request and has no room.
+    TurnedAway,
+    /// The server is another incarnation than the one that was meant; it ran nothing.
+    OtherIncarnation,
+    /// It is not an answer to this request, or cannot be passed on.
+    Unusable,
+}
+
+/// Headers by which requests, runs and answers are described.
+pub trait Dialect: Send + Sync {
+    /// Reads what a request says of itself; the error is a reason for the caller.
+    fn read_request(&self, headers: &HeaderMap) -> Result<CallerRequest, String>;
+
+    /// Headers of a request that are passed on to servers.
+    fn forwarded(&self, headers: &HeaderMap) -> HeaderMap;
+
+    /// Adds what a run tells its server.
+    fn order_run(&self, headers: &mut HeaderMap, order: &RunOrder<'_>);
+
+    /// Adds that only the prompt is to be computed.
+    fn order_prefill(&self, headers: &mut HeaderMap, order: &RunOrder<'_>);
+
+    /// Reads the head of an answer.
+    fn read_answer(
+        &self,
+        request: &CallerRequest,
+        status: StatusCode,
+        headers: &HeaderMap,
+    ) -> AnswerMeaning;
+
+    /// Reads the name of the KV cache from the answer to a prefill.
+    fn read_prefill(&self, body: &[u8]) -> Result<String, String>;
+
+    /// Request that frees a KV cache at its server.
+    fn release(&self, handle: &str) -> (Method, String);
+
+    /// Headers of an answer that are passed on to the caller.
+    fn answered(&self, headers: &HeaderMap) -> HeaderMap;
+}
+
+/// Platform, ready for use by one process.
+pub struct Adapter {
+    /// Where configuration and servers are published.
+    pub registry: Box<dyn Registry>,
+    /// Headers of requests and answers.
+    pub dialect: Arc<dyn Dialect>,
+}
+
+/// Registration of an adapter.
+#[derive(Clone, Copy, Debug)]
+pub struct AdapterPlugin {
+    /// Name in the settings.
+    pub name: &'static str,
+    /// Builds the adapter.
+    pub build: fn(&EntrySettings) -> Adapter,
+}
+
+inventory::collect!(AdapterPlugin);
+
+/// Adapter by name.
+pub fn find(name: &str) -> Option<&'static AdapterPlugin> {
+    inventory::iter::<AdapterPlugin>
+        .into_iter()
+        .find(|plugin| plugin.name == name)
+}
--- /dev/null
+++ b/crates/direct/src/drive.rs
@@ -0,0 +1,185 @@
+//! Carries out the actions of a call until there is an answer for the caller.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use cuminlead_direct_core::call::CacheRef;
+use cuminlead_direct_core::{Action, Call, Outcome, Refusal, ServerKey};
+use cuminlead_types::DurationUs;
+use slog::{debug, info};
+use tokio::time::timeout;
+
+use crate::app::App;
+use crate::exchange::{self, Answer, CallerExchange, HeldAnswer, PartialAnswer, RunInput};
+
+/// How a call ended, or its stream began.
+pub enum Driven {
+    /// Whole answer of a server.
+    Answered(HeldAnswer),
+    /// First part of an answer.
+    Streaming(Box<PartialAnswer>),
+    /// No answer of a server.
+    Refused(Refusal),
+}
+
+/// KV cache that waits for its decode; freed when it is dropped unused.
+struct HeldCache {
+    app: Rc<App>,
+    cache: CacheRef,
+    address: SocketAddr,
+    is_used: bool,
+}
+
+impl Drop for HeldCache {
+    fn drop(&mut self) {
+        if !self.is_used {
+            let (server, handle) = (self.cache.server, self.cache.handle.clone());
+            tokio::task::spawn_local(exchange::release(Rc::clone(&self.app), server, handle));
+        }
+    }
+}
+
+/// Drives a call; `resume_after` is the last event that the caller has of an interrupted stream.
+pub async fn drive(
+    app: &Rc<App>,
+    call: &mut Call,
+    exchange: &CallerExchange,
+    resume_after: Option<&str>,
+) -> Driven {
+    let mut failure: Option<HeldAnswer> = None;
+    let mut held: Option<HeldCache> = None;
+    loop {
+        let action = call.next(app.now(), &mut app.serving.borrow_mut());
+        match action {
+            Action::Refuse(refusal) => return Driven::Refused(refusal),
+            Action::Deliver => {
+                if let Some(failure) = failure {
+                    return Driven::Answered(failure);
+                }
+                return Driven::Refused(call.timed_out());
+            }
+            Action::Prefill {
+                server,
+                timeout: time_max,
+            } => held = prefill(app, call, exchange, server, time_max).await,
+            Action::Run {
+                server,
+                cache,
+                timeout: time_max,
+            } => {
+                let cache = match (&cache, &held) {
+                    (Some(_), Some(held)) => Some((held.address, held.cache.handle.as_str())),
+                    _ => None,
+                };
+                let input = RunInput {
+                    cache,
+                    resume_after,
+                };
+                let ran = within(time_max, exchange::run(app, exchange, server, input)).await;
+                if let Some(held) = &mut held
+                    && matches!(ran, Ok(_) | Err(Outcome::CacheGone))
+                {
+                    held.is_used = true;
+                }
+                let now = app.now();
+                let mut serving = app.serving.borrow_mut();
+                match ran {
+                    Ok(Answer::Whole(answer)) if !answer.is_failure => {
+                        call.run_answered(now, &mut serving, server);
+                        return Driven::Answered(answer);
+                    }
+                    Ok(Answer::Whole(answer)) => {
+                        call.run_failed(now, &mut serving, server, Outcome::Failed);
+                        log_failure(app, exchange, &serving, server, "run", Outcome::Failed);
+                        failure = Some(answer);
+                    }
+                    Ok(Answer::Parts(answer)) => return Driven::Streaming(Box::new(answer)),
+                    Err(outcome) => {
+                        log_failure(app, exchange, &serving, server, "run", outcome);
+                        call.run_failed(now, &mut serving, server, outcome);
+                        drop(serving);
+                        after_failure(app, server, outcome);
+                    }
+                }
+            }
+        }
+    }
+}
+
+async fn prefill(
+    app: &Rc<App>,
+    call: &mut Call,
+    exchange: &CallerExchange,
+    server: ServerKey,
+    time_max: DurationUs,
+) -> Option<HeldCache> {
+    let computed = within(Some(time_max), exchange::prefill(app, exchange, server)).await;
+    let now = app.now();
+    let mut serving = app.serving.borrow_mut();
+    let address = serving
+        .servers
+        .get(server)
+        .map(|server| server.record.address);
+    match (computed, address) {
+        (Ok(handle), Some(address)) => {
+            let cache = CacheRef { server, handle };
+            call.prefill_done(now, &mut serving, cache.clone());
+            Some(HeldCache {
+                app: Rc::clone(app),
+                cache,
+                address,
+                is_used: false,
+            })
+        }
+        (computed, _) => {
+            let outcome = computed.err().unwrap_or(Outcome::Lost);
+            log_failure(app, exchange, &serving, server, "prefill", outcome);
+            call.prefill_failed(now, &mut serving, server, outcome);
+            drop(serving);
+            after_failure(app, server, outcome);
+            None
+        }
+    }
+}
+
+/// Runs a step for at most `time_max`; dropping it closes its connection, which cancels it at the
+/// server.
+async fn within<T>(
+    time_max: Option<DurationUs>,
+    step: impl Future<Output = Result<T, Outcome>>,
+) -> Result<T, Outcome> {
+    let Some(time_max) = time_max else {
+        return step.await;
+    };
+    let ended = timeout(Duration::from(time_max), step).await;
+    ended.unwrap_or(Err(Outcome::TimedOut))
+}
+
+/// A server that did not answer may have lost track of all its connections.
+fn after_failure(app: &App, server: ServerKey, outcome: Outcome) {
+    if matches!(outcome, Outcome::TimedOut | Outcome::Unreachable) {
+        app.pool.borrow_mut().forget(server);
+    }
+}
+
+fn log_failure(
+    app: &App,
+    exchange: &CallerExchange,
+    serving: &cuminlead_direct_core::Serving,
+    server: ServerKey,
+    step: &'static str,
+    outcome: Outcome,
+) {
+    app.metrics.count_step_failure(step, outcome);
+    let Some(server) = serving.servers.get(server) else {
+        debug!(app.log, "step failed"; "request" => &exchange.request.id, "step" => step,
+            "outcome" => %outcome);
+        return;
+    };
+    info!(app.log, "step failed"; "request" => &exchange.request.id, "step" => step,
+        "outcome" => %outcome, "server" => %server.record.id,
+        "in_flight" => server.in_flight_count,
+        "left_ms" => exchange.deadline.since(app.now()).as_ms());
+}
--- /dev/null
+++ b/crates/direct/src/exchange.rs
@@ -0,0 +1,338 @@
+//! Sends one request to one server and reads the head of its answer.
+//!
+//! A short answer is held until it is whole, so that one that breaks off is never passed on as if
+//! it were complete, and so that the request can go to another server where that is allowed.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use cuminlead_direct_core::{Outcome, RequestKind, ServerKey};
+use cuminlead_types::{BackendServerId, DurationUs, TimeUs};
+use http::{HeaderMap, Method, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use tokio::time::timeout;
+
+use crate::adapter::{AnswerMeaning, CallerRequest, RunOrder};
+use crate::app::{App, InFlight};
+use crate::channel::{Channel, SendError};
+use crate::pool::{IDLE_MAX_ONCE, idle_max};
+
+/// Longest answer that is held until it is whole. Answers of plain services are a few KB; a longer
+/// one is passed on as it comes.
+const HELD_MAX_BYTES: usize = 256 * 1024;
+/// Time for the release of a KV cache to be answered. The cache lapses by itself soon after.
+const RELEASE_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Request of a caller, read whole.
+#[derive(Debug)]
+pub struct CallerExchange {
+    /// What it says of itself.
+    pub request: CallerRequest,
+    /// Method.
+    pub method: Method,
+    /// Path and query, as they came.
+    pub path: String,
+    /// Headers that go to servers.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+    /// What may be repeated.
+    pub kind: RequestKind,
+    /// Time at which the caller or the route gives up.
+    pub deadline: TimeUs,
+}
+
+impl CallerExchange {
+    fn request(&self, headers: HeaderMap) -> Option<Request<Full<Bytes>>> {
+        let mut request = Request::builder()
+            .method(self.method.clone())
+            .uri(self.path.as_str())
+            .body(Full::new(self.body.clone()))
+            .ok()?;
+        *request.headers_mut() = headers;
+        Some(request)
+    }
+
+    fn may_repeat(&self) -> bool {
+        matches!(
+            self.kind,
+            RequestKind::Idempotent | RequestKind::Stream { resumable: true }
+        )
+    }
+}
+
+/// Answer of a server.
+pub enum Answer {
+    /// Whole answer.
+    Whole(HeldAnswer),
+    /// Answer that arrives in parts.
+    Parts(PartialAnswer),
+}
+
+/// Answer that is whole in memory.
+#[derive(Clone, Debug)]
+pub struct HeldAnswer {
+    /// Status.
+    pub status: StatusCode,
+    /// Headers for the caller.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+    /// Whether the server says that it failed.
+    pub is_failure: bool,
+}
+
+/// Answer of which more parts are to come.
+pub struct PartialAnswer {
+    /// Status.
+    pub status: StatusCode,
+    /// Headers for the caller.
+    pub headers: HeaderMap,
+    /// First part.
+    pub first: Bytes,
+    /// Rest.
+    pub rest: Incoming,
+    /// Connection and place of the request.
+    pub lease: ServerLease,
+}
+
+/// Connection to a server with the request's place there; dropping it cancels the request.
+pub struct ServerLease {
+    app: Rc<App>,
+    /// Server.
+    pub server: ServerKey,
+    channel: Option<Channel>,
+    idle_max: DurationUs,
+    _in_flight: InFlight,
+}
+
+impl ServerLease {
+    /// Keeps the connection for other requests; the answer was read to its end.
+    pub fn finish(mut self) {
+        if let Some(channel) = self.channel.take() {
+            let mut pool = self.app.pool.borrow_mut();
+            pool.put(self.app.now(), self.server, channel, self.idle_max);
+        }
+    }
+}
+
+/// What a run is given beside the request.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct RunInput<'a> {
+    /// Address and name of a KV cache.
+    pub cache: Option<(SocketAddr, &'a str)>,
+    /// Id of the last event that the caller has.
+    pub resume_after: Option<&'a str>,
+}
+
+/// Runs the request at a server until its answer is whole or its first part is there.
+pub async fn run(
+    app: &Rc<App>,
+    exchange: &CallerExchange,
+    server: ServerKey,
+    input: RunInput<'_>,
+) -> Result<Answer, Outcome> {
+    let (id, address) = identity(app, server).ok_or(Outcome::Unreachable)?;
+    let mut headers = exchange.headers.clone();
+    let order = RunOrder {
+        server: &id,
+        time_left: exchange.deadline.since(app.now()),
+        cache: input.cache,
+        resume_after: input.resume_after,
+    };
+    app.dialect.order_run(&mut headers, &order);
+    let request = exchange.request(headers).ok_or(Outcome::Unreachable)?;
+    let kept_idle_max = (!exchange.may_repeat()).then_some(IDLE_MAX_ONCE);
+    let (mut lease, response) = send(app, server, address, request, kept_idle_max).await?;
+    let (parts, rest) = response.into_parts();
+    lease.idle_max = idle_max(&parts.headers);
+    let meaning = app
+        .dialect
+        .read_answer(&exchange.request, parts.status, &parts.headers);
+    let is_failure = match meaning {
+        AnswerMeaning::Success => false,
+        AnswerMeaning::Failure => true,
+        AnswerMeaning::TurnedAway | AnswerMeaning::OtherIncarnation => {
+            drain(lease, rest).await;
+            return Err(match meaning {
+                AnswerMeaning::OtherIncarnation => Outcome::OtherIncarnation,
+                _ if input.cache.is_some() => Outcome::CacheGone,
+                _ => Outcome::TurnedAway,
+            });
+        }
+        AnswerMeaning::Unusable => return Err(Outcome::Garbled),
+    };
+    let headers = app.dialect.answered(&parts.headers);
+    let is_stream = matches!(exchange.kind, RequestKind::Stream { .. }) && !is_failure;
+    let hold_max_bytes = if is_stream { 0 } else { HELD_MAX_BYTES };
+    match collect(rest, hold_max_bytes).await? {
+        Collected::Whole(body) => {
+            lease.finish();
+            Ok(Answer::Whole(HeldAnswer {
+                status: parts.status,
+                headers,
+                body,
+                is_failure,
+            }))
+        }
+        Collected::Partial(first, rest) => Ok(Answer::Parts(PartialAnswer {
+            status: parts.status,
+            headers,
+            first,
+            rest,
+            lease,
+        })),
+    }
+}
+
+/// Has the prompt computed; returns the name of the KV cache.
+pub async fn prefill(
+    app: &Rc<App>,
+    exchange: &CallerExchange,
+    server: ServerKey,
+) -> Result<String, Outcome> {
+    let (id, address) = identity(app, server).ok_or(Outcome::Unreachable)?;
+    let mut headers = exchange.headers.clone();
+    let order = RunOrder {
+        server: &id,
+        time_left: exchange.deadline.since(app.now()),
+        cache: None,
+        resume_after: None,
+    };
+    app.dialect.order_prefill(&mut headers, &order);
+    let request = exchange.request(headers).ok_or(Outcome::Unreachable)?;
+    let (mut lease, response) = send(app, server, address, request, None).await?;
+    let (parts, rest) = response.into_parts();
+    lease.idle_max = idle_max(&parts.headers);
+    let meaning = app
+        .dialect
+        .read_answer(&exchange.request, parts.status, &parts.headers);
+    match meaning {
+        AnswerMeaning::TurnedAway => {
+            drain(lease, rest).await;
+            return Err(Outcome::TurnedAway);
+        }
+        AnswerMeaning::OtherIncarnation => return Err(Outcome::OtherIncarnation),
+        _ if parts.status != StatusCode::OK => return Err(Outcome::Failed),
+        // The answer is for this process and carries no signature.
+        _ => {}
+    }
+    let Collected::Whole(body) = collect(rest, HELD_MAX_BYTES).await? else {
+        return Err(Outcome::Garbled);
+    };
+    lease.finish();
+    app.dialect
+        .read_prefill(&body)
+        .map_err(|_| Outcome::Garbled)
+}
+
+/// Frees a KV cache that no run has taken; a cache that cannot be freed lapses by itself.
+pub async fn release(app: Rc<App>, server: ServerKey, handle: String) {
+    let Some((_, address)) = identity(&app, server) else {
+        return;
+    };
+    let (method, path) = app.dialect.release(&handle);
+    let request = Request::builder()
+        .method(method)
+        .uri(path)
+        .header(http::header::HOST, address.to_string())
+        .body(Full::new(Bytes::new()));
+    let Ok(request) = request else { return };
+    let sent = timeout(RELEASE_TIMEOUT, send(&app, server, address, request, None)).await;
+    if let Ok(Ok((lease, response))) = sent {
+        drain(lease, response.into_body()).await;
+    }
+}
+
+fn identity(app: &App, server: ServerKey) -> Option<(BackendServerId, SocketAddr)> {
+    let serving = app.serving.borrow();
+    let server = serving.servers.get(server)?;
+    Some((server.record.id.clone(), server.record.address))
+}
+
+/// Sends on a kept connection, or on a new one when none can take the request.
+async fn send(
+    app: &Rc<App>,
+    server: ServerKey,
+    address: SocketAddr,
+    mut request: Request<Full<Bytes>>,
+    kept_idle_max: Option<DurationUs>,
+) -> Result<(ServerLease, Response<Incoming>), Outcome> {
+    let in_flight = InFlight::begin(app, server);
+    loop {
+        let kept = take_usable(app, server, kept_idle_max).await;
+        let is_kept = kept.is_some();
+        let mut channel = match kept {
+            Some(channel) => channel,
+            None => {
+                app.metrics.channels_opened.inc();
+                Channel::connect(address)
+                    .await
+                    .ok_or(Outcome::Unreachable)?
+            }
+        };
+        match channel.send(request).await {
+            Ok(response) => {
+                let lease = ServerLease {
+                    app: Rc::clone(app),
+                    server,
+                    channel: Some(channel),
+                    idle_max: DurationUs::ZERO,
+                    _in_flight: in_flight,
+                };
+                return Ok((lease, response));
+            }
+            Err(SendError::NotSent(unsent)) if is_kept => request = *unsent,
+            Err(SendError::NotSent(_)) => return Err(Outcome::Unreachable),
+            Err(SendError::Lost(_)) => return Err(Outcome::Lost),
+        }
+    }
+}
+
+async fn take_usable(
+    app: &Rc<App>,
+    server: ServerKey,
+    idle_max: Option<DurationUs>,
+) -> Option<Channel> {
+    loop {
+        let taken = app.pool.borrow_mut().take(app.now(), server, idle_max);
+        let mut channel = taken?;
+        if channel.is_usable().await {
+            return Some(channel);
+        }
+    }
+}
+
+/// Reads a short answer to its end, so that its connection can be kept.
+async fn drain(lease: ServerLease, rest: Incoming) {
+    if let Ok(Collected::Whole(_)) = collect(rest, HELD_MAX_BYTES).await {
+        lease.finish();
+    }
+}
+
+enum Collected {
+    Whole(Bytes),
+    /// More than was to be held.
+    Partial(Bytes, Incoming),
+}
+
+/// Reads a body until it is whole or longer than `hold_max_bytes`.
+async fn collect(mut rest: Incoming, hold_max_bytes: usize) -> Result<Collected, Outcome> {
+    let mut held = BytesMut::new();
+    loop {
+        let Some(frame) = rest.frame().await else {
+            return Ok(Collected::Whole(held.freeze()));
+        };
+        let frame = frame.map_err(|_| Outcome::Lost)?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        held.extend_from_slice(&data);
+        if held.len() > hold_max_bytes {
+            return Ok(Collected::Partial(held.freeze(), rest));
+        }
+    }
+}
--- /dev/null
+++ b/crates/direct/src/process.rs
@@ -0,0 +1,221 @@
+//! Start and stop.
+//!
+//! On SIGTERM readiness fails at once while connections are still taken, because the balancer needs
+//! two looks a second apart to turn away. Then idle connections close, and the process ends with
+//! its last request, or shortly before it would be killed.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use cuminlead_direct_core::Serving;
+use cuminlead_direct_core::follow::Update;
+use cuminlead_direct_core::placement::Origin;
+use cuminlead_direct_core::serving::ServingConfig;
+use cuminlead_kernel::Clock;
+use cuminlead_process::{StartError, admin};
+use cuminlead_retry::RetryLimits;
+use cuminlead_settings::EntrySettings;
+use cuminlead_telemetry::{Metrics, log};
+use error_stack::{Report, ResultExt};
+use slog::{Logger, info, warn};
+use tokio::net::TcpListener;
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
+use tokio::sync::watch;
+use tokio::task::LocalSet;
+use tokio::time::{Instant, sleep, sleep_until};
+
+use crate::adapter::{self, Adapter};
+use crate::app::{App, StopPhase};
+use crate::control;
+use crate::pool::Pool;
+use crate::serve::accept;
+use crate::status::{DirectAdmin, DirectMetrics, SharedStatus};
+
+/// Bound on repeats. The platform allows a fifth of a service's requests and some more over all
+/// processes together; a sixth, and two for each process, stays below that without any exchange
+/// between processes.
+const RETRY_LIMITS: RetryLimits = RetryLimits {
+    requests_per_retry: 6,
+    retries_min_count: 2,
+};
+/// Pause between looks at the open connections of a process that stops.
+const STOP_POLL: Duration = Duration::from_millis(20);
+
+/// Runs the entry until it is asked to stop and its requests are answered.
+pub fn run(settings: &EntrySettings, adapter_name: &str) -> Result<(), Report<StartError>> {
+    let (log, _log_guard) = log::logger_to(
+        std::io::stdout(),
+        &settings.log_level().to_string(),
+        settings.name().as_str(),
+    );
+    let plugin = adapter::find(adapter_name)
+        .ok_or_else(|| Report::new(StartError::Plugin).attach(format!("adapter={adapter_name}")))?;
+    let adapter = (plugin.build)(settings);
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .change_context(StartError::Thread)?;
+    let result = LocalSet::new().block_on(&runtime, serve(settings, adapter, &log));
+    if let Err(error) = &result {
+        warn!(log, "entry failed"; "error" => %error);
+    }
+    result
+}
+
+async fn serve(
+    settings: &EntrySettings,
+    adapter: Adapter,
+    log: &Logger,
+) -> Result<(), Report<StartError>> {
+    let clock = Clock::start();
+    let mut metrics = Metrics::new("cuminlead_entry");
+    let direct_metrics = DirectMetrics::new(&mut metrics);
+    let status = Arc::new(SharedStatus::default());
+    let signals = Signals::new()?;
+    let listener = TcpListener::bind(*settings.listen_address())
+        .await
+        .change_context(StartError::Bind)
+        .attach_with(|| format!("address={}", settings.listen_address()))?;
+    let source = DirectAdmin {
+        name: settings.name().clone(),
+        metrics,
+        status: Arc::clone(&status),
+    };
+    let admin_address = admin::serve(*settings.admin_address(), Arc::new(source))?;
+    let (updates_sender, updates) = unbounded_channel();
+    control::spawn(clock, adapter.registry, updates_sender)?;
+    let (stop_sender, stop) = watch::channel(StopPhase::Running);
+    let app = Rc::new(App {
+        clock,
+        serving: RefCell::new(Serving::new(serving_config(settings))),
+        pool: RefCell::new(Pool::default()),
+        dialect: adapter.dialect,
+        metrics: direct_metrics,
+        log: log.clone(),
+        stop,
+        connections_count: Cell::new(0),
+    });
+    tokio::task::spawn_local(apply_updates(Rc::clone(&app), updates, Arc::clone(&status)));
+    let callers_address = listener.local_addr().change_context(StartError::Bind)?;
+    let connections_max_count = settings.connections_max_count().0;
+    tokio::task::spawn_local(accept(Rc::clone(&app), listener, connections_max_count));
+    info!(log, "entry started"; "callers" => %callers_address, "admin" => %admin_address);
+    signals.wait_for_stop(log).await;
+    status.is_stopping.store(true, Ordering::Relaxed);
+    stop_gracefully(settings, &app, &stop_sender).await;
+    Ok(())
+}
+
+fn serving_config(settings: &EntrySettings) -> ServingConfig {
+    let origin = Origin {
+        availability_zone: settings.availability_zone().clone(),
+        region: settings.region().clone(),
+    };
+    let mut regions: HashMap<_, _> = settings.zone_regions().iter().cloned().collect();
+    regions.insert(origin.availability_zone.clone(), origin.region.clone());
+    ServingConfig {
+        origin,
+        regions,
+        retry_limits: RETRY_LIMITS,
+        seed: rand::random(),
+    }
+}
+
+/// Applies what the control thread hands over.
+async fn apply_updates(
+    app: Rc<App>,
+    mut updates: UnboundedReceiver<Vec<Update>>,
+    status: Arc<SharedStatus>,
+) {
+    while let Some(changes) = updates.recv().await {
+        let now = app.now();
+        let mut serving = app.serving.borrow_mut();
+        for update in changes {
+            log_update(&app, &update);
+            serving.apply(now, update);
+        }
+        serving.servers.expire(now);
+        let mut pool = app.pool.borrow_mut();
+        pool.sweep(now, |key| serving.servers.get(key).is_some());
+        let version = serving
+            .catalogue()
+            .map_or(0, |catalogue| catalogue.version().0);
+        status.config_version.store(version, Ordering::Relaxed);
+        let servers_count = u32::try_from(serving.servers.iter().count()).unwrap_or(u32::MAX);
+        status.servers_count.store(servers_count, Ordering::Relaxed);
+        status
+            .is_synced
+            .store(serving.is_ready(), Ordering::Relaxed);
+    }
+}
+
+fn log_update(app: &App, update: &Update) {
+    let log = &app.log;
+    match update {
+        Update::Catalogue(catalogue) => info!(log, "configuration applied";
+            "config_version" => catalogue.version().0, "routes" => catalogue.routes().len()),
+        Update::Server(record) => info!(log, "server published"; "server" => %record.id,
+            "service" => %record.service, "address" => %record.address, "state" => %record.state,
+            "stage" => record.stage.map(|stage| stage.to_string())),
+        Update::ServerRemoved(id) => info!(log, "server removed"; "server" => %id),
+        Update::Unusable { key, reason } => {
+            app.metrics.unusable_entries.inc();
+            warn!(log, "registry entry left out"; "key" => key, "reason" => reason);
+        }
+        Update::Synced(revision) => info!(log, "registry read"; "revision" => revision.0),
+        Update::Lost(error) => warn!(log, "registry lost"; "error" => %error),
+        Update::Regained => info!(log, "registry regained"),
+    }
+}
+
+/// Signals of the platform.
+struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+    hang_up: Signal,
+}
+
+impl Signals {
+    fn new() -> Result<Self, Report<StartError>> {
+        let listen = |kind| signal(kind).change_context(StartError::Thread);
+        Ok(Self {
+            terminate: listen(SignalKind::terminate())?,
+            interrupt: listen(SignalKind::interrupt())?,
+            hang_up: listen(SignalKind::hangup())?,
+        })
+    }
+
+    async fn wait_for_stop(mut self, log: &Logger) {
+        loop {
+            tokio::select! {
+                _ = self.terminate.recv() => break,
+                _ = self.interrupt.recv() => break,
+                // Addresses and places are fixed for the life of a process, so a change of the
+                // settings is in force from the next start on.
+                _ = self.hang_up.recv() => info!(log, "settings change noted"),
+            }
+        }
+    }
+}
+
+async fn stop_gracefully(settings: &EntrySettings, app: &Rc<App>, stop: &watch::Sender<StopPhase>) {
+    let began = Instant::now();
+    info!(app.log, "entry stopping"; "connections" => app.connections_count.get());
+    // Receivers live as long as the state of the traffic thread.
+    let _ = stop.send(StopPhase::TurningAway);
+    sleep(Duration::from_millis(settings.drain_delay_ms().0)).await;
+    let _ = stop.send(StopPhase::Closing);
+    let latest = began + Duration::from_millis(settings.drain_max_ms().0);
+    while app.connections_count.get() > 0 && Instant::now() < latest {
+        tokio::select! {
+            () = sleep(STOP_POLL) => {}
+            () = sleep_until(latest) => {}
+        }
+    }
+    info!(app.log, "entry stopped"; "connections" => app.connections_count.get());
+}
--- /dev/null
+++ b/crates/direct/src/relay.rs
@@ -0,0 +1,188 @@
+//! Passes a stream on.
+//!
+//! Bytes go on as they came, except that a stream which another server may continue goes on in
+//! whole events. A stream that cannot be finished ends its connection, never as if it were whole.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use cuminlead_direct_core::{Call, EventScanner, Outcome, RequestKind};
+use cuminlead_types::DurationUs;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use slog::info;
+use tokio::sync::mpsc::{Receiver, Sender, channel};
+use tokio::time::{Instant, sleep_until, timeout};
+
+use crate::app::App;
+use crate::body::Part;
+use crate::drive::{Driven, drive};
+use crate::exchange::{CallerExchange, PartialAnswer};
+
+/// Parts that may wait for a caller that reads slowly.
+const PARTS_MAX: usize = 16;
+
+/// Stream of a call, from its first part on.
+pub struct Relay {
+    /// State of the traffic thread.
+    pub app: Rc<App>,
+    /// Request.
+    pub exchange: Rc<CallerExchange>,
+    /// State of the request.
+    pub call: Call,
+    /// When the request arrived, for the latency at the end.
+    pub arrived_at: cuminlead_types::TimeUs,
+}
+
+/// How a relayed stream ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum RelayEnd {
+    Whole,
+    CallerGone,
+    TimedOut,
+    Lost,
+}
+
+impl RelayEnd {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Whole => "whole",
+            Self::CallerGone => "caller_gone",
+            Self::TimedOut => "timed_out",
+            Self::Lost => "lost",
+        }
+    }
+}
+
+impl Relay {
+    /// Passes the answer on in a task of its own; returns the parts for the caller.
+    pub fn start(self, answer: PartialAnswer) -> Receiver<Part> {
+        let (parts, receiver) = channel(PARTS_MAX);
+        tokio::task::spawn_local(self.run(answer, parts));
+        receiver
+    }
+
+    async fn run(mut self, answer: PartialAnswer, parts: Sender<Part>) {
+        let deadline = Instant::from_std(self.app.clock.instant(self.exchange.deadline));
+        let end = tokio::select! {
+            end = self.pass_on(answer, &parts) => end,
+            () = parts.closed() => RelayEnd::CallerGone,
+            () = sleep_until(deadline) => RelayEnd::TimedOut,
+        };
+        if end == RelayEnd::Whole {
+            // A caller that has left needs no end.
+            let _ = parts.send(Part::End).await;
+        }
+        let total = self.app.now().since(self.arrived_at);
+        self.app.metrics.count_stream(end.name(), total);
+        info!(self.app.log, "stream ended"; "request" => &self.exchange.request.id,
+            "end" => end.name(), "total_ms" => total.as_ms(),
+            "sends" => self.call.sends_count());
+    }
+
+    async fn pass_on(&mut self, mut answer: PartialAnswer, parts: &Sender<Part>) -> RelayEnd {
+        let is_resumable = self.exchange.kind == RequestKind::Stream { resumable: true };
+        let mut scanner = EventScanner::new();
+        loop {
+            let server = answer.lease.server;
+            let copied = if is_resumable {
+                copy_events(&mut answer, parts, &mut scanner, self.gap_max()).await
+            } else {
+                copy_bytes(&mut answer, parts).await
+            };
+            let now = self.app.now();
+            match copied {
+                Ok(()) => {
+                    answer.lease.finish();
+                    let mut serving = self.app.serving.borrow_mut();
+                    self.call.run_answered(now, &mut serving, server);
+                    return RelayEnd::Whole;
+                }
+                Err(Outcome::Unreachable) => return RelayEnd::CallerGone,
+                Err(outcome) => {
+                    // The connection closes first: the lost run must not go on beside the next.
+                    drop(answer);
+                    let mut serving = self.app.serving.borrow_mut();
+                    self.call.run_failed(now, &mut serving, server, outcome);
+                }
+            }
+            if !is_resumable {
+                return RelayEnd::Lost;
+            }
+            let last_id = scanner.last_id().map(ToString::to_string);
+            let driven = drive(
+                &self.app,
+                &mut self.call,
+                &self.exchange,
+                last_id.as_deref(),
+            )
+            .await;
+            match driven {
+                Driven::Streaming(next) => answer = *next,
+                Driven::Answered(_) | Driven::Refused(_) => return RelayEnd::Lost,
+            }
+        }
+    }
+
+    /// Longest pause between parts before another server continues.
+    fn gap_max(&self) -> Duration {
+        let goal = self.call.spec().goal;
+        Duration::from(DurationUs(goal.0.saturating_mul(2)))
+    }
+}
+
+/// Copies bytes as they come.
+async fn copy_bytes(answer: &mut PartialAnswer, parts: &Sender<Part>) -> Result<(), Outcome> {
+    send(parts, std::mem::take(&mut answer.first)).await?;
+    while let Some(data) = next_data(&mut answer.rest).await? {
+        send(parts, data).await?;
+    }
+    Ok(())
+}
+
+/// Copies whole events.
+async fn copy_events(
+    answer: &mut PartialAnswer,
+    parts: &Sender<Part>,
+    scanner: &mut EventScanner,
+    gap_max: Duration,
+) -> Result<(), Outcome> {
+    // Half an event of an earlier server is made again by this one.
+    drop(scanner.rest());
+    let mut data = std::mem::take(&mut answer.first);
+    loop {
+        let whole = scanner.push(&data);
+        if !whole.is_empty() {
+            send(parts, Bytes::from(whole)).await?;
+        }
+        let next = timeout(gap_max, next_data(&mut answer.rest)).await;
+        match next.unwrap_or(Err(Outcome::TimedOut))? {
+            Some(next) => data = next,
+            None => break,
+        }
+    }
+    if scanner.rest().is_empty() {
+        Ok(())
+    } else {
+        Err(Outcome::Lost)
+    }
+}
+
+async fn next_data(rest: &mut Incoming) -> Result<Option<Bytes>, Outcome> {
+    while let Some(frame) = rest.frame().await {
+        let frame = frame.map_err(|_| Outcome::Lost)?;
+        if let Ok(data) = frame.into_data()
+            && !data.is_empty()
+        {
+            return Ok(Some(data));
+        }
+    }
+    Ok(None)
+}
+
+/// Hands a part to the caller; fails as unreachable when the caller has left.
+async fn send(parts: &Sender<Part>, data: Bytes) -> Result<(), Outcome> {
+    let sent = parts.send(Part::Data(data)).await;
+    sent.map_err(|_| Outcome::Unreachable)
+}
--- /dev/null
+++ b/crates/direct/src/serve.rs
@@ -0,0 +1,323 @@
+//! Takes the requests of callers.
+
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use cuminlead_direct_core::{Call, CallSpec, Catalogue, Refusal, RefusalReason, Route, RouteMatch};
+use cuminlead_types::{DurationUs, TimeUs, Tokens};
+use http::header::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HOST, RETRY_AFTER};
+use http::{HeaderValue, Request, Response, StatusCode};
+use http_body_util::BodyExt;
+use hyper::body::{Body, Incoming};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use slog::{debug, info};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::{Instant, timeout_at};
+
+use crate::app::{App, StopPhase};
+use crate::body::CallerBody;
+use crate::drive::{Driven, drive};
+use crate::exchange::{CallerExchange, HeldAnswer};
+use crate::relay::Relay;
+
+/// Time after which a caller may come back to a process that has not read the configuration yet.
+const STARTING_RETRY_AFTER: DurationUs = DurationUs::from_ms(500);
+/// Pause after a failed accept, which means that descriptors ran out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Prompt of a model call that does not state its size: about four bytes of body a token.
+const BODY_BYTES_PER_TOKEN: u64 = 4;
+/// Smallest read buffer that hyper accepts.
+const BUFFER_MIN_BYTES: usize = 8_192;
+
+/// Accepts connections until the process ends.
+pub async fn accept(app: Rc<App>, listener: TcpListener, connections_max_count: u32) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        if app.connections_count.get() >= connections_max_count {
+            app.metrics.connections_refused.inc();
+            continue;
+        }
+        tokio::task::spawn_local(serve_connection(Rc::clone(&app), stream));
+    }
+}
+
+struct ConnectionCount(Rc<App>);
+
+impl ConnectionCount {
+    fn new(app: &Rc<App>) -> Self {
+        app.connections_count.set(app.connections_count.get() + 1);
+        Self(Rc::clone(app))
+    }
+}
+
+impl Drop for ConnectionCount {
+    fn drop(&mut self) {
+        let count = &self.0.connections_count;
+        count.set(count.get().saturating_sub(1));
+    }
+}
+
+async fn serve_connection(app: Rc<App>, stream: TcpStream) {
+    let _count = ConnectionCount::new(&app);
+    // Each event of a stream is sent at once; a socket that refuses the option only delays it.
+    let _ = stream.set_nodelay(true);
+    let limits = app
+        .serving
+        .borrow()
+        .catalogue()
+        .map(|catalogue| *catalogue.limits())
+        .unwrap_or_default();
+    let head_max = usize::try_from(limits.head_max_bytes.0).unwrap_or(usize::MAX);
+    let mut stop = app.stop.clone();
+    let service = {
+        let app = Rc::clone(&app);
+        service_fn(move |request| {
+            let app = Rc::clone(&app);
+            async move { Ok::<_, Infallible>(answer(app, request).await) }
+        })
+    };
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        // hyper counts the idle time before a request as part of reading its head.
+        .header_read_timeout(Duration::from(limits.idle_timeout))
+        .max_buf_size(head_max.max(BUFFER_MIN_BYTES))
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    let ended = tokio::select! {
+        ended = connection.as_mut() => Some(ended),
+        _ = stop.wait_for(|phase| *phase == StopPhase::Closing) => None,
+    };
+    let ended = match ended {
+        Some(ended) => ended,
+        None => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = ended {
+        debug!(app.log, "connection of a caller failed"; "error" => %error);
+    }
+}
+
+async fn answer(app: Rc<App>, request: Request<Incoming>) -> Response<CallerBody> {
+    let arrived_at = app.now();
+    let mut response = match admit(&app, request, arrived_at).await {
+        Ok(admitted) => run(&app, admitted, arrived_at).await,
+        Err(response) => response,
+    };
+    if app.is_stopping() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
+    }
+    response
+}
+
+struct Admitted {
+    exchange: CallerExchange,
+    call: Call,
+    route: String,
+    config_version: u64,
+}
+
+/// Checks a request, reads it whole and finds its route.
+async fn admit(
+    app: &Rc<App>,
+    request: Request<Incoming>,
+    arrived_at: TimeUs,
+) -> Result<Admitted, Response<CallerBody>> {
+    let (parts, body) = request.into_parts();
+    let caller = app.dialect.read_request(&parts.headers);
+    let caller = caller.map_err(|reason| rejected(app, StatusCode::BAD_REQUEST, &reason))?;
+    let catalogue = ready_catalogue(app).ok_or_else(|| {
+        info!(app.log, "request refused"; "request" => &caller.id, "reason" => "starting");
+        refused(app, &starting())
+    })?;
+    let authority = parts
+        .headers
+        .get(HOST)
+        .and_then(|host| host.to_str().ok())
+        .or_else(|| parts.uri.authority().map(|authority| authority.as_str()))
+        .unwrap_or_default();
+    let RouteMatch::Found(route) = catalogue.route(authority, parts.uri.path()) else {
+        info!(app.log, "request refused"; "request" => &caller.id, "reason" => "no_route",
+            "config_version" => catalogue.version().0);
+        return Err(rejected(app, StatusCode::NOT_FOUND, "no route"));
+    };
+    let body_max = catalogue.limits().body_max_bytes.0;
+    let declared = parts.headers.get(CONTENT_LENGTH);
+    let declared = declared.and_then(|length| length.to_str().ok()?.parse::<u64>().ok());
+    if declared.is_some_and(|length| length > body_max) {
+        return Err(rejected(
+            app,
+            StatusCode::PAYLOAD_TOO_LARGE,
+            "body too large",
+        ));
+    }
+    let body = read_body(body, body_max).await;
+    let body = body.map_err(|status| rejected(app, status, "body cannot be read"))?;
+    let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
+    let patience = caller.patience.unwrap_or(route.timeout).min(route.timeout);
+    let exchange = CallerExchange {
+        headers: app.dialect.forwarded(&parts.headers),
+        request: caller,
+        method: parts.method,
+        path: path.to_string(),
+        body,
+        kind: route.kind,
+        deadline: arrived_at + patience,
+    };
+    let call = new_call(app, &catalogue, route, &exchange);
+    let call = call.ok_or_else(|| refused(app, &starting()))?;
+    Ok(Admitted {
+        exchange,
+        call,
+        route: route.name.clone(),
+        config_version: catalogue.version().0,
+    })
+}
+
+fn ready_catalogue(app: &App) -> Option<std::sync::Arc<Catalogue>> {
+    let serving = app.serving.borrow();
+    serving.is_ready().then(|| serving.catalogue().cloned())?
+}
+
+fn new_call(
+    app: &App,
+    catalogue: &Catalogue,
+    route: &Route,
+    exchange: &CallerExchange,
+) -> Option<Call> {
+    let service = app.serving.borrow_mut().pick_service(route)?;
+    let is_engine = catalogue
+        .service(&service)
+        .is_some_and(|spec| spec.is_engine);
+    let estimate = Tokens(exchange.body.len() as u64 / BODY_BYTES_PER_TOKEN + 1);
+    let prompt_tokens = exchange.request.prompt_tokens.unwrap_or(estimate);
+    Some(Call::new(CallSpec {
+        service,
+        kind: route.kind,
+        prompt_tokens: is_engine.then_some(prompt_tokens),
+        attempts_max_count: route.attempts_max_count,
+        goal: route.goal,
+        deadline: exchange.deadline,
+    }))
+}
+
+async fn run(app: &Rc<App>, admitted: Admitted, arrived_at: TimeUs) -> Response<CallerBody> {
+    let Admitted {
+        exchange,
+        mut call,
+        route,
+        config_version,
+    } = admitted;
+    let exchange = Rc::new(exchange);
+    let deadline = Instant::from_std(app.clock.instant(exchange.deadline));
+    let driven = timeout_at(deadline, drive(app, &mut call, &exchange, None)).await;
+    let driven = driven.unwrap_or_else(|_| {
+        Driven::Refused(Refusal {
+            // A request that is under way somewhere may have run.
+            is_not_run: call.sends_count() == 0,
+            ..call.timed_out()
+        })
+    });
+    let took = app.now().since(arrived_at);
+    let (outcome, sends) = (outcome_name(&driven), call.sends_count());
+    app.metrics.count_request(outcome, took);
+    info!(app.log, "request answered"; "request" => &exchange.request.id, "route" => &route,
+        "config_version" => config_version, "outcome" => outcome, "sends" => sends,
+        "took_ms" => took.as_ms());
+    match driven {
+        Driven::Answered(answer) => held_response(answer),
+        Driven::Refused(refusal) => refused(app, &refusal),
+        Driven::Streaming(answer) => {
+            let (status, headers) = (answer.status, answer.headers.clone());
+            let relay = Relay {
+                app: Rc::clone(app),
+                exchange,
+                call,
+                arrived_at,
+            };
+            let mut response = Response::new(CallerBody::Relayed(relay.start(*answer)));
+            *response.status_mut() = status;
+            *response.headers_mut() = headers;
+            response
+        }
+    }
+}
+
+fn outcome_name(driven: &Driven) -> &'static str {
+    match driven {
+        Driven::Answered(answer) if answer.is_failure => "failed",
+        Driven::Answered(_) => "answered",
+        Driven::Streaming(_) => "streaming",
+        Driven::Refused(refusal) => refusal.reason.into(),
+    }
+}
+
+/// Reads a body; the error is the status for the caller.
+async fn read_body(mut body: Incoming, max_bytes: u64) -> Result<Bytes, StatusCode> {
+    if body.is_end_stream() {
+        return Ok(Bytes::new());
+    }
+    let mut read = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| StatusCode::BAD_REQUEST)?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if read.len() as u64 + data.len() as u64 > max_bytes {
+            return Err(StatusCode::PAYLOAD_TOO_LARGE);
+        }
+        read.extend_from_slice(&data);
+    }
+    Ok(read.freeze())
+}
+
+fn held_response(answer: HeldAnswer) -> Response<CallerBody> {
+    let mut response = Response::new(CallerBody::whole(answer.body));
+    *response.status_mut() = answer.status;
+    *response.headers_mut() = answer.headers;
+    response
+}
+
+fn starting() -> Refusal {
+    Refusal {
+        is_not_run: true,
+        reason: RefusalReason::NoServer,
+        retry_after: STARTING_RETRY_AFTER,
+    }
+}
+
+/// Answer without a server: 503 promises that the request never runs, 502 and 504 do not.
+fn refused(app: &App, refusal: &Refusal) -> Response<CallerBody> {
+    let status = match (refusal.is_not_run, refusal.reason) {
+        (true, _) => StatusCode::SERVICE_UNAVAILABLE,
+        (false, RefusalReason::TimedOut) => StatusCode::GATEWAY_TIMEOUT,
+        (false, _) => StatusCode::BAD_GATEWAY,
+    };
+    let reason: &'static str = refusal.reason.into();
+    let mut response = rejected(app, status, reason);
+    if refusal.is_not_run {
+        let seconds = format!("{:.3}", Duration::from(refusal.retry_after).as_secs_f64());
+        if let Ok(seconds) = HeaderValue::from_str(&seconds) {
+            response.headers_mut().insert(RETRY_AFTER, seconds);
+        }
+    }
+    response
+}
+
+fn rejected(app: &App, status: StatusCode, reason: &str) -> Response<CallerBody> {
+    app.metrics.count_status(status);
+    let mut response = Response::new(CallerBody::whole(format!("{reason}\n")));
+    *response.status_mut() = status;
+    let text = HeaderValue::from_static("text/plain; charset=utf-8");
+    response.headers_mut().insert(CONTENT_TYPE, text);
+    response
+}
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -32,7 +32,12 @@
 use crate::status::{EntryAdmin, EntryMetrics};
 
 /// Runs an entry until it is asked to stop and its requests are answered.
+///
+/// With an adapter in the settings, backend servers are called directly.
 pub fn run(settings: &EntrySettings) -> Result<(), Report<StartError>> {
+    if let Some(adapter) = settings.adapter() {
+        return cuminlead_direct::process::run(settings, adapter.as_str());
+    }
     let (log, _log_guard) =
         log::logger(&settings.log_level().to_string(), settings.name().as_str());
     let runtime = start::runtime(settings.workers_max_count().0 as usize)?;
--- a/crates/retry/src/budget.rs
+++ b/crates/retry/src/budget.rs
@@ -19,14 +19,41 @@
 /// whole for retries keeps the bound in every window.
 const SLOTS: usize = 11;
 
-/// Token bucket of retries for one backend server.
+/// How many retries a budget allows in its window.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RetryLimits {
+    /// One retry is allowed for this many requests.
+    pub requests_per_retry: u32,
+    /// Retries allowed whatever the requests.
+    pub retries_min_count: u32,
+}
+
+impl Default for RetryLimits {
+    fn default() -> Self {
+        Self {
+            requests_per_retry: REQUESTS_PER_RETRY,
+            retries_min_count: RETRIES_MIN,
+        }
+    }
+}
+
+/// Token bucket of retries for one backend server or service.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct RetryBudget {
+    limits: RetryLimits,
     requests: Window,
     retries: Window,
 }
 
 impl RetryBudget {
+    /// Empty budget with limits of its own.
+    pub fn with_limits(limits: RetryLimits) -> Self {
+        Self {
+            limits,
+            ..Self::default()
+        }
+    }
+
     /// Counts a request that is not a retry.
     pub fn count_request(&mut self, now: TimeUs) {
         self.requests.add(now);
@@ -35,10 +62,16 @@
     /// Whether a retry would be allowed.
     pub fn allows(&self, now: TimeUs) -> bool {
         let requests = self.requests.count(now, SLOTS - 1);
-        let allowed = (requests / REQUESTS_PER_RETRY).max(RETRIES_MIN);
+        let earned = requests / self.limits.requests_per_retry.max(1);
+        let allowed = earned.max(self.limits.retries_min_count);
         self.retries.count(now, SLOTS) < allowed
     }
 
+    /// Counts a retry that happened without asking, such as one that a server has turned away.
+    pub fn count_retry(&mut self, now: TimeUs) {
+        self.retries.add(now);
+    }
+
     /// Takes one retry from the budget; false when none is left.
     pub fn try_retry(&mut self, now: TimeUs) -> bool {
         let is_allowed = self.allows(now);
--- a/crates/retry/src/lib.rs
+++ b/crates/retry/src/lib.rs
@@ -8,5 +8,5 @@
 pub mod budget;
 pub mod table;
 
-pub use budget::RetryBudget;
+pub use budget::{RetryBudget, RetryLimits};
 pub use table::{ATTEMPTS_MAX, CallKind, Decision, Evidence, Step, decide, give_up, may_have_run};
--- a/crates/settings/src/entry.rs
+++ b/crates/settings/src/entry.rs
@@ -6,7 +6,9 @@
 
 use crate::macros::settings;
 use crate::reader::Reader;
-use crate::value::{Count, DurationMs, Fraction, LogLevel, RoutingPolicyName, Secret};
+use crate::value::{
+    AdapterName, Count, DurationMs, Fraction, LogLevel, RoutingPolicyName, Secret, ZoneRegions,
+};
 
 settings! {
     /// Settings of the entry process.
@@ -56,6 +58,15 @@
         wasted_prefill_weight: Fraction = Default("0.5");
         /// Bandwidth between regions, each way.
         link_bits_per_second: BitsPerSecond = Default("30000000") in 1000..=1000000000000;
+        /// Adapter of a platform whose backend servers are called directly. Without it, requests
+        /// go through agents.
+        adapter: Option<AdapterName> = Optional("\"users-platform\"");
+        /// Region of each availability zone, for distances to backend servers that are called
+        /// directly.
+        zone_regions: ZoneRegions = Default("\"\"");
+        /// Most open connections of callers when backend servers are called directly. Each one
+        /// takes a descriptor, and a request under way takes another.
+        connections_max_count: Count = Default("2500") in 1..=65536;
         /// Least severe log lines that are written.
         log_level: LogLevel = Default("\"info\"");
         /// Token that entries present to agents, the same at all processes. Agents that have none
--- a/crates/settings/src/value.rs
+++ b/crates/settings/src/value.rs
@@ -220,6 +220,46 @@
     /// Name of an agent process.
     AgentName
 );
+setting_name!(
+    /// Name of a platform's adapter; the registry knows which ones are linked in.
+    AdapterName
+);
+
+/// Region of each availability zone, as `zone=region` pairs separated by commas.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ZoneRegions(Vec<(AvailabilityZoneName, RegionName)>);
+
+impl ZoneRegions {
+    /// Pairs in their order.
+    pub fn iter(&self) -> std::slice::Iter<'_, (AvailabilityZoneName, RegionName)> {
+        self.0.iter()
+    }
+}
+
+impl fmt::Display for ZoneRegions {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (index, (zone, region)) in self.0.iter().enumerate() {
+            let separator = if index == 0 { "" } else { "," };
+            write!(f, "{separator}{zone}={region}")?;
+        }
+        Ok(())
+    }
+}
+
+impl FromStr for ZoneRegions {
+    type Err = ValueError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let error = || ValueError::expected("zone=region pairs separated by commas");
+        let mut pairs = Vec::new();
+        for pair in text.split(',').filter(|pair| !pair.is_empty()) {
+            let (zone, region) = pair.split_once('=').ok_or_else(error)?;
+            let zone = zone.parse().map_err(|_| error())?;
+            pairs.push((zone, region.parse().map_err(|_| error())?));
+        }
+        Ok(Self(pairs))
+    }
+}
 
 /// Least severe log lines that are written.
 #[derive(
@@ -353,6 +393,8 @@
 text_setting!(
     EntryId = "name";
     AgentName = "name";
+    AdapterName = "name of an adapter";
+    ZoneRegions = "zone=region pairs separated by commas";
     HostId = "name";
     RegionName = "name";
     AvailabilityZoneName = "name";
--- a/crates/telemetry/src/log.rs
+++ b/crates/telemetry/src/log.rs
@@ -16,7 +16,16 @@
 /// Logger of a process at a named level, `info` when the name is unknown; the guard writes what is
 /// left when it is dropped.
 pub fn logger(level: &str, process: &str) -> (Logger, AsyncGuard) {
-    let lines = Logfmt::new(io::stderr())
+    logger_to(io::stderr(), level, process)
+}
+
+/// Logger as [`logger`] that writes elsewhere.
+pub fn logger_to(
+    output: impl io::Write + Send + 'static,
+    level: &str,
+    process: &str,
+) -> (Logger, AsyncGuard) {
+    let lines = Logfmt::new(output)
         .no_prefix()
         .print_level(true)
         .print_msg(true)
