Reserve the place of a decode before its prefill

Cause: engines are bounded by the memory of running answers, which grow by 69 tokens an event for 3 to 10 s. Ruled out: prefill capacity (p90 of a prefill 246 ms, a third of four engines in use).

What is needed is a forecast over all runs of an engine.

--- a/crates/direct-core/src/call.rs
+++ b/crates/direct-core/src/call.rs
@@ -22,6 +22,15 @@
 const ATTEMPT_SHARE_PERCENT: u64 = 45;
 /// Attempts of a stream may take this many times the goal until the first event.
 const STREAM_ATTEMPT_GOALS: u64 = 2;
+/// Time from a granted place until the first event, beyond the prefill.
+const FIRST_EVENT_MARGIN: DurationUs = DurationUs::from_ms(120);
+/// Pause between questions for a place while the goal can still be met. Places fall free every few
+/// ten ms in a loaded pool, and each question is paid for.
+const WAIT_PAUSE: DurationUs = DurationUs::from_ms(60);
+/// Pause between questions of a request that is late anyway; it leaves places to the others.
+const LATE_WAIT_PAUSE: DurationUs = DurationUs::from_ms(250);
+/// Longest wait for a place in goals; callers leave a stream without events after four goals.
+const WAIT_MAX_GOALS: u64 = 2;
 /// Most prefill calls for one request; each one after the first repeats work.
 const PREFILLS_MAX: u32 = 2;
 /// Most servers that may turn one request away before it is refused.
@@ -34,16 +43,29 @@
     pub service: ServiceName,
     /// What may be repeated.
     pub kind: RequestKind,
-    /// Tokens of the prompt; set for model calls.
-    pub prompt_tokens: Option<Tokens>,
+    /// What a model call needs of engines.
+    pub model: Option<ModelNeed>,
     /// Most servers on which it may run.
     pub attempts_max_count: u32,
     /// Time within which the answer is of full use.
     pub goal: DurationUs,
+    /// When it arrived.
+    pub arrived_at: TimeUs,
     /// Time at which the caller or the route gives up.
     pub deadline: TimeUs,
 }
 
+/// What a model call needs of engines.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ModelNeed {
+    /// Tokens of the prompt.
+    pub prompt_tokens: Tokens,
+    /// Memory that the request is expected to need at its end, in tokens.
+    pub memory_tokens: Tokens,
+    /// Longest reservation at an engine; none if engines take no reservations.
+    pub reservation_max: Option<DurationUs>,
+}
+
 /// KV cache that waits at a prefill server.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct CacheRef {
@@ -56,6 +78,17 @@
 /// Next step of a call.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Action {
+    /// Have a place and memory held at the decode server.
+    Reserve {
+        /// Decode server.
+        server: ServerKey,
+        /// Memory.
+        memory_tokens: Tokens,
+        /// Time for which they are held.
+        ttl: DurationUs,
+    },
+    /// Ask again after a pause.
+    Wait(DurationUs),
     /// Have the prompt computed.
     Prefill {
         /// Prefill server.
@@ -69,6 +102,8 @@
         server: ServerKey,
         /// KV cache to take, if there is one.
         cache: Option<CacheRef>,
+        /// Name of the reservation at the server, if there is one.
+        reservation: Option<String>,
         /// Time until the first part of the answer, if another attempt may follow.
         timeout: Option<DurationUs>,
     },
@@ -106,6 +141,8 @@
 pub enum RefusalReason {
     /// No server can take it.
     NoServer,
+    /// No engine has room for it in time.
+    NoPlace,
     /// Servers turned it away.
     TurnedAway,
     /// Repeats of the service have used up their budget.
@@ -127,6 +164,15 @@
     pub retry_after: DurationUs,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum ReserveState {
+    /// A place is needed.
+    Open,
+    Held(String),
+    /// The request runs without a reservation.
+    Skipped,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq)]
 enum PrefillState {
     /// Another prefill may be tried.
@@ -140,6 +186,9 @@
 #[derive(Clone, Debug)]
 pub struct Call {
     spec: CallSpec,
+    reserve: ReserveState,
+    /// Servers without room for this request since the last pause.
+    full: Vec<ServerKey>,
     prefill: PrefillState,
     prefills_count: u32,
     /// Servers that may have run the request.
@@ -160,13 +209,23 @@
 impl Call {
     /// Call that has not begun.
     pub fn new(spec: CallSpec) -> Self {
-        let prefill = if spec.prompt_tokens.is_some() {
+        let prefill = if spec.model.is_some() {
             PrefillState::Open
         } else {
             PrefillState::Skipped
         };
+        let takes_reservations = spec
+            .model
+            .is_some_and(|model| model.reservation_max.is_some());
+        let reserve = if takes_reservations {
+            ReserveState::Open
+        } else {
+            ReserveState::Skipped
+        };
         Self {
             spec,
+            reserve,
+            full: Vec::new(),
             prefill,
             prefills_count: 0,
             runs_count: 0,
@@ -211,8 +270,14 @@
         }
         let server = match self.choose_server(now, serving) {
             Ok(server) => server,
+            Err(NoServer::None) if !self.full.is_empty() => return self.wait(now),
             Err(no_server) => return self.refuse_no_server(now, no_server),
         };
+        if self.reserve == ReserveState::Open
+            && let Some(action) = self.next_reserve(now, server)
+        {
+            return action;
+        }
         if self.prefill == PrefillState::Open {
             if let Some(action) = self.next_prefill(now, serving, server) {
                 return action;
@@ -232,14 +297,15 @@
         {
             return Ok(key);
         }
-        let stage = self.spec.prompt_tokens.map(|_| Stage::Decode);
+        let stage = self.spec.model.map(|_| Stage::Decode);
         let region = self.cache_region(serving);
+        let unusable: Vec<_> = self.excluded.iter().chain(&self.full).copied().collect();
         let mut need = Need {
             service: &self.spec.service,
             stage,
             origin: &serving.config.origin,
             region: region.as_ref(),
-            excluded: &self.excluded,
+            excluded: &unusable,
         };
         let mut chosen = choose(now, &serving.servers, need, &mut serving.rng);
         if chosen.is_err() && region.is_some() {
@@ -260,13 +326,72 @@
         serving.servers.get(cache.server)?.region.clone()
     }
 
+    fn next_reserve(&self, now: TimeUs, server: ServerKey) -> Option<Action> {
+        let model = self.spec.model?;
+        let ttl = prefill_time(model.prompt_tokens).saturating_add(PREFILL_MARGIN);
+        Some(Action::Reserve {
+            server,
+            memory_tokens: model.memory_tokens,
+            ttl: ttl
+                .min(model.reservation_max?)
+                .min(self.spec.deadline.since(now)),
+        })
+    }
+
+    /// Waits for a place as long as an answer is of use, less often once it is late.
+    fn wait(&mut self, now: TimeUs) -> Action {
+        let waited = now.since(self.spec.arrived_at);
+        let longest = DurationUs(self.spec.goal.0.saturating_mul(WAIT_MAX_GOALS));
+        if waited >= longest {
+            return self.finish(RefusalReason::NoPlace, DurationUs::from_ms(1_000));
+        }
+        self.full.clear();
+        self.decode = None;
+        let prompt = self
+            .spec
+            .model
+            .map_or(Tokens::ZERO, |model| model.prompt_tokens);
+        let rest = prefill_time(prompt).saturating_add(FIRST_EVENT_MARGIN);
+        if waited.saturating_add(rest) < self.spec.goal {
+            Action::Wait(WAIT_PAUSE)
+        } else {
+            Action::Wait(LATE_WAIT_PAUSE)
+        }
+    }
+
+    /// Records a reservation.
+    pub fn reserved(&mut self, name: String) {
+        self.reserve = ReserveState::Held(name);
+    }
+
+    /// Records a server that holds no place for this request.
+    pub fn reserve_failed(
+        &mut self,
+        now: TimeUs,
+        serving: &mut Serving,
+        server: ServerKey,
+        outcome: Outcome,
+    ) {
+        if outcome == Outcome::TurnedAway {
+            // A full server is not a failing one.
+            self.full.push(server);
+            if let Some(server) = serving.servers.get_mut(server) {
+                server.full_at = Some(now);
+            }
+        } else {
+            record_outcome(now, serving, server, outcome);
+            self.excluded.push(server);
+        }
+        self.decode = None;
+    }
+
     fn next_prefill(
         &mut self,
         now: TimeUs,
         serving: &mut Serving,
         decode: ServerKey,
     ) -> Option<Action> {
-        let tokens = self.spec.prompt_tokens?;
+        let tokens = self.spec.model?.prompt_tokens;
         if self.prefills_count >= PREFILLS_MAX {
             return None;
         }
@@ -283,10 +408,9 @@
             return None;
         }
         self.prefills_count += 1;
-        let compute = DurationUs::from_ms(tokens.0 / PREFILL_TOKENS_PER_MS);
         Some(Action::Prefill {
             server,
-            timeout: compute
+            timeout: prefill_time(tokens)
                 .saturating_add(PREFILL_MARGIN)
                 .min(self.spec.deadline.since(now)),
         })
@@ -304,10 +428,15 @@
             PrefillState::Done(cache) => Some(cache),
             PrefillState::Open | PrefillState::Skipped => None,
         };
+        let reservation = match std::mem::replace(&mut self.reserve, ReserveState::Skipped) {
+            ReserveState::Held(name) => Some(name),
+            ReserveState::Open | ReserveState::Skipped => None,
+        };
         self.cache_in_use.clone_from(&cache);
         Action::Run {
             server,
             cache,
+            reservation,
             timeout: self.attempt_timeout(now),
         }
     }
@@ -385,6 +514,14 @@
         if !is_proof_of_no_run(outcome) {
             self.runs_count += 1;
         }
+        // The next server needs a reservation of its own.
+        if self
+            .spec
+            .model
+            .is_some_and(|model| model.reservation_max.is_some())
+        {
+            self.reserve = ReserveState::Open;
+        }
         if outcome == Outcome::Unreachable {
             // Nothing reached a server, so nothing counts as a repeat.
             self.sends_count -= 1;
@@ -463,6 +600,11 @@
     }
 }
 
+/// Time of a prefill at a loaded engine.
+fn prefill_time(prompt: Tokens) -> DurationUs {
+    DurationUs::from_ms(prompt.0 / PREFILL_TOKENS_PER_MS)
+}
+
 fn record_outcome(now: TimeUs, serving: &mut Serving, key: ServerKey, outcome: Outcome) {
     if outcome == Outcome::OtherIncarnation {
         serving.servers.forget(key);
--- a/crates/direct-core/src/catalogue.rs
+++ b/crates/direct-core/src/catalogue.rs
@@ -56,8 +56,16 @@
 pub struct ServiceSpec {
     /// Name.
     pub name: ServiceName,
-    /// Whether its servers are model engines.
-    pub is_engine: bool,
+    /// Shape of its servers, if they are model engines.
+    pub engine: Option<EngineSpec>,
+}
+
+/// Shape of a service's model engines.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct EngineSpec {
+    /// Longest time for which an engine holds a place and memory for a request that is to come;
+    /// none if it holds none.
+    pub reservation_max: Option<DurationUs>,
 }
 
 /// Bounds on what callers may send.
--- a/crates/direct-core/src/lib.rs
+++ b/crates/direct-core/src/lib.rs
@@ -24,9 +24,10 @@
 pub mod servers;
 pub mod serving;
 
-pub use call::{Action, Call, CallSpec, Outcome, Refusal, RefusalReason};
+pub use call::{Action, Call, CallSpec, ModelNeed, Outcome, Refusal, RefusalReason};
 pub use catalogue::{
-    CallerLimits, Catalogue, RequestKind, Route, RouteMatch, ServiceSpec, WeightedService,
+    CallerLimits, Catalogue, EngineSpec, RequestKind, Route, RouteMatch, ServiceSpec,
+    WeightedService,
 };
 pub use events::EventScanner;
 pub use follow::{Follower, Published, Query, RegistryError, Update};
--- a/crates/direct-core/src/placement.rs
+++ b/crates/direct-core/src/placement.rs
@@ -29,6 +29,10 @@
 const PREFILL_WORK_MS: f64 = 95.0;
 /// Delay by one answer that is being generated: the longer steps of a fuller batch.
 const DECODE_WORK_MS: f64 = 12.0;
+/// Cost of a server that had no room lately; it is asked after the others.
+const FULL_MS: f64 = 100.0;
+/// Time for which a server without room is asked last.
+const FULL_FOR: DurationUs = DurationUs::from_ms(300);
 /// Costs closer than this count as equal, so that work spreads.
 const TIE_MS: f64 = 0.5;
 
@@ -147,7 +151,10 @@
         Some(Stage::Decode) => DECODE_WORK_MS,
         None => PLAIN_WORK_MS,
     };
+    let is_full = server.full_at.is_some_and(|at| now.since(at) < FULL_FOR);
+    let full_ms = if is_full { FULL_MS } else { 0.0 };
     distance_ms(server, need.origin)
+        + full_ms
         + f64::from(server.in_flight_count) * work_ms
         + server.health.failure_rate(now) * FAILURE_MS
 }
--- a/crates/direct-core/src/servers.rs
+++ b/crates/direct-core/src/servers.rs
@@ -45,6 +45,8 @@
     pub health: Health,
     /// Requests of this process that are under way there.
     pub in_flight_count: u32,
+    /// When it last had no room for a request.
+    pub full_at: Option<TimeUs>,
 }
 
 /// All backend servers, by key, id and service.
@@ -109,6 +111,7 @@
             standing,
             health: Health::default(),
             in_flight_count: 0,
+            full_at: None,
         });
         self.by_id.insert(id, key);
         self.by_service.entry(service).or_default().push(key);
--- a/crates/direct/src/adapter.rs
+++ b/crates/direct/src/adapter.rs
@@ -26,6 +26,8 @@
     pub patience: Option<DurationUs>,
     /// Tokens of the prompt, for model calls.
     pub prompt_tokens: Option<Tokens>,
+    /// Tokens of the answer as the caller expects them, often far off.
+    pub answer_tokens: Option<Tokens>,
 }
 
 /// What a run tells its server.
@@ -37,6 +39,8 @@
     pub time_left: DurationUs,
     /// Address and name of the KV cache to take.
     pub cache: Option<(std::net::SocketAddr, &'a str)>,
+    /// Name of the place that is held for it.
+    pub reservation: Option<&'a str>,
     /// Id of the last event that the caller has; the stream continues after it.
     pub resume_after: Option<&'a str>,
 }
@@ -84,6 +88,15 @@
     /// Request that frees a KV cache at its server.
     fn release(&self, handle: &str) -> (Method, String);
 
+    /// Request that holds a place and memory at an engine: method, path and JSON body.
+    fn reserve(&self, memory_tokens: Tokens, ttl: DurationUs) -> (Method, String, Vec<u8>);
+
+    /// Reads the name of a held place.
+    fn read_reserved(&self, body: &[u8]) -> Result<String, String>;
+
+    /// Request that gives a held place back.
+    fn unreserve(&self, reservation: &str) -> (Method, String);
+
     /// Headers of an answer that are passed on to the caller.
     fn answered(&self, headers: &HeaderMap) -> HeaderMap;
 }
--- a/crates/direct/src/drive.rs
+++ b/crates/direct/src/drive.rs
@@ -7,9 +7,9 @@
 
 use cuminlead_direct_core::call::CacheRef;
 use cuminlead_direct_core::{Action, Call, Outcome, Refusal, ServerKey};
-use cuminlead_types::DurationUs;
+use cuminlead_types::{DurationUs, Tokens};
 use slog::{debug, info};
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use crate::app::App;
 use crate::exchange::{self, Answer, CallerExchange, HeldAnswer, PartialAnswer, RunInput};
@@ -41,6 +41,23 @@
     }
 }
 
+/// Place that is held for a decode; given back when it is dropped unused.
+struct HeldPlace {
+    app: Rc<App>,
+    server: ServerKey,
+    name: String,
+    is_used: bool,
+}
+
+impl Drop for HeldPlace {
+    fn drop(&mut self) {
+        if !self.is_used {
+            let name = std::mem::take(&mut self.name);
+            tokio::task::spawn_local(exchange::unreserve(Rc::clone(&self.app), self.server, name));
+        }
+    }
+}
+
 /// Drives a call; `resume_after` is the last event that the caller has of an interrupted stream.
 pub async fn drive(
     app: &Rc<App>,
@@ -50,6 +67,7 @@
 ) -> Driven {
     let mut failure: Option<HeldAnswer> = None;
     let mut held: Option<HeldCache> = None;
+    let mut place: Option<HeldPlace> = None;
     loop {
         let action = call.next(app.now(), &mut app.serving.borrow_mut());
         match action {
@@ -60,6 +78,12 @@
                 }
                 return Driven::Refused(call.timed_out());
             }
+            Action::Wait(pause) => sleep(pause.into()).await,
+            Action::Reserve {
+                server,
+                memory_tokens,
+                ttl,
+            } => place = reserve(app, call, exchange, server, memory_tokens, ttl).await,
             Action::Prefill {
                 server,
                 timeout: time_max,
@@ -67,6 +91,7 @@
             Action::Run {
                 server,
                 cache,
+                reservation,
                 timeout: time_max,
             } => {
                 let cache = match (&cache, &held) {
@@ -75,18 +100,26 @@
                 };
                 let input = RunInput {
                     cache,
+                    reservation: reservation.as_deref(),
                     resume_after,
                 };
+                let began = app.now();
                 let ran = within(time_max, exchange::run(app, exchange, server, input)).await;
                 if let Some(held) = &mut held
                     && matches!(ran, Ok(_) | Err(Outcome::CacheGone))
                 {
                     held.is_used = true;
                 }
+                if let Some(place) = &mut place {
+                    // A run that was sent has used the place, or the server has dropped it.
+                    place.is_used |= !matches!(ran, Err(Outcome::Unreachable | Outcome::CacheGone));
+                }
+                place = None;
                 let now = app.now();
                 let mut serving = app.serving.borrow_mut();
                 match ran {
                     Ok(Answer::Whole(answer)) if !answer.is_failure => {
+                        log_step(app, exchange, &serving, server, "run", began);
                         call.run_answered(now, &mut serving, server);
                         return Driven::Answered(answer);
                     }
@@ -95,7 +128,10 @@
                         log_failure(app, exchange, &serving, server, "run", Outcome::Failed);
                         failure = Some(answer);
                     }
-                    Ok(Answer::Parts(answer)) => return Driven::Streaming(Box::new(answer)),
+                    Ok(Answer::Parts(answer)) => {
+                        log_step(app, exchange, &serving, server, "run", began);
+                        return Driven::Streaming(Box::new(answer));
+                    }
                     Err(outcome) => {
                         log_failure(app, exchange, &serving, server, "run", outcome);
                         call.run_failed(now, &mut serving, server, outcome);
@@ -108,6 +144,37 @@
     }
 }
 
+async fn reserve(
+    app: &Rc<App>,
+    call: &mut Call,
+    exchange: &CallerExchange,
+    server: ServerKey,
+    memory_tokens: Tokens,
+    ttl: DurationUs,
+) -> Option<HeldPlace> {
+    let reserved = exchange::reserve(app, server, memory_tokens, ttl).await;
+    let now = app.now();
+    let mut serving = app.serving.borrow_mut();
+    match reserved {
+        Ok(name) => {
+            call.reserved(name.clone());
+            Some(HeldPlace {
+                app: Rc::clone(app),
+                server,
+                name,
+                is_used: false,
+            })
+        }
+        Err(outcome) => {
+            log_failure(app, exchange, &serving, server, "reserve", outcome);
+            call.reserve_failed(now, &mut serving, server, outcome);
+            drop(serving);
+            after_failure(app, server, outcome);
+            None
+        }
+    }
+}
+
 async fn prefill(
     app: &Rc<App>,
     call: &mut Call,
@@ -115,6 +182,7 @@
     server: ServerKey,
     time_max: DurationUs,
 ) -> Option<HeldCache> {
+    let began = app.now();
     let computed = within(Some(time_max), exchange::prefill(app, exchange, server)).await;
     let now = app.now();
     let mut serving = app.serving.borrow_mut();
@@ -126,6 +194,7 @@
         (Ok(handle), Some(address)) => {
             let cache = CacheRef { server, handle };
             call.prefill_done(now, &mut serving, cache.clone());
+            log_step(app, exchange, &serving, server, "prefill", began);
             Some(HeldCache {
                 app: Rc::clone(app),
                 cache,
@@ -164,6 +233,22 @@
     }
 }
 
+fn log_step(
+    app: &App,
+    exchange: &CallerExchange,
+    serving: &cuminlead_direct_core::Serving,
+    server: ServerKey,
+    step: &'static str,
+    began: cuminlead_types::TimeUs,
+) {
+    let Some(server) = serving.servers.get(server) else {
+        return;
+    };
+    info!(app.log, "step done"; "request" => &exchange.request.id, "step" => step,
+        "server" => %server.record.id, "in_flight" => server.in_flight_count,
+        "took_ms" => app.now().since(began).as_ms());
+}
+
 fn log_failure(
     app: &App,
     exchange: &CallerExchange,
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -9,7 +9,7 @@
 
 use bytes::{Bytes, BytesMut};
 use cuminlead_direct_core::{Outcome, RequestKind, ServerKey};
-use cuminlead_types::{BackendServerId, DurationUs, TimeUs};
+use cuminlead_types::{BackendServerId, DurationUs, TimeUs, Tokens};
 use http::{HeaderMap, Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -23,8 +23,9 @@
 /// Longest answer that is held until it is whole. Answers of plain services are a few KB; a longer
 /// one is passed on as it comes.
 const HELD_MAX_BYTES: usize = 256 * 1024;
-/// Time for the release of a KV cache to be answered. The cache lapses by itself soon after.
-const RELEASE_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time for an engine to answer a request of this process, such as a reservation. Engines answer
+/// these in a few ms.
+const COMMAND_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Request of a caller, read whole.
 #[derive(Debug)]
@@ -41,6 +42,8 @@
     pub body: Bytes,
     /// What may be repeated.
     pub kind: RequestKind,
+    /// When it arrived.
+    pub arrived_at: TimeUs,
     /// Time at which the caller or the route gives up.
     pub deadline: TimeUs,
 }
@@ -124,6 +127,8 @@
 pub struct RunInput<'a> {
     /// Address and name of a KV cache.
     pub cache: Option<(SocketAddr, &'a str)>,
+    /// Name of the place that is held for it.
+    pub reservation: Option<&'a str>,
     /// Id of the last event that the caller has.
     pub resume_after: Option<&'a str>,
 }
@@ -141,6 +146,7 @@
         server: &id,
         time_left: exchange.deadline.since(app.now()),
         cache: input.cache,
+        reservation: input.reservation,
         resume_after: input.resume_after,
     };
     app.dialect.order_run(&mut headers, &order);
@@ -200,6 +206,7 @@
         server: &id,
         time_left: exchange.deadline.since(app.now()),
         cache: None,
+        reservation: None,
         resume_after: None,
     };
     app.dialect.order_prefill(&mut headers, &order);
@@ -229,22 +236,69 @@
         .map_err(|_| Outcome::Garbled)
 }
 
+/// Has a place and memory held at an engine; returns the name of the reservation.
+pub async fn reserve(
+    app: &Rc<App>,
+    server: ServerKey,
+    memory_tokens: Tokens,
+    ttl: DurationUs,
+) -> Result<String, Outcome> {
+    let (method, path, body) = app.dialect.reserve(memory_tokens, ttl);
+    let (status, body) = command(app, server, method, path, body.into()).await?;
+    match status {
+        StatusCode::OK => app
+            .dialect
+            .read_reserved(&body)
+            .map_err(|_| Outcome::Garbled),
+        StatusCode::MISDIRECTED_REQUEST => Err(Outcome::OtherIncarnation),
+        _ => Err(Outcome::TurnedAway),
+    }
+}
+
 /// Frees a KV cache that no run has taken; a cache that cannot be freed lapses by itself.
 pub async fn release(app: Rc<App>, server: ServerKey, handle: String) {
-    let Some((_, address)) = identity(&app, server) else {
-        return;
-    };
     let (method, path) = app.dialect.release(&handle);
+    // Nothing is left to do when it fails.
+    let _ = command(&app, server, method, path, Bytes::new()).await;
+}
+
+/// Gives a held place back; one that cannot be given back lapses by itself.
+pub async fn unreserve(app: Rc<App>, server: ServerKey, reservation: String) {
+    let (method, path) = app.dialect.unreserve(&reservation);
+    // Nothing is left to do when it fails.
+    let _ = command(&app, server, method, path, Bytes::new()).await;
+}
+
+/// Sends a request of this process itself.
+async fn command(
+    app: &Rc<App>,
+    server: ServerKey,
+    method: Method,
+    path: String,
+    body: Bytes,
+) -> Result<(StatusCode, Bytes), Outcome> {
+    let (_, address) = identity(app, server).ok_or(Outcome::Unreachable)?;
     let request = Request::builder()
         .method(method)
         .uri(path)
         .header(http::header::HOST, address.to_string())
-        .body(Full::new(Bytes::new()));
-    let Ok(request) = request else { return };
-    let sent = timeout(RELEASE_TIMEOUT, send(&app, server, address, request, None)).await;
-    if let Ok(Ok((lease, response))) = sent {
-        drain(lease, response.into_body()).await;
-    }
+        .header(http::header::CONTENT_TYPE, "application/json")
+        .body(Full::new(body))
+        .map_err(|_| Outcome::Unreachable)?;
+    let exchange = async {
+        let (mut lease, response) = send(app, server, address, request, None).await?;
+        let (parts, rest) = response.into_parts();
+        lease.idle_max = idle_max(&parts.headers);
+        match collect(rest, HELD_MAX_BYTES).await? {
+            Collected::Whole(body) => {
+                lease.finish();
+                Ok((parts.status, body))
+            }
+            Collected::Partial(..) => Err(Outcome::Garbled),
+        }
+    };
+    let ended = timeout(COMMAND_TIMEOUT, exchange).await;
+    ended.unwrap_or(Err(Outcome::TimedOut))
 }
 
 fn identity(app: &App, server: ServerKey) -> Option<(BackendServerId, SocketAddr)> {
--- a/crates/direct/src/serve.rs
+++ b/crates/direct/src/serve.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use cuminlead_direct_core::{Call, CallSpec, Catalogue, Refusal, RefusalReason, Route, RouteMatch};
+use cuminlead_direct_core::{
+    Call, CallSpec, Catalogue, EngineSpec, ModelNeed, Refusal, RefusalReason, Route, RouteMatch,
+};
 use cuminlead_types::{DurationUs, TimeUs, Tokens};
 use http::header::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HOST, RETRY_AFTER};
 use http::{HeaderValue, Request, Response, StatusCode};
@@ -30,6 +32,9 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Prompt of a model call that does not state its size: about four bytes of body a token.
 const BODY_BYTES_PER_TOKEN: u64 = 4;
+/// Memory for the answer of a model call that states no size, and the most that is reserved: a
+/// caller's estimate is often far off, and memory for a longer answer falls free as others end.
+const ANSWER_TOKENS: Tokens = Tokens(4_800);
 /// Smallest read buffer that hyper accepts.
 const BUFFER_MIN_BYTES: usize = 8_192;
 
@@ -171,6 +176,7 @@
         path: path.to_string(),
         body,
         kind: route.kind,
+        arrived_at,
         deadline: arrived_at + patience,
     };
     let call = new_call(app, &catalogue, route, &exchange);
@@ -195,21 +201,29 @@
     exchange: &CallerExchange,
 ) -> Option<Call> {
     let service = app.serving.borrow_mut().pick_service(route)?;
-    let is_engine = catalogue
-        .service(&service)
-        .is_some_and(|spec| spec.is_engine);
-    let estimate = Tokens(exchange.body.len() as u64 / BODY_BYTES_PER_TOKEN + 1);
-    let prompt_tokens = exchange.request.prompt_tokens.unwrap_or(estimate);
+    let engine = catalogue.service(&service).and_then(|spec| spec.engine);
     Some(Call::new(CallSpec {
         service,
         kind: route.kind,
-        prompt_tokens: is_engine.then_some(prompt_tokens),
+        model: engine.map(|engine| model_need(engine, exchange)),
         attempts_max_count: route.attempts_max_count,
         goal: route.goal,
+        arrived_at: exchange.arrived_at,
         deadline: exchange.deadline,
     }))
 }
 
+fn model_need(engine: EngineSpec, exchange: &CallerExchange) -> ModelNeed {
+    let estimate = Tokens(exchange.body.len() as u64 / BODY_BYTES_PER_TOKEN + 1);
+    let prompt_tokens = exchange.request.prompt_tokens.unwrap_or(estimate);
+    let answer_tokens = exchange.request.answer_tokens.unwrap_or(ANSWER_TOKENS);
+    ModelNeed {
+        prompt_tokens,
+        memory_tokens: prompt_tokens.saturating_add(answer_tokens.min(ANSWER_TOKENS)),
+        reservation_max: engine.reservation_max,
+    }
+}
+
 async fn run(app: &Rc<App>, admitted: Admitted, arrived_at: TimeUs) -> Response<CallerBody> {
     let Admitted {
         exchange,
