--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -3,6 +3,8 @@
 use std::process::ExitCode;
 
 use cuminlead_agent::process::run;
+// Links the adapter, which registers itself.
+use cuminlead_platform as _;
 use cuminlead_process::cli::{self, Program};
 use cuminlead_settings::AgentSettings;
 
--- a/crates/agent/src/process.rs
+++ b/crates/agent/src/process.rs
@@ -42,6 +42,9 @@
 
 /// Runs an agent until it is asked to stop and holds nothing any more.
 pub fn run(settings: &AgentSettings) -> Result<(), Report<StartError>> {
+    if let Some(adapter) = settings.adapter() {
+        return cuminlead_places::agent::run(settings, adapter.as_str());
+    }
     // The port is the lock on the host's slot: the operating system frees it when a process dies.
     let listener = TcpListener::bind(settings.peer_address())
         .change_context(StartError::Bind)
--- a/crates/direct-core/src/call.rs
+++ b/crates/direct-core/src/call.rs
@@ -60,8 +60,8 @@
 pub struct ModelNeed {
     /// Tokens of the prompt.
     pub prompt_tokens: Tokens,
-    /// Memory that the request is expected to need at its end, in tokens.
-    pub memory_tokens: Tokens,
+    /// The caller's estimate of the answer.
+    pub answer_tokens: Option<Tokens>,
     /// Longest reservation at an engine; none if engines take no reservations.
     pub reservation_max: Option<DurationUs>,
 }
@@ -75,6 +75,15 @@
     pub handle: String,
 }
 
+/// Place that is held for a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Reservation {
+    /// Held by the agent beside the engine; the engine does not know of it.
+    Agent,
+    /// Held by the engine under a name.
+    Engine(String),
+}
+
 /// Next step of a call.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Action {
@@ -82,8 +91,8 @@
     Reserve {
         /// Decode server.
         server: ServerKey,
-        /// Memory.
-        memory_tokens: Tokens,
+        /// What the request needs.
+        model: ModelNeed,
         /// Time for which they are held.
         ttl: DurationUs,
     },
@@ -102,8 +111,8 @@
         server: ServerKey,
         /// KV cache to take, if there is one.
         cache: Option<CacheRef>,
-        /// Name of the reservation at the server, if there is one.
-        reservation: Option<String>,
+        /// Place that is held for the request, if there is one.
+        reservation: Option<Reservation>,
         /// Time until the first part of the answer, if another attempt may follow.
         timeout: Option<DurationUs>,
     },
@@ -168,7 +177,7 @@
 enum ReserveState {
     /// A place is needed.
     Open,
-    Held(String),
+    Held(Reservation),
     /// The request runs without a reservation.
     Skipped,
 }
@@ -331,7 +340,7 @@
         let ttl = prefill_time(model.prompt_tokens).saturating_add(PREFILL_MARGIN);
         Some(Action::Reserve {
             server,
-            memory_tokens: model.memory_tokens,
+            model,
             ttl: ttl
                 .min(model.reservation_max?)
                 .min(self.spec.deadline.since(now)),
@@ -360,8 +369,8 @@
     }
 
     /// Records a reservation.
-    pub fn reserved(&mut self, name: String) {
-        self.reserve = ReserveState::Held(name);
+    pub fn reserved(&mut self, reservation: Reservation) {
+        self.reserve = ReserveState::Held(reservation);
     }
 
     /// Records a server that holds no place for this request.
@@ -429,7 +438,7 @@
             PrefillState::Open | PrefillState::Skipped => None,
         };
         let reservation = match std::mem::replace(&mut self.reserve, ReserveState::Skipped) {
-            ReserveState::Held(name) => Some(name),
+            ReserveState::Held(reservation) => Some(reservation),
             ReserveState::Open | ReserveState::Skipped => None,
         };
         self.cache_in_use.clone_from(&cache);
--- a/crates/direct-core/src/lib.rs
+++ b/crates/direct-core/src/lib.rs
@@ -9,6 +9,7 @@
 //! | [`servers`] | the table of all backend servers |
 //! | [`health`] | failures seen first hand, and the pause that follows them |
 //! | [`placement`] | which server a request goes to |
+//! | [`places`] | decode places of one engine, by a forecast of its memory |
 //! | [`call`] | the state of one request |
 //! | [`serving`] | catalogue, servers and budgets, as one context |
 //! | [`follow`] | following the registry without ever going back |
@@ -20,17 +21,19 @@
 pub mod follow;
 pub mod health;
 pub mod placement;
+pub mod places;
 pub mod server;
 pub mod servers;
 pub mod serving;
 
-pub use call::{Action, Call, CallSpec, ModelNeed, Outcome, Refusal, RefusalReason};
+pub use call::{Action, Call, CallSpec, ModelNeed, Outcome, Refusal, RefusalReason, Reservation};
 pub use catalogue::{
     CallerLimits, Catalogue, EngineSpec, RequestKind, Route, RouteMatch, ServiceSpec,
     WeightedService,
 };
 pub use events::EventScanner;
 pub use follow::{Follower, Published, Query, RegistryError, Update};
+pub use places::{EngineReport, PlaceLedger, PlaceReply, PlaceRequest, RunReport};
 pub use server::{ServerRecord, ServerState, Stage};
 pub use servers::{ServerKey, ServerTable};
 pub use serving::Serving;
--- a/crates/direct-core/src/placement.rs
+++ b/crates/direct-core/src/placement.rs
@@ -33,6 +33,10 @@
 const FULL_MS: f64 = 100.0;
 /// Time for which a server without room is asked last.
 const FULL_FOR: DurationUs = DurationUs::from_ms(300);
+/// Cost of an engine whose memory is full by forecast; an emptier one costs proportionally less.
+const MEMORY_MS: f64 = 60.0;
+/// Time in which a known amount of free memory loses its meaning, as answers begin and end.
+const MEMORY_KNOWN_FOR: DurationUs = DurationUs::from_ms(1_500);
 /// Costs closer than this count as equal, so that work spreads.
 const TIE_MS: f64 = 0.5;
 
@@ -155,10 +159,27 @@
     let full_ms = if is_full { FULL_MS } else { 0.0 };
     distance_ms(server, need.origin)
         + full_ms
+        + memory_ms(now, server)
         + f64::from(server.in_flight_count) * work_ms
         + server.health.failure_rate(now) * FAILURE_MS
 }
 
+/// Cost of the memory in use; engines of which nothing is known lately count as half full.
+#[allow(clippy::cast_precision_loss, reason = "token counts are small")]
+fn memory_ms(now: TimeUs, server: &Server) -> f64 {
+    let known = server
+        .memory
+        .filter(|memory| now.since(memory.known_at) < MEMORY_KNOWN_FOR);
+    let used = known.map_or(0.5, |memory| {
+        1.0 - memory.free_tokens.0 as f64 / memory.total_tokens.0.max(1) as f64
+    });
+    if server.record.stage == Some(Stage::Decode) {
+        used * MEMORY_MS
+    } else {
+        0.0
+    }
+}
+
 fn distance_ms(server: &Server, origin: &Origin) -> f64 {
     if server.record.availability_zone == origin.availability_zone {
         WITHIN_ZONE_MS
--- /dev/null
+++ b/crates/direct-core/src/places.rs
@@ -0,0 +1,289 @@
+//! Decode places of one engine, given out by a forecast of its memory.
+//!
+//! Answers the load of long answers on engines that are bounded by memory: a running answer grows
+//! until it ends, so the memory that is free now says little. A place is given only if the highest
+//! use over the time until all known answers have ended stays within the engine's memory. Weighed
+//! against it: reserving the final size of each answer leaves a quarter of the memory empty, and
+//! reserving the present size has answers preempted, which delays all others on the engine while
+//! their prompts are computed again.
+//!
+//! The agent beside the engine owns the ledger. It is rebuilt from the engine's report after a
+//! restart, with unknown answers taken for typical ones.
+
+use std::collections::HashMap;
+
+use cuminlead_types::{DurationUs, Slots, TimeUs, Tokens, UnixMs};
+
+/// Part of the memory that places may use by forecast, in percent. The rest takes up what the
+/// forecast misses between two reports and by wrong estimates.
+const USABLE_PERCENT: u64 = 97;
+/// Shortest rest of an answer that has outgrown its estimate, as a part of what it has generated.
+const OUTGROWN_DIVISOR: u64 = 8;
+/// Weight of the newest ended answer in the typical length.
+const TYPICAL_WEIGHT: f64 = 0.05;
+/// Typical length of an answer before any has ended.
+const TYPICAL_FIRST: f64 = 4_800.0;
+/// Longest time for which a held place is kept without being seen in use after its time.
+const UNSEEN_GRACE: DurationUs = DurationUs::from_ms(300);
+
+/// Answer that an engine generates.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RunReport {
+    /// Request.
+    pub request: String,
+    /// Memory that it uses.
+    pub memory_tokens: Tokens,
+}
+
+/// State of an engine.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct EngineReport {
+    /// Memory in all.
+    pub total_tokens: Tokens,
+    /// Memory that cannot be evicted.
+    pub used_tokens: Tokens,
+    /// Answers under way.
+    pub runs: Vec<RunReport>,
+    /// Requests that wait in the engine.
+    pub waiting_count: u32,
+    /// Start of the engine's incarnation.
+    pub started_at_ms: UnixMs,
+}
+
+/// Request for a place.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PlaceRequest {
+    /// Request.
+    pub request: String,
+    /// Tokens of its prompt.
+    pub prompt_tokens: Tokens,
+    /// The caller's estimate of its answer.
+    pub answer_tokens: Option<Tokens>,
+    /// Time within which it will be used.
+    pub ttl: DurationUs,
+}
+
+/// Answer to a request for a place.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct PlaceReply {
+    /// Whether the place is held.
+    pub is_held: bool,
+    /// Memory beyond the highest forecast use.
+    pub free_tokens: Tokens,
+    /// Memory in all.
+    pub total_tokens: Tokens,
+}
+
+#[derive(Clone, Debug)]
+struct Held {
+    prompt_tokens: Tokens,
+    answer_tokens: Tokens,
+    held_at: TimeUs,
+    expires_at: TimeUs,
+    is_running: bool,
+}
+
+/// Present and final use of one answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Growth {
+    present: Tokens,
+    rest: Tokens,
+}
+
+/// Decode places of one engine.
+#[derive(Clone, Debug)]
+pub struct PlaceLedger {
+    slots: Slots,
+    report: Option<EngineReport>,
+    held: HashMap<String, Held>,
+    typical_answer: f64,
+}
+
+impl PlaceLedger {
+    /// Ledger of an engine with a number of slots.
+    pub fn new(slots: Slots) -> Self {
+        Self {
+            slots,
+            report: None,
+            held: HashMap::new(),
+            typical_answer: TYPICAL_FIRST,
+        }
+    }
+
+    /// Takes a report that was asked for at `asked_at`.
+    pub fn observe(&mut self, asked_at: TimeUs, report: EngineReport) {
+        let is_restarted = self
+            .report
+            .as_ref()
+            .is_some_and(|known| known.started_at_ms != report.started_at_ms);
+        if is_restarted {
+            self.held.clear();
+        }
+        let mut ended = Vec::new();
+        for (request, held) in &mut self.held {
+            let run = report.runs.iter().find(|run| run.request == *request);
+            match run {
+                Some(_) => held.is_running = true,
+                // A place that was taken after the question may be missing in the answer.
+                None if held.is_running && held.held_at < asked_at => ended.push(request.clone()),
+                None => {}
+            }
+        }
+        for request in ended {
+            self.end(&request);
+        }
+        self.held
+            .retain(|_, held| held.is_running || asked_at < held.expires_at + UNSEEN_GRACE);
+        self.report = Some(report);
+    }
+
+    /// Learns from the last known size of an answer that has ended.
+    fn end(&mut self, request: &str) {
+        let Some(held) = self.held.remove(request) else {
+            return;
+        };
+        let last = self.report.iter().flat_map(|report| &report.runs);
+        let last = last.into_iter().find(|run| run.request == request);
+        if let Some(run) = last {
+            let answer = run.memory_tokens.saturating_sub(held.prompt_tokens);
+            #[allow(clippy::cast_precision_loss, reason = "token counts are small")]
+            let answer = answer.0.max(1) as f64;
+            self.typical_answer =
+                self.typical_answer.powf(1.0 - TYPICAL_WEIGHT) * answer.powf(TYPICAL_WEIGHT);
+        }
+    }
+
+    /// Holds a place if the engine has room for the answer until its end.
+    pub fn hold(&mut self, now: TimeUs, request: &PlaceRequest) -> PlaceReply {
+        let Some(total) = self.report.as_ref().map(|report| report.total_tokens) else {
+            return PlaceReply::default();
+        };
+        let answer_tokens = self.expected_answer(request.answer_tokens);
+        let growth = Growth {
+            present: request.prompt_tokens,
+            rest: answer_tokens,
+        };
+        let usable = Tokens(total.0 / 100 * USABLE_PERCENT);
+        let others = self.growths(&request.request);
+        let has_slot = others.len() < self.slots.0 as usize;
+        let mut with_it = others.clone();
+        with_it.push(growth);
+        let peak = peak(&mut with_it) + self.other_use();
+        let is_held = has_slot && peak <= usable;
+        if is_held {
+            let held = Held {
+                prompt_tokens: request.prompt_tokens,
+                answer_tokens,
+                held_at: now,
+                expires_at: now + request.ttl,
+                is_running: false,
+            };
+            self.held.insert(request.request.clone(), held);
+        }
+        let forecast = if is_held {
+            peak
+        } else {
+            let mut others = others;
+            self::peak(&mut others) + self.other_use()
+        };
+        PlaceReply {
+            is_held,
+            free_tokens: usable.saturating_sub(forecast),
+            total_tokens: total,
+        }
+    }
+
+    /// Gives a place back that was not used.
+    pub fn give_back(&mut self, request: &str) {
+        self.held.remove(request);
+    }
+
+    /// Whether anything is held or runs, so that reports are worth asking for often.
+    pub fn is_busy(&self) -> bool {
+        let runs = self
+            .report
+            .as_ref()
+            .is_some_and(|report| !report.runs.is_empty());
+        runs || !self.held.is_empty()
+    }
+
+    /// Highest forecast use of the engine's memory.
+    pub fn forecast(&self) -> Tokens {
+        peak(&mut self.growths("")) + self.other_use()
+    }
+
+    /// Expected tokens of an answer. A caller's estimate is often off by half, so it is drawn
+    /// towards the typical length.
+    fn expected_answer(&self, estimate: Option<Tokens>) -> Tokens {
+        #[allow(clippy::cast_precision_loss, reason = "token counts are small")]
+        let estimate = estimate.map_or(self.typical_answer, |tokens| tokens.0.max(1) as f64);
+        #[allow(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "the mean of positive token counts"
+        )]
+        let expected = (estimate * self.typical_answer).sqrt() as u64;
+        Tokens(expected)
+    }
+
+    fn growths(&self, except: &str) -> Vec<Growth> {
+        let typical = self.expected_answer(None);
+        let mut growths = Vec::new();
+        let runs = self.report.iter().flat_map(|report| &report.runs);
+        for run in runs.filter(|run| run.request != except) {
+            let growth = match self.held.get(&run.request) {
+                Some(held) => Growth {
+                    present: run.memory_tokens,
+                    rest: rest_of(
+                        held.answer_tokens,
+                        run.memory_tokens.saturating_sub(held.prompt_tokens),
+                    ),
+                },
+                None => Growth {
+                    present: run.memory_tokens,
+                    rest: Tokens(typical.0 / 2),
+                },
+            };
+            growths.push(growth);
+        }
+        let waiting = self
+            .held
+            .iter()
+            .filter(|(request, held)| !held.is_running && request.as_str() != except);
+        growths.extend(waiting.map(|(_, held)| Growth {
+            present: held.prompt_tokens,
+            rest: held.answer_tokens,
+        }));
+        growths
+    }
+
+    /// Memory in use by anything else than known answers, such as copies and pinned parts.
+    fn other_use(&self) -> Tokens {
+        let Some(report) = &self.report else {
+            return Tokens::ZERO;
+        };
+        let runs: Tokens = report.runs.iter().map(|run| run.memory_tokens).sum();
+        report.used_tokens.saturating_sub(runs)
+    }
+}
+
+/// Expected rest of an answer that has generated a number of tokens.
+fn rest_of(expected: Tokens, generated: Tokens) -> Tokens {
+    let outgrown = Tokens(generated.0 / OUTGROWN_DIVISOR);
+    expected.saturating_sub(generated).max(outgrown)
+}
+
+/// Highest use while all answers grow at one rate until they end.
+///
+/// The use is highest just before one of them ends, so only these moments are looked at.
+fn peak(growths: &mut [Growth]) -> Tokens {
+    growths.sort_by_key(|growth| growth.rest);
+    let mut highest = Tokens::ZERO;
+    let mut present: Tokens = growths.iter().map(|growth| growth.present).sum();
+    for (index, growth) in growths.iter().enumerate() {
+        let running = (growths.len() - index) as u64;
+        highest = highest.max(present + Tokens(running * growth.rest.0));
+        present = present.saturating_sub(growth.present);
+    }
+    highest
+}
--- a/crates/direct-core/src/servers.rs
+++ b/crates/direct-core/src/servers.rs
@@ -6,7 +6,7 @@
 
 use std::collections::HashMap;
 
-use cuminlead_types::{BackendServerId, DurationUs, RegionName, ServiceName, TimeUs};
+use cuminlead_types::{BackendServerId, DurationUs, RegionName, ServiceName, TimeUs, Tokens};
 use slotmap::{SlotMap, new_key_type};
 
 use crate::health::Health;
@@ -32,6 +32,17 @@
     Leaving,
 }
 
+/// Free memory of an engine at a time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FreeMemory {
+    /// Memory beyond the highest forecast use.
+    pub free_tokens: Tokens,
+    /// Memory in all.
+    pub total_tokens: Tokens,
+    /// When the agent said so.
+    pub known_at: TimeUs,
+}
+
 /// A backend server with what this process knows of it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Server {
@@ -47,6 +58,8 @@
     pub in_flight_count: u32,
     /// When it last had no room for a request.
     pub full_at: Option<TimeUs>,
+    /// Free memory of an engine, as its agent said last.
+    pub memory: Option<FreeMemory>,
 }
 
 /// All backend servers, by key, id and service.
@@ -112,6 +125,7 @@
             health: Health::default(),
             in_flight_count: 0,
             full_at: None,
+            memory: None,
         });
         self.by_id.insert(id, key);
         self.by_service.entry(service).or_default().push(key);
--- a/crates/direct/src/app.rs
+++ b/crates/direct/src/app.rs
@@ -6,6 +6,7 @@
 
 use cuminlead_direct_core::{ServerKey, Serving};
 use cuminlead_kernel::Clock;
+use cuminlead_places::PlaceClient;
 use cuminlead_types::TimeUs;
 use slog::Logger;
 use tokio::sync::watch;
@@ -35,6 +36,10 @@
     pub serving: RefCell<Serving>,
     /// Kept connections.
     pub pool: RefCell<Pool>,
+    /// Connections to the agents that give out decode places.
+    pub places: RefCell<PlaceClient>,
+    /// Port of these agents.
+    pub place_port: Option<u16>,
     /// Headers of the platform.
     pub dialect: Arc<dyn Dialect>,
     /// Metrics.
--- a/crates/direct/src/drive.rs
+++ b/crates/direct/src/drive.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use cuminlead_direct_core::call::CacheRef;
-use cuminlead_direct_core::{Action, Call, Outcome, Refusal, ServerKey};
-use cuminlead_types::{DurationUs, Tokens};
+use cuminlead_direct_core::{Action, Call, ModelNeed, Outcome, Refusal, Reservation, ServerKey};
+use cuminlead_types::DurationUs;
 use slog::{debug, info};
 use tokio::time::{sleep, timeout};
 
@@ -44,16 +44,19 @@
 /// Place that is held for a decode; given back when it is dropped unused.
 struct HeldPlace {
     app: Rc<App>,
+    request: String,
     server: ServerKey,
-    name: String,
+    reservation: Reservation,
     is_used: bool,
 }
 
 impl Drop for HeldPlace {
     fn drop(&mut self) {
         if !self.is_used {
-            let name = std::mem::take(&mut self.name);
-            tokio::task::spawn_local(exchange::unreserve(Rc::clone(&self.app), self.server, name));
+            let request = std::mem::take(&mut self.request);
+            let reservation = self.reservation.clone();
+            let app = Rc::clone(&self.app);
+            tokio::task::spawn_local(exchange::unreserve(app, request, self.server, reservation));
         }
     }
 }
@@ -79,11 +82,9 @@
                 return Driven::Refused(call.timed_out());
             }
             Action::Wait(pause) => sleep(pause.into()).await,
-            Action::Reserve {
-                server,
-                memory_tokens,
-                ttl,
-            } => place = reserve(app, call, exchange, server, memory_tokens, ttl).await,
+            Action::Reserve { server, model, ttl } => {
+                place = reserve(app, call, exchange, server, model, ttl).await
+            }
             Action::Prefill {
                 server,
                 timeout: time_max,
@@ -100,7 +101,10 @@
                 };
                 let input = RunInput {
                     cache,
-                    reservation: reservation.as_deref(),
+                    reservation: match &reservation {
+                        Some(Reservation::Engine(name)) => Some(name.as_str()),
+                        Some(Reservation::Agent) | None => None,
+                    },
                     resume_after,
                 };
                 let began = app.now();
@@ -149,19 +153,20 @@
     call: &mut Call,
     exchange: &CallerExchange,
     server: ServerKey,
-    memory_tokens: Tokens,
+    model: ModelNeed,
     ttl: DurationUs,
 ) -> Option<HeldPlace> {
-    let reserved = exchange::reserve(app, server, memory_tokens, ttl).await;
+    let reserved = exchange::reserve(app, &exchange.request, server, model, ttl).await;
     let now = app.now();
     let mut serving = app.serving.borrow_mut();
     match reserved {
-        Ok(name) => {
-            call.reserved(name.clone());
+        Ok(reservation) => {
+            call.reserved(reservation.clone());
             Some(HeldPlace {
                 app: Rc::clone(app),
+                request: exchange.request.id.clone(),
                 server,
-                name,
+                reservation,
                 is_used: false,
             })
         }
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -8,7 +8,11 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use cuminlead_direct_core::{Outcome, RequestKind, ServerKey};
+use cuminlead_direct_core::servers::FreeMemory;
+use cuminlead_direct_core::{
+    ModelNeed, Outcome, PlaceReply, PlaceRequest, RequestKind, Reservation, ServerKey,
+};
+use cuminlead_places::{PlaceError, client};
 use cuminlead_types::{BackendServerId, DurationUs, TimeUs, Tokens};
 use http::{HeaderMap, Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
@@ -23,6 +27,9 @@
 /// Longest answer that is held until it is whole. Answers of plain services are a few KB; a longer
 /// one is passed on as it comes.
 const HELD_MAX_BYTES: usize = 256 * 1024;
+/// Memory for an answer without an estimate, and the most that is reserved at an engine. Memory for
+/// a longer answer falls free as others end.
+const ANSWER_TOKENS: Tokens = Tokens(4_800);
 /// Time for an engine to answer a request of this process, such as a reservation. Engines answer
 /// these in a few ms.
 const COMMAND_TIMEOUT: Duration = Duration::from_millis(500);
@@ -236,19 +243,82 @@
         .map_err(|_| Outcome::Garbled)
 }
 
-/// Has a place and memory held at an engine; returns the name of the reservation.
+/// Has a place and memory held, by the agent beside the engine or, without one, by the engine.
 pub async fn reserve(
+    app: &Rc<App>,
+    request: &CallerRequest,
+    server: ServerKey,
+    model: ModelNeed,
+    ttl: DurationUs,
+) -> Result<Reservation, Outcome> {
+    if let Some(agent) = agent_of(app, server) {
+        let asked = PlaceRequest {
+            request: request.id.clone(),
+            prompt_tokens: model.prompt_tokens,
+            answer_tokens: model.answer_tokens,
+            ttl,
+        };
+        if let Ok(reply) = ask_agent(app, agent, &asked).await {
+            note_memory(app, server, reply);
+            return if reply.is_held {
+                Ok(Reservation::Agent)
+            } else {
+                Err(Outcome::TurnedAway)
+            };
+        }
+    }
+    let answer = model
+        .answer_tokens
+        .unwrap_or(ANSWER_TOKENS)
+        .min(ANSWER_TOKENS);
+    let memory_tokens = model.prompt_tokens.saturating_add(answer);
+    reserve_at_engine(app, server, memory_tokens, ttl).await
+}
+
+async fn ask_agent(
+    app: &Rc<App>,
+    agent: SocketAddr,
+    asked: &PlaceRequest,
+) -> Result<PlaceReply, PlaceError> {
+    let client = app.places.borrow_mut().connection(app.now(), agent)?;
+    let reply = client::hold(client, asked).await;
+    if reply.is_err() {
+        app.places.borrow_mut().pause(app.now(), agent);
+    }
+    reply
+}
+
+fn note_memory(app: &App, server: ServerKey, reply: PlaceReply) {
+    let known_at = app.now();
+    if let Some(server) = app.serving.borrow_mut().servers.get_mut(server) {
+        server.memory = Some(FreeMemory {
+            free_tokens: reply.free_tokens,
+            total_tokens: reply.total_tokens,
+            known_at,
+        });
+    }
+}
+
+/// Address of the agent beside an engine.
+fn agent_of(app: &App, server: ServerKey) -> Option<SocketAddr> {
+    let port = app.place_port?;
+    let (_, address) = identity(app, server)?;
+    Some(SocketAddr::new(address.ip(), port))
+}
+
+async fn reserve_at_engine(
     app: &Rc<App>,
     server: ServerKey,
     memory_tokens: Tokens,
     ttl: DurationUs,
-) -> Result<String, Outcome> {
+) -> Result<Reservation, Outcome> {
     let (method, path, body) = app.dialect.reserve(memory_tokens, ttl);
     let (status, body) = command(app, server, method, path, body.into()).await?;
     match status {
         StatusCode::OK => app
             .dialect
             .read_reserved(&body)
+            .map(Reservation::Engine)
             .map_err(|_| Outcome::Garbled),
         StatusCode::MISDIRECTED_REQUEST => Err(Outcome::OtherIncarnation),
         _ => Err(Outcome::TurnedAway),
@@ -263,10 +333,23 @@
 }
 
 /// Gives a held place back; one that cannot be given back lapses by itself.
-pub async fn unreserve(app: Rc<App>, server: ServerKey, reservation: String) {
-    let (method, path) = app.dialect.unreserve(&reservation);
-    // Nothing is left to do when it fails.
-    let _ = command(&app, server, method, path, Bytes::new()).await;
+pub async fn unreserve(app: Rc<App>, request: String, server: ServerKey, reservation: Reservation) {
+    match reservation {
+        Reservation::Agent => {
+            let Some(agent) = agent_of(&app, server) else {
+                return;
+            };
+            let client = app.places.borrow_mut().connection(app.now(), agent);
+            if let Ok(client) = client {
+                client::give_back(client, request).await;
+            }
+        }
+        Reservation::Engine(name) => {
+            let (method, path) = app.dialect.unreserve(&name);
+            // Nothing is left to do when it fails.
+            let _ = command(&app, server, method, path, Bytes::new()).await;
+        }
+    }
 }
 
 /// Sends a request of this process itself.
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -16,6 +16,7 @@
 use cuminlead_direct_core::placement::Origin;
 use cuminlead_direct_core::serving::ServingConfig;
 use cuminlead_kernel::Clock;
+use cuminlead_places::PlaceClient;
 use cuminlead_process::{StartError, admin};
 use cuminlead_retry::RetryLimits;
 use cuminlead_settings::EntrySettings;
@@ -94,6 +95,10 @@
         clock,
         serving: RefCell::new(Serving::new(serving_config(settings))),
         pool: RefCell::new(Pool::default()),
+        places: RefCell::new(PlaceClient::default()),
+        place_port: settings
+            .place_port()
+            .and_then(|port| u16::try_from(port.0).ok()),
         dialect: adapter.dialect,
         metrics: direct_metrics,
         log: log.clone(),
--- a/crates/direct/src/serve.rs
+++ b/crates/direct/src/serve.rs
@@ -32,9 +32,6 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Prompt of a model call that does not state its size: about four bytes of body a token.
 const BODY_BYTES_PER_TOKEN: u64 = 4;
-/// Memory for the answer of a model call that states no size, and the most that is reserved: a
-/// caller's estimate is often far off, and memory for a longer answer falls free as others end.
-const ANSWER_TOKENS: Tokens = Tokens(4_800);
 /// Smallest read buffer that hyper accepts.
 const BUFFER_MIN_BYTES: usize = 8_192;
 
@@ -216,10 +213,9 @@
 fn model_need(engine: EngineSpec, exchange: &CallerExchange) -> ModelNeed {
     let estimate = Tokens(exchange.body.len() as u64 / BODY_BYTES_PER_TOKEN + 1);
     let prompt_tokens = exchange.request.prompt_tokens.unwrap_or(estimate);
-    let answer_tokens = exchange.request.answer_tokens.unwrap_or(ANSWER_TOKENS);
     ModelNeed {
         prompt_tokens,
-        memory_tokens: prompt_tokens.saturating_add(answer_tokens.min(ANSWER_TOKENS)),
+        answer_tokens: exchange.request.answer_tokens,
         reservation_max: engine.reservation_max,
     }
 }
--- /dev/null
+++ b/crates/places/src/agent.rs
@@ -0,0 +1,153 @@
+//! Start and stop of the agent.
+//!
+//! The control thread reads the engine's report and the traffic thread answers entries; both share
+//! the ledger, which each locks for one decision. The agent holds nothing that must survive it, so
+//! it ends at once when it is asked to.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
+use std::time::Duration;
+
+use cuminlead_direct_core::PlaceLedger;
+use cuminlead_kernel::Clock;
+use cuminlead_process::admin::{self, AdminSource};
+use cuminlead_process::{StartError, signal};
+use cuminlead_settings::AgentSettings;
+use cuminlead_telemetry::metrics::Counters;
+use cuminlead_telemetry::{Label, Metrics, log};
+use cuminlead_wire::proto::places_server::PlacesServer;
+use error_stack::{Report, ResultExt};
+use slog::{Logger, info, warn};
+use tokio::net::TcpListener;
+use tonic::transport::Server;
+use tonic::transport::server::TcpIncoming;
+
+use crate::monitor::{self, EngineMonitor};
+use crate::rpc::{PlacesRpc, SharedLedger};
+
+/// Pause between reports of a busy engine. A full batch grows by about 1,500 tokens meanwhile,
+/// which the part of the memory that the forecast leaves free takes up.
+const BUSY_PAUSE: Duration = Duration::from_millis(100);
+/// Pause between reports of an idle engine.
+const IDLE_PAUSE: Duration = Duration::from_millis(400);
+
+/// Runs the agent until it is asked to stop.
+pub fn run(settings: &AgentSettings, adapter_name: &str) -> Result<(), Report<StartError>> {
+    let (log, _log_guard) = log::logger_to(
+        std::io::stdout(),
+        &settings.log_level().to_string(),
+        settings.name().as_str(),
+    );
+    let plugin = monitor::find(adapter_name)
+        .ok_or_else(|| Report::new(StartError::Plugin).attach(format!("adapter={adapter_name}")))?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .change_context(StartError::Thread)?;
+    runtime.block_on(serve(settings, (plugin.build)(settings), &log))
+}
+
+async fn serve(
+    settings: &AgentSettings,
+    monitor: Box<dyn EngineMonitor>,
+    log: &Logger,
+) -> Result<(), Report<StartError>> {
+    let clock = Clock::start();
+    let mut metrics = Metrics::new("cuminlead_agent");
+    let reports = metrics.counters("place_reports", "Reports of the engine by result");
+    let ledger = SharedLedger::new(PlaceLedger::new(*settings.slots_count()));
+    let is_reporting = Arc::new(AtomicBool::new(false));
+    let address = *settings.peer_address();
+    let listener = TcpListener::bind(address)
+        .await
+        .change_context(StartError::Bind)
+        .attach_with(|| format!("address={address}"))?;
+    let source = PlaceAdmin {
+        metrics,
+        is_reporting: Arc::clone(&is_reporting),
+    };
+    admin::serve(*settings.admin_address(), Arc::new(source))?;
+    let watcher = Watcher {
+        clock,
+        monitor,
+        ledger: ledger.clone(),
+        is_reporting,
+        reports,
+        log: log.clone(),
+    };
+    thread::Builder::new()
+        .name("control".to_string())
+        .spawn(move || watcher.run())
+        .change_context(StartError::Thread)?;
+    let service = PlacesServer::new(PlacesRpc::new(ledger, clock, log.clone()));
+    let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
+    info!(log, "agent started"; "address" => %address, "engine" => %settings.backend_address());
+    let serving = Server::builder()
+        .add_service(service)
+        .serve_with_incoming(incoming);
+    tokio::select! {
+        served = serving => served.change_context(StartError::Thread)?,
+        () = signal::on_stop(|| {}) => {}
+    }
+    info!(log, "agent stopped"; "address" => %address);
+    Ok(())
+}
+
+/// Reads reports into the ledger.
+struct Watcher {
+    clock: Clock,
+    monitor: Box<dyn EngineMonitor>,
+    ledger: SharedLedger,
+    is_reporting: Arc<AtomicBool>,
+    reports: Counters,
+    log: Logger,
+}
+
+impl Watcher {
+    fn run(mut self) {
+        loop {
+            let asked_at = self.clock.mono();
+            let report = self.monitor.report();
+            self.count(&report);
+            if let Ok(report) = report {
+                self.ledger.lock().observe(asked_at, report);
+            }
+            let is_busy = self.ledger.lock().is_busy();
+            thread::sleep(if is_busy { BUSY_PAUSE } else { IDLE_PAUSE });
+        }
+    }
+
+    fn count<T>(&self, report: &Result<T, String>) {
+        let result = if report.is_ok() { "read" } else { "failed" };
+        self.reports
+            .get_or_create(&Label::new("result", result))
+            .inc();
+        let was_reporting = self.is_reporting.swap(report.is_ok(), Ordering::Relaxed);
+        match report {
+            Ok(_) if !was_reporting => info!(self.log, "engine regained"),
+            Err(reason) if was_reporting => warn!(self.log, "engine lost"; "reason" => reason),
+            _ => {}
+        }
+    }
+}
+
+/// Source of the admin address.
+struct PlaceAdmin {
+    metrics: Metrics,
+    is_reporting: Arc<AtomicBool>,
+}
+
+impl AdminSource for PlaceAdmin {
+    fn metrics(&self) -> String {
+        self.metrics.encode().unwrap_or_default()
+    }
+
+    fn is_ready(&self) -> bool {
+        self.is_reporting.load(Ordering::Relaxed)
+    }
+
+    fn status(&self) -> String {
+        serde_json::json!({ "ready": self.is_ready() }).to_string()
+    }
+}
--- /dev/null
+++ b/crates/places/src/lib.rs
@@ -0,0 +1,20 @@
+//! Decode places of engines: the agent that gives them out and the client that asks.
+//!
+//! The agent beside an engine alone knows what the engine runs and has promised, so it alone
+//! decides who gets a place. Entries keep the path of requests and answers to themselves; an agent
+//! that is gone costs places, never requests.
+//!
+//! | module | holds |
+//! |---|---|
+//! | [`monitor`] | the border by which a platform reads an engine's report |
+//! | [`agent`] | start and stop of the agent |
+//! | [`rpc`] | the service that entries ask |
+//! | [`client`] | the entry's side |
+
+pub mod agent;
+pub mod client;
+pub mod monitor;
+pub mod rpc;
+
+pub use client::{PlaceClient, PlaceError};
+pub use monitor::{EngineMonitor, MonitorPlugin};
--- a/crates/settings/src/agent.rs
+++ b/crates/settings/src/agent.rs
@@ -10,7 +10,7 @@
 use crate::entry::is_same;
 use crate::macros::settings;
 use crate::reader::Reader;
-use crate::value::{AgentName, BackendKind, Count, DurationMs, LogLevel, Secret};
+use crate::value::{AdapterName, AgentName, BackendKind, Count, DurationMs, LogLevel, Secret};
 
 /// Imports that a prefill is held for: one and its repeat.
 const IMPORTS_COUNT: u64 = 2;
@@ -72,6 +72,9 @@
         prefill_tokens_per_second: TokensPerSecond = Default("20000") in 1..=100000000;
         /// Longest time that held leases and permits may take on shutdown.
         drain_max_ms: DurationMs = Default("120000") in 100..=900000;
+        /// Adapter of a platform whose entries call backend servers directly. The agent then gives
+        /// out the decode places of its engine.
+        adapter: Option<AdapterName> = Optional("\"users-platform\"");
         /// Least severe log lines that are written.
         log_level: LogLevel = Default("\"info\"");
         /// Token that entries must present, the same at all processes. Without it, all entries
--- a/crates/settings/src/entry.rs
+++ b/crates/settings/src/entry.rs
@@ -64,6 +64,9 @@
         /// Region of each availability zone, for distances to backend servers that are called
         /// directly.
         zone_regions: ZoneRegions = Default("\"\"");
+        /// Port of the agents that give out decode places, on the hosts of the engines. Without it,
+        /// places are reserved at the engines themselves.
+        place_port: Option<Count> = Optional("7660");
         /// Most open connections of callers when backend servers are called directly. Each one
         /// takes a descriptor, and a request under way takes another.
         connections_max_count: Count = Default("2500") in 1..=65536;
