Keep agents running on SIGHUP and test the decisions of direct calls

Ruled out: a crash (its log ends after a regular line). Both processes now share one set of listeners.

--- /dev/null
+++ b/crates/direct-core/tests/call.rs
@@ -0,0 +1,304 @@
+//! What a request does after each failure.
+
+mod support;
+
+use cuminlead_direct_core::call::CacheRef;
+use cuminlead_direct_core::{
+    Action, Call, Outcome, Refusal, RefusalReason, RequestKind, Reservation, Serving,
+};
+use cuminlead_types::DurationUs;
+use support::{id, key, model_spec, ms, plain_spec, publish, serving};
+use yare::parameterized;
+
+const ONCE: RequestKind = RequestKind::NonIdempotent;
+const REPEATABLE: RequestKind = RequestKind::Idempotent;
+const STREAM: RequestKind = RequestKind::Stream { resumable: false };
+const RESUMABLE: RequestKind = RequestKind::Stream { resumable: true };
+
+fn counter() -> Serving {
+    let mut serving = serving();
+    publish(
+        &mut serving,
+        &["s1 counter a1 -", "s2 counter a2 -", "s3 counter b1 -"],
+    );
+    serving
+}
+
+fn text(serving: &Serving, action: &Action) -> String {
+    match action {
+        Action::Run { server, .. } => format!("run {}", id(serving, *server)),
+        Action::Prefill { server, .. } => format!("prefill {}", id(serving, *server)),
+        Action::Reserve { server, .. } => format!("reserve {}", id(serving, *server)),
+        Action::Wait(pause) => format!("wait {}", pause.as_ms()),
+        Action::Deliver => "deliver".to_string(),
+        Action::Refuse(refusal) => {
+            let run = if refusal.is_not_run {
+                "not_run"
+            } else {
+                "unknown"
+            };
+            format!("refuse {run} {}", refusal.reason)
+        }
+    }
+}
+
+/// Guards against a second run of a request that may run once, against refusals as "not run" of
+/// requests that may have run, and against failures that need not reach the caller.
+#[parameterized(
+    once_unreachable = { ONCE, 1, Outcome::Unreachable, "run s2" },
+    once_turned_away = { ONCE, 1, Outcome::TurnedAway, "run s2" },
+    once_other_incarnation = { ONCE, 1, Outcome::OtherIncarnation, "run s2" },
+    once_failed = { ONCE, 2, Outcome::Failed, "deliver" },
+    once_lost = { ONCE, 2, Outcome::Lost, "refuse unknown outcome_unknown" },
+    once_garbled = { ONCE, 2, Outcome::Garbled, "refuse unknown outcome_unknown" },
+    once_timed_out = { ONCE, 2, Outcome::TimedOut, "refuse unknown timed_out" },
+    repeatable_unreachable = { REPEATABLE, 1, Outcome::Unreachable, "run s2" },
+    repeatable_failed = { REPEATABLE, 2, Outcome::Failed, "run s2" },
+    repeatable_lost = { REPEATABLE, 2, Outcome::Lost, "run s2" },
+    repeatable_garbled = { REPEATABLE, 2, Outcome::Garbled, "run s2" },
+    repeatable_timed_out = { REPEATABLE, 2, Outcome::TimedOut, "run s2" },
+    single_failed = { REPEATABLE, 1, Outcome::Failed, "deliver" },
+    single_lost = { REPEATABLE, 1, Outcome::Lost, "refuse unknown outcome_unknown" },
+)]
+fn failure_leads_to(kind: RequestKind, attempts: u32, outcome: Outcome, expected: &str) {
+    let mut serving = counter();
+    let mut call = Call::new(plain_spec(kind, attempts));
+    let first = call.next(ms(0), &mut serving);
+    assert_eq!(text(&serving, &first), "run s1");
+    let server = key(&serving, "s1");
+    call.run_failed(ms(10), &mut serving, server, outcome);
+    let next = call.next(ms(10), &mut serving);
+    assert_eq!(text(&serving, &next), expected);
+}
+
+/// Guards against a request that runs on more servers than its route allows.
+#[test]
+fn runs_are_bounded_by_the_attempts_of_the_route() {
+    let mut serving = counter();
+    let mut call = Call::new(plain_spec(REPEATABLE, 2));
+    for _ in 0..2 {
+        let Action::Run { server, .. } = call.next(ms(0), &mut serving) else {
+            panic!("two servers may run it");
+        };
+        call.run_failed(ms(0), &mut serving, server, Outcome::Lost);
+    }
+    let end = call.next(ms(0), &mut serving);
+    assert_eq!(text(&serving, &end), "refuse unknown outcome_unknown");
+}
+
+/// Guards against repeats that multiply the load of a failing service.
+#[test]
+fn repeats_stay_in_the_budget() {
+    let mut serving = counter();
+    let mut repeats = 0;
+    for _ in 0..60 {
+        let mut call = Call::new(plain_spec(REPEATABLE, 2));
+        let Action::Run { server, .. } = call.next(ms(0), &mut serving) else {
+            panic!("a server takes the first attempt");
+        };
+        call.run_failed(ms(0), &mut serving, server, Outcome::Failed);
+        if let Action::Run { .. } = call.next(ms(0), &mut serving) {
+            repeats += 1;
+        }
+    }
+    // A sixth of the requests.
+    assert_eq!(repeats, 10);
+}
+
+/// Guards against an own failure in place of the answer that a server has given.
+#[test]
+fn failure_is_delivered_when_the_budget_is_used_up() {
+    let mut serving = counter();
+    let service = "counter".parse().unwrap();
+    while serving.budget(&service).try_retry(ms(0)) {}
+    let mut call = Call::new(plain_spec(REPEATABLE, 2));
+    call.next(ms(0), &mut serving);
+    let server = key(&serving, "s1");
+    call.run_failed(ms(0), &mut serving, server, Outcome::Failed);
+    assert_eq!(call.next(ms(0), &mut serving), Action::Deliver);
+}
+
+/// Guards against a first attempt that leaves no time for the second.
+#[test]
+fn attempt_leaves_time_for_the_next() {
+    let mut serving = counter();
+    let mut call = Call::new(plain_spec(REPEATABLE, 2));
+    let Action::Run {
+        timeout, server, ..
+    } = call.next(ms(0), &mut serving)
+    else {
+        panic!("a server takes it");
+    };
+    assert_eq!(timeout, Some(DurationUs::from_ms(360)));
+    call.run_failed(ms(360), &mut serving, server, Outcome::TimedOut);
+    let Action::Run { timeout, .. } = call.next(ms(360), &mut serving) else {
+        panic!("a second server takes it");
+    };
+    assert_eq!(timeout, None);
+}
+
+fn notes() -> Serving {
+    let mut serving = serving();
+    publish(
+        &mut serving,
+        &[
+            "p1 notes a1 prefill",
+            "p2 notes a2 prefill",
+            "d1 notes a1 decode",
+            "d2 notes a2 decode",
+            "d3 notes b1 decode",
+        ],
+    );
+    serving
+}
+
+/// Brings a model call to its run at `d1`, with a cache at the prefill server.
+fn reserved_and_prefilled(serving: &mut Serving, kind: RequestKind, attempts: u32) -> Call {
+    let mut call = Call::new(model_spec(kind, attempts));
+    let first = call.next(ms(0), serving);
+    assert_eq!(text(serving, &first), "reserve d1");
+    call.reserved(Reservation::Agent);
+    let Action::Prefill { server, .. } = call.next(ms(2), serving) else {
+        panic!("a prefill follows the reservation");
+    };
+    let handle = "h".to_string();
+    call.prefill_done(ms(100), serving, CacheRef { server, handle });
+    call
+}
+
+/// Guards against prompts that are computed before there is a place for their decode.
+#[test]
+fn decode_place_comes_before_the_prefill() {
+    let mut serving = notes();
+    let mut call = reserved_and_prefilled(&mut serving, STREAM, 1);
+    let Action::Run {
+        cache, reservation, ..
+    } = call.next(ms(100), &mut serving)
+    else {
+        panic!("the run follows the prefill");
+    };
+    assert!(cache.is_some());
+    assert_eq!(reservation, Some(Reservation::Agent));
+}
+
+/// Guards against a cache that crosses regions and against a prefill far from its decode.
+#[test]
+fn prefill_is_in_the_region_of_the_decode() {
+    let mut serving = serving();
+    publish(&mut serving, &["p1 notes a1 prefill", "d3 notes b1 decode"]);
+    let mut call = Call::new(model_spec(STREAM, 1));
+    let first = call.next(ms(0), &mut serving);
+    assert_eq!(text(&serving, &first), "reserve d3");
+    call.reserved(Reservation::Agent);
+    // No prefill server in region b, so the decode server computes the prompt.
+    let next = call.next(ms(0), &mut serving);
+    assert_eq!(text(&serving, &next), "run d3");
+}
+
+/// Guards against waiting in vain, and against refusing while a place may fall free in time.
+#[test]
+fn full_engines_are_asked_again_while_an_answer_is_of_use() {
+    let mut serving = notes();
+    let mut call = Call::new(model_spec(STREAM, 1));
+    let mut texts = Vec::new();
+    let mut now = 0;
+    loop {
+        let action = call.next(ms(now), &mut serving);
+        match action {
+            Action::Reserve { server, .. } => {
+                call.reserve_failed(ms(now), &mut serving, server, Outcome::TurnedAway);
+            }
+            Action::Wait(pause) => now += pause.as_ms(),
+            Action::Refuse(refusal) => {
+                assert!(refusal.is_not_run);
+                assert_eq!(refusal.reason, RefusalReason::NoPlace);
+                break;
+            }
+            _ => panic!("no engine has a place"),
+        }
+        texts.push(text(&serving, &action));
+    }
+    assert_eq!(
+        &texts[3], "wait 60",
+        "all engines are asked before the pause"
+    );
+    assert!(texts.contains(&"wait 250".to_string()));
+    assert!((1_800..2_100).contains(&now), "refused after {now} ms");
+}
+
+/// Guards against a prefill at a second server after one that may have been accepted, which would
+/// count as a second server for a route that allows one.
+#[parameterized(
+    turned_away = { Outcome::TurnedAway, "prefill" },
+    unreachable = { Outcome::Unreachable, "prefill" },
+    lost = { Outcome::Lost, "run d1" },
+    timed_out = { Outcome::TimedOut, "run d1" },
+    failed = { Outcome::Failed, "run d1" },
+)]
+fn failed_prefill_leads_to(outcome: Outcome, expected: &str) {
+    let mut serving = notes();
+    let mut call = Call::new(model_spec(STREAM, 1));
+    call.next(ms(0), &mut serving);
+    call.reserved(Reservation::Agent);
+    let Action::Prefill { server, .. } = call.next(ms(0), &mut serving) else {
+        panic!("a prefill follows the reservation");
+    };
+    call.prefill_failed(ms(50), &mut serving, server, outcome);
+    let next = call.next(ms(50), &mut serving);
+    assert!(text(&serving, &next).starts_with(expected), "{next:?}");
+}
+
+/// Guards against a cache that is thrown away though another server can take it, and against one
+/// that is used after it is gone.
+#[parameterized(
+    turned_away = { Outcome::TurnedAway, true },
+    unreachable = { Outcome::Unreachable, true },
+    cache_gone = { Outcome::CacheGone, false },
+)]
+fn cache_is_kept_after(outcome: Outcome, is_kept: bool) {
+    let mut serving = notes();
+    let mut call = reserved_and_prefilled(&mut serving, STREAM, 1);
+    let Action::Run { server, .. } = call.next(ms(100), &mut serving) else {
+        panic!("the run follows the prefill");
+    };
+    call.run_failed(ms(110), &mut serving, server, outcome);
+    let Action::Reserve { .. } = call.next(ms(110), &mut serving) else {
+        panic!("the next server needs a place");
+    };
+    call.reserved(Reservation::Agent);
+    let Action::Run { cache, .. } = call.next(ms(112), &mut serving) else {
+        panic!("no second prefill");
+    };
+    assert_eq!(cache.is_some(), is_kept);
+}
+
+/// Guards against joining two runs of a stream that may not be resumed.
+#[parameterized(
+    plain_stream = { STREAM, 2, "refuse unknown outcome_unknown" },
+    resumable = { RESUMABLE, 2, "reserve" },
+    resumable_once = { RESUMABLE, 1, "refuse unknown outcome_unknown" },
+)]
+fn lost_stream_leads_to(kind: RequestKind, attempts: u32, expected: &str) {
+    let mut serving = notes();
+    let mut call = reserved_and_prefilled(&mut serving, kind, attempts);
+    let Action::Run { server, .. } = call.next(ms(100), &mut serving) else {
+        panic!("the run follows the prefill");
+    };
+    call.run_failed(ms(500), &mut serving, server, Outcome::Lost);
+    let next = call.next(ms(500), &mut serving);
+    assert!(text(&serving, &next).starts_with(expected), "{next:?}");
+}
+
+/// Guards against a request that is kept after its time, and against the promise that it did not
+/// run when it may have.
+#[test]
+fn time_is_bounded() {
+    let mut serving = counter();
+    let mut call = Call::new(plain_spec(ONCE, 1));
+    let expected = Refusal {
+        is_not_run: true,
+        reason: RefusalReason::TimedOut,
+        retry_after: DurationUs::from_ms(1_000),
+    };
+    assert_eq!(call.next(ms(800), &mut serving), Action::Refuse(expected));
+}
--- /dev/null
+++ b/crates/direct-core/tests/follow.rs
@@ -0,0 +1,148 @@
+//! Following the registry without ever going back.
+
+mod support;
+
+use cuminlead_direct_core::follow::{Collection, Entry, Page};
+use cuminlead_direct_core::{Follower, Published, Query, RegistryError, Update};
+use cuminlead_types::Revision;
+use support::{PLAIN, catalogue, ms, record};
+
+fn server(id: &str, revision: u64) -> Entry {
+    Entry {
+        revision: Revision(revision),
+        published: Published::Server(record(id, PLAIN, "a1", None)),
+    }
+}
+
+fn removed(id: &str, revision: u64) -> Entry {
+    Entry {
+        revision: Revision(revision),
+        published: Published::ServerRemoved(id.parse().unwrap()),
+    }
+}
+
+fn config(version: u64, revision: u64) -> Entry {
+    Entry {
+        revision: Revision(revision),
+        published: Published::Catalogue(Box::new(catalogue(version, &["/x/"]))),
+    }
+}
+
+fn page(revision: u64, entries: Vec<Entry>) -> Result<Page, RegistryError> {
+    Ok(Page {
+        entries,
+        next: None,
+        revision: Revision(revision),
+    })
+}
+
+fn texts(updates: &[Update]) -> Vec<String> {
+    let text = |update: &Update| match update {
+        Update::Catalogue(catalogue) => format!("version {}", catalogue.version()),
+        Update::Server(record) => format!("server {}", record.id),
+        Update::ServerRemoved(id) => format!("removed {id}"),
+        Update::Unusable { key, .. } => format!("unusable {key}"),
+        Update::Synced(revision) => format!("synced {revision}"),
+        Update::Lost(_) => "lost".to_string(),
+        Update::Regained => "regained".to_string(),
+    };
+    updates.iter().map(text).collect()
+}
+
+/// Follower that has listed version 5 and servers `s1` and `s2`.
+fn synced() -> Follower {
+    let mut follower = Follower::new();
+    follower.handle(ms(0), page(10, vec![config(5, 3)]));
+    let updates = follower.handle(ms(0), page(11, vec![server("s1", 7), server("s2", 8)]));
+    assert_eq!(texts(&updates), ["server s1", "server s2", "synced 10"]);
+    follower
+}
+
+/// Guards against changes that are lost between the pages of a listing.
+#[test]
+fn watch_begins_at_the_first_page() {
+    let follower = synced();
+    let Query::Watch { after, .. } = follower.query() else {
+        panic!("the listing is complete");
+    };
+    assert_eq!(after, Revision(10));
+}
+
+/// Guards against a listing that ends after its first page.
+#[test]
+fn listing_goes_through_all_pages() {
+    let mut follower = Follower::new();
+    follower.handle(ms(0), page(10, vec![]));
+    let more = Page {
+        entries: vec![server("s1", 7)],
+        next: Some("k1".to_string()),
+        revision: Revision(11),
+    };
+    follower.handle(ms(0), Ok(more));
+    let expected = Query::List {
+        collection: Collection::Servers,
+        after: Some("k1".to_string()),
+    };
+    assert_eq!(follower.query(), expected);
+}
+
+/// Guards against a configuration or an entry that goes back to an earlier state.
+#[test]
+fn nothing_goes_back() {
+    let mut follower = synced();
+    let late = vec![
+        config(4, 12),
+        config(5, 13),
+        removed("s1", 6),
+        server("s2", 8),
+    ];
+    let updates = follower.handle(ms(0), page(13, late));
+    assert_eq!(texts(&updates), Vec::<String>::new());
+    let updates = follower.handle(ms(0), page(14, vec![config(9, 14)]));
+    assert_eq!(texts(&updates), ["version 9"]);
+}
+
+/// Guards against servers that left while the history was dropped.
+#[test]
+fn lost_history_is_listed_anew() {
+    let mut follower = synced();
+    follower.handle(ms(0), Err(RegistryError::HistoryGone));
+    assert!(matches!(follower.query(), Query::List { .. }));
+    follower.handle(ms(0), page(90, vec![config(5, 3)]));
+    let updates = follower.handle(ms(0), page(91, vec![server("s2", 8)]));
+    assert_eq!(texts(&updates), ["removed s1", "synced 90"]);
+}
+
+/// Guards against a registry that is away and asked without pause, and against an outage that
+/// nobody can see in the log.
+#[test]
+fn outage_is_reported_once_and_asked_with_pauses() {
+    let mut follower = synced();
+    let away = || Err(RegistryError::Unavailable("refused".to_string()));
+    assert_eq!(texts(&follower.handle(ms(0), away())), ["lost"]);
+    assert_eq!(follower.paused_until(), ms(50));
+    assert!(follower.handle(ms(50), away()).is_empty());
+    assert_eq!(follower.paused_until(), ms(150));
+    for _ in 0..20 {
+        follower.handle(ms(1_000), away());
+    }
+    assert_eq!(follower.paused_until(), ms(1_400));
+    let updates = follower.handle(ms(2_000), page(12, vec![]));
+    assert_eq!(texts(&updates), ["regained"]);
+}
+
+/// Guards against work for a server whose entry another writer has overwritten.
+#[test]
+fn unusable_entry_removes_its_server() {
+    let mut follower = synced();
+    let unusable = Entry {
+        revision: Revision(12),
+        published: Published::Unusable {
+            key: "servers/s1".to_string(),
+            server: Some("s1".parse().unwrap()),
+            reason: "no address".to_string(),
+        },
+    };
+    let updates = follower.handle(ms(0), page(12, vec![unusable]));
+    assert_eq!(texts(&updates), ["removed s1", "unusable servers/s1"]);
+}
--- /dev/null
+++ b/crates/direct-core/tests/placement.rs
@@ -0,0 +1,171 @@
+//! Which server a request goes to.
+
+mod support;
+
+use cuminlead_direct_core::placement::{Need, NoServer, choose, retry_after};
+use cuminlead_direct_core::servers::{FreeMemory, REMOVED_HOLD};
+use cuminlead_direct_core::{ServerState, Serving, Stage, Update};
+use cuminlead_types::{DurationUs, TimeUs, Tokens};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use support::{ENGINES, PLAIN, id, key, ms, publish, record, serving};
+use yare::parameterized;
+
+fn chosen(serving: &Serving, now: TimeUs, service: &str, stage: Option<Stage>) -> String {
+    let origin = cuminlead_direct_core::placement::Origin {
+        availability_zone: "a1".parse().unwrap(),
+        region: "a".parse().unwrap(),
+    };
+    let need = Need {
+        service: &service.parse().unwrap(),
+        stage,
+        origin: &origin,
+        region: None,
+        excluded: &[],
+    };
+    match choose(now, &serving.servers, need, &mut SmallRng::seed_from_u64(1)) {
+        Ok(key) => id(serving, key),
+        Err(no_server) => format!("{no_server:?}"),
+    }
+}
+
+fn counter() -> Serving {
+    let mut serving = serving();
+    publish(
+        &mut serving,
+        &["s1 counter a1 -", "s2 counter a2 -", "s3 counter b1 -"],
+    );
+    serving
+}
+
+/// Guards against requests that travel without need, and against a near server that is overloaded
+/// while others are idle.
+#[parameterized(
+    idle = { &[], "s1" },
+    near_is_busy = { &["s1"], "s2" },
+    region_is_busy = { &["s1", "s1", "s1", "s1", "s2", "s2", "s2", "s2"], "s3" },
+)]
+fn work_spreads_by_distance(under_way: &[&str], expected: &str) {
+    let mut serving = counter();
+    for id in under_way {
+        let key = key(&serving, id);
+        serving.begin(key);
+    }
+    assert_eq!(chosen(&serving, ms(0), PLAIN, None), expected);
+}
+
+/// Guards against work for a server that fails its requests while its health probe is good.
+#[test]
+fn failing_server_gets_less_work() {
+    let mut serving = counter();
+    let key = key(&serving, "s1");
+    let server = serving.servers.get_mut(key).unwrap();
+    for _ in 0..4 {
+        server.health.record_failure(ms(0));
+        server.health.record_success(ms(0));
+    }
+    assert_eq!(chosen(&serving, ms(0), PLAIN, None), "s2");
+    assert_eq!(
+        chosen(&serving, ms(20_000), PLAIN, None),
+        "s1",
+        "failures fade"
+    );
+}
+
+/// Guards against attempts at a crashed server by every request, and against one that is never
+/// tried again.
+#[test]
+fn unreachable_server_is_paused() {
+    let mut serving = counter();
+    let key = key(&serving, "s1");
+    let health = |serving: &mut Serving, now| {
+        serving
+            .servers
+            .get_mut(key)
+            .unwrap()
+            .health
+            .record_unreachable(now);
+    };
+    health(&mut serving, ms(0));
+    health(&mut serving, ms(1));
+    assert_eq!(chosen(&serving, ms(100), PLAIN, None), "s2");
+    let server = serving.servers.get(key).unwrap();
+    assert!(
+        !server.health.is_paused(ms(400)),
+        "failures together lengthen no pause"
+    );
+}
+
+/// Guards against new work for a leaving server, and against losing all servers when entries lapse
+/// together while the registry is away.
+#[test]
+fn leaving_and_removed_servers() {
+    let mut serving = counter();
+    let mut leaving = record("s1", PLAIN, "a1", None);
+    leaving.state = ServerState::Draining;
+    serving.apply(ms(0), Update::Server(leaving));
+    serving.apply(ms(0), Update::ServerRemoved("s2".parse().unwrap()));
+    assert_eq!(
+        chosen(&serving, ms(0), PLAIN, None),
+        "s3",
+        "removed is a last resort"
+    );
+    serving.apply(ms(0), Update::ServerRemoved("s3".parse().unwrap()));
+    assert_eq!(chosen(&serving, ms(1), PLAIN, None), "s2");
+    let late = ms(0) + REMOVED_HOLD;
+    assert_eq!(chosen(&serving, late, PLAIN, None), "None");
+    serving.servers.expire(late);
+    assert_eq!(
+        serving.servers.iter().count(),
+        1,
+        "only the leaving one is published"
+    );
+}
+
+/// Guards against a request for a server that has started again under its id or whose address has
+/// another service.
+#[test]
+fn restart_under_the_same_id_is_another_server() {
+    let mut serving = counter();
+    let before = key(&serving, "s1");
+    let mut restarted = record("s1", PLAIN, "a1", None);
+    restarted.started_at_ms = cuminlead_types::UnixMs(2);
+    serving.apply(ms(0), Update::Server(restarted));
+    assert!(serving.servers.get(before).is_none());
+    assert_ne!(key(&serving, "s1"), before);
+}
+
+/// Guards against decodes on an engine whose memory is full by forecast.
+#[test]
+fn engine_with_free_memory_is_preferred() {
+    let mut serving = serving();
+    publish(&mut serving, &["d1 notes a1 decode", "d2 notes a2 decode"]);
+    for (id, free) in [("d1", 2_000), ("d2", 60_000)] {
+        let key = key(&serving, id);
+        serving.servers.get_mut(key).unwrap().memory = Some(FreeMemory {
+            free_tokens: Tokens(free),
+            total_tokens: Tokens(80_000),
+            known_at: ms(0),
+        });
+    }
+    let decode = Some(Stage::Decode);
+    assert_eq!(chosen(&serving, ms(0), ENGINES, decode), "d2");
+    assert_eq!(
+        chosen(&serving, ms(5_000), ENGINES, decode),
+        "d1",
+        "knowledge fades"
+    );
+}
+
+/// Guards against callers that come back before a server can be tried.
+#[parameterized(
+    paused = { NoServer::PausedUntil(TimeUs(1_700_000)), 700 },
+    soon = { NoServer::PausedUntil(TimeUs(1_010_000)), 200 },
+    none = { NoServer::None, 1_000 },
+)]
+fn retry_after_is_the_time_of_the_next_try(no_server: NoServer, expected_ms: u64) {
+    assert_eq!(
+        retry_after(ms(1_000), no_server),
+        DurationUs::from_ms(expected_ms)
+    );
+}
--- /dev/null
+++ b/crates/direct-core/tests/places.rs
@@ -0,0 +1,137 @@
+//! Decode places by a forecast of an engine's memory.
+
+use cuminlead_direct_core::{EngineReport, PlaceLedger, PlaceRequest, RunReport};
+use cuminlead_types::{DurationUs, Slots, TimeUs, Tokens, UnixMs};
+
+fn ms(ms: u64) -> TimeUs {
+    TimeUs(ms * 1_000)
+}
+
+fn request(id: &str, prompt: u64, answer: u64) -> PlaceRequest {
+    PlaceRequest {
+        request: id.to_string(),
+        prompt_tokens: Tokens(prompt),
+        answer_tokens: Some(Tokens(answer)),
+        ttl: DurationUs::from_ms(1_000),
+    }
+}
+
+fn report(total: u64, runs: &[(&str, u64)]) -> EngineReport {
+    EngineReport {
+        total_tokens: Tokens(total),
+        used_tokens: Tokens(runs.iter().map(|run| run.1).sum()),
+        runs: runs
+            .iter()
+            .map(|(request, tokens)| RunReport {
+                request: (*request).to_string(),
+                memory_tokens: Tokens(*tokens),
+            })
+            .collect(),
+        waiting_count: 0,
+        started_at_ms: UnixMs(1),
+    }
+}
+
+fn ledger(total: u64) -> PlaceLedger {
+    let mut ledger = PlaceLedger::new(Slots(64));
+    ledger.observe(ms(0), report(total, &[]));
+    ledger
+}
+
+fn held_count(ledger: &mut PlaceLedger, offered: u64, prompt: u64, answer: u64) -> usize {
+    let ids = (0..offered).map(|index| format!("r{index}"));
+    ids.filter(|id| ledger.hold(ms(0), &request(id, prompt, answer)).is_held)
+        .count()
+}
+
+/// Guards against an engine that runs out of memory as its answers grow, and against one that is
+/// left half empty.
+#[test]
+fn places_are_bounded_by_the_highest_use() {
+    // All grow together, so the highest use is the sum of the final sizes.
+    assert_eq!(held_count(&mut ledger(100_000), 50, 5_000, 4_800), 9);
+}
+
+/// Guards against counting the final size of answers that have ended by then.
+#[test]
+fn memory_of_answers_that_end_sooner_is_given_again() {
+    let mut ledger = ledger(100_000);
+    for index in 0..9 {
+        let id = format!("old{index}");
+        assert!(ledger.hold(ms(0), &request(&id, 5_000, 4_800)).is_held);
+    }
+    let runs: Vec<_> = (0..9).map(|index| (format!("old{index}"), 9_500)).collect();
+    let runs: Vec<_> = runs
+        .iter()
+        .map(|(id, tokens)| (id.as_str(), *tokens))
+        .collect();
+    ledger.observe(ms(1_000), report(100_000, &runs));
+    // 85,500 of 100,000 are in use, and the nine end before a tenth has grown much.
+    assert!(
+        ledger
+            .hold(ms(1_000), &request("new", 5_000, 4_800))
+            .is_held
+    );
+}
+
+/// Guards against places that stay held for requests that are gone.
+#[test]
+fn unused_places_expire() {
+    let mut ledger = ledger(10_000);
+    assert!(ledger.hold(ms(0), &request("a", 5_000, 4_000)).is_held);
+    assert!(!ledger.hold(ms(0), &request("b", 5_000, 4_000)).is_held);
+    ledger.observe(ms(1_299), report(10_000, &[]));
+    assert!(!ledger.hold(ms(1_299), &request("b", 5_000, 4_000)).is_held);
+    ledger.observe(ms(1_300), report(10_000, &[]));
+    assert!(ledger.hold(ms(1_300), &request("b", 5_000, 4_000)).is_held);
+}
+
+/// Guards against places that a request gave back and nobody else gets.
+#[test]
+fn place_is_given_back() {
+    let mut ledger = ledger(10_000);
+    assert!(ledger.hold(ms(0), &request("a", 5_000, 4_000)).is_held);
+    ledger.give_back("a");
+    assert!(ledger.hold(ms(0), &request("b", 5_000, 4_000)).is_held);
+}
+
+/// Guards against a place that counts as ended because its run began after the report was asked
+/// for.
+#[test]
+fn late_report_does_not_end_a_place() {
+    let mut ledger = ledger(10_000);
+    ledger.hold(ms(10), &request("a", 5_000, 4_000));
+    ledger.observe(ms(9), report(10_000, &[]));
+    assert!(!ledger.hold(ms(11), &request("b", 5_000, 4_000)).is_held);
+}
+
+/// Guards against an engine that restarts and is taken for full.
+#[test]
+fn restart_of_the_engine_frees_its_places() {
+    let mut ledger = ledger(10_000);
+    ledger.hold(ms(0), &request("a", 5_000, 4_000));
+    let mut restarted = report(10_000, &[]);
+    restarted.started_at_ms = UnixMs(2);
+    ledger.observe(ms(1), restarted);
+    assert!(ledger.hold(ms(1), &request("b", 5_000, 4_000)).is_held);
+}
+
+/// Guards against an agent that starts anew beside a busy engine and takes it for empty.
+#[test]
+fn unknown_answers_count() {
+    let mut ledger = PlaceLedger::new(Slots(64));
+    assert!(
+        !ledger.hold(ms(0), &request("a", 1, 1)).is_held,
+        "no report yet"
+    );
+    ledger.observe(ms(0), report(10_000, &[("unknown", 7_000)]));
+    assert!(!ledger.hold(ms(0), &request("a", 5_000, 4_000)).is_held);
+}
+
+/// Guards against more answers than the batch holds.
+#[test]
+fn places_are_bounded_by_slots() {
+    let mut ledger = PlaceLedger::new(Slots(3));
+    ledger.observe(ms(0), report(1_000_000, &[]));
+    assert_eq!(held_count(&mut ledger, 10, 100, 100), 3);
+}
--- /dev/null
+++ b/crates/direct-core/tests/support/mod.rs
@@ -0,0 +1,135 @@
+//! Fixtures for the decisions of an entry that calls backend servers itself.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use cuminlead_direct_core::catalogue::EngineSpec;
+use cuminlead_direct_core::placement::Origin;
+use cuminlead_direct_core::serving::ServingConfig;
+use cuminlead_direct_core::{
+    CallSpec, CallerLimits, Catalogue, ModelNeed, RequestKind, Route, ServerKey, ServerRecord,
+    ServerState, ServiceSpec, Serving, Stage, Update, WeightedService,
+};
+use cuminlead_retry::RetryLimits;
+use cuminlead_types::{DurationUs, Revision, Slots, TimeUs, Tokens, UnixMs};
+
+pub(crate) const PLAIN: &str = "counter";
+pub(crate) const ENGINES: &str = "notes";
+
+pub(crate) fn ms(ms: u64) -> TimeUs {
+    TimeUs(ms * 1_000)
+}
+
+pub(crate) fn record(id: &str, service: &str, zone: &str, stage: Option<Stage>) -> ServerRecord {
+    ServerRecord {
+        id: id.parse().unwrap(),
+        service: service.parse().unwrap(),
+        address: "127.0.0.1:9000".parse().unwrap(),
+        availability_zone: zone.parse().unwrap(),
+        slots: Slots(6),
+        state: ServerState::Ready,
+        stage,
+        started_at_ms: UnixMs(1),
+    }
+}
+
+/// Context in zone `a1` of region `a`, whose other zone is `a2`; zone `b1` is in region `b`.
+pub(crate) fn serving() -> Serving {
+    let zones = [("a1", "a"), ("a2", "a"), ("b1", "b")];
+    let regions: HashMap<_, _> = zones
+        .iter()
+        .map(|(zone, region)| (zone.parse().unwrap(), region.parse().unwrap()))
+        .collect();
+    let mut serving = Serving::new(ServingConfig {
+        origin: Origin {
+            availability_zone: "a1".parse().unwrap(),
+            region: "a".parse().unwrap(),
+        },
+        regions,
+        retry_limits: RetryLimits {
+            requests_per_retry: 6,
+            retries_min_count: 2,
+        },
+        seed: 7,
+    });
+    serving.apply(ms(0), Update::Catalogue(Arc::new(catalogue(1, &["/x/"]))));
+    serving.apply(ms(0), Update::Synced(Revision(1)));
+    serving
+}
+
+/// Adds servers given as `id service zone stage`, the stage being `-` for plain services.
+pub(crate) fn publish(serving: &mut Serving, servers: &[&str]) {
+    for text in servers {
+        let parts: Vec<_> = text.split(' ').collect();
+        let stage = parts[3].parse().ok();
+        let record = record(parts[0], parts[1], parts[2], stage);
+        serving.apply(ms(0), Update::Server(record));
+    }
+}
+
+pub(crate) fn key(serving: &Serving, id: &str) -> ServerKey {
+    serving.servers.key_of(&id.parse().unwrap()).unwrap()
+}
+
+pub(crate) fn id(serving: &Serving, key: ServerKey) -> String {
+    serving.servers.get(key).unwrap().record.id.to_string()
+}
+
+pub(crate) fn catalogue(version: u64, prefixes: &[&str]) -> Catalogue {
+    let route = |prefix: &&str| Route {
+        name: format!("route{prefix}"),
+        host: "shop.example".to_string(),
+        prefix: (*prefix).to_string(),
+        kind: RequestKind::Idempotent,
+        services: vec![WeightedService {
+            service: PLAIN.parse().unwrap(),
+            weight: 1,
+        }],
+        timeout: DurationUs::from_ms(800),
+        goal: DurationUs::from_ms(250),
+        attempts_max_count: 2,
+    };
+    let service = |name: &str, engine| ServiceSpec {
+        name: name.parse().unwrap(),
+        engine,
+    };
+    Catalogue::new(
+        Revision(version),
+        prefixes.iter().map(route).collect(),
+        vec![
+            service(PLAIN, None),
+            service(ENGINES, Some(EngineSpec::default())),
+        ],
+        CallerLimits::default(),
+    )
+}
+
+pub(crate) fn plain_spec(kind: RequestKind, attempts_max_count: u32) -> CallSpec {
+    CallSpec {
+        service: PLAIN.parse().unwrap(),
+        kind,
+        model: None,
+        attempts_max_count,
+        goal: DurationUs::from_ms(250),
+        arrived_at: ms(0),
+        deadline: ms(800),
+    }
+}
+
+pub(crate) fn model_spec(kind: RequestKind, attempts_max_count: u32) -> CallSpec {
+    CallSpec {
+        service: ENGINES.parse().unwrap(),
+        kind,
+        model: Some(ModelNeed {
+            prompt_tokens: Tokens(5_000),
+            answer_tokens: Some(Tokens(4_800)),
+            reservation_max: Some(DurationUs::from_ms(2_000)),
+        }),
+        attempts_max_count,
+        goal: DurationUs::from_ms(900),
+        arrived_at: ms(0),
+        deadline: ms(14_000),
+    }
+}
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -17,6 +17,7 @@
 use cuminlead_direct_core::serving::ServingConfig;
 use cuminlead_kernel::Clock;
 use cuminlead_places::PlaceClient;
+use cuminlead_process::signal::Signals;
 use cuminlead_process::{StartError, admin};
 use cuminlead_retry::RetryLimits;
 use cuminlead_settings::EntrySettings;
@@ -24,7 +25,6 @@
 use error_stack::{Report, ResultExt};
 use slog::{Logger, info, warn};
 use tokio::net::TcpListener;
-use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
 use tokio::sync::watch;
 use tokio::task::LocalSet;
@@ -77,7 +77,7 @@
     let mut metrics = Metrics::new("cuminlead_entry");
     let direct_metrics = DirectMetrics::new(&mut metrics);
     let status = Arc::new(SharedStatus::default());
-    let signals = Signals::new()?;
+    let signals = Signals::new().change_context(StartError::Thread)?;
     let listener = TcpListener::bind(*settings.listen_address())
         .await
         .change_context(StartError::Bind)
@@ -110,7 +110,11 @@
     let connections_max_count = settings.connections_max_count().0;
     tokio::task::spawn_local(accept(Rc::clone(&app), listener, connections_max_count));
     info!(log, "entry started"; "callers" => %callers_address, "admin" => %admin_address);
-    signals.wait_for_stop(log).await;
+    // Addresses and places are fixed for the life of a process, so changed settings are in force
+    // from the next start on.
+    signals
+        .wait_for_stop(|| info!(log, "settings change noted"))
+        .await;
     status.is_stopping.store(true, Ordering::Relaxed);
     stop_gracefully(settings, &app, &stop_sender).await;
     Ok(())
@@ -178,36 +182,6 @@
     }
 }
 
-/// Signals of the platform.
-struct Signals {
-    terminate: Signal,
-    interrupt: Signal,
-    hang_up: Signal,
-}
-
-impl Signals {
-    fn new() -> Result<Self, Report<StartError>> {
-        let listen = |kind| signal(kind).change_context(StartError::Thread);
-        Ok(Self {
-            terminate: listen(SignalKind::terminate())?,
-            interrupt: listen(SignalKind::interrupt())?,
-            hang_up: listen(SignalKind::hangup())?,
-        })
-    }
-
-    async fn wait_for_stop(mut self, log: &Logger) {
-        loop {
-            tokio::select! {
-                _ = self.terminate.recv() => break,
-                _ = self.interrupt.recv() => break,
-                // Addresses and places are fixed for the life of a process, so a change of the
-                // settings is in force from the next start on.
-                _ = self.hang_up.recv() => info!(log, "settings change noted"),
-            }
-        }
-    }
-}
-
 async fn stop_gracefully(settings: &EntrySettings, app: &Rc<App>, stop: &watch::Sender<StopPhase>) {
     let began = Instant::now();
     info!(app.log, "entry stopping"; "connections" => app.connections_count.get());
--- a/crates/places/src/agent.rs
+++ b/crates/places/src/agent.rs
@@ -11,8 +11,9 @@
 
 use cuminlead_direct_core::PlaceLedger;
 use cuminlead_kernel::Clock;
+use cuminlead_process::StartError;
 use cuminlead_process::admin::{self, AdminSource};
-use cuminlead_process::{StartError, signal};
+use cuminlead_process::signal::Signals;
 use cuminlead_settings::AgentSettings;
 use cuminlead_telemetry::metrics::Counters;
 use cuminlead_telemetry::{Label, Metrics, log};
@@ -54,6 +55,7 @@
     log: &Logger,
 ) -> Result<(), Report<StartError>> {
     let clock = Clock::start();
+    let signals = Signals::new().change_context(StartError::Thread)?;
     let mut metrics = Metrics::new("cuminlead_agent");
     let reports = metrics.counters("place_reports", "Reports of the engine by result");
     let ledger = SharedLedger::new(PlaceLedger::new(*settings.slots_count()));
@@ -88,7 +90,7 @@
         .serve_with_incoming(incoming);
     tokio::select! {
         served = serving => served.change_context(StartError::Thread)?,
-        () = signal::on_stop(|| {}) => {}
+        () = signals.wait_for_stop(|| info!(log, "settings change noted")) => {}
     }
     info!(log, "agent stopped"; "address" => %address);
     Ok(())
