--- a/crates/direct/src/app.rs
+++ b/crates/direct/src/app.rs
@@ -1,6 +1,6 @@
 //! What all requests of the traffic thread share.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -13,7 +13,7 @@
 
 use crate::adapter::Dialect;
 use crate::pool::Pool;
-use crate::status::DirectMetrics;
+use crate::status::{DirectMetrics, SharedStatus};
 
 /// Phase of a process that was asked to stop.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
@@ -48,8 +48,8 @@
     pub log: Logger,
     /// Phase of the shutdown.
     pub stop: watch::Receiver<StopPhase>,
-    /// Open connections of callers.
-    pub connections_count: Cell<u32>,
+    /// What other threads may read.
+    pub status: Arc<SharedStatus>,
 }
 
 impl App {
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -4,7 +4,7 @@
 //! two looks a second apart to turn away. Then idle connections close, and the process ends with
 //! its last request, or shortly before it would be killed.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -103,7 +103,7 @@
         metrics: direct_metrics,
         log: log.clone(),
         stop,
-        connections_count: Cell::new(0),
+        status: Arc::clone(&status),
     });
     tokio::task::spawn_local(apply_updates(Rc::clone(&app), updates, Arc::clone(&status)));
     let callers_address = listener.local_addr().change_context(StartError::Bind)?;
@@ -184,17 +184,17 @@
 
 async fn stop_gracefully(settings: &EntrySettings, app: &Rc<App>, stop: &watch::Sender<StopPhase>) {
     let began = Instant::now();
-    info!(app.log, "entry stopping"; "connections" => app.connections_count.get());
+    info!(app.log, "entry stopping"; "connections" => app.status.connections_count.load(Ordering::Relaxed));
     // Receivers live as long as the state of the traffic thread.
     let _ = stop.send(StopPhase::TurningAway);
     sleep(Duration::from_millis(settings.drain_delay_ms().0)).await;
     let _ = stop.send(StopPhase::Closing);
     let latest = began + Duration::from_millis(settings.drain_max_ms().0);
-    while app.connections_count.get() > 0 && Instant::now() < latest {
+    while app.status.connections_count.load(Ordering::Relaxed) > 0 && Instant::now() < latest {
         tokio::select! {
             () = sleep(STOP_POLL) => {}
             () = sleep_until(latest) => {}
         }
     }
-    info!(app.log, "entry stopped"; "connections" => app.connections_count.get());
+    info!(app.log, "entry stopped"; "connections" => app.status.connections_count.load(Ordering::Relaxed));
 }
--- a/crates/direct/src/serve.rs
+++ b/crates/direct/src/serve.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::rc::Rc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -42,7 +43,7 @@
             tokio::time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
-        if app.connections_count.get() >= connections_max_count {
+        if app.status.connections_count.load(Ordering::Relaxed) >= connections_max_count {
             app.metrics.connections_refused.inc();
             continue;
         }
@@ -54,15 +55,15 @@
 
 impl ConnectionCount {
     fn new(app: &Rc<App>) -> Self {
-        app.connections_count.set(app.connections_count.get() + 1);
+        app.status.connections_count.fetch_add(1, Ordering::Relaxed);
         Self(Rc::clone(app))
     }
 }
 
 impl Drop for ConnectionCount {
     fn drop(&mut self) {
-        let count = &self.0.connections_count;
-        count.set(count.get().saturating_sub(1));
+        let count = &self.0.status.connections_count;
+        count.fetch_sub(1, Ordering::Relaxed);
     }
 }
 
--- a/crates/direct/src/status.rs
+++ b/crates/direct/src/status.rs
@@ -110,6 +110,8 @@
     pub config_version: AtomicU64,
     /// Known backend servers.
     pub servers_count: AtomicU32,
+    /// Open connections of callers.
+    pub connections_count: AtomicU32,
 }
 
 /// Source of the admin address.
@@ -139,6 +141,7 @@
             "ready": self.is_ready(),
             "stopping": self.status.is_stopping.load(Ordering::Relaxed),
             "config_version": self.status.config_version.load(Ordering::Relaxed),
+            "connections": self.status.connections_count.load(Ordering::Relaxed),
             "servers": self.status.servers_count.load(Ordering::Relaxed),
         })
         .to_string()
