Keep the place of a preempted answer

Cause: an answer that the engine preempted is missing from its report while it waits to resume, and the ledger took it for ended and gave its memory away, which preempted the next one. The new test fails without the change.

--- a/crates/direct-core/src/places.rs
+++ b/crates/direct-core/src/places.rs
@@ -26,6 +26,9 @@
 /// Longest time for which a held place is kept without being seen in use after its time.
 const UNSEEN_GRACE: DurationUs = DurationUs::from_ms(300);
 
+/// Longest time for which the place of a preempted answer is kept.
+const PREEMPTED_MAX: DurationUs = DurationUs::from_ms(3_000);
+
 /// Answer that an engine generates.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RunReport {
@@ -130,13 +133,32 @@
             }
         }
         for request in ended {
-            self.end(&request);
+            if report.waiting_count > 0 {
+                self.note_preempted(&request);
+            } else {
+                self.end(&request);
+            }
         }
         self.held
             .retain(|_, held| held.is_running || asked_at < held.expires_at + UNSEEN_GRACE);
         self.report = Some(report);
     }
 
+    /// Keeps the place of an answer that the engine has preempted: it comes back with all that it
+    /// had, so its memory is not free.
+    fn note_preempted(&mut self, request: &str) {
+        let last = self.report.iter().flat_map(|report| &report.runs);
+        let last = last.into_iter().find(|run| run.request == request);
+        let (Some(run), Some(held)) = (last, self.held.get_mut(request)) else {
+            return;
+        };
+        let generated = run.memory_tokens.saturating_sub(held.prompt_tokens);
+        held.answer_tokens = rest_of(held.answer_tokens, generated);
+        held.prompt_tokens = run.memory_tokens;
+        held.is_running = false;
+        held.expires_at = held.expires_at.max(held.held_at) + PREEMPTED_MAX;
+    }
+
     /// Learns from the last known size of an answer that has ended.
     fn end(&mut self, request: &str) {
         let Some(held) = self.held.remove(request) else {
--- a/crates/direct-core/tests/places.rs
+++ b/crates/direct-core/tests/places.rs
@@ -135,3 +135,22 @@
     ledger.observe(ms(0), report(1_000_000, &[]));
     assert_eq!(held_count(&mut ledger, 10, 100, 100), 3);
 }
+
+/// Guards against giving the memory of a preempted answer to another one: the engine resumes the
+/// preempted answer with all that it had.
+#[test]
+fn preempted_answer_keeps_its_place() {
+    let mut ledger = ledger(10_000);
+    ledger.hold(ms(0), &request("a", 5_000, 4_000));
+    ledger.observe(ms(100), report(10_000, &[("a", 6_000)]));
+    let mut preempted = report(10_000, &[]);
+    preempted.waiting_count = 1;
+    ledger.observe(ms(200), preempted);
+    assert!(!ledger.hold(ms(200), &request("b", 5_000, 4_000)).is_held);
+    ledger.observe(ms(300), report(10_000, &[("a", 6_100)]));
+    ledger.observe(ms(400), report(10_000, &[]));
+    assert!(
+        ledger.hold(ms(400), &request("b", 5_000, 4_000)).is_held,
+        "it has ended"
+    );
+}
