Let entries tell an agent how many slots its engine has

Cause: the agent's settings said 64 for every deployment, and grown fleets have engines with 12, which is published where agents do not look.

--- a/crates/direct-core/src/places.rs
+++ b/crates/direct-core/src/places.rs
@@ -64,6 +64,9 @@
     pub answer_tokens: Option<Tokens>,
     /// Time within which it will be used.
     pub ttl: DurationUs,
+    /// Answers that the engine generates at once. It is published, and agents do not read what is
+    /// published.
+    pub slots: Slots,
 }
 
 /// Answer to a request for a place.
@@ -96,17 +99,21 @@
 /// Decode places of one engine.
 #[derive(Clone, Debug)]
 pub struct PlaceLedger {
-    slots: Slots,
     report: Option<EngineReport>,
     held: HashMap<String, Held>,
     typical_answer: f64,
 }
 
+impl Default for PlaceLedger {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
 impl PlaceLedger {
-    /// Ledger of an engine with a number of slots.
-    pub fn new(slots: Slots) -> Self {
+    /// Ledger of an engine of which nothing is known yet.
+    pub fn new() -> Self {
         Self {
-            slots,
             report: None,
             held: HashMap::new(),
             typical_answer: TYPICAL_FIRST,
@@ -187,7 +194,7 @@
         };
         let usable = Tokens(total.0 / 100 * USABLE_PERCENT);
         let others = self.growths(&request.request);
-        let has_slot = others.len() < self.slots.0 as usize;
+        let has_slot = others.len() < request.slots.0 as usize;
         let mut with_it = others.clone();
         with_it.push(growth);
         let peak = peak(&mut with_it) + self.other_use();
--- a/crates/direct-core/tests/places.rs
+++ b/crates/direct-core/tests/places.rs
@@ -13,6 +13,7 @@
         prompt_tokens: Tokens(prompt),
         answer_tokens: Some(Tokens(answer)),
         ttl: DurationUs::from_ms(1_000),
+        slots: Slots(64),
     }
 }
 
@@ -33,7 +34,7 @@
 }
 
 fn ledger(total: u64) -> PlaceLedger {
-    let mut ledger = PlaceLedger::new(Slots(64));
+    let mut ledger = PlaceLedger::new();
     ledger.observe(ms(0), report(total, &[]));
     ledger
 }
@@ -119,7 +120,7 @@
 /// Guards against an agent that starts anew beside a busy engine and takes it for empty.
 #[test]
 fn unknown_answers_count() {
-    let mut ledger = PlaceLedger::new(Slots(64));
+    let mut ledger = PlaceLedger::new();
     assert!(
         !ledger.hold(ms(0), &request("a", 1, 1)).is_held,
         "no report yet"
@@ -131,9 +132,15 @@
 /// Guards against more answers than the batch holds.
 #[test]
 fn places_are_bounded_by_slots() {
-    let mut ledger = PlaceLedger::new(Slots(3));
+    let mut ledger = PlaceLedger::new();
     ledger.observe(ms(0), report(1_000_000, &[]));
-    assert_eq!(held_count(&mut ledger, 10, 100, 100), 3);
+    let hold = |ledger: &mut PlaceLedger, id: &str| {
+        let mut request = request(id, 100, 100);
+        request.slots = Slots(3);
+        ledger.hold(ms(0), &request).is_held
+    };
+    let held = ["a", "b", "c", "d"].map(|id| hold(&mut ledger, id));
+    assert_eq!(held, [true, true, true, false]);
 }
 
 /// Guards against giving the memory of a preempted answer to another one: the engine resumes the
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -13,7 +13,7 @@
     ModelNeed, Outcome, PlaceReply, PlaceRequest, RequestKind, Reservation, ServerKey,
 };
 use cuminlead_places::{PlaceError, client};
-use cuminlead_types::{BackendServerId, DurationUs, TimeUs, Tokens};
+use cuminlead_types::{BackendServerId, DurationUs, Slots, TimeUs, Tokens};
 use http::{HeaderMap, Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -251,12 +251,13 @@
     model: ModelNeed,
     ttl: DurationUs,
 ) -> Result<Reservation, Outcome> {
-    if let Some(agent) = agent_of(app, server) {
+    if let Some((agent, slots)) = agent_of(app, server) {
         let asked = PlaceRequest {
             request: request.id.clone(),
             prompt_tokens: model.prompt_tokens,
             answer_tokens: model.answer_tokens,
             ttl,
+            slots,
         };
         if let Ok(reply) = ask_agent(app, agent, &asked).await {
             note_memory(app, server, reply);
@@ -299,11 +300,12 @@
     }
 }
 
-/// Address of the agent beside an engine.
-fn agent_of(app: &App, server: ServerKey) -> Option<SocketAddr> {
+/// Address of the agent beside an engine, and the engine's slots.
+fn agent_of(app: &App, server: ServerKey) -> Option<(SocketAddr, Slots)> {
     let port = app.place_port?;
-    let (_, address) = identity(app, server)?;
-    Some(SocketAddr::new(address.ip(), port))
+    let serving = app.serving.borrow();
+    let record = &serving.servers.get(server)?.record;
+    Some((SocketAddr::new(record.address.ip(), port), record.slots))
 }
 
 async fn reserve_at_engine(
@@ -336,7 +338,7 @@
 pub async fn unreserve(app: Rc<App>, request: String, server: ServerKey, reservation: Reservation) {
     match reservation {
         Reservation::Agent => {
-            let Some(agent) = agent_of(&app, server) else {
+            let Some((agent, _)) = agent_of(&app, server) else {
                 return;
             };
             let client = app.places.borrow_mut().connection(app.now(), agent);
--- a/crates/places/src/agent.rs
+++ b/crates/places/src/agent.rs
@@ -58,7 +58,7 @@
     let signals = Signals::new().change_context(StartError::Thread)?;
     let mut metrics = Metrics::new("cuminlead_agent");
     let reports = metrics.counters("place_reports", "Reports of the engine by result");
-    let ledger = SharedLedger::new(PlaceLedger::new(*settings.slots_count()));
+    let ledger = SharedLedger::new(PlaceLedger::new());
     let is_reporting = Arc::new(AtomicBool::new(false));
     let address = *settings.peer_address();
     let listener = TcpListener::bind(address)
--- a/crates/places/src/client.rs
+++ b/crates/places/src/client.rs
@@ -85,6 +85,7 @@
         prompt_tokens: request.prompt_tokens.0,
         answer_tokens: request.answer_tokens.map_or(0, |tokens| tokens.0),
         ttl_us: request.ttl.0,
+        slots: request.slots.0,
     };
     let answered = timeout(ANSWER_TIMEOUT, client.hold(message)).await;
     let reply = answered
--- a/crates/places/src/rpc.rs
+++ b/crates/places/src/rpc.rs
@@ -4,7 +4,7 @@
 
 use cuminlead_direct_core::{PlaceLedger, PlaceRequest};
 use cuminlead_kernel::Clock;
-use cuminlead_types::{DurationUs, Tokens};
+use cuminlead_types::{DurationUs, Slots, Tokens};
 use cuminlead_wire::proto::places_server::Places;
 use cuminlead_wire::proto::{GiveBackReply, GiveBackRequest, HoldReply, HoldRequest};
 use slog::{Logger, info};
@@ -60,6 +60,7 @@
             prompt_tokens: Tokens(message.prompt_tokens),
             answer_tokens: Some(Tokens(message.answer_tokens)).filter(|tokens| tokens.0 > 0),
             ttl: DurationUs(message.ttl_us).min(TTL_MAX),
+            slots: Slots(message.slots),
         };
         let reply = self.ledger.lock().hold(self.clock.mono(), &asked);
         if reply.is_held {
