Expect answers that have reached their estimate to go on

Ruled out: slots, a stale report (100 ms old), answers without a place (none). The rest of an answer now follows the spread of lengths around the estimate.

--- a/crates/direct-core/src/places.rs
+++ b/crates/direct-core/src/places.rs
@@ -17,8 +17,8 @@
 /// Part of the memory that places may use by forecast, in percent. The rest takes up what the
 /// forecast misses between two reports and by wrong estimates.
 const USABLE_PERCENT: u64 = 97;
-/// Shortest rest of an answer that has outgrown its estimate, as a part of what it has generated.
-const OUTGROWN_DIVISOR: u64 = 8;
+/// Spread of the lengths of answers, as a part of their estimate.
+const SPREAD_DIVISOR: u64 = 3;
 /// Weight of the newest ended answer in the typical length.
 const TYPICAL_WEIGHT: f64 = 0.05;
 /// Typical length of an answer before any has ended.
@@ -190,7 +190,7 @@
         let answer_tokens = self.expected_answer(request.answer_tokens);
         let growth = Growth {
             present: request.prompt_tokens,
-            rest: answer_tokens,
+            rest: rest_of(answer_tokens, Tokens::ZERO),
         };
         let usable = Tokens(total.0 / 100 * USABLE_PERCENT);
         let others = self.growths(&request.request);
@@ -270,7 +270,7 @@
                 },
                 None => Growth {
                     present: run.memory_tokens,
-                    rest: Tokens(typical.0 / 2),
+                    rest: rest_of(typical, Tokens(typical.0 / 2)),
                 },
             };
             growths.push(growth);
@@ -281,7 +281,7 @@
             .filter(|(request, held)| !held.is_running && request.as_str() != except);
         growths.extend(waiting.map(|(_, held)| Growth {
             present: held.prompt_tokens,
-            rest: held.answer_tokens,
+            rest: rest_of(held.answer_tokens, Tokens::ZERO),
         }));
         growths
     }
@@ -297,9 +297,14 @@
 }
 
 /// Expected rest of an answer that has generated a number of tokens.
+///
+/// Lengths of answers are spread by about a third around their estimate on a logarithmic scale.
+/// An answer that has reached its estimate is then expected to go on for a third of it, not to end
+/// at once; taking it for ended had whole batches grow past the memory together.
 fn rest_of(expected: Tokens, generated: Tokens) -> Tokens {
-    let outgrown = Tokens(generated.0 / OUTGROWN_DIVISOR);
-    expected.saturating_sub(generated).max(outgrown)
+    let left = expected.saturating_sub(generated).0;
+    let spread = expected.0 / SPREAD_DIVISOR;
+    Tokens((left * left + spread * spread).isqrt())
 }
 
 /// Highest use while all answers grow at one rate until they end.
