Let agents keep the share of engines that compute prompts

Cause: a prompt takes an engine a tenth of a second, an answer holds its memory for three to ten, and about a third of the engines of each site compute prompts; prefill engines are used to a third while answers wait for memory. Ruled out: better packing alone (95% of the decode memory is in use in bursts).

Each agent orders its own engine only, so one holder needs no agreement; all apply one rule to the published list.

--- a/crates/direct-core/src/follow.rs
+++ b/crates/direct-core/src/follow.rs
@@ -45,6 +45,8 @@
         collection: Collection,
         /// Last key of the page before.
         after: Option<String>,
+        /// Whether an answer may be some seconds old, which costs less.
+        is_stale_allowed: bool,
     },
     /// Changes after a revision, as soon as there are some.
     Watch {
@@ -115,6 +117,12 @@
 
 impl std::error::Error for RegistryError {}
 
+/// Where configuration and backend servers are published.
+pub trait Registry: Send {
+    /// Answers a query; blocks until then.
+    fn query(&mut self, query: &Query) -> Result<Page, RegistryError>;
+}
+
 /// Change of what the process believes.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Update {
@@ -205,6 +213,7 @@
             } => Query::List {
                 collection: *collection,
                 after: after.clone(),
+                is_stale_allowed: false,
             },
             Phase::Watching { after } => Query::Watch {
                 after: *after,
--- a/crates/direct-core/src/lib.rs
+++ b/crates/direct-core/src/lib.rs
@@ -13,6 +13,7 @@
 //! | [`call`] | the state of one request |
 //! | [`serving`] | catalogue, servers and budgets, as one context |
 //! | [`follow`] | following the registry without ever going back |
+//! | [`stages`] | which engines compute prompts |
 //! | [`events`] | boundaries of events in a stream |
 
 pub mod call;
@@ -25,6 +26,7 @@
 pub mod server;
 pub mod servers;
 pub mod serving;
+pub mod stages;
 
 pub use call::{Action, Call, CallSpec, ModelNeed, Outcome, Refusal, RefusalReason, Reservation};
 pub use catalogue::{
@@ -32,7 +34,7 @@
     WeightedService,
 };
 pub use events::EventScanner;
-pub use follow::{Follower, Published, Query, RegistryError, Update};
+pub use follow::{Follower, Published, Query, Registry, RegistryError, Update};
 pub use places::{EngineReport, PlaceLedger, PlaceReply, PlaceRequest, RunReport};
 pub use server::{ServerRecord, ServerState, Stage};
 pub use servers::{ServerKey, ServerTable};
--- /dev/null
+++ b/crates/direct-core/src/stages.rs
@@ -0,0 +1,67 @@
+//! Which engines compute prompts and which generate answers.
+//!
+//! Answers the load of prompts that are read quickly and answers that are long: a prompt takes a tenth of a second of an
+//! engine, an answer holds its memory for seconds, so pools of equal size leave prefill engines idle
+//! while answers wait for memory. Each agent decides for its own engine only, and is the only one
+//! that gives it orders. All agents apply the same rule to the same published list, so they agree
+//! without a word; where their views differ for a moment, one engine more or less changes.
+
+use cuminlead_types::BackendServerId;
+
+use crate::server::Stage;
+
+/// Published engine of one service and region.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StagedEngine {
+    /// Identity.
+    pub id: BackendServerId,
+    /// Present stage.
+    pub stage: Stage,
+}
+
+/// Part of a region's engines that compute prompts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PrefillShare {
+    /// Percent of the engines, rounded up to whole ones.
+    pub percent: u32,
+}
+
+/// Stage that an engine should change to, if it should change.
+///
+/// Too many prefill engines: those after the first ones by id become decode engines. None at all:
+/// the first decode engine by id becomes one, because decode engines that compute prompts delay
+/// their answers. A pool that is merely smaller than planned stays, since a change takes an engine
+/// out of service for seconds.
+pub fn wanted_stage(
+    engines: &[StagedEngine],
+    own: &BackendServerId,
+    share: PrefillShare,
+) -> Option<Stage> {
+    let own_stage = engines.iter().find(|engine| engine.id == *own)?.stage;
+    let planned_count = planned(engines.len(), share);
+    let mut prefill = ids(engines, Stage::Prefill);
+    let mut decode = ids(engines, Stage::Decode);
+    prefill.sort();
+    decode.sort();
+    match own_stage {
+        Stage::Prefill => {
+            let rank = prefill.iter().position(|id| *id == own)?;
+            (rank >= planned_count).then_some(Stage::Decode)
+        }
+        Stage::Decode => {
+            let is_first = decode.first() == Some(&own) && decode.len() > 1;
+            (prefill.is_empty() && is_first).then_some(Stage::Prefill)
+        }
+    }
+}
+
+fn ids(engines: &[StagedEngine], stage: Stage) -> Vec<&BackendServerId> {
+    let of_stage = engines.iter().filter(|engine| engine.stage == stage);
+    of_stage.map(|engine| &engine.id).collect()
+}
+
+fn planned(engines_count: usize, share: PrefillShare) -> usize {
+    (engines_count * share.percent as usize)
+        .div_ceil(100)
+        .max(1)
+}
--- a/crates/direct-core/tests/call.rs
+++ b/crates/direct-core/tests/call.rs
@@ -109,7 +109,7 @@
 #[test]
 fn failure_is_delivered_when_the_budget_is_used_up() {
     let mut serving = counter();
-    let service = "counter".parse().unwrap();
+    let service = "counter".parse().expect("a valid fixture");
     while serving.budget(&service).try_retry(ms(0)) {}
     let mut call = Call::new(plain_spec(REPEATABLE, 2));
     call.next(ms(0), &mut serving);
--- a/crates/direct-core/tests/follow.rs
+++ b/crates/direct-core/tests/follow.rs
@@ -17,7 +17,7 @@
 fn removed(id: &str, revision: u64) -> Entry {
     Entry {
         revision: Revision(revision),
-        published: Published::ServerRemoved(id.parse().unwrap()),
+        published: Published::ServerRemoved(id.parse().expect("a valid fixture")),
     }
 }
 
@@ -82,6 +82,7 @@
     let expected = Query::List {
         collection: Collection::Servers,
         after: Some("k1".to_string()),
+        is_stale_allowed: false,
     };
     assert_eq!(follower.query(), expected);
 }
@@ -139,7 +140,7 @@
         revision: Revision(12),
         published: Published::Unusable {
             key: "servers/s1".to_string(),
-            server: Some("s1".parse().unwrap()),
+            server: Some("s1".parse().expect("a valid fixture")),
             reason: "no address".to_string(),
         },
     };
--- a/crates/direct-core/tests/placement.rs
+++ b/crates/direct-core/tests/placement.rs
@@ -13,11 +13,11 @@
 
 fn chosen(serving: &Serving, now: TimeUs, service: &str, stage: Option<Stage>) -> String {
     let origin = cuminlead_direct_core::placement::Origin {
-        availability_zone: "a1".parse().unwrap(),
-        region: "a".parse().unwrap(),
+        availability_zone: "a1".parse().expect("a valid fixture"),
+        region: "a".parse().expect("a valid fixture"),
     };
     let need = Need {
-        service: &service.parse().unwrap(),
+        service: &service.parse().expect("a valid fixture"),
         stage,
         origin: &origin,
         region: None,
@@ -59,7 +59,7 @@
 fn failing_server_gets_less_work() {
     let mut serving = counter();
     let key = key(&serving, "s1");
-    let server = serving.servers.get_mut(key).unwrap();
+    let server = serving.servers.get_mut(key).expect("a valid fixture");
     for _ in 0..4 {
         server.health.record_failure(ms(0));
         server.health.record_success(ms(0));
@@ -82,14 +82,14 @@
         serving
             .servers
             .get_mut(key)
-            .unwrap()
+            .expect("a valid fixture")
             .health
             .record_unreachable(now);
     };
     health(&mut serving, ms(0));
     health(&mut serving, ms(1));
     assert_eq!(chosen(&serving, ms(100), PLAIN, None), "s2");
-    let server = serving.servers.get(key).unwrap();
+    let server = serving.servers.get(key).expect("a valid fixture");
     assert!(
         !server.health.is_paused(ms(400)),
         "failures together lengthen no pause"
@@ -104,13 +104,19 @@
     let mut leaving = record("s1", PLAIN, "a1", None);
     leaving.state = ServerState::Draining;
     serving.apply(ms(0), Update::Server(leaving));
-    serving.apply(ms(0), Update::ServerRemoved("s2".parse().unwrap()));
+    serving.apply(
+        ms(0),
+        Update::ServerRemoved("s2".parse().expect("a valid fixture")),
+    );
     assert_eq!(
         chosen(&serving, ms(0), PLAIN, None),
         "s3",
         "removed is a last resort"
     );
-    serving.apply(ms(0), Update::ServerRemoved("s3".parse().unwrap()));
+    serving.apply(
+        ms(0),
+        Update::ServerRemoved("s3".parse().expect("a valid fixture")),
+    );
     assert_eq!(chosen(&serving, ms(1), PLAIN, None), "s2");
     let late = ms(0) + REMOVED_HOLD;
     assert_eq!(chosen(&serving, late, PLAIN, None), "None");
@@ -142,7 +148,11 @@
     publish(&mut serving, &["d1 notes a1 decode", "d2 notes a2 decode"]);
     for (id, free) in [("d1", 2_000), ("d2", 60_000)] {
         let key = key(&serving, id);
-        serving.servers.get_mut(key).unwrap().memory = Some(FreeMemory {
+        serving
+            .servers
+            .get_mut(key)
+            .expect("a valid fixture")
+            .memory = Some(FreeMemory {
             free_tokens: Tokens(free),
             total_tokens: Tokens(80_000),
             known_at: ms(0),
--- a/crates/direct-core/tests/support/mod.rs
+++ b/crates/direct-core/tests/support/mod.rs
@@ -24,10 +24,10 @@
 
 pub(crate) fn record(id: &str, service: &str, zone: &str, stage: Option<Stage>) -> ServerRecord {
     ServerRecord {
-        id: id.parse().unwrap(),
-        service: service.parse().unwrap(),
-        address: "127.0.0.1:9000".parse().unwrap(),
-        availability_zone: zone.parse().unwrap(),
+        id: id.parse().expect("a valid fixture"),
+        service: service.parse().expect("a valid fixture"),
+        address: "127.0.0.1:9000".parse().expect("a valid fixture"),
+        availability_zone: zone.parse().expect("a valid fixture"),
         slots: Slots(6),
         state: ServerState::Ready,
         stage,
@@ -40,12 +40,17 @@
     let zones = [("a1", "a"), ("a2", "a"), ("b1", "b")];
     let regions: HashMap<_, _> = zones
         .iter()
-        .map(|(zone, region)| (zone.parse().unwrap(), region.parse().unwrap()))
+        .map(|(zone, region)| {
+            (
+                zone.parse().expect("a valid fixture"),
+                region.parse().expect("a valid fixture"),
+            )
+        })
         .collect();
     let mut serving = Serving::new(ServingConfig {
         origin: Origin {
-            availability_zone: "a1".parse().unwrap(),
-            region: "a".parse().unwrap(),
+            availability_zone: "a1".parse().expect("a valid fixture"),
+            region: "a".parse().expect("a valid fixture"),
         },
         regions,
         retry_limits: RetryLimits {
@@ -70,11 +75,20 @@
 }
 
 pub(crate) fn key(serving: &Serving, id: &str) -> ServerKey {
-    serving.servers.key_of(&id.parse().unwrap()).unwrap()
+    serving
+        .servers
+        .key_of(&id.parse().expect("a valid fixture"))
+        .expect("a valid fixture")
 }
 
 pub(crate) fn id(serving: &Serving, key: ServerKey) -> String {
-    serving.servers.get(key).unwrap().record.id.to_string()
+    serving
+        .servers
+        .get(key)
+        .expect("a valid fixture")
+        .record
+        .id
+        .to_string()
 }
 
 pub(crate) fn catalogue(version: u64, prefixes: &[&str]) -> Catalogue {
@@ -84,7 +98,7 @@
         prefix: (*prefix).to_string(),
         kind: RequestKind::Idempotent,
         services: vec![WeightedService {
-            service: PLAIN.parse().unwrap(),
+            service: PLAIN.parse().expect("a valid fixture"),
             weight: 1,
         }],
         timeout: DurationUs::from_ms(800),
@@ -92,7 +106,7 @@
         attempts_max_count: 2,
     };
     let service = |name: &str, engine| ServiceSpec {
-        name: name.parse().unwrap(),
+        name: name.parse().expect("a valid fixture"),
         engine,
     };
     Catalogue::new(
@@ -108,7 +122,7 @@
 
 pub(crate) fn plain_spec(kind: RequestKind, attempts_max_count: u32) -> CallSpec {
     CallSpec {
-        service: PLAIN.parse().unwrap(),
+        service: PLAIN.parse().expect("a valid fixture"),
         kind,
         model: None,
         attempts_max_count,
@@ -120,7 +134,7 @@
 
 pub(crate) fn model_spec(kind: RequestKind, attempts_max_count: u32) -> CallSpec {
     CallSpec {
-        service: ENGINES.parse().unwrap(),
+        service: ENGINES.parse().expect("a valid fixture"),
         kind,
         model: Some(ModelNeed {
             prompt_tokens: Tokens(5_000),
--- a/crates/direct/src/adapter.rs
+++ b/crates/direct/src/adapter.rs
@@ -6,17 +6,11 @@
 
 use std::sync::Arc;
 
-use cuminlead_direct_core::follow::{Page, Query, RegistryError};
+use cuminlead_direct_core::Registry;
 use cuminlead_settings::EntrySettings;
 use cuminlead_types::{BackendServerId, DurationUs, Tokens};
 use http::{HeaderMap, Method, StatusCode};
 
-/// Where configuration and backend servers are published.
-pub trait Registry: Send {
-    /// Answers a query; blocks until then.
-    fn query(&mut self, query: &Query) -> Result<Page, RegistryError>;
-}
-
 /// What a request says of itself.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct CallerRequest {
--- a/crates/direct/src/control.rs
+++ b/crates/direct/src/control.rs
@@ -5,15 +5,13 @@
 
 use std::thread;
 
-use cuminlead_direct_core::Follower;
 use cuminlead_direct_core::follow::Update;
+use cuminlead_direct_core::{Follower, Registry};
 use cuminlead_kernel::Clock;
 use cuminlead_process::StartError;
 use error_stack::{Report, ResultExt};
 use tokio::sync::mpsc::UnboundedSender;
 
-use crate::adapter::Registry;
-
 /// Starts the control thread; it ends when the traffic thread has ended.
 pub fn spawn(
     clock: Clock,
--- a/crates/places/src/agent.rs
+++ b/crates/places/src/agent.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use cuminlead_direct_core::PlaceLedger;
+use cuminlead_direct_core::stages::PrefillShare;
 use cuminlead_kernel::Clock;
 use cuminlead_process::StartError;
 use cuminlead_process::admin::{self, AdminSource};
@@ -24,8 +25,9 @@
 use tonic::transport::Server;
 use tonic::transport::server::TcpIncoming;
 
-use crate::monitor::{self, EngineMonitor};
+use crate::monitor::{self, AgentPlatform, EngineMonitor};
 use crate::rpc::{PlacesRpc, SharedLedger};
+use crate::stage_control::StageControl;
 
 /// Pause between reports of a busy engine. A full batch grows by about 1,500 tokens meanwhile,
 /// which the part of the memory that the forecast leaves free takes up.
@@ -46,12 +48,13 @@
         .enable_all()
         .build()
         .change_context(StartError::Thread)?;
-    runtime.block_on(serve(settings, (plugin.build)(settings), &log))
+    let platform = (plugin.build)(settings);
+    runtime.block_on(serve(settings, platform, &log))
 }
 
 async fn serve(
     settings: &AgentSettings,
-    monitor: Box<dyn EngineMonitor>,
+    platform: AgentPlatform,
     log: &Logger,
 ) -> Result<(), Report<StartError>> {
     let clock = Clock::start();
@@ -72,7 +75,7 @@
     admin::serve(*settings.admin_address(), Arc::new(source))?;
     let watcher = Watcher {
         clock,
-        monitor,
+        monitor: platform.monitor,
         ledger: ledger.clone(),
         is_reporting,
         reports,
@@ -82,6 +85,22 @@
         .name("control".to_string())
         .spawn(move || watcher.run())
         .change_context(StartError::Thread)?;
+    if let Some(percent) = settings.prefill_share_percent() {
+        let control = StageControl {
+            clock,
+            registry: platform.registry,
+            orders: platform.orders,
+            holder: settings.name().clone(),
+            engine_address: *settings.backend_address(),
+            zone_regions: settings.zone_regions().clone(),
+            share: PrefillShare { percent: percent.0 },
+            log: log.clone(),
+        };
+        thread::Builder::new()
+            .name("stages".to_string())
+            .spawn(move || control.run())
+            .change_context(StartError::Thread)?;
+    }
     let service = PlacesServer::new(PlacesRpc::new(ledger, clock, log.clone()));
     let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
     info!(log, "agent started"; "address" => %address, "engine" => %settings.backend_address());
--- a/crates/places/src/lib.rs
+++ b/crates/places/src/lib.rs
@@ -6,7 +6,8 @@
 //!
 //! | module | holds |
 //! |---|---|
-//! | [`monitor`] | the border by which a platform reads an engine's report |
+//! | [`monitor`] | the borders by which a platform reads an engine's report and gives it orders |
+//! | [`stage_control`] | the thread that keeps the engine's stage |
 //! | [`agent`] | start and stop of the agent |
 //! | [`rpc`] | the service that entries ask |
 //! | [`client`] | the entry's side |
@@ -15,6 +16,7 @@
 pub mod client;
 pub mod monitor;
 pub mod rpc;
+pub mod stage_control;
 
 pub use client::{PlaceClient, PlaceError};
-pub use monitor::{EngineMonitor, MonitorPlugin};
+pub use monitor::{AgentPlatform, EngineMonitor, EngineOrders, MonitorPlugin};
--- a/crates/settings/src/agent.rs
+++ b/crates/settings/src/agent.rs
@@ -10,7 +10,9 @@
 use crate::entry::is_same;
 use crate::macros::settings;
 use crate::reader::Reader;
-use crate::value::{AdapterName, AgentName, BackendKind, Count, DurationMs, LogLevel, Secret};
+use crate::value::{
+    AdapterName, AgentName, BackendKind, Count, DurationMs, LogLevel, Secret, ZoneRegions,
+};
 
 /// Imports that a prefill is held for: one and its repeat.
 const IMPORTS_COUNT: u64 = 2;
@@ -75,6 +77,11 @@
         /// Adapter of a platform whose entries call backend servers directly. The agent then gives
         /// out the decode places of its engine.
         adapter: Option<AdapterName> = Optional("\"users-platform\"");
+        /// Region of each availability zone, for the engines of this agent's region.
+        zone_regions: ZoneRegions = Default("\"\"");
+        /// Part of a region's engines that compute prompts. Agents change the stages of engines
+        /// beyond it. Without it, stages stay as they are.
+        prefill_share_percent: Option<Count> = Optional("22") in 1..=99;
         /// Least severe log lines that are written.
         log_level: LogLevel = Default("\"info\"");
         /// Token that entries must present, the same at all processes. Without it, all entries
