Ask a registry that is away for short answers

A watch of 4 s that was sent just before the store returned at 26.0 s was lost, and the front knew version 9 (acknowledged at 26.6 s) only at 31.15 s, when the watch was overdue. Ruled out: a wrong order of versions, a front in disruption.

Watches wait 2.5 s, so that with the time for an answer a silent one is renewed within 4 s, and 0.1 s while the registry does not answer. The test fails without the change.

--- a/crates/direct-core/src/follow.rs
+++ b/crates/direct-core/src/follow.rs
@@ -16,8 +16,12 @@
 use crate::server::ServerRecord;
 
 /// Longest wait of one watch. A connection that went silent shows when its watch is overdue, so
-/// this bounds the age of what is believed; a change must be in force 6.5 s after such an event.
-pub const WATCH_WAIT: DurationUs = DurationUs::from_ms(4_000);
+/// this bounds the age of what is believed. With the time for an answer it stays below 4 s, after
+/// which a machine must act on new configurations again.
+pub const WATCH_WAIT: DurationUs = DurationUs::from_ms(2_500);
+/// Longest wait of a watch while the registry does not answer. A watch that is sent just before the
+/// registry returns may be lost, and a long one would hold the next one back.
+const PROBE_WAIT: DurationUs = DurationUs::from_ms(100);
 /// Pause after a watch that brought changes. Each call is paid for, and changes come in series; a
 /// leaving server must get no work 2.5 s later.
 const CHANGES_PAUSE: DurationUs = DurationUs::from_ms(400);
@@ -217,7 +221,11 @@
             },
             Phase::Watching { after } => Query::Watch {
                 after: *after,
-                wait: WATCH_WAIT,
+                wait: if self.failures_count > 0 {
+                    PROBE_WAIT
+                } else {
+                    WATCH_WAIT
+                },
             },
         }
     }
--- a/crates/direct-core/tests/follow.rs
+++ b/crates/direct-core/tests/follow.rs
@@ -132,6 +132,23 @@
     assert_eq!(texts(&updates), ["regained"]);
 }
 
+/// Guards against a long watch that is lost just before the registry returns, and after which a
+/// configuration is in force seconds too late.
+#[test]
+fn registry_that_is_away_is_asked_for_short_answers() {
+    let mut follower = synced();
+    let wait = |follower: &Follower| match follower.query() {
+        Query::Watch { wait, .. } => wait.as_ms(),
+        Query::List { .. } => panic!("the listing is complete"),
+    };
+    assert_eq!(wait(&follower), 2_500);
+    let away = RegistryError::Unavailable("timeout".to_string());
+    follower.handle(ms(0), Err(away));
+    assert_eq!(wait(&follower), 100);
+    follower.handle(ms(100), page(12, vec![]));
+    assert_eq!(wait(&follower), 2_500);
+}
+
 /// Guards against work for a server whose entry another writer has overwritten.
 #[test]
 fn unusable_entry_removes_its_server() {
