Bound the time of a request's head and body

Cause: hyper counts the idle time before a head and the head itself with one timer, so a caller could hold a connection for 15 s with half a head, and a body had no bound. Found by reading; the limits of the configuration name both. Ruled out: a shorter timer of hyper, which closes idle connections that callers reuse.

--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -15,6 +15,7 @@
 //! | [`pool`] | kept connections |
 //! | [`exchange`] | sends one request to one server |
 //! | [`drive`] | carries out the actions of a call |
+//! | [`head_timer`] | bounds the time of a head |
 //! | [`relay`] | passes a stream on |
 //! | [`serve`] | takes the requests of callers |
 //! | [`control`] | the thread that follows the registry |
@@ -28,6 +29,7 @@
 pub mod control;
 pub mod drive;
 pub mod exchange;
+pub mod head_timer;
 pub mod pool;
 pub mod process;
 pub mod relay;
--- a/crates/direct/src/serve.rs
+++ b/crates/direct/src/serve.rs
@@ -16,7 +16,7 @@
 use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioTimer;
 use slog::{debug, info};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{Instant, timeout_at};
@@ -25,6 +25,7 @@
 use crate::body::CallerBody;
 use crate::drive::{Driven, drive};
 use crate::exchange::{CallerExchange, HeldAnswer};
+use crate::head_timer::{HeadTimer, TimedStream};
 use crate::relay::Relay;
 
 /// Time after which a caller may come back to a process that has not read the configuration yet.
@@ -79,11 +80,17 @@
         .unwrap_or_default();
     let head_max = usize::try_from(limits.head_max_bytes.0).unwrap_or(usize::MAX);
     let mut stop = app.stop.clone();
+    let timer = HeadTimer::default();
     let service = {
-        let app = Rc::clone(&app);
+        let (app, timer) = (Rc::clone(&app), timer.clone());
         service_fn(move |request| {
-            let app = Rc::clone(&app);
-            async move { Ok::<_, Infallible>(answer(app, request).await) }
+            let (app, timer) = (Rc::clone(&app), timer.clone());
+            timer.complete();
+            async move {
+                let response = answer(app, request).await;
+                timer.reset();
+                Ok::<_, Infallible>(response)
+            }
         })
     };
     let connection = http1::Builder::new()
@@ -91,10 +98,14 @@
         // hyper counts the idle time before a request as part of reading its head.
         .header_read_timeout(Duration::from(limits.idle_timeout))
         .max_buf_size(head_max.max(BUFFER_MIN_BYTES))
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TimedStream::new(stream, timer.clone()), service);
     tokio::pin!(connection);
     let ended = tokio::select! {
         ended = connection.as_mut() => Some(ended),
+        () = timer.expired(limits.head_timeout.into()) => {
+            debug!(app.log, "head of a request took too long");
+            return;
+        }
         _ = stop.wait_for(|phase| *phase == StopPhase::Closing) => None,
     };
     let ended = match ended {
@@ -163,7 +174,9 @@
             "body too large",
         ));
     }
-    let body = read_body(body, body_max).await;
+    let body_deadline = Instant::from_std(app.clock.instant(arrived_at + route.timeout));
+    let body = timeout_at(body_deadline, read_body(body, body_max)).await;
+    let body = body.unwrap_or(Err(StatusCode::REQUEST_TIMEOUT));
     let body = body.map_err(|status| rejected(app, status, "body cannot be read"))?;
     let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
     let patience = caller.patience.unwrap_or(route.timeout).min(route.timeout);
