Explain failed requests from their ids by logs and metrics

Each decision about a request has a line with what decided it: the wait for a place with the memory that agents told and its age, the refusal with the servers that were usable, paused, full and leaving, the end of a stream with its bytes.

--- a/crates/dev/src/fleet/process.rs
+++ b/crates/dev/src/fleet/process.rs
@@ -12,7 +12,7 @@
 const POLL: Duration = Duration::from_millis(5);
 const LISTENING: &str = "listening ";
 const LOG_TAIL_LINES: usize = 15;
-/// Environment of a host's slot, as `docs/operators.md` asks for: the allocator of the C library
+/// Environment of a host's slot, as `docs/OPERATIONS.md` asks for: the allocator of the C library
 /// otherwise keeps in each thread's arena what taking the lists needs for a moment.
 const ENVIRONMENT: [(&str, &str); 3] = [
     ("MALLOC_ARENA_MAX", "1"),
--- a/crates/dev/tests/process_metrics.rs
+++ b/crates/dev/tests/process_metrics.rs
@@ -12,7 +12,7 @@
 use serde_json::json;
 use yare::parameterized;
 
-const OPERATORS_PAGE: &str = include_str!("../../../docs/operators.md");
+const OPERATORS_PAGE: &str = include_str!("../../../docs/OPERATIONS.md");
 const API_PAGE: &str = include_str!("../../../docs/api.md");
 const REQUEST_LIMIT: Duration = Duration::from_secs(120);
 const STEP_LIMIT: Duration = Duration::from_secs(30);
--- a/crates/direct-core/src/call.rs
+++ b/crates/direct-core/src/call.rs
@@ -204,6 +204,7 @@
     runs_count: u32,
     turned_away_count: u32,
     sends_count: u32,
+    waits_count: u32,
     excluded: Vec<ServerKey>,
     excluded_prefills: Vec<ServerKey>,
     /// Decode server chosen before the prefill, so that a cache has a place to go.
@@ -240,6 +241,7 @@
             runs_count: 0,
             turned_away_count: 0,
             sends_count: 0,
+            waits_count: 0,
             excluded: Vec::new(),
             excluded_prefills: Vec::new(),
             decode: None,
@@ -259,6 +261,11 @@
         self.sends_count
     }
 
+    /// Pauses in which it waited for a place.
+    pub fn waits_count(&self) -> u32 {
+        self.waits_count
+    }
+
     /// Whether a server may have run the request.
     pub fn may_have_run(&self) -> bool {
         self.runs_count > 0
@@ -356,6 +363,7 @@
         }
         self.full.clear();
         self.decode = None;
+        self.waits_count += 1;
         let prompt = self
             .spec
             .model
--- a/crates/direct-core/src/serving.rs
+++ b/crates/direct-core/src/serving.rs
@@ -4,14 +4,17 @@
 use std::sync::Arc;
 
 use cuminlead_retry::{RetryBudget, RetryLimits};
-use cuminlead_types::{AvailabilityZoneName, RegionName, ServiceName, TimeUs};
+use cuminlead_types::{AvailabilityZoneName, DurationUs, RegionName, ServiceName, TimeUs};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
 use crate::catalogue::{Catalogue, Route};
 use crate::follow::Update;
 use crate::placement::Origin;
-use crate::servers::{ServerKey, ServerTable};
+use crate::servers::{ServerKey, ServerTable, Standing};
+
+/// Time for which an engine without room counts as full in explanations.
+const FULL_KNOWN_FOR: DurationUs = DurationUs::from_ms(1_000);
 
 /// Settings of the context.
 #[derive(Clone, Debug)]
@@ -26,6 +29,19 @@
     pub seed: u64,
 }
 
+/// Servers of a service by whether they may get work, for explanations.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct StandingCounts {
+    /// Published as ready and not paused.
+    pub usable_count: u32,
+    /// Left out after failures.
+    pub paused_count: u32,
+    /// Leaving, or their entry is gone.
+    pub leaving_count: u32,
+    /// Engines that had no room when they were asked last.
+    pub full_count: u32,
+}
+
 /// What requests decide over; owned by the traffic thread.
 #[derive(Debug)]
 pub struct Serving {
@@ -109,6 +125,26 @@
             .or_insert_with(|| RetryBudget::with_limits(limits))
     }
 
+    /// Servers of a service by whether they may get work.
+    pub fn standing_counts(&self, now: TimeUs, service: &ServiceName) -> StandingCounts {
+        let mut counts = StandingCounts::default();
+        for (_, server) in self.servers.of_service(service) {
+            if server.standing != Standing::Ready {
+                counts.leaving_count += 1;
+            } else if server.health.is_paused(now) {
+                counts.paused_count += 1;
+            } else if server
+                .full_at
+                .is_some_and(|at| now.since(at) < FULL_KNOWN_FOR)
+            {
+                counts.full_count += 1;
+            } else {
+                counts.usable_count += 1;
+            }
+        }
+        counts
+    }
+
     /// Counts a request as under way at a server.
     pub fn begin(&mut self, key: ServerKey) {
         if let Some(server) = self.servers.get_mut(key) {
--- a/crates/direct/src/drive.rs
+++ b/crates/direct/src/drive.rs
@@ -81,7 +81,12 @@
                 }
                 return Driven::Refused(call.timed_out());
             }
-            Action::Wait(pause) => sleep(pause.into()).await,
+            Action::Wait(pause) => {
+                if call.waits_count() == 1 {
+                    log_wait(app, call, exchange);
+                }
+                sleep(pause.into()).await;
+            }
             Action::Reserve { server, model, ttl } => {
                 place = reserve(app, call, exchange, server, model, ttl).await
             }
@@ -171,7 +176,12 @@
             })
         }
         Err(outcome) => {
-            log_failure(app, exchange, &serving, server, "reserve", outcome);
+            // A full engine is asked again every few ten ms; the wait has one line for all.
+            if outcome == Outcome::TurnedAway {
+                app.metrics.count_step_failure("reserve", outcome);
+            } else {
+                log_failure(app, exchange, &serving, server, "reserve", outcome);
+            }
             call.reserve_failed(now, &mut serving, server, outcome);
             drop(serving);
             after_failure(app, server, outcome);
@@ -238,6 +248,25 @@
     }
 }
 
+/// One line for all engines that have no room, with what the fullest and the emptiest said.
+fn log_wait(app: &App, call: &Call, exchange: &CallerExchange) {
+    let now = app.now();
+    let serving = app.serving.borrow();
+    let service = &call.spec().service;
+    let memories = serving
+        .servers
+        .of_service(service)
+        .filter_map(|(_, server)| server.memory);
+    let newest = memories.max_by_key(|memory| memory.free_tokens);
+    let counts = serving.standing_counts(now, service);
+    info!(app.log, "waits for a place"; "request" => &exchange.request.id, "service" => %service,
+        "full" => counts.full_count, "paused" => counts.paused_count,
+        "usable" => counts.usable_count,
+        "prompt_tokens" => call.spec().model.map(|model| model.prompt_tokens.0),
+        "most_free_tokens" => newest.map(|memory| memory.free_tokens.0),
+        "known_for_ms" => newest.map(|memory| now.since(memory.known_at).as_ms()));
+}
+
 fn log_step(
     app: &App,
     exchange: &CallerExchange,
@@ -254,7 +283,8 @@
         "took_ms" => app.now().since(began).as_ms());
 }
 
-fn log_failure(
+/// One line for a step that failed, with what was known of its server.
+pub(crate) fn log_failure(
     app: &App,
     exchange: &CallerExchange,
     serving: &cuminlead_direct_core::Serving,
--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use cuminlead_direct_core::{Call, EventScanner, Outcome, RequestKind};
-use cuminlead_types::DurationUs;
+use cuminlead_types::{DurationUs, TimeUs};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use slog::info;
@@ -17,7 +17,7 @@
 
 use crate::app::App;
 use crate::body::Part;
-use crate::drive::{Driven, drive};
+use crate::drive::{Driven, drive, log_failure};
 use crate::exchange::{CallerExchange, PartialAnswer};
 
 /// Parts that may wait for a caller that reads slowly.
@@ -32,7 +32,9 @@
     /// State of the request.
     pub call: Call,
     /// When the request arrived, for the latency at the end.
-    pub arrived_at: cuminlead_types::TimeUs,
+    pub arrived_at: TimeUs,
+    /// Bytes passed on.
+    pub bytes_count: u64,
 }
 
 /// How a relayed stream ended.
@@ -78,7 +80,7 @@
         self.app.metrics.count_stream(end.name(), total);
         info!(self.app.log, "stream ended"; "request" => &self.exchange.request.id,
             "end" => end.name(), "total_ms" => total.as_ms(),
-            "sends" => self.call.sends_count());
+            "sends" => self.call.sends_count(), "bytes" => self.bytes_count);
     }
 
     async fn pass_on(&mut self, mut answer: PartialAnswer, parts: &Sender<Part>) -> RelayEnd {
@@ -86,10 +88,15 @@
         let mut scanner = EventScanner::new();
         loop {
             let server = answer.lease.server;
+            let gap_max = self.gap_max();
+            let mut sink = Sink {
+                parts,
+                bytes_count: &mut self.bytes_count,
+            };
             let copied = if is_resumable {
-                copy_events(&mut answer, parts, &mut scanner, self.gap_max()).await
+                copy_events(&mut answer, &mut sink, &mut scanner, gap_max).await
             } else {
-                copy_bytes(&mut answer, parts).await
+                copy_bytes(&mut answer, &mut sink).await
             };
             let now = self.app.now();
             match copied {
@@ -104,6 +111,14 @@
                     // The connection closes first: the lost run must not go on beside the next.
                     drop(answer);
                     let mut serving = self.app.serving.borrow_mut();
+                    log_failure(
+                        &self.app,
+                        &self.exchange,
+                        &serving,
+                        server,
+                        "stream",
+                        outcome,
+                    );
                     self.call.run_failed(now, &mut serving, server, outcome);
                 }
             }
@@ -133,10 +148,10 @@
 }
 
 /// Copies bytes as they come.
-async fn copy_bytes(answer: &mut PartialAnswer, parts: &Sender<Part>) -> Result<(), Outcome> {
-    send(parts, std::mem::take(&mut answer.first)).await?;
+async fn copy_bytes(answer: &mut PartialAnswer, sink: &mut Sink<'_>) -> Result<(), Outcome> {
+    sink.send(std::mem::take(&mut answer.first)).await?;
     while let Some(data) = next_data(&mut answer.rest).await? {
-        send(parts, data).await?;
+        sink.send(data).await?;
     }
     Ok(())
 }
@@ -144,7 +159,7 @@
 /// Copies whole events.
 async fn copy_events(
     answer: &mut PartialAnswer,
-    parts: &Sender<Part>,
+    sink: &mut Sink<'_>,
     scanner: &mut EventScanner,
     gap_max: Duration,
 ) -> Result<(), Outcome> {
@@ -154,7 +169,7 @@
     loop {
         let whole = scanner.push(&data);
         if !whole.is_empty() {
-            send(parts, Bytes::from(whole)).await?;
+            sink.send(Bytes::from(whole)).await?;
         }
         let next = timeout(gap_max, next_data(&mut answer.rest)).await;
         match next.unwrap_or(Err(Outcome::TimedOut))? {
@@ -181,8 +196,17 @@
     Ok(None)
 }
 
-/// Hands a part to the caller; fails as unreachable when the caller has left.
-async fn send(parts: &Sender<Part>, data: Bytes) -> Result<(), Outcome> {
-    let sent = parts.send(Part::Data(data)).await;
-    sent.map_err(|_| Outcome::Unreachable)
+/// Where the parts of an answer go.
+struct Sink<'a> {
+    parts: &'a Sender<Part>,
+    bytes_count: &'a mut u64,
+}
+
+impl Sink<'_> {
+    /// Hands a part to the caller; fails as unreachable when the caller has left.
+    async fn send(&mut self, data: Bytes) -> Result<(), Outcome> {
+        *self.bytes_count += data.len() as u64;
+        let sent = self.parts.send(Part::Data(data)).await;
+        sent.map_err(|_| Outcome::Unreachable)
+    }
 }
--- a/crates/direct/src/serve.rs
+++ b/crates/direct/src/serve.rs
@@ -255,8 +255,12 @@
     let (outcome, sends) = (outcome_name(&driven), call.sends_count());
     app.metrics.count_request(outcome, took);
     info!(app.log, "request answered"; "request" => &exchange.request.id, "route" => &route,
-        "config_version" => config_version, "outcome" => outcome, "sends" => sends,
+        "service" => %call.spec().service, "config_version" => config_version,
+        "outcome" => outcome, "sends" => sends, "waits" => call.waits_count(),
         "took_ms" => took.as_ms());
+    if let Driven::Refused(refusal) = &driven {
+        log_refusal(app, &call, &exchange, refusal);
+    }
     match driven {
         Driven::Answered(answer) => held_response(answer),
         Driven::Refused(refusal) => refused(app, &refusal),
@@ -267,6 +271,7 @@
                 exchange,
                 call,
                 arrived_at,
+                bytes_count: 0,
             };
             let mut response = Response::new(CallerBody::Relayed(relay.start(*answer)));
             *response.status_mut() = status;
@@ -276,6 +281,17 @@
     }
 }
 
+/// What the process believed of the service's servers when it gave a request up.
+fn log_refusal(app: &App, call: &Call, exchange: &CallerExchange, refusal: &Refusal) {
+    let service = &call.spec().service;
+    let counts = app.serving.borrow().standing_counts(app.now(), service);
+    let reason: &'static str = refusal.reason.into();
+    info!(app.log, "request refused"; "request" => &exchange.request.id, "reason" => reason,
+        "not_run" => refusal.is_not_run, "retry_after_ms" => refusal.retry_after.as_ms(),
+        "service" => %service, "usable" => counts.usable_count, "paused" => counts.paused_count,
+        "full" => counts.full_count, "leaving" => counts.leaving_count);
+}
+
 fn outcome_name(driven: &Driven) -> &'static str {
     match driven {
         Driven::Answered(answer) if answer.is_failure => "failed",
--- a/crates/places/src/rpc.rs
+++ b/crates/places/src/rpc.rs
@@ -2,9 +2,9 @@
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use cuminlead_direct_core::{PlaceLedger, PlaceRequest};
+use cuminlead_direct_core::{PlaceLedger, PlaceReply, PlaceRequest};
 use cuminlead_kernel::Clock;
-use cuminlead_types::{DurationUs, Slots, Tokens};
+use cuminlead_types::{DurationUs, Slots, TimeUs, Tokens};
 use cuminlead_wire::proto::places_server::Places;
 use cuminlead_wire::proto::{GiveBackReply, GiveBackRequest, HoldReply, HoldRequest};
 use slog::{Logger, info};
@@ -39,15 +39,52 @@
     ledger: SharedLedger,
     clock: Clock,
     log: Logger,
+    refusals: Arc<Mutex<Refusals>>,
 }
 
 impl PlacesRpc {
     /// Service over a ledger.
     pub fn new(ledger: SharedLedger, clock: Clock, log: Logger) -> Self {
-        Self { ledger, clock, log }
+        Self {
+            ledger,
+            clock,
+            log,
+            refusals: Arc::default(),
+        }
+    }
+}
+
+/// Pause between lines about refused places; entries ask a full engine every few ten ms.
+const REFUSAL_LINE_PAUSE: DurationUs = DurationUs::from_ms(200);
+
+impl PlacesRpc {
+    /// One line for all places refused in a while, with the newest of them.
+    fn count_refusal(&self, asked: &PlaceRequest, reply: PlaceReply) {
+        let now = self.clock.mono();
+        let mut refusals = self.refusals.lock().unwrap_or_else(PoisonError::into_inner);
+        refusals.count += 1;
+        if now.since(refusals.logged_at) < REFUSAL_LINE_PAUSE && refusals.is_logged {
+            return;
+        }
+        info!(self.log, "places refused"; "count" => refusals.count, "newest" => &asked.request,
+            "prompt_tokens" => asked.prompt_tokens.0, "free_tokens" => reply.free_tokens.0,
+            "total_tokens" => reply.total_tokens.0);
+        *refusals = Refusals {
+            count: 0,
+            logged_at: now,
+            is_logged: true,
+        };
     }
 }
 
+/// Places refused since the last line about them.
+#[derive(Debug, Default)]
+struct Refusals {
+    count: u64,
+    logged_at: TimeUs,
+    is_logged: bool,
+}
+
 #[tonic::async_trait]
 impl Places for PlacesRpc {
     async fn hold(&self, request: Request<HoldRequest>) -> Result<Response<HoldReply>, Status> {
@@ -68,6 +105,8 @@
                 "prompt_tokens" => asked.prompt_tokens.0,
                 "answer_tokens" => asked.answer_tokens.map(|tokens| tokens.0),
                 "free_tokens" => reply.free_tokens.0);
+        } else {
+            self.count_refusal(&asked, reply);
         }
         Ok(Response::new(HoldReply {
             is_held: reply.is_held,
