Leave out servers that keep callers waiting

Cause: a server that goes dark keeps a request on a kept connection until the caller leaves or its time ends, and nothing recorded that, so each next request could go the same way.

--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -17,6 +17,7 @@
 use http::{HeaderMap, Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
+use slog::info;
 use tokio::time::timeout;
 
 use crate::adapter::{AnswerMeaning, CallerRequest, RunOrder};
@@ -27,6 +28,8 @@
 /// Longest answer that is held until it is whole. Answers of plain services are a few KB; a longer
 /// one is passed on as it comes.
 const HELD_MAX_BYTES: usize = 256 * 1024;
+/// Goals without the head of an answer after which a server counts as silent.
+pub(crate) const SILENCE_GOALS: u64 = 2;
 /// Memory for an answer without an estimate, and the most that is reserved at an engine. Memory for
 /// a longer answer falls free as others end.
 const ANSWER_TOKENS: Tokens = Tokens(4_800);
@@ -49,6 +52,8 @@
     pub body: Bytes,
     /// What may be repeated.
     pub kind: RequestKind,
+    /// Time within which an answer is of full use.
+    pub goal: DurationUs,
     /// When it arrived.
     pub arrived_at: TimeUs,
     /// Time at which the caller or the route gives up.
@@ -129,6 +134,40 @@
     }
 }
 
+/// Answer that is awaited. Dropping it after a long silence, as when the caller has left, records
+/// that the server does not answer: otherwise each next request would wait as long.
+struct Awaited {
+    app: Rc<App>,
+    server: ServerKey,
+    sent_at: TimeUs,
+    /// Time after which a silence counts.
+    patience: DurationUs,
+    is_answered: bool,
+}
+
+impl Drop for Awaited {
+    fn drop(&mut self) {
+        let silence = self.app.now().since(self.sent_at);
+        if !self.is_answered && silence >= self.patience {
+            note_silence(&self.app, self.server, silence);
+        }
+    }
+}
+
+/// Leaves a silent server out for a while, and its kept connections for good: whatever keeps track
+/// of connections may have lost them all.
+pub(crate) fn note_silence(app: &App, server: ServerKey, silence: DurationUs) {
+    let now = app.now();
+    let mut serving = app.serving.borrow_mut();
+    let Some(known) = serving.servers.get_mut(server) else {
+        return;
+    };
+    known.health.record_unreachable(now);
+    info!(app.log, "server is silent"; "server" => %known.record.id,
+        "silence_ms" => silence.as_ms());
+    app.pool.borrow_mut().forget(server);
+}
+
 /// What a run is given beside the request.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct RunInput<'a> {
@@ -159,7 +198,17 @@
     app.dialect.order_run(&mut headers, &order);
     let request = exchange.request(headers).ok_or(Outcome::Unreachable)?;
     let kept_idle_max = (!exchange.may_repeat()).then_some(IDLE_MAX_ONCE);
-    let (mut lease, response) = send(app, server, address, request, kept_idle_max).await?;
+    let mut awaited = Awaited {
+        app: Rc::clone(app),
+        server,
+        sent_at: app.now(),
+        patience: DurationUs(exchange.goal.0.saturating_mul(SILENCE_GOALS)),
+        is_answered: false,
+    };
+    let sent = send(app, server, address, request, kept_idle_max).await;
+    // A failure to send is recorded by its outcome.
+    awaited.is_answered = true;
+    let (mut lease, response) = sent?;
     let (parts, rest) = response.into_parts();
     lease.idle_max = idle_max(&parts.headers);
     let meaning = app
--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use cuminlead_direct_core::{Call, EventScanner, Outcome, RequestKind};
+use cuminlead_direct_core::{Call, EventScanner, Outcome, RequestKind, ServerKey};
 use cuminlead_types::{DurationUs, TimeUs};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -18,7 +18,7 @@
 use crate::app::App;
 use crate::body::Part;
 use crate::drive::{Driven, drive, log_failure};
-use crate::exchange::{CallerExchange, PartialAnswer};
+use crate::exchange::{CallerExchange, PartialAnswer, SILENCE_GOALS, note_silence};
 
 /// Parts that may wait for a caller that reads slowly.
 const PARTS_MAX: usize = 16;
@@ -35,6 +35,8 @@
     pub arrived_at: TimeUs,
     /// Bytes passed on.
     pub bytes_count: u64,
+    /// Server of the present run and the time of its last part.
+    pub last_part: Option<(ServerKey, TimeUs)>,
 }
 
 /// How a relayed stream ended.
@@ -76,6 +78,9 @@
             // A caller that has left needs no end.
             let _ = parts.send(Part::End).await;
         }
+        if matches!(end, RelayEnd::CallerGone | RelayEnd::TimedOut) {
+            self.note_silence();
+        }
         let total = self.app.now().since(self.arrived_at);
         self.app.metrics.count_stream(end.name(), total);
         info!(self.app.log, "stream ended"; "request" => &self.exchange.request.id,
@@ -89,9 +94,12 @@
         loop {
             let server = answer.lease.server;
             let gap_max = self.gap_max();
+            self.last_part = Some((server, self.app.now()));
             let mut sink = Sink {
+                app: &self.app,
                 parts,
                 bytes_count: &mut self.bytes_count,
+                last_part: &mut self.last_part,
             };
             let copied = if is_resumable {
                 copy_events(&mut answer, &mut sink, &mut scanner, gap_max).await
@@ -140,6 +148,17 @@
         }
     }
 
+    /// Records a server whose silence made the caller leave.
+    fn note_silence(&self) {
+        let Some((server, last_at)) = self.last_part else {
+            return;
+        };
+        let silence = self.app.now().since(last_at);
+        if silence >= DurationUs(self.exchange.goal.0.saturating_mul(SILENCE_GOALS)) {
+            note_silence(&self.app, server, silence);
+        }
+    }
+
     /// Longest pause between parts before another server continues.
     fn gap_max(&self) -> Duration {
         let goal = self.call.spec().goal;
@@ -198,14 +217,19 @@
 
 /// Where the parts of an answer go.
 struct Sink<'a> {
+    app: &'a App,
     parts: &'a Sender<Part>,
     bytes_count: &'a mut u64,
+    last_part: &'a mut Option<(ServerKey, TimeUs)>,
 }
 
 impl Sink<'_> {
     /// Hands a part to the caller; fails as unreachable when the caller has left.
     async fn send(&mut self, data: Bytes) -> Result<(), Outcome> {
         *self.bytes_count += data.len() as u64;
+        if let Some((_, last_at)) = self.last_part {
+            *last_at = self.app.now();
+        }
         let sent = self.parts.send(Part::Data(data)).await;
         sent.map_err(|_| Outcome::Unreachable)
     }
--- a/crates/direct/src/serve.rs
+++ b/crates/direct/src/serve.rs
@@ -187,6 +187,7 @@
         path: path.to_string(),
         body,
         kind: route.kind,
+        goal: route.goal,
         arrived_at,
         deadline: arrived_at + patience,
     };
@@ -272,6 +273,7 @@
                 call,
                 arrived_at,
                 bytes_count: 0,
+                last_part: None,
             };
             let mut response = Response::new(CallerBody::Relayed(relay.start(*answer)));
             *response.status_mut() = status;
