Choose the decode server together with its prefill

Ruled out: longer time-outs for prefills, which only wait for the same engine. The cost of a decode server now includes the cheapest prefill of its region. The test fails without the change.

--- a/crates/direct-core/src/placement.rs
+++ b/crates/direct-core/src/placement.rs
@@ -7,6 +7,7 @@
 //! requests under way are known at once and fall together with a burst.
 
 use std::cmp::Ordering;
+use std::collections::HashMap;
 
 use cuminlead_types::{AvailabilityZoneName, DurationUs, RegionName, ServiceName, TimeUs};
 use rand::{Rng, RngExt};
@@ -37,6 +38,9 @@
 const MEMORY_MS: f64 = 60.0;
 /// Time in which a known amount of free memory loses its meaning, as answers begin and end.
 const MEMORY_KNOWN_FOR: DurationUs = DurationUs::from_ms(1_500);
+/// Cost of a region without a usable prefill server: a decode engine computes the prompt at half
+/// the speed, and delays the answers that it generates.
+const NO_PREFILL_MS: f64 = 250.0;
 /// Costs closer than this count as equal, so that work spreads.
 const TIE_MS: f64 = 0.5;
 
@@ -102,6 +106,7 @@
     let mut best: Option<(f64, ServerKey)> = None;
     let mut ties = 1_u32;
     let mut first_pause_end: Option<TimeUs> = None;
+    let prefill_costs = prefill_costs(now, servers, need);
     for (key, server) in servers.of_service(need.service) {
         if !is_allowed(server) || !fits(server, need) || need.excluded.contains(&key) {
             continue;
@@ -111,7 +116,7 @@
             first_pause_end = Some(first_pause_end.map_or(until, |first| first.min(until)));
             continue;
         }
-        let cost = cost_ms(now, server, need);
+        let cost = cost_ms(now, server, need) + prefill_ms(&prefill_costs, server);
         let order = best.map_or(Ordering::Less, |(least, _)| compare(cost, least));
         match order {
             Ordering::Less => {
@@ -134,6 +139,44 @@
     }
 }
 
+/// Lowest cost of a prefill in each region, for requests that need a decode: a cache does not cross
+/// regions, so the decode server decides where the prompt is computed.
+fn prefill_costs(
+    now: TimeUs,
+    servers: &ServerTable,
+    need: Need<'_>,
+) -> Option<HashMap<RegionName, f64>> {
+    if need.stage != Some(Stage::Decode) {
+        return None;
+    }
+    let prefill = Need {
+        stage: Some(Stage::Prefill),
+        region: None,
+        excluded: &[],
+        ..need
+    };
+    let mut costs = HashMap::new();
+    for (_, server) in servers.of_service(need.service) {
+        let is_usable = server.standing == Standing::Ready && !server.health.is_paused(now);
+        let Some(region) = server.region.as_ref().filter(|_| is_usable) else {
+            continue;
+        };
+        if fits(server, prefill) {
+            // The way is counted with the decode server, which is in the same region.
+            let cost = cost_ms(now, server, prefill) - distance_ms(server, need.origin);
+            let least = costs.entry(region.clone()).or_insert(cost);
+            *least = cost.min(*least);
+        }
+    }
+    Some(costs)
+}
+
+fn prefill_ms(costs: &Option<HashMap<RegionName, f64>>, server: &Server) -> f64 {
+    let Some(costs) = costs else { return 0.0 };
+    let cost = server.region.as_ref().and_then(|region| costs.get(region));
+    cost.copied().unwrap_or(NO_PREFILL_MS)
+}
+
 fn fits(server: &Server, need: Need<'_>) -> bool {
     let is_stage = need.stage.is_none() || server.record.stage == need.stage;
     let is_region = need.region.is_none() || server.region.as_ref() == need.region;
--- a/crates/direct-core/tests/placement.rs
+++ b/crates/direct-core/tests/placement.rs
@@ -179,3 +179,35 @@
         DurationUs::from_ms(expected_ms)
     );
 }
+
+/// Guards against decodes in a region whose prompts the decode engines would have to compute, while
+/// another region has prefill servers.
+#[test]
+fn decode_goes_where_prompts_can_be_computed() {
+    let mut serving = serving();
+    publish(
+        &mut serving,
+        &[
+            "p1 notes a1 prefill",
+            "d1 notes a1 decode",
+            "p2 notes b1 prefill",
+            "d2 notes b1 decode",
+        ],
+    );
+    let decode = Some(Stage::Decode);
+    assert_eq!(chosen(&serving, ms(0), ENGINES, decode), "d1");
+    let near = key(&serving, "p1");
+    let server = serving.servers.get_mut(near).expect("p1 is published");
+    server.health.record_unreachable(ms(0));
+    assert_eq!(chosen(&serving, ms(0), ENGINES, decode), "d2");
+    let server = serving.servers.get_mut(near).expect("p1 is published");
+    server.health.record_success(ms(0));
+    for _ in 0..2 {
+        serving.begin(near);
+    }
+    assert_eq!(
+        chosen(&serving, ms(60_000), ENGINES, decode),
+        "d2",
+        "two prompts wait there"
+    );
+}
