Count failed prefills in the budget of repeats and drop superseded servers

After a loss of power all engines had new ids while the old entries were still published; 24 fronts were turned away by each of them, and a prefill that failed was counted without asking the budget. Ruled out: repeats by callers, which are new requests.

A server that is published at the address of an earlier one replaces it, and a failed prefill takes from the budget or the request is refused as not run. Both tests fail without the change. Each process may now repeat a fifth of its requests instead of a sixth.

--- a/crates/direct-core/src/call.rs
+++ b/crates/direct-core/src/call.rs
@@ -494,8 +494,10 @@
     ) {
         record_outcome(now, serving, server, outcome);
         self.excluded_prefills.push(server);
-        if outcome != Outcome::Unreachable {
-            serving.budget(&self.spec.service).count_retry(now);
+        // What reached a server counts as a repeat, because the run is yet to come.
+        let is_counted = outcome != Outcome::Unreachable;
+        if is_counted && !serving.budget(&self.spec.service).try_retry(now) {
+            self.finish(RefusalReason::RetryBudget, DurationUs::from_ms(1_000));
         }
         let is_refused = matches!(
             outcome,
--- a/crates/direct-core/src/servers.rs
+++ b/crates/direct-core/src/servers.rs
@@ -5,6 +5,7 @@
 //! [`REMOVED_HOLD`] as a last resort: it gets work only if its service has no other server.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 
 use cuminlead_types::{BackendServerId, DurationUs, RegionName, ServiceName, TimeUs, Tokens};
 use slotmap::{SlotMap, new_key_type};
@@ -68,6 +69,7 @@
     servers: SlotMap<ServerKey, Server>,
     by_id: HashMap<BackendServerId, ServerKey>,
     by_service: HashMap<ServiceName, Vec<ServerKey>>,
+    by_address: HashMap<SocketAddr, ServerKey>,
 }
 
 impl ServerTable {
@@ -117,7 +119,8 @@
             }
             self.forget(key);
         }
-        let (id, service) = (record.id.clone(), record.service.clone());
+        self.supersede(&record);
+        let (id, service, address) = (record.id.clone(), record.service.clone(), record.address);
         let key = self.servers.insert(Server {
             record,
             region,
@@ -129,9 +132,23 @@
         });
         self.by_id.insert(id, key);
         self.by_service.entry(service).or_default().push(key);
+        self.by_address.insert(address, key);
         key
     }
 
+    /// Forgets an earlier server at the address of a new one. Entries of servers that have ended
+    /// stay published for seconds, and each request to one of them is turned away by the server
+    /// that has its address now.
+    fn supersede(&mut self, record: &ServerRecord) {
+        let Some(key) = self.by_address.get(&record.address).copied() else {
+            return;
+        };
+        let is_earlier = |server: &Server| server.record.started_at_ms <= record.started_at_ms;
+        if self.servers.get(key).is_some_and(is_earlier) {
+            self.forget(key);
+        }
+    }
+
     /// Applies the removal of an entry.
     pub fn remove(&mut self, now: TimeUs, id: &BackendServerId) {
         let Some(key) = self.key_of(id) else { return };
@@ -153,6 +170,9 @@
         if self.by_id.get(&server.record.id) == Some(&key) {
             self.by_id.remove(&server.record.id);
         }
+        if self.by_address.get(&server.record.address) == Some(&key) {
+            self.by_address.remove(&server.record.address);
+        }
         if let Some(keys) = self.by_service.get_mut(&server.record.service) {
             keys.retain(|other| *other != key);
         }
--- a/crates/direct-core/tests/call.rs
+++ b/crates/direct-core/tests/call.rs
@@ -261,6 +261,24 @@
     assert!(text(&serving, &next).starts_with(expected), "{next:?}");
 }
 
+/// Guards against prefills that fail at every server of a fleet and use up the budget of repeats
+/// without asking: the run after a prefill that reached a server is a repeat.
+#[test]
+fn failed_prefills_stay_in_the_budget() {
+    let mut serving = notes();
+    let service = "notes".parse().expect("a valid fixture");
+    while serving.budget(&service).try_retry(ms(0)) {}
+    let mut call = Call::new(model_spec(STREAM, 1));
+    call.next(ms(0), &mut serving);
+    call.reserved(Reservation::Agent);
+    let Action::Prefill { server, .. } = call.next(ms(0), &mut serving) else {
+        panic!("a prefill follows the reservation");
+    };
+    call.prefill_failed(ms(5), &mut serving, server, Outcome::OtherIncarnation);
+    let end = call.next(ms(5), &mut serving);
+    assert_eq!(text(&serving, &end), "refuse not_run retry_budget");
+}
+
 /// Guards against a cache that is thrown away though another server can take it, and against one
 /// that is used after it is gone.
 #[parameterized(
--- a/crates/direct-core/tests/placement.rs
+++ b/crates/direct-core/tests/placement.rs
@@ -141,6 +141,20 @@
     assert_ne!(key(&serving, "s1"), before);
 }
 
+/// Guards against requests to servers that have ended, whose entries are still published while
+/// another server has the address: each one is turned away and counts as an arrival.
+#[test]
+fn newer_server_at_an_address_replaces_the_earlier_one() {
+    let mut serving = counter();
+    let before = key(&serving, "s1");
+    let mut newer = record("s9", PLAIN, "a1", None);
+    newer.address = record("s1", PLAIN, "a1", None).address;
+    newer.started_at_ms = cuminlead_types::UnixMs(5);
+    serving.apply(ms(0), Update::Server(newer));
+    assert!(serving.servers.get(before).is_none());
+    assert_eq!(chosen(&serving, ms(0), PLAIN, None), "s9");
+}
+
 /// Guards against decodes on an engine whose memory is full by forecast.
 #[test]
 fn engine_with_free_memory_is_preferred() {
--- a/crates/direct-core/tests/support/mod.rs
+++ b/crates/direct-core/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test file uses a part")]
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use cuminlead_direct_core::catalogue::EngineSpec;
@@ -22,11 +23,19 @@
     TimeUs(ms * 1_000)
 }
 
+/// Address of its own for each id.
+fn address_of(id: &str) -> SocketAddr {
+    let port = id.bytes().fold(9_000_u16, |port, byte| {
+        port.wrapping_mul(31).wrapping_add(u16::from(byte))
+    });
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
 pub(crate) fn record(id: &str, service: &str, zone: &str, stage: Option<Stage>) -> ServerRecord {
     ServerRecord {
         id: id.parse().expect("a valid fixture"),
         service: service.parse().expect("a valid fixture"),
-        address: "127.0.0.1:9000".parse().expect("a valid fixture"),
+        address: address_of(id),
         availability_zone: zone.parse().expect("a valid fixture"),
         slots: Slots(6),
         state: ServerState::Ready,
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -38,10 +38,10 @@
 use crate::status::{DirectAdmin, DirectMetrics, SharedStatus};
 
 /// Bound on repeats. The platform allows a fifth of a service's requests and some more over all
-/// processes together; a sixth, and two for each process, stays below that without any exchange
-/// between processes.
+/// processes together; the same share, and two for each process, stays below that without any
+/// exchange between processes for fleets of up to half as many processes as the extra.
 const RETRY_LIMITS: RetryLimits = RetryLimits {
-    requests_per_retry: 6,
+    requests_per_retry: 5,
     retries_min_count: 2,
 };
 /// Pause between looks at the open connections of a process that stops.
--- a/crates/retry/src/budget.rs
+++ b/crates/retry/src/budget.rs
@@ -67,11 +67,6 @@
         self.retries.count(now, SLOTS) < allowed
     }
 
-    /// Counts a retry that happened without asking, such as one that a server has turned away.
-    pub fn count_retry(&mut self, now: TimeUs) {
-        self.retries.add(now);
-    }
-
     /// Takes one retry from the budget; false when none is left.
     pub fn try_retry(&mut self, now: TimeUs) -> bool {
         let is_allowed = self.allows(now);
