--- a/crates/direct-core/src/call.rs
+++ b/crates/direct-core/src/call.rs
@@ -6,7 +6,7 @@
 
 use cuminlead_retry::{CallKind, Decision, Evidence, Step, decide};
 use cuminlead_types::{DurationUs, RegionName, ServiceName, TimeUs, Tokens};
-use strum::{Display, IntoStaticStr};
+use strum::{Display, EnumIter, IntoStaticStr};
 
 use crate::catalogue::RequestKind;
 use crate::placement::{Need, NoServer, choose, retry_after};
@@ -123,7 +123,7 @@
 }
 
 /// What became of a step.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, IntoStaticStr)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, EnumIter, IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
 pub enum Outcome {
     /// No connection was made, or nothing was sent on it.
@@ -145,7 +145,7 @@
 }
 
 /// Why a call ends without an answer of a server.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, IntoStaticStr)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, EnumIter, IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
 pub enum RefusalReason {
     /// No server can take it.
--- a/crates/direct/src/status.rs
+++ b/crates/direct/src/status.rs
@@ -3,16 +3,35 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 
-use cuminlead_direct_core::Outcome;
+use cuminlead_direct_core::{Outcome, RefusalReason};
 use cuminlead_process::admin::AdminSource;
-use cuminlead_telemetry::metrics::{Counters, Latencies, RowCounters};
+use cuminlead_telemetry::metrics::{Counters, Latencies, RowCounters, start_at_zero};
 use cuminlead_telemetry::{Label, Metrics};
 use cuminlead_types::{DurationUs, EntryId};
 use http::StatusCode;
 use serde_json::json;
+use strum::IntoEnumIterator;
 
 const US_PER_SECOND: f64 = 1_000_000.0;
 
+/// Outcomes of requests beside the reasons of refusals.
+const ANSWERS: [&str; 3] = ["answered", "failed", "streaming"];
+/// Ends of relayed streams.
+const STREAM_ENDS: [&str; 4] = ["whole", "lost", "timed_out", "caller_gone"];
+/// Statuses of answers without a server.
+const STATUSES: [&str; 7] = ["400", "404", "408", "413", "502", "503", "504"];
+/// Steps that may fail at a server.
+const STEPS: [&str; 4] = ["reserve", "prefill", "run", "stream"];
+
+/// Labels of a failed step.
+fn failure_row(step: &'static str, outcome: Outcome) -> [(&'static str, &'static str); 3] {
+    [
+        ("step", step),
+        ("outcome", outcome.into()),
+        ("kind", "direct"),
+    ]
+}
+
 /// Metrics of an entry that calls backend servers itself.
 #[derive(Clone, Debug)]
 pub struct DirectMetrics {
@@ -32,7 +51,7 @@
 impl DirectMetrics {
     /// Registers the metrics.
     pub fn new(metrics: &mut Metrics) -> Self {
-        Self {
+        let direct = Self {
             requests: metrics.counters("direct_requests", "Requests by outcome"),
             streams: metrics.counters("direct_streams", "Relayed streams by how they ended"),
             statuses: metrics.counters("direct_refusals", "Answers without a server, by status"),
@@ -56,6 +75,28 @@
                 "direct_unusable_entries",
                 "Entries of the registry that were left out",
             ),
+        };
+        direct.start_at_zero();
+        direct
+    }
+
+    /// Creates all series, so that each of them is there from the start.
+    fn start_at_zero(&self) {
+        start_at_zero(&self.requests, "outcome", &ANSWERS);
+        let reasons: Vec<&'static str> = RefusalReason::iter().map(Into::into).collect();
+        start_at_zero(&self.requests, "outcome", &reasons);
+        start_at_zero(&self.streams, "end", &STREAM_ENDS);
+        start_at_zero(&self.statuses, "status", &STATUSES);
+        for step in STEPS {
+            for outcome in Outcome::iter() {
+                drop(
+                    self.step_failures
+                        .get_or_create(&failure_row(step, outcome)),
+                );
+            }
+        }
+        for kind in ["answer", "stream"] {
+            drop(self.latencies.get_or_create(&Label::new("kind", kind)));
         }
     }
 
@@ -75,11 +116,7 @@
 
     /// Counts a failed prefill or run.
     pub fn count_step_failure(&self, step: &'static str, outcome: Outcome) {
-        let row = [
-            ("step", step),
-            ("outcome", outcome.into()),
-            ("kind", "direct"),
-        ];
+        let row = failure_row(step, outcome);
         self.step_failures.get_or_create(&row).inc();
     }
 
