--- a/crates/direct-core/src/call.rs
+++ b/crates/direct-core/src/call.rs
@@ -4,11 +4,12 @@
 //! ends with an answer or a refusal. What may be repeated is looked up in the retry table. There is
 //! no owner to ask about a run here, so the table's question to the owner means an unknown outcome.
 
-use cuminlead_retry::{CallKind, Decision, Evidence, Step, decide};
-use cuminlead_types::{DurationUs, RegionName, ServiceName, TimeUs, Tokens};
-use strum::{Display, EnumIter, IntoStaticStr};
+use cuminlead_retry::{CallKind, Decision, Step, decide};
+use cuminlead_types::{DurationUs, RegionName, TimeUs, Tokens};
 
+use crate::action::{Action, CacheRef, CallSpec, Refusal, RefusalReason, Reservation};
 use crate::catalogue::RequestKind;
+use crate::outcome::{Outcome, evidence, is_proof_of_no_run, leaves_cache, record_outcome};
 use crate::placement::{Need, NoServer, choose, retry_after};
 use crate::server::Stage;
 use crate::servers::ServerKey;
@@ -36,143 +37,6 @@
 /// Most servers that may turn one request away before it is refused.
 const REFUSALS_MAX: u32 = 3;
 
-/// What a request needs, fixed at its arrival.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct CallSpec {
-    /// Service.
-    pub service: ServiceName,
-    /// What may be repeated.
-    pub kind: RequestKind,
-    /// What a model call needs of engines.
-    pub model: Option<ModelNeed>,
-    /// Most servers on which it may run.
-    pub attempts_max_count: u32,
-    /// Time within which the answer is of full use.
-    pub goal: DurationUs,
-    /// When it arrived.
-    pub arrived_at: TimeUs,
-    /// Time at which the caller or the route gives up.
-    pub deadline: TimeUs,
-}
-
-/// What a model call needs of engines.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct ModelNeed {
-    /// Tokens of the prompt.
-    pub prompt_tokens: Tokens,
-    /// The caller's estimate of the answer.
-    pub answer_tokens: Option<Tokens>,
-    /// Longest reservation at an engine; none if engines take no reservations.
-    pub reservation_max: Option<DurationUs>,
-}
-
-/// KV cache that waits at a prefill server.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct CacheRef {
-    /// Server that computed it.
-    pub server: ServerKey,
-    /// Name of the cache at that server.
-    pub handle: String,
-}
-
-/// Place that is held for a request.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Reservation {
-    /// Held by the agent beside the engine; the engine does not know of it.
-    Agent,
-    /// Held by the engine under a name.
-    Engine(String),
-}
-
-/// Next step of a call.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Action {
-    /// Have a place and memory held at the decode server.
-    Reserve {
-        /// Decode server.
-        server: ServerKey,
-        /// What the request needs.
-        model: ModelNeed,
-        /// Time for which they are held.
-        ttl: DurationUs,
-    },
-    /// Ask again after a pause.
-    Wait(DurationUs),
-    /// Have the prompt computed.
-    Prefill {
-        /// Prefill server.
-        server: ServerKey,
-        /// Time after which the call goes on without.
-        timeout: DurationUs,
-    },
-    /// Run the request.
-    Run {
-        /// Server.
-        server: ServerKey,
-        /// KV cache to take, if there is one.
-        cache: Option<CacheRef>,
-        /// Place that is held for the request, if there is one.
-        reservation: Option<Reservation>,
-        /// Time until the first part of the answer, if another attempt may follow.
-        timeout: Option<DurationUs>,
-    },
-    /// Pass on the failure that the server answered.
-    Deliver,
-    /// Answer the caller without a server.
-    Refuse(Refusal),
-}
-
-/// What became of a step.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, EnumIter, IntoStaticStr)]
-#[strum(serialize_all = "snake_case")]
-pub enum Outcome {
-    /// No connection was made, or nothing was sent on it.
-    Unreachable,
-    /// The server turned the request away and has not run it.
-    TurnedAway,
-    /// Another incarnation has the address; the request was not run.
-    OtherIncarnation,
-    /// The KV cache could not be taken; the request was not run.
-    CacheGone,
-    /// The server answered that it failed.
-    Failed,
-    /// The connection ended before the answer was whole.
-    Lost,
-    /// What came back is not the answer to this request.
-    Garbled,
-    /// No answer within the attempt's time.
-    TimedOut,
-}
-
-/// Why a call ends without an answer of a server.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, EnumIter, IntoStaticStr)]
-#[strum(serialize_all = "snake_case")]
-pub enum RefusalReason {
-    /// No server can take it.
-    NoServer,
-    /// No engine has room for it in time.
-    NoPlace,
-    /// Servers turned it away.
-    TurnedAway,
-    /// Repeats of the service have used up their budget.
-    RetryBudget,
-    /// Its time is over.
-    TimedOut,
-    /// It was sent, and what became of it is not known.
-    OutcomeUnknown,
-}
-
-/// Answer without a server.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Refusal {
-    /// Whether the request is known not to have run and never to run.
-    pub is_not_run: bool,
-    /// Why.
-    pub reason: RefusalReason,
-    /// Time after which to come back, if it has not run.
-    pub retry_after: DurationUs,
-}
-
 #[derive(Clone, Debug, PartialEq, Eq)]
 enum ReserveState {
     /// A place is needed.
@@ -623,52 +487,3 @@
 fn prefill_time(prompt: Tokens) -> DurationUs {
     DurationUs::from_ms(prompt.0 / PREFILL_TOKENS_PER_MS)
 }
-
-fn record_outcome(now: TimeUs, serving: &mut Serving, key: ServerKey, outcome: Outcome) {
-    if outcome == Outcome::OtherIncarnation {
-        serving.servers.forget(key);
-        return;
-    }
-    let Some(server) = serving.servers.get_mut(key) else {
-        return;
-    };
-    match outcome {
-        // A server that keeps requests without an answer is left out like one that is gone.
-        Outcome::Unreachable | Outcome::TimedOut => server.health.record_unreachable(now),
-        Outcome::TurnedAway | Outcome::Failed | Outcome::Lost | Outcome::Garbled => {
-            server.health.record_failure(now)
-        }
-        Outcome::CacheGone | Outcome::OtherIncarnation => {}
-    }
-}
-
-/// Whether the KV cache offered with a run is still there afterwards.
-fn leaves_cache(outcome: Outcome) -> bool {
-    matches!(
-        outcome,
-        Outcome::Unreachable | Outcome::TurnedAway | Outcome::OtherIncarnation
-    )
-}
-
-fn is_proof_of_no_run(outcome: Outcome) -> bool {
-    match outcome {
-        Outcome::Unreachable
-        | Outcome::TurnedAway
-        | Outcome::OtherIncarnation
-        | Outcome::CacheGone => true,
-        Outcome::Failed | Outcome::Lost | Outcome::Garbled | Outcome::TimedOut => false,
-    }
-}
-
-fn evidence(outcome: Outcome) -> Evidence {
-    match outcome {
-        Outcome::Unreachable => Evidence::ConnectFailed,
-        Outcome::TurnedAway | Outcome::OtherIncarnation | Outcome::CacheGone => {
-            Evidence::RefusedNotRun
-        }
-        Outcome::Failed => Evidence::EngineFailed,
-        Outcome::Lost => Evidence::Silent,
-        Outcome::Garbled => Evidence::OutcomeUnknown,
-        Outcome::TimedOut => Evidence::TimedOut,
-    }
-}
--- a/crates/direct-core/src/lib.rs
+++ b/crates/direct-core/src/lib.rs
@@ -10,17 +10,21 @@
 //! | [`health`] | failures seen first hand, and the pause that follows them |
 //! | [`placement`] | which server a request goes to |
 //! | [`places`] | decode places of one engine, by a forecast of its memory |
+//! | [`action`] | what a request needs and what is done for it next |
+//! | [`outcome`] | what became of a step, and what that proves |
 //! | [`call`] | the state of one request |
 //! | [`serving`] | catalogue, servers and budgets, as one context |
 //! | [`follow`] | following the registry without ever going back |
 //! | [`stages`] | which engines compute prompts |
 //! | [`events`] | boundaries of events in a stream |
 
+pub mod action;
 pub mod call;
 pub mod catalogue;
 pub mod events;
 pub mod follow;
 pub mod health;
+pub mod outcome;
 pub mod placement;
 pub mod places;
 pub mod server;
@@ -28,13 +32,15 @@
 pub mod serving;
 pub mod stages;
 
-pub use call::{Action, Call, CallSpec, ModelNeed, Outcome, Refusal, RefusalReason, Reservation};
+pub use action::{Action, CacheRef, CallSpec, ModelNeed, Refusal, RefusalReason, Reservation};
+pub use call::Call;
 pub use catalogue::{
     CallerLimits, Catalogue, EngineSpec, RequestKind, Route, RouteMatch, ServiceSpec,
     WeightedService,
 };
 pub use events::EventScanner;
 pub use follow::{Follower, Published, Query, Registry, RegistryError, Update};
+pub use outcome::Outcome;
 pub use places::{EngineReport, PlaceLedger, PlaceReply, PlaceRequest, RunReport};
 pub use server::{ServerRecord, ServerState, Stage};
 pub use servers::{ServerKey, ServerTable};
--- a/crates/direct-core/tests/call.rs
+++ b/crates/direct-core/tests/call.rs
@@ -2,9 +2,8 @@
 
 mod support;
 
-use cuminlead_direct_core::call::CacheRef;
 use cuminlead_direct_core::{
-    Action, Call, Outcome, Refusal, RefusalReason, RequestKind, Reservation, Serving,
+    Action, CacheRef, Call, Outcome, Refusal, RefusalReason, RequestKind, Reservation, Serving,
 };
 use cuminlead_types::DurationUs;
 use support::{id, key, model_spec, ms, plain_spec, publish, serving};
--- a/crates/direct-core/tests/random_call.rs
+++ b/crates/direct-core/tests/random_call.rs
@@ -7,8 +7,9 @@
 
 use std::collections::HashSet;
 
-use cuminlead_direct_core::call::CacheRef;
-use cuminlead_direct_core::{Action, Call, Outcome, RequestKind, Reservation, ServerKey, Serving};
+use cuminlead_direct_core::{
+    Action, CacheRef, Call, Outcome, RequestKind, Reservation, ServerKey, Serving,
+};
 use cuminlead_types::TimeUs;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
--- a/crates/direct/src/drive.rs
+++ b/crates/direct/src/drive.rs
@@ -5,8 +5,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use cuminlead_direct_core::call::CacheRef;
-use cuminlead_direct_core::{Action, Call, ModelNeed, Outcome, Refusal, Reservation, ServerKey};
+use cuminlead_direct_core::{
+    Action, CacheRef, Call, ModelNeed, Outcome, Refusal, Reservation, ServerKey,
+};
 use cuminlead_types::DurationUs;
 use slog::{debug, info};
 use tokio::time::{sleep, timeout};
