--- a/crates/direct-core/src/serving.rs
+++ b/crates/direct-core/src/serving.rs
@@ -23,8 +23,10 @@
     pub origin: Origin,
     /// Region of each availability zone.
     pub regions: HashMap<AvailabilityZoneName, RegionName>,
-    /// Bound on repeats for each service.
-    pub retry_limits: RetryLimits,
+    /// One repeat is allowed for this many requests of a service.
+    pub requests_per_retry: u32,
+    /// Repeats that all processes together may make beyond that in the window of the budget.
+    pub retries_extra_count: u32,
     /// Seed of random choices.
     pub seed: u64,
 }
@@ -119,10 +121,20 @@
 
     /// Budget of repeats for a service.
     pub fn budget(&mut self, service: &ServiceName) -> &mut RetryBudget {
-        let limits = self.config.retry_limits;
-        self.budgets
-            .entry(service.clone())
-            .or_insert_with(|| RetryBudget::with_limits(limits))
+        let limits = self.retry_limits();
+        let budget = self.budgets.entry(service.clone()).or_default();
+        budget.set_limits(limits);
+        budget
+    }
+
+    /// Limits of this process. The extra repeats are shared without any exchange between
+    /// processes: there are fewer of them than backend servers, and each takes half of its share.
+    fn retry_limits(&self) -> RetryLimits {
+        let servers_count = u32::try_from(self.servers.iter().count()).unwrap_or(u32::MAX);
+        RetryLimits {
+            requests_per_retry: self.config.requests_per_retry,
+            retries_min_count: self.config.retries_extra_count / servers_count.max(1) / 2,
+        }
     }
 
     /// Servers of a service by whether they may get work.
--- a/crates/direct-core/tests/call.rs
+++ b/crates/direct-core/tests/call.rs
@@ -104,6 +104,26 @@
     assert_eq!(repeats, 10);
 }
 
+/// Guards against fleets whose processes each repeat a little and together too much: a process of a
+/// fleet with many servers has no repeats beyond the share of its requests.
+#[test]
+fn extra_repeats_shrink_with_the_fleet() {
+    let service = "counter".parse().expect("a valid fixture");
+    let mut serving = counter();
+    let mut count = 0;
+    while serving.budget(&service).try_retry(ms(0)) {
+        count += 1;
+    }
+    assert_eq!(
+        count, 9,
+        "54 extra repeats, three servers, half of the share"
+    );
+    for index in 0..60 {
+        publish(&mut serving, &[&format!("more{index} counter a1 -")]);
+    }
+    assert!(!serving.budget(&service).allows(ms(20_000)));
+}
+
 /// Guards against an own failure in place of the answer that a server has given.
 #[test]
 fn failure_is_delivered_when_the_budget_is_used_up() {
@@ -273,7 +293,7 @@
     let Action::Prefill { server, .. } = call.next(ms(0), &mut serving) else {
         panic!("a prefill follows the reservation");
     };
-    call.prefill_failed(ms(5), &mut serving, server, Outcome::OtherIncarnation);
+    call.prefill_failed(ms(5), &mut serving, server, Outcome::TurnedAway);
     let end = call.next(ms(5), &mut serving);
     assert_eq!(text(&serving, &end), "refuse not_run retry_budget");
 }
--- a/crates/direct-core/tests/support/mod.rs
+++ b/crates/direct-core/tests/support/mod.rs
@@ -13,7 +13,6 @@
     CallSpec, CallerLimits, Catalogue, ModelNeed, RequestKind, Route, ServerKey, ServerRecord,
     ServerState, ServiceSpec, Serving, Stage, Update, WeightedService,
 };
-use cuminlead_retry::RetryLimits;
 use cuminlead_types::{DurationUs, Revision, Slots, TimeUs, Tokens, UnixMs};
 
 pub(crate) const PLAIN: &str = "counter";
@@ -62,10 +61,8 @@
             region: "a".parse().expect("a valid fixture"),
         },
         regions,
-        retry_limits: RetryLimits {
-            requests_per_retry: 6,
-            retries_min_count: 2,
-        },
+        requests_per_retry: 6,
+        retries_extra_count: 54,
         seed: 7,
     });
     serving.apply(ms(0), Update::Catalogue(Arc::new(catalogue(1, &["/x/"]))));
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -19,7 +19,6 @@
 use cuminlead_places::PlaceClient;
 use cuminlead_process::signal::Signals;
 use cuminlead_process::{StartError, admin};
-use cuminlead_retry::RetryLimits;
 use cuminlead_settings::EntrySettings;
 use cuminlead_telemetry::{Metrics, log};
 use error_stack::{Report, ResultExt};
@@ -37,13 +36,8 @@
 use crate::serve::accept;
 use crate::status::{DirectAdmin, DirectMetrics, SharedStatus};
 
-/// Bound on repeats. The platform allows a fifth of a service's requests and some more over all
-/// processes together; the same share, and two for each process, stays below that without any
-/// exchange between processes for fleets of up to half as many processes as the extra.
-const RETRY_LIMITS: RetryLimits = RetryLimits {
-    requests_per_retry: 5,
-    retries_min_count: 2,
-};
+/// One repeat for this many requests, the share that the platform allows.
+const REQUESTS_PER_RETRY: u32 = 5;
 /// Pause between looks at the open connections of a process that stops.
 const STOP_POLL: Duration = Duration::from_millis(20);
 
@@ -130,7 +124,8 @@
     ServingConfig {
         origin,
         regions,
-        retry_limits: RETRY_LIMITS,
+        requests_per_retry: REQUESTS_PER_RETRY,
+        retries_extra_count: settings.retries_extra_count().0,
         seed: rand::random(),
     }
 }
--- a/crates/retry/src/budget.rs
+++ b/crates/retry/src/budget.rs
@@ -54,6 +54,11 @@
         }
     }
 
+    /// Replaces the limits; what was counted stays.
+    pub fn set_limits(&mut self, limits: RetryLimits) {
+        self.limits = limits;
+    }
+
     /// Counts a request that is not a retry.
     pub fn count_request(&mut self, now: TimeUs) {
         self.requests.add(now);
--- a/crates/settings/src/entry.rs
+++ b/crates/settings/src/entry.rs
@@ -67,6 +67,9 @@
         /// Port of the agents that give out decode places, on the hosts of the engines. Without it,
         /// places are reserved at the engines themselves.
         place_port: Option<Count> = Optional("7660");
+        /// Repeats of requests, beyond a fifth of them, that all entries together may make in 10 s
+        /// for each service when backend servers are called directly.
+        retries_extra_count: Count = Default("54") in 0..=1000000;
         /// Most open connections of callers when backend servers are called directly. Each one
         /// takes a descriptor, and a request under way takes another.
         connections_max_count: Count = Default("2500") in 1..=65536;
