--- a/crates/direct/src/app.rs
+++ b/crates/direct/src/app.rs
@@ -7,6 +7,7 @@
 use cuminlead_direct_core::{ServerKey, Serving};
 use cuminlead_kernel::Clock;
 use cuminlead_places::PlaceClient;
+use cuminlead_telemetry::Tracing;
 use cuminlead_types::TimeUs;
 use slog::Logger;
 use tokio::sync::watch;
@@ -44,6 +45,8 @@
     pub dialect: Arc<dyn Dialect>,
     /// Metrics.
     pub metrics: DirectMetrics,
+    /// Spans of hops.
+    pub tracing: Tracing,
     /// Logger.
     pub log: Logger,
     /// Phase of the shutdown.
--- a/crates/direct/src/drive.rs
+++ b/crates/direct/src/drive.rs
@@ -162,7 +162,7 @@
     model: ModelNeed,
     ttl: DurationUs,
 ) -> Option<HeldPlace> {
-    let reserved = exchange::reserve(app, &exchange.request, server, model, ttl).await;
+    let reserved = exchange::reserve(app, exchange, server, model, ttl).await;
     let now = app.now();
     let mut serving = app.serving.borrow_mut();
     match reserved {
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -13,8 +13,9 @@
     ModelNeed, Outcome, PlaceReply, PlaceRequest, RequestKind, Reservation, ServerKey,
 };
 use cuminlead_places::{PlaceError, client};
+use cuminlead_telemetry::HopSpan;
 use cuminlead_types::{BackendServerId, DurationUs, Slots, TimeUs, Tokens};
-use http::{HeaderMap, Method, Request, Response, StatusCode};
+use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use slog::info;
@@ -28,6 +29,8 @@
 /// Longest answer that is held until it is whole. Answers of plain services are a few KB; a longer
 /// one is passed on as it comes.
 const HELD_MAX_BYTES: usize = 256 * 1024;
+/// Header of the W3C trace context.
+pub(crate) const TRACEPARENT: &str = "traceparent";
 /// Goals without the head of an answer after which a server counts as silent.
 pub(crate) const SILENCE_GOALS: u64 = 2;
 /// Memory for an answer without an estimate, and the most that is reserved at an engine. Memory for
@@ -58,6 +61,8 @@
     pub arrived_at: TimeUs,
     /// Time at which the caller or the route gives up.
     pub deadline: TimeUs,
+    /// Trace context of the request's span.
+    pub traceparent: String,
 }
 
 impl CallerExchange {
@@ -71,6 +76,18 @@
         Some(request)
     }
 
+    /// Starts the span of a hop; its context goes with the headers when the caller's or a collector
+    /// gives one.
+    fn hop(&self, app: &App, name: &'static str, headers: &mut HeaderMap) -> HopSpan {
+        let span = app.tracing.hop(name, &self.traceparent);
+        if let Ok(context) = HeaderValue::from_str(span.traceparent())
+            && !context.is_empty()
+        {
+            headers.insert(TRACEPARENT, context);
+        }
+        span
+    }
+
     fn may_repeat(&self) -> bool {
         matches!(
             self.kind,
@@ -196,6 +213,8 @@
         resume_after: input.resume_after,
     };
     app.dialect.order_run(&mut headers, &order);
+    let mut span = exchange.hop(app, "run", &mut headers);
+    span.attribute("server", id.as_str());
     let request = exchange.request(headers).ok_or(Outcome::Unreachable)?;
     let kept_idle_max = (!exchange.may_repeat()).then_some(IDLE_MAX_ONCE);
     let mut awaited = Awaited {
@@ -266,6 +285,8 @@
         resume_after: None,
     };
     app.dialect.order_prefill(&mut headers, &order);
+    let mut span = exchange.hop(app, "prefill", &mut headers);
+    span.attribute("server", id.as_str());
     let request = exchange.request(headers).ok_or(Outcome::Unreachable)?;
     let (mut lease, response) = send(app, server, address, request, None).await?;
     let (parts, rest) = response.into_parts();
@@ -295,14 +316,15 @@
 /// Has a place and memory held, by the agent beside the engine or, without one, by the engine.
 pub async fn reserve(
     app: &Rc<App>,
-    request: &CallerRequest,
+    exchange: &CallerExchange,
     server: ServerKey,
     model: ModelNeed,
     ttl: DurationUs,
 ) -> Result<Reservation, Outcome> {
+    let _span = app.tracing.hop("reserve", &exchange.traceparent);
     if let Some((agent, slots)) = agent_of(app, server) {
         let asked = PlaceRequest {
-            request: request.id.clone(),
+            request: exchange.request.id.clone(),
             prompt_tokens: model.prompt_tokens,
             answer_tokens: model.answer_tokens,
             ttl,
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -18,9 +18,9 @@
 use cuminlead_kernel::Clock;
 use cuminlead_places::PlaceClient;
 use cuminlead_process::signal::Signals;
-use cuminlead_process::{StartError, admin};
+use cuminlead_process::{StartError, admin, start};
 use cuminlead_settings::EntrySettings;
-use cuminlead_telemetry::{Metrics, log};
+use cuminlead_telemetry::{Metrics, Tracing, log};
 use error_stack::{Report, ResultExt};
 use slog::{Logger, info, warn};
 use tokio::net::TcpListener;
@@ -55,7 +55,10 @@
         .enable_all()
         .build()
         .change_context(StartError::Thread)?;
-    let result = LocalSet::new().block_on(&runtime, serve(settings, adapter, &log));
+    let tracing = start::tracing(&runtime, *settings.collector_address(), "cuminlead-entry")?;
+    let serving = serve(settings, adapter, &log, &tracing);
+    let result = LocalSet::new().block_on(&runtime, serving);
+    tracing.shutdown();
     if let Err(error) = &result {
         warn!(log, "entry failed"; "error" => %error);
     }
@@ -66,6 +69,7 @@
     settings: &EntrySettings,
     adapter: Adapter,
     log: &Logger,
+    tracing: &Tracing,
 ) -> Result<(), Report<StartError>> {
     let clock = Clock::start();
     let mut metrics = Metrics::new("cuminlead_entry");
@@ -95,6 +99,7 @@
             .and_then(|port| u16::try_from(port.0).ok()),
         dialect: adapter.dialect,
         metrics: direct_metrics,
+        tracing: tracing.clone(),
         log: log.clone(),
         stop,
         status: Arc::clone(&status),
--- a/crates/direct/src/serve.rs
+++ b/crates/direct/src/serve.rs
@@ -9,6 +9,7 @@
 use cuminlead_direct_core::{
     Call, CallSpec, Catalogue, EngineSpec, ModelNeed, Refusal, RefusalReason, Route, RouteMatch,
 };
+use cuminlead_telemetry::HopSpan;
 use cuminlead_types::{DurationUs, TimeUs, Tokens};
 use http::header::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HOST, RETRY_AFTER};
 use http::{HeaderValue, Request, Response, StatusCode};
@@ -24,7 +25,7 @@
 use crate::app::{App, StopPhase};
 use crate::body::CallerBody;
 use crate::drive::{Driven, drive};
-use crate::exchange::{CallerExchange, HeldAnswer};
+use crate::exchange::{CallerExchange, HeldAnswer, TRACEPARENT};
 use crate::head_timer::{HeadTimer, TimedStream};
 use crate::relay::Relay;
 
@@ -138,6 +139,8 @@
     call: Call,
     route: String,
     config_version: u64,
+    /// Ends with the answer or its first part.
+    span: HopSpan,
 }
 
 /// Checks a request, reads it whole and finds its route.
@@ -180,7 +183,11 @@
     let body = body.map_err(|status| rejected(app, status, "body cannot be read"))?;
     let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
     let patience = caller.patience.unwrap_or(route.timeout).min(route.timeout);
+    let given = parts.headers.get(TRACEPARENT);
+    let given = given.and_then(|context| context.to_str().ok());
+    let span = app.tracing.hop("request", given.unwrap_or_default());
     let exchange = CallerExchange {
+        traceparent: span.traceparent().to_string(),
         headers: app.dialect.forwarded(&parts.headers),
         request: caller,
         method: parts.method,
@@ -198,6 +205,7 @@
         call,
         route: route.name.clone(),
         config_version: catalogue.version().0,
+        span,
     })
 }
 
@@ -241,6 +249,7 @@
         mut call,
         route,
         config_version,
+        mut span,
     } = admitted;
     let exchange = Rc::new(exchange);
     let deadline = Instant::from_std(app.clock.instant(exchange.deadline));
@@ -254,6 +263,7 @@
     });
     let took = app.now().since(arrived_at);
     let (outcome, sends) = (outcome_name(&driven), call.sends_count());
+    span.attribute("outcome", outcome);
     app.metrics.count_request(outcome, took);
     info!(app.log, "request answered"; "request" => &exchange.request.id, "route" => &route,
         "service" => %call.spec().service, "config_version" => config_version,
