Let late requests yield their places to those in time

Ruled out: memory left empty (97% in use). The agent gives no place to a late request while one that could meet its goal was refused within 150 ms; a caller that comes back is known by the time it has left. The test plays the order and fails without the change.

--- a/crates/direct-core/src/action.rs
+++ b/crates/direct-core/src/action.rs
@@ -23,6 +23,8 @@
     pub arrived_at: TimeUs,
     /// Time at which the caller or the route gives up.
     pub deadline: TimeUs,
+    /// Whether the caller comes back after a refusal, so that its goal has passed.
+    pub is_returning: bool,
 }
 
 /// What a model call needs of engines.
@@ -65,6 +67,8 @@
         model: ModelNeed,
         /// Time for which they are held.
         ttl: DurationUs,
+        /// Whether the request cannot meet its goal any more.
+        is_late: bool,
     },
     /// Ask again after a pause.
     Wait(DurationUs),
--- a/crates/direct-core/src/call.rs
+++ b/crates/direct-core/src/call.rs
@@ -32,6 +32,11 @@
 const LATE_WAIT_PAUSE: DurationUs = DurationUs::from_ms(250);
 /// Longest wait for a place in goals; callers leave a stream without events after four goals.
 const WAIT_MAX_GOALS: u64 = 2;
+/// The same for a caller that comes back; it does not come a third time.
+const WAIT_MAX_GOALS_RETURNING: u64 = 3;
+/// Time after which a caller without a place may come back. Answers hold their places for three
+/// seconds and more, and one that has missed its goal is of the same use then.
+const PLACES_RETRY_AFTER: DurationUs = DurationUs::from_ms(3_000);
 /// Most prefill calls for one request; each one after the first repeats work.
 const PREFILLS_MAX: u32 = 2;
 /// Most servers that may turn one request away before it is refused.
@@ -215,29 +220,40 @@
             ttl: ttl
                 .min(model.reservation_max?)
                 .min(self.spec.deadline.since(now)),
+            is_late: self.is_late(now),
         })
     }
 
     /// Waits for a place as long as an answer is of use, less often once it is late.
     fn wait(&mut self, now: TimeUs) -> Action {
         let waited = now.since(self.spec.arrived_at);
-        let longest = DurationUs(self.spec.goal.0.saturating_mul(WAIT_MAX_GOALS));
-        if waited >= longest {
-            return self.finish(RefusalReason::NoPlace, DurationUs::from_ms(1_000));
+        let goals = if self.spec.is_returning {
+            WAIT_MAX_GOALS_RETURNING
+        } else {
+            WAIT_MAX_GOALS
+        };
+        if waited >= DurationUs(self.spec.goal.0.saturating_mul(goals)) {
+            return self.finish(RefusalReason::NoPlace, PLACES_RETRY_AFTER);
         }
         self.full.clear();
         self.decode = None;
         self.waits_count += 1;
+        if self.is_late(now) {
+            Action::Wait(LATE_WAIT_PAUSE)
+        } else {
+            Action::Wait(WAIT_PAUSE)
+        }
+    }
+
+    /// Whether an answer that begins now misses the goal.
+    fn is_late(&self, now: TimeUs) -> bool {
         let prompt = self
             .spec
             .model
             .map_or(Tokens::ZERO, |model| model.prompt_tokens);
         let rest = prefill_time(prompt).saturating_add(FIRST_EVENT_MARGIN);
-        if waited.saturating_add(rest) < self.spec.goal {
-            Action::Wait(WAIT_PAUSE)
-        } else {
-            Action::Wait(LATE_WAIT_PAUSE)
-        }
+        let waited = now.since(self.spec.arrived_at);
+        self.spec.is_returning || waited.saturating_add(rest) >= self.spec.goal
     }
 
     /// Records a reservation.
--- a/crates/direct-core/src/places.rs
+++ b/crates/direct-core/src/places.rs
@@ -26,6 +26,9 @@
 /// Longest time for which a held place is kept without being seen in use after its time.
 const UNSEEN_GRACE: DurationUs = DurationUs::from_ms(300);
 
+/// Time after its refusal in which a request that can meet its goal has asked again; entries ask
+/// every 60 ms.
+const IN_TIME_WAITS_FOR: DurationUs = DurationUs::from_ms(150);
 /// Longest time for which the place of a preempted answer is kept.
 const PREEMPTED_MAX: DurationUs = DurationUs::from_ms(3_000);
 
@@ -67,6 +70,8 @@
     /// Answers that the engine generates at once. It is published, and agents do not read what is
     /// published.
     pub slots: Slots,
+    /// Whether the request has missed its goal anyway.
+    pub is_late: bool,
 }
 
 /// Answer to a request for a place.
@@ -102,6 +107,8 @@
     report: Option<EngineReport>,
     held: HashMap<String, Held>,
     typical_answer: f64,
+    /// When a request that could still meet its goal was refused last.
+    in_time_refused_at: Option<TimeUs>,
 }
 
 impl Default for PlaceLedger {
@@ -117,6 +124,7 @@
             report: None,
             held: HashMap::new(),
             typical_answer: TYPICAL_FIRST,
+            in_time_refused_at: None,
         }
     }
 
@@ -198,7 +206,17 @@
         let mut with_it = others.clone();
         with_it.push(growth);
         let peak = peak(&mut with_it) + self.other_use();
-        let is_held = has_slot && peak <= usable;
+        let has_room = has_slot && peak <= usable;
+        // Under more load than the engine can carry, places go to answers that are of full use.
+        // Those that could meet their goals ask again within the time looked back on.
+        let must_yield = request.is_late
+            && self
+                .in_time_refused_at
+                .is_some_and(|at| now.since(at) < IN_TIME_WAITS_FOR);
+        let is_held = has_room && !must_yield;
+        if !has_room && !request.is_late {
+            self.in_time_refused_at = Some(now);
+        }
         if is_held {
             let held = Held {
                 prompt_tokens: request.prompt_tokens,
--- a/crates/direct-core/tests/places.rs
+++ b/crates/direct-core/tests/places.rs
@@ -14,6 +14,7 @@
         answer_tokens: Some(Tokens(answer)),
         ttl: DurationUs::from_ms(1_000),
         slots: Slots(64),
+        is_late: false,
     }
 }
 
@@ -172,3 +173,27 @@
         "it has ended"
     );
 }
+
+/// Guards against places that late requests take while others could still meet their goals: in
+/// lasting overload all would be late then.
+#[test]
+fn late_requests_yield_to_those_in_time() {
+    let mut ledger = ledger(10_000);
+    let late = |id: &str| PlaceRequest {
+        is_late: true,
+        ..request(id, 5_000, 4_000)
+    };
+    assert!(ledger.hold(ms(0), &late("a")).is_held, "nobody else waits");
+    assert!(!ledger.hold(ms(10), &request("b", 5_000, 4_000)).is_held);
+    ledger.give_back("a");
+    assert!(
+        !ledger.hold(ms(20), &late("c")).is_held,
+        "b asks again soon"
+    );
+    assert!(ledger.hold(ms(70), &request("b", 5_000, 4_000)).is_held);
+    ledger.give_back("b");
+    assert!(
+        ledger.hold(ms(200), &late("c")).is_held,
+        "nobody in time has asked since"
+    );
+}
--- a/crates/direct-core/tests/support/mod.rs
+++ b/crates/direct-core/tests/support/mod.rs
@@ -135,6 +135,7 @@
         goal: DurationUs::from_ms(250),
         arrived_at: ms(0),
         deadline: ms(800),
+        is_returning: false,
     }
 }
 
@@ -151,5 +152,6 @@
         goal: DurationUs::from_ms(900),
         arrived_at: ms(0),
         deadline: ms(14_000),
+        is_returning: false,
     }
 }
--- a/crates/direct/src/drive.rs
+++ b/crates/direct/src/drive.rs
@@ -5,9 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use cuminlead_direct_core::{
-    Action, CacheRef, Call, ModelNeed, Outcome, Refusal, Reservation, ServerKey,
-};
+use cuminlead_direct_core::{Action, CacheRef, Call, Outcome, Refusal, Reservation, ServerKey};
 use cuminlead_types::DurationUs;
 use slog::{debug, info};
 use tokio::time::{sleep, timeout};
@@ -88,8 +86,18 @@
                 }
                 sleep(pause.into()).await;
             }
-            Action::Reserve { server, model, ttl } => {
-                place = reserve(app, call, exchange, server, model, ttl).await
+            Action::Reserve {
+                server,
+                model,
+                ttl,
+                is_late,
+            } => {
+                let need = exchange::PlaceNeed {
+                    model,
+                    ttl,
+                    is_late,
+                };
+                place = reserve(app, call, exchange, server, need).await;
             }
             Action::Prefill {
                 server,
@@ -159,10 +167,9 @@
     call: &mut Call,
     exchange: &CallerExchange,
     server: ServerKey,
-    model: ModelNeed,
-    ttl: DurationUs,
+    need: exchange::PlaceNeed,
 ) -> Option<HeldPlace> {
-    let reserved = exchange::reserve(app, exchange, server, model, ttl).await;
+    let reserved = exchange::reserve(app, exchange, server, need).await;
     let now = app.now();
     let mut serving = app.serving.borrow_mut();
     match reserved {
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -61,6 +61,8 @@
     pub arrived_at: TimeUs,
     /// Time at which the caller or the route gives up.
     pub deadline: TimeUs,
+    /// Whether the caller comes back after a refusal.
+    pub is_returning: bool,
     /// Trace context of the request's span.
     pub traceparent: String,
 }
@@ -313,14 +315,29 @@
         .map_err(|_| Outcome::Garbled)
 }
 
+/// What a place is needed for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PlaceNeed {
+    /// Prompt and answer.
+    pub model: ModelNeed,
+    /// Time for which the place is held unused.
+    pub ttl: DurationUs,
+    /// Whether the request cannot meet its goal any more.
+    pub is_late: bool,
+}
+
 /// Has a place and memory held, by the agent beside the engine or, without one, by the engine.
 pub async fn reserve(
     app: &Rc<App>,
     exchange: &CallerExchange,
     server: ServerKey,
-    model: ModelNeed,
-    ttl: DurationUs,
+    need: PlaceNeed,
 ) -> Result<Reservation, Outcome> {
+    let PlaceNeed {
+        model,
+        ttl,
+        is_late,
+    } = need;
     let _span = app.tracing.hop("reserve", &exchange.traceparent);
     if let Some((agent, slots)) = agent_of(app, server) {
         let asked = PlaceRequest {
@@ -329,6 +346,7 @@
             answer_tokens: model.answer_tokens,
             ttl,
             slots,
+            is_late,
         };
         if let Ok(reply) = ask_agent(app, agent, &asked).await {
             note_memory(app, server, reply);
--- a/crates/direct/src/serve.rs
+++ b/crates/direct/src/serve.rs
@@ -35,6 +35,9 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Prompt of a model call that does not state its size: about four bytes of body a token.
 const BODY_BYTES_PER_TOKEN: u64 = 4;
+/// Least part of a route's time that a first attempt has left, in percent. Callers' own times vary
+/// by 15 in 100.
+const FIRST_ATTEMPT_PERCENT: u64 = 82;
 /// Smallest read buffer that hyper accepts.
 const BUFFER_MIN_BYTES: usize = 8_192;
 
@@ -197,6 +200,7 @@
         goal: route.goal,
         arrived_at,
         deadline: arrived_at + patience,
+        is_returning: is_returning(patience, route.timeout),
     };
     let call = new_call(app, &catalogue, route, &exchange);
     let call = call.ok_or_else(|| refused(app, &starting()))?;
@@ -209,6 +213,12 @@
     })
 }
 
+/// Whether a caller comes back after a refusal: each attempt states what is left of its time, and a
+/// first one has nearly all of the route's.
+fn is_returning(patience: DurationUs, route_timeout: DurationUs) -> bool {
+    patience.0 < route_timeout.0 / 100 * FIRST_ATTEMPT_PERCENT
+}
+
 fn ready_catalogue(app: &App) -> Option<std::sync::Arc<Catalogue>> {
     let serving = app.serving.borrow();
     serving.is_ready().then(|| serving.catalogue().cloned())?
@@ -230,6 +240,7 @@
         goal: route.goal,
         arrived_at: exchange.arrived_at,
         deadline: exchange.deadline,
+        is_returning: exchange.is_returning,
     }))
 }
 
--- a/crates/places/src/client.rs
+++ b/crates/places/src/client.rs
@@ -86,6 +86,7 @@
         answer_tokens: request.answer_tokens.map_or(0, |tokens| tokens.0),
         ttl_us: request.ttl.0,
         slots: request.slots.0,
+        is_late: request.is_late,
     };
     let answered = timeout(ANSWER_TIMEOUT, client.hold(message)).await;
     let reply = answered
--- a/crates/places/src/rpc.rs
+++ b/crates/places/src/rpc.rs
@@ -98,6 +98,7 @@
             answer_tokens: Some(Tokens(message.answer_tokens)).filter(|tokens| tokens.0 > 0),
             ttl: DurationUs(message.ttl_us).min(TTL_MAX),
             slots: Slots(message.slots),
+            is_late: message.is_late,
         };
         let reply = self.ledger.lock().hold(self.clock.mono(), &asked);
         if reply.is_held {
