--- a/crates/direct-core/src/call.rs
+++ b/crates/direct-core/src/call.rs
@@ -32,8 +32,6 @@
 const LATE_WAIT_PAUSE: DurationUs = DurationUs::from_ms(250);
 /// Longest wait for a place in goals; callers leave a stream without events after four goals.
 const WAIT_MAX_GOALS: u64 = 2;
-/// The same for a caller that comes back; it does not come a third time.
-const WAIT_MAX_GOALS_RETURNING: u64 = 3;
 /// Time after which a caller without a place may come back. Answers hold their places for three
 /// seconds and more, and one that has missed its goal is of the same use then.
 const PLACES_RETRY_AFTER: DurationUs = DurationUs::from_ms(3_000);
@@ -227,12 +225,7 @@
     /// Waits for a place as long as an answer is of use, less often once it is late.
     fn wait(&mut self, now: TimeUs) -> Action {
         let waited = now.since(self.spec.arrived_at);
-        let goals = if self.spec.is_returning {
-            WAIT_MAX_GOALS_RETURNING
-        } else {
-            WAIT_MAX_GOALS
-        };
-        if waited >= DurationUs(self.spec.goal.0.saturating_mul(goals)) {
+        if waited >= DurationUs(self.spec.goal.0.saturating_mul(WAIT_MAX_GOALS)) {
             return self.finish(RefusalReason::NoPlace, PLACES_RETRY_AFTER);
         }
         self.full.clear();
