Part the driving of a call into short steps and read the list of engines less often

drive() had grown past a screen; what a run leaves for the call is a function of its own. Agents read the list every 10 s after their start, because at 300 machines it was 43 KB a second for each of them. No change of what requests do.

--- a/crates/direct-core/src/action.rs
+++ b/crates/direct-core/src/action.rs
@@ -56,6 +56,16 @@
     Engine(String),
 }
 
+impl Reservation {
+    /// Name of a reservation that the engine holds.
+    pub fn engine_name(&self) -> Option<&str> {
+        match self {
+            Self::Engine(name) => Some(name),
+            Self::Agent => None,
+        }
+    }
+}
+
 /// Next step of a call.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Action {
--- a/crates/direct-core/src/stages.rs
+++ b/crates/direct-core/src/stages.rs
@@ -1,10 +1,11 @@
 //! Which engines compute prompts and which generate answers.
 //!
-//! Answers the load of prompts that are read quickly and answers that are long: a prompt takes a tenth of a second of an
-//! engine, an answer holds its memory for seconds, so pools of equal size leave prefill engines idle
-//! while answers wait for memory. Each agent decides for its own engine only, and is the only one
-//! that gives it orders. All agents apply the same rule to the same published list, so they agree
-//! without a word; where their views differ for a moment, one engine more or less changes.
+//! Answers the load of prompts that are read quickly and answers that are long: a prompt takes a
+//! tenth of a second of an engine, an answer holds its memory for seconds, so pools of equal size
+//! leave prefill engines idle while answers wait for memory. Each agent decides for its own engine
+//! only, and is the only one that gives it orders. All agents apply the same rule to the same
+//! published list, so they agree without a word; where their views differ for a moment, one engine
+//! more or less changes.
 
 use cuminlead_types::BackendServerId;
 
--- a/crates/direct/src/drive.rs
+++ b/crates/direct/src/drive.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use cuminlead_direct_core::{Action, CacheRef, Call, Outcome, Refusal, Reservation, ServerKey};
-use cuminlead_types::DurationUs;
+use cuminlead_types::{DurationUs, TimeUs};
 use slog::{debug, info};
 use tokio::time::{sleep, timeout};
 
@@ -109,59 +109,88 @@
                 reservation,
                 timeout: time_max,
             } => {
-                let cache = match (&cache, &held) {
-                    (Some(_), Some(held)) => Some((held.address, held.cache.handle.as_str())),
-                    _ => None,
-                };
+                let held = held.as_mut().filter(|_| cache.is_some());
                 let input = RunInput {
-                    cache,
-                    reservation: match &reservation {
-                        Some(Reservation::Engine(name)) => Some(name.as_str()),
-                        Some(Reservation::Agent) | None => None,
-                    },
+                    cache: held
+                        .as_ref()
+                        .map(|held| (held.address, held.cache.handle.as_str())),
+                    reservation: reservation.as_ref().and_then(Reservation::engine_name),
                     resume_after,
                 };
                 let began = app.now();
                 let ran = within(time_max, exchange::run(app, exchange, server, input)).await;
-                if let Some(held) = &mut held
-                    && matches!(ran, Ok(_) | Err(Outcome::CacheGone))
-                {
-                    held.is_used = true;
-                }
-                if let Some(place) = &mut place {
-                    // A run that was sent has used the place, or the server has dropped it.
-                    place.is_used |= !matches!(ran, Err(Outcome::Unreachable | Outcome::CacheGone));
-                }
-                place = None;
-                let now = app.now();
-                let mut serving = app.serving.borrow_mut();
-                match ran {
-                    Ok(Answer::Whole(answer)) if !answer.is_failure => {
-                        log_step(app, exchange, &serving, server, "run", began);
-                        call.run_answered(now, &mut serving, server);
-                        return Driven::Answered(answer);
-                    }
-                    Ok(Answer::Whole(answer)) => {
-                        call.run_failed(now, &mut serving, server, Outcome::Failed);
-                        log_failure(app, exchange, &serving, server, "run", Outcome::Failed);
-                        failure = Some(answer);
-                    }
-                    Ok(Answer::Parts(answer)) => {
-                        log_step(app, exchange, &serving, server, "run", began);
-                        return Driven::Streaming(Box::new(answer));
-                    }
-                    Err(outcome) => {
-                        log_failure(app, exchange, &serving, server, "run", outcome);
-                        call.run_failed(now, &mut serving, server, outcome);
-                        drop(serving);
-                        after_failure(app, server, outcome);
-                    }
+                settle(&ran, held, place.take());
+                match take_run(app, call, exchange, server, began, ran) {
+                    RunEnd::Driven(driven) => return driven,
+                    RunEnd::Failure(answer) => failure = Some(answer),
+                    RunEnd::Nothing => {}
                 }
             }
         }
     }
 }
 
+/// What a run leaves for the call.
+enum RunEnd {
+    /// The call has ended, or its stream begins.
+    Driven(Driven),
+    /// Failure of a server that can be passed on.
+    Failure(HeldAnswer),
+    /// Nothing that can be passed on.
+    Nothing,
+}
+
+/// Notes whether a run has used the cache and the place that were held for it.
+fn settle(
+    ran: &Result<Answer, Outcome>,
+    held: Option<&mut HeldCache>,
+    mut place: Option<HeldPlace>,
+) {
+    if let Some(held) = held {
+        held.is_used |= matches!(ran, Ok(_) | Err(Outcome::CacheGone));
+    }
+    if let Some(place) = &mut place {
+        // A run that was sent has used the place, or the server has dropped it.
+        place.is_used |= !matches!(ran, Err(Outcome::Unreachable | Outcome::CacheGone));
+    }
+}
+
+/// Tells the call what became of a run.
+fn take_run(
+    app: &App,
+    call: &mut Call,
+    exchange: &CallerExchange,
+    server: ServerKey,
+    began: TimeUs,
+    ran: Result<Answer, Outcome>,
+) -> RunEnd {
+    let now = app.now();
+    let mut serving = app.serving.borrow_mut();
+    match ran {
+        Ok(Answer::Whole(answer)) if !answer.is_failure => {
+            log_step(app, exchange, &serving, server, "run", began);
+            call.run_answered(now, &mut serving, server);
+            RunEnd::Driven(Driven::Answered(answer))
+        }
+        Ok(Answer::Whole(answer)) => {
+            log_failure(app, exchange, &serving, server, "run", Outcome::Failed);
+            call.run_failed(now, &mut serving, server, Outcome::Failed);
+            RunEnd::Failure(answer)
+        }
+        Ok(Answer::Parts(answer)) => {
+            log_step(app, exchange, &serving, server, "run", began);
+            RunEnd::Driven(Driven::Streaming(Box::new(answer)))
+        }
+        Err(outcome) => {
+            log_failure(app, exchange, &serving, server, "run", outcome);
+            call.run_failed(now, &mut serving, server, outcome);
+            drop(serving);
+            after_failure(app, server, outcome);
+            RunEnd::Nothing
+        }
+    }
+}
+
 async fn reserve(
     app: &Rc<App>,
     call: &mut Call,
@@ -281,7 +310,7 @@
     serving: &cuminlead_direct_core::Serving,
     server: ServerKey,
     step: &'static str,
-    began: cuminlead_types::TimeUs,
+    began: TimeUs,
 ) {
     let Some(server) = serving.servers.get(server) else {
         return;
--- a/crates/places/src/stage_control.rs
+++ b/crates/places/src/stage_control.rs
@@ -24,8 +24,13 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(3_000);
 /// Pause before the second of two readings that must agree.
 const CONFIRM_PAUSE: Duration = Duration::from_millis(1_200);
-/// Pause between readings that lead to nothing.
-const IDLE_PAUSE: Duration = Duration::from_millis(5_000);
+/// Pause between readings that lead to nothing, after the start of the agent and later. Engines that
+/// start together are changed before their work begins; later ones can wait, and the list is long in
+/// a large fleet.
+const STARTING_PAUSE: Duration = Duration::from_millis(2_500);
+const IDLE_PAUSE: Duration = Duration::from_millis(10_000);
+/// Readings that count as after the start.
+const STARTING_READINGS: u32 = 4;
 /// Pause after an order: longer than the change takes, and than a fence is held against.
 const ORDERED_PAUSE: Duration = Duration::from_millis(12_000);
 
@@ -60,11 +65,18 @@
     /// Keeps the stage until the process ends.
     pub fn run(mut self) {
         let mut last_fencing_number = 0;
+        let mut readings_count = 0;
         thread::sleep(FIRST_PAUSE);
         loop {
             let first = self.read();
             if first.is_none() {
-                thread::sleep(IDLE_PAUSE);
+                readings_count += 1;
+                let is_starting = readings_count <= STARTING_READINGS;
+                thread::sleep(if is_starting {
+                    STARTING_PAUSE
+                } else {
+                    IDLE_PAUSE
+                });
                 continue;
             }
             thread::sleep(CONFIRM_PAUSE);
