--- a/crates/direct-core/tests/support/mod.rs
+++ b/crates/direct-core/tests/support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses a part")]
 
+pub(crate) mod promises;
+
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
