Wait for a place while another engine is paused

Cause: a model call that found some engines full and another one paused after a failure was refused at once with the time at which the pause ends. Places fall free every few ten ms, and a caller comes back once only.

Ruled out: a shorter Retry-After, which spends the caller's one retry all the same.

--- a/crates/direct-core/src/call.rs
+++ b/crates/direct-core/src/call.rs
@@ -153,7 +153,8 @@
         }
         let server = match self.choose_server(now, serving) {
             Ok(server) => server,
-            Err(NoServer::None) if !self.full.is_empty() => return self.wait(now),
+            // A place falls free sooner than a failing server comes back.
+            Err(_) if !self.full.is_empty() => return self.wait(now),
             Err(no_server) => return self.refuse_no_server(now, no_server),
         };
         if self.reserve == ReserveState::Open
--- a/crates/direct-core/tests/call.rs
+++ b/crates/direct-core/tests/call.rs
@@ -352,3 +352,22 @@
     };
     assert_eq!(call.next(ms(800), &mut serving), Action::Refuse(expected));
 }
+
+/// Guards against a refusal while places fall free: one engine is left out after a failure and the
+/// others have no place at this moment.
+#[test]
+fn full_engines_are_waited_for_beside_a_paused_one() {
+    let mut serving = notes();
+    let paused = key(&serving, "d3");
+    let server = serving.servers.get_mut(paused).expect("a valid fixture");
+    server.health.record_unreachable(ms(0));
+    let mut call = Call::new(model_spec(STREAM, 1));
+    for _ in 0..2 {
+        let Action::Reserve { server, .. } = call.next(ms(1), &mut serving) else {
+            panic!("two engines can be asked");
+        };
+        call.reserve_failed(ms(1), &mut serving, server, Outcome::TurnedAway);
+    }
+    let next = call.next(ms(1), &mut serving);
+    assert_eq!(text(&serving, &next), "wait 60");
+}
--- /dev/null
+++ b/crates/direct-core/tests/support/naive.rs
@@ -0,0 +1,403 @@
+//! Naive version of a call: works out what may follow from everything that happened so far.
+//!
+//! It keeps no state of its own. Costs of servers are left out: any server that the rules allow is
+//! right, so the placement is compared in `placement.rs` only. Pauses and budgets are read from the
+//! context, which has tests of its own.
+
+use std::collections::HashSet;
+
+use cuminlead_direct_core::servers::{REMOVED_HOLD, Server, Standing};
+use cuminlead_direct_core::{
+    Action, CacheRef, CallSpec, Outcome, RefusalReason, RequestKind, ServerKey, Serving, Stage,
+};
+use cuminlead_types::{DurationUs, RegionName, TimeUs};
+
+use super::play::may_run;
+
+/// Prefills that one request may have.
+const PREFILLS_MAX: usize = 2;
+/// Servers that may turn a request away before it is refused.
+const REFUSALS_MAX: usize = 3;
+/// Goals for which a request without a place waits.
+const WAIT_GOALS: u64 = 2;
+
+/// What happened to a call.
+#[derive(Clone, Debug)]
+pub(crate) enum Past {
+    /// It waited for a place.
+    Waited,
+    /// A place was held.
+    Held(ServerKey),
+    /// No place was held.
+    NotHeld(ServerKey, Outcome),
+    /// Its prompt was computed.
+    Computed(CacheRef),
+    /// Its prompt was not computed, with whether a repeat was left in the budget then.
+    NotComputed {
+        server: ServerKey,
+        outcome: Outcome,
+        is_in_budget: bool,
+    },
+    /// Its cache was given up, because its region has no server left.
+    CacheGivenUp,
+    /// A run gave no usable answer.
+    NotAnswered {
+        server: ServerKey,
+        outcome: Outcome,
+        cache: Option<CacheRef>,
+    },
+}
+
+/// Action that the rules call for, with the servers that they allow.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Allowed {
+    Reserve(HashSet<ServerKey>),
+    Wait,
+    Prefill(HashSet<ServerKey>),
+    Run {
+        servers: HashSet<ServerKey>,
+        cache: Option<CacheRef>,
+    },
+    Deliver,
+    Refuse {
+        is_not_run: bool,
+        reason: RefusalReason,
+    },
+}
+
+/// What the rules call for.
+#[derive(Clone, Debug)]
+pub(crate) struct Expected {
+    pub(crate) allowed: Allowed,
+    pub(crate) gives_up_cache: bool,
+}
+
+impl Expected {
+    /// How an action differs from what is allowed.
+    pub(crate) fn difference(&self, action: &Action) -> Option<String> {
+        let is_allowed = match (&self.allowed, action) {
+            (Allowed::Reserve(servers), Action::Reserve { server, .. })
+            | (Allowed::Prefill(servers), Action::Prefill { server, .. }) => {
+                servers.contains(server)
+            }
+            (
+                Allowed::Run { servers, cache },
+                Action::Run {
+                    server,
+                    cache: taken,
+                    ..
+                },
+            ) => servers.contains(server) && cache == taken,
+            (Allowed::Wait, Action::Wait(_)) | (Allowed::Deliver, Action::Deliver) => true,
+            (Allowed::Refuse { is_not_run, reason }, Action::Refuse(refusal)) => {
+                refusal.is_not_run == *is_not_run && refusal.reason == *reason
+            }
+            _ => false,
+        };
+        (!is_allowed).then(|| format!("expected {:?}, found {action:?}", self.allowed))
+    }
+}
+
+/// Next action of a call with this past.
+pub(crate) fn next(now: TimeUs, spec: &CallSpec, past: &[Past], serving: &mut Serving) -> Expected {
+    let history = History { spec, past };
+    let mut gives_up_cache = false;
+    let allowed = history
+        .end()
+        .unwrap_or_else(|| history.go_on(now, serving, &mut gives_up_cache));
+    Expected {
+        allowed,
+        gives_up_cache,
+    }
+}
+
+struct History<'a> {
+    spec: &'a CallSpec,
+    past: &'a [Past],
+}
+
+impl History<'_> {
+    /// End that an earlier step has led to.
+    fn end(&self) -> Option<Allowed> {
+        (1..=self.past.len()).find_map(|length| {
+            let until = History {
+                spec: self.spec,
+                past: &self.past[..length],
+            };
+            until.end_after_last()
+        })
+    }
+
+    fn end_after_last(&self) -> Option<Allowed> {
+        match self.past.last()? {
+            Past::NotComputed {
+                outcome,
+                is_in_budget: false,
+                ..
+            } if *outcome != Outcome::Unreachable => Some(self.give_up(RefusalReason::RetryBudget)),
+            Past::NotAnswered { outcome, .. } => self.end_after_run(*outcome),
+            _ => None,
+        }
+    }
+
+    fn end_after_run(&self, outcome: Outcome) -> Option<Allowed> {
+        let is_repeatable = match self.spec.kind {
+            RequestKind::Idempotent | RequestKind::Stream { resumable: true } => true,
+            RequestKind::NonIdempotent | RequestKind::Stream { resumable: false } => {
+                !may_run(outcome)
+            }
+        };
+        let has_attempts = self.runs() < self.spec.attempts_max_count as usize;
+        let turned_away = self.count_failed_runs(|outcome| outcome == Outcome::TurnedAway);
+        if is_repeatable && has_attempts && turned_away < REFUSALS_MAX {
+            return None;
+        }
+        Some(match outcome {
+            Outcome::Failed => Allowed::Deliver,
+            Outcome::TurnedAway => self.refuse(RefusalReason::TurnedAway),
+            Outcome::TimedOut => self.refuse(RefusalReason::TimedOut),
+            _ => self.refuse(RefusalReason::OutcomeUnknown),
+        })
+    }
+
+    fn go_on(&self, now: TimeUs, serving: &mut Serving, gives_up_cache: &mut bool) -> Allowed {
+        if now >= self.spec.deadline {
+            return self.refuse(RefusalReason::TimedOut);
+        }
+        let mut cache = self.cache();
+        let mut region = cache.as_ref().and_then(|cache| cache.region.clone());
+        let mut decodes = self.decode_servers(now, serving, region.as_ref());
+        if decodes.is_empty() && region.is_some() {
+            *gives_up_cache = true;
+            cache = None;
+            region = None;
+            decodes = self.decode_servers(now, serving, region.as_ref());
+        }
+        if decodes.is_empty() {
+            return self.without_server(now);
+        }
+        let held = self.held();
+        let has_place =
+            self.spec.model.is_none() || held.is_some_and(|server| decodes.contains(&server));
+        if !has_place {
+            return Allowed::Reserve(decodes);
+        }
+        if let Some(server) = held {
+            decodes = HashSet::from([server]);
+        }
+        if cache.is_none() && !*gives_up_cache && self.may_compute() {
+            let prefills = self.prefill_servers(now, serving, held);
+            let is_first = self.computations() == 0;
+            let may_repeat = serving.budget(&self.spec.service).allows(now);
+            if !prefills.is_empty() && (is_first || may_repeat) {
+                return Allowed::Prefill(prefills);
+            }
+        }
+        let is_first = self.count_failed_runs(|outcome| outcome != Outcome::Unreachable) == 0;
+        if !is_first && !serving.budget(&self.spec.service).allows(now) {
+            return self.give_up(RefusalReason::RetryBudget);
+        }
+        Allowed::Run {
+            servers: decodes,
+            cache,
+        }
+    }
+
+    /// No server can be asked: the call waits if one of them is merely full.
+    fn without_server(&self, now: TimeUs) -> Allowed {
+        if self.full().is_empty() {
+            let turned_away = self.count_failed_runs(|outcome| outcome == Outcome::TurnedAway);
+            return self.give_up(if turned_away > 0 {
+                RefusalReason::TurnedAway
+            } else {
+                RefusalReason::NoServer
+            });
+        }
+        let waited = now.since(self.spec.arrived_at);
+        if waited >= DurationUs(self.spec.goal.0 * WAIT_GOALS) {
+            return self.give_up(RefusalReason::NoPlace);
+        }
+        Allowed::Wait
+    }
+
+    /// Servers that may run the request: the one that was chosen before, as long as it can be used.
+    fn decode_servers(
+        &self,
+        now: TimeUs,
+        serving: &Serving,
+        region: Option<&RegionName>,
+    ) -> HashSet<ServerKey> {
+        let excluded = self.excluded();
+        if let Some(key) = self.chosen()
+            && !excluded.contains(&key)
+            && serving
+                .servers
+                .get(key)
+                .is_some_and(|server| !server.health.is_paused(now))
+        {
+            return HashSet::from([key]);
+        }
+        let full = self.full();
+        let stage = self.spec.model.map(|_| Stage::Decode);
+        self.usable(now, serving, |key, server| {
+            !excluded.contains(&key)
+                && !full.contains(&key)
+                && (stage.is_none() || server.record.stage == stage)
+                && (region.is_none() || server.region.as_ref() == region)
+        })
+    }
+
+    fn prefill_servers(
+        &self,
+        now: TimeUs,
+        serving: &Serving,
+        decode: Option<ServerKey>,
+    ) -> HashSet<ServerKey> {
+        let region = decode.and_then(|key| serving.servers.get(key)?.region.clone());
+        let failed: HashSet<ServerKey> = self
+            .past
+            .iter()
+            .filter_map(|past| match past {
+                Past::NotComputed { server, .. } => Some(*server),
+                _ => None,
+            })
+            .collect();
+        self.usable(now, serving, |key, server| {
+            server.record.stage == Some(Stage::Prefill)
+                && server.region == region
+                && !failed.contains(&key)
+        })
+    }
+
+    /// Ready servers, or those whose entry has just gone if there are none.
+    fn usable(
+        &self,
+        now: TimeUs,
+        serving: &Serving,
+        fits: impl Fn(ServerKey, &Server) -> bool,
+    ) -> HashSet<ServerKey> {
+        let of_standing = |is_allowed: &dyn Fn(Standing) -> bool| -> HashSet<ServerKey> {
+            serving
+                .servers
+                .of_service(&self.spec.service)
+                .filter(|(key, server)| fits(*key, server) && is_allowed(server.standing))
+                .filter(|(_, server)| !server.health.is_paused(now))
+                .map(|(key, _)| key)
+                .collect()
+        };
+        let ready = of_standing(&|standing| standing == Standing::Ready);
+        if !ready.is_empty() {
+            return ready;
+        }
+        of_standing(&|standing| match standing {
+            Standing::Removed(since) => now.since(since) < REMOVED_HOLD,
+            Standing::Ready | Standing::Leaving => false,
+        })
+    }
+
+    /// Server that was chosen last and neither failed nor was full.
+    fn chosen(&self) -> Option<ServerKey> {
+        self.past.iter().fold(None, |chosen, past| match past {
+            Past::Held(server) | Past::NotAnswered { server, .. } => Some(*server),
+            Past::Waited | Past::NotHeld(..) => None,
+            Past::Computed(_) | Past::NotComputed { .. } | Past::CacheGivenUp => chosen,
+        })
+    }
+
+    /// Server at which a place is held.
+    fn held(&self) -> Option<ServerKey> {
+        self.past.iter().fold(None, |held, past| match past {
+            Past::Held(server) => Some(*server),
+            Past::Waited | Past::NotHeld(..) | Past::NotAnswered { .. } => None,
+            _ => held,
+        })
+    }
+
+    fn cache(&self) -> Option<CacheRef> {
+        self.past.iter().fold(None, |cached, past| match past {
+            Past::Computed(cache) => Some(cache.clone()),
+            Past::CacheGivenUp => None,
+            Past::NotAnswered { outcome, cache, .. } => match outcome {
+                Outcome::Unreachable | Outcome::TurnedAway | Outcome::OtherIncarnation => {
+                    cache.clone()
+                }
+                _ => None,
+            },
+            _ => cached,
+        })
+    }
+
+    /// Whether a prefill server may still compute the prompt.
+    fn may_compute(&self) -> bool {
+        let is_model = self.spec.model.is_some();
+        let is_given_up = self.past.iter().any(|past| match past {
+            Past::CacheGivenUp | Past::NotAnswered { .. } => true,
+            Past::NotComputed { outcome, .. } => {
+                may_run(*outcome) || *outcome == Outcome::CacheGone
+            }
+            _ => false,
+        });
+        is_model && !is_given_up && self.computations() < PREFILLS_MAX
+    }
+
+    fn computations(&self) -> usize {
+        let computed = self
+            .past
+            .iter()
+            .filter(|past| matches!(past, Past::Computed(_) | Past::NotComputed { .. }));
+        computed.count()
+    }
+
+    /// Servers that have failed the request.
+    fn excluded(&self) -> HashSet<ServerKey> {
+        let failed = self.past.iter().filter_map(|past| match past {
+            Past::NotHeld(server, outcome) => (*outcome != Outcome::TurnedAway).then_some(*server),
+            Past::NotAnswered {
+                server, outcome, ..
+            } => (*outcome != Outcome::CacheGone).then_some(*server),
+            _ => None,
+        });
+        failed.collect()
+    }
+
+    /// Servers without room since the last pause.
+    fn full(&self) -> HashSet<ServerKey> {
+        let since = self
+            .past
+            .iter()
+            .rposition(|past| matches!(past, Past::Waited))
+            .map_or(0, |index| index + 1);
+        let full = self.past[since..].iter().filter_map(|past| match past {
+            Past::NotHeld(server, Outcome::TurnedAway) => Some(*server),
+            _ => None,
+        });
+        full.collect()
+    }
+
+    fn runs(&self) -> usize {
+        self.count_failed_runs(may_run)
+    }
+
+    fn count_failed_runs(&self, is_counted: impl Fn(Outcome) -> bool) -> usize {
+        let counted = self.past.iter().filter(
+            |past| matches!(past, Past::NotAnswered { outcome, .. } if is_counted(*outcome)),
+        );
+        counted.count()
+    }
+
+    fn refuse(&self, reason: RefusalReason) -> Allowed {
+        Allowed::Refuse {
+            is_not_run: self.runs() == 0,
+            reason,
+        }
+    }
+
+    /// A failure that a server answered is passed on in place of a refusal.
+    fn give_up(&self, reason: RefusalReason) -> Allowed {
+        if self.count_failed_runs(|outcome| outcome == Outcome::Failed) > 0 {
+            Allowed::Deliver
+        } else {
+            self.refuse(reason)
+        }
+    }
+}
