Part the development package into packages with one job each

Ruled out: leaving the driver beside the stand-ins. The driver shares only the text of generated answers with them, and its tests need no process.

stand-ins, matrix, fleet, measure, load and capacity now depend on each other in one direction; files moved as they were, with their paths to other modules changed. capacity is a library with an example in place of a source folder that an example included.

--- a/crates/dev/examples/capacity.rs
+++ b/crates/capacity/examples/capacity.rs
@@ -3,13 +3,10 @@
 use std::alloc::System;
 use std::io;
 
-use capacity::Report;
+use cuminlead_capacity::Report;
 use gumdrop::Options;
 use stats_alloc::{INSTRUMENTED_SYSTEM, StatsAlloc};
 
-#[path = "../src/capacity/mod.rs"]
-mod capacity;
-
 /// Counts heap bytes; adds two atomic additions to each allocation that is timed.
 #[global_allocator]
 static ALLOCATOR: &StatsAlloc<System> = &INSTRUMENTED_SYSTEM;
@@ -26,12 +23,12 @@
 
 fn main() -> io::Result<()> {
     let arguments = Arguments::parse_args_default_or_exit();
-    let options = capacity::Options {
+    let options = cuminlead_capacity::Options {
         without_processes: arguments.without_processes,
         without_fleets: arguments.without_fleets,
     };
     let mut report = Report::printing();
-    capacity::run(options, &mut report)?;
+    cuminlead_capacity::run(options, &mut report)?;
     println!("\nquantity\tunit\tslope\tintercept");
     for fit in report.fits() {
         println!("{fit}");
--- a/crates/dev/src/capacity/agent.rs
+++ b/crates/capacity/src/agent.rs
@@ -17,9 +17,9 @@
     Sequence, TimeUs, Tokens, UnixMs,
 };
 
-use super::Report;
-use super::fixture::{DESIGN_LISTS, ListSize, customer, envelope, name, snapshot, target};
-use super::measure::{Times, hold};
+use crate::Report;
+use crate::fixture::{DESIGN_LISTS, ListSize, customer, envelope, name, snapshot, target};
+use crate::measure::{Times, hold};
 
 const LEASES: [usize; 4] = [1, 5, 10, 20];
 const RECORDS: [usize; 3] = [100, 1_000, 10_000];
--- a/crates/dev/src/capacity/call.rs
+++ b/crates/capacity/src/call.rs
@@ -14,9 +14,9 @@
 use cuminlead_routing::Route;
 use cuminlead_types::{DurationUs, Incarnation, RequestId, Revision, Sequence, TimeUs, Tokens};
 
-use super::Report;
-use super::fixture::{customer, envelope, name, target};
-use super::measure::{Times, hold};
+use crate::Report;
+use crate::fixture::{customer, envelope, name, target};
+use crate::measure::{Times, hold};
 
 const PROMPTS: [usize; 3] = [100, 1_000, 10_000];
 const CHUNKS: [usize; 3] = [10, 100, 1_000];
--- a/crates/dev/src/capacity/hosts.rs
+++ b/crates/capacity/src/hosts.rs
@@ -5,9 +5,9 @@
 use cuminlead_membership::Membership;
 use cuminlead_types::{Revision, TimeUs};
 
-use super::Report;
-use super::fixture::{ENGINES_COUNT, hosts};
-use super::measure::{Times, hold};
+use crate::Report;
+use crate::fixture::{ENGINES_COUNT, hosts};
+use crate::measure::{Times, hold};
 
 const HOSTS: [usize; 3] = [23, 230, ENGINES_COUNT];
 const NOW: TimeUs = TimeUs(1_000_000_000);
--- a/crates/dev/src/capacity/mod.rs
+++ b/crates/capacity/src/lib.rs
@@ -22,12 +22,12 @@
 
 mod agent;
 mod call;
-pub(crate) mod fixture;
+mod fixture;
 mod hosts;
 mod lists;
-pub(crate) mod measure;
+mod measure;
 mod process;
-pub(crate) mod report;
+pub mod report;
 mod routing;
 mod serve;
 mod spread;
@@ -36,19 +36,19 @@
 
 use std::io;
 
-pub(crate) use report::Report;
+pub use report::Report;
 
 /// What to leave out.
 #[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct Options {
+pub struct Options {
     /// Skips real processes.
-    pub(crate) without_processes: bool,
+    pub without_processes: bool,
     /// Skips fleets on virtual time.
-    pub(crate) without_fleets: bool,
+    pub without_fleets: bool,
 }
 
 /// Measures everything and adds it to the report.
-pub(crate) fn run(options: Options, report: &mut Report) -> io::Result<()> {
+pub fn run(options: Options, report: &mut Report) -> io::Result<()> {
     routing::run(report);
     agent::run(report);
     call::run(report);
--- a/crates/dev/src/capacity/lists.rs
+++ b/crates/capacity/src/lists.rs
@@ -3,9 +3,9 @@
 use cuminlead_lists::{Delta, ListStore, Offer};
 use cuminlead_types::Revision;
 
-use super::Report;
-use super::fixture::{CUSTOMERS_COUNT, ENGINES_COUNT, ListSize, group_part, snapshot};
-use super::measure::{Times, hold};
+use crate::Report;
+use crate::fixture::{CUSTOMERS_COUNT, ENGINES_COUNT, ListSize, group_part, snapshot};
+use crate::measure::{Times, hold};
 
 const CUSTOMERS: [usize; 3] = [440, 1_100, CUSTOMERS_COUNT];
 const PARTS: [usize; 3] = [1, 44, 440];
--- a/crates/dev/src/capacity/process.rs
+++ b/crates/capacity/src/process.rs
@@ -8,15 +8,15 @@
 
 use serde_json::{Value, json};
 
-use super::Report;
-use super::fixture::{
+use crate::Report;
+use crate::fixture::{
     DESIGN_LISTS, ENGINES_COUNT, allowances_text, changed_part, group_part, hosts, plans_text,
 };
-use cuminlead_dev::client;
-use cuminlead_dev::fleet::deployment::relojeria;
-use cuminlead_dev::fleet::{Fleet, FleetConfig};
-use cuminlead_dev::platform::HostRecord;
+use cuminlead_fleet::deployment::relojeria;
+use cuminlead_fleet::{Fleet, FleetConfig};
 use cuminlead_lists::HostState;
+use cuminlead_stand_ins::client;
+use cuminlead_stand_ins::platform::HostRecord;
 
 /// Entries of the design scale.
 const ENTRIES_COUNT: usize = 370;
--- a/crates/dev/src/capacity/report.rs
+++ b/crates/capacity/src/report.rs
@@ -4,28 +4,28 @@
 
 /// One measured value.
 #[derive(Clone, Debug, PartialEq)]
-pub(crate) struct Sample {
+pub struct Sample {
     /// What was measured.
-    pub(crate) quantity: String,
+    pub quantity: String,
     /// Unit of the value.
-    pub(crate) unit: &'static str,
+    pub unit: &'static str,
     /// Size at which it was measured.
-    pub(crate) size: usize,
+    pub size: usize,
     /// Value.
-    pub(crate) value: f64,
+    pub value: f64,
 }
 
 /// Line fitted to the samples of one quantity by least squares.
 #[derive(Clone, Debug, PartialEq)]
-pub(crate) struct Fit {
+pub struct Fit {
     /// What was measured.
-    pub(crate) quantity: String,
+    pub quantity: String,
     /// Unit of the values.
-    pub(crate) unit: &'static str,
+    pub unit: &'static str,
     /// Growth of the value for each unit of size.
-    pub(crate) slope: f64,
+    pub slope: f64,
     /// Value at size zero.
-    pub(crate) intercept: f64,
+    pub intercept: f64,
 }
 
 impl fmt::Display for Sample {
@@ -45,19 +45,19 @@
 
 /// All samples of one run; each is printed as it comes.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct Report {
+pub struct Report {
     samples: Vec<Sample>,
 }
 
 impl Report {
     /// Report without samples; prints the heading of the samples.
-    pub(crate) fn printing() -> Self {
+    pub fn printing() -> Self {
         println!("quantity\tunit\tsize\tvalue");
         Self::default()
     }
 
     /// Adds a sample.
-    pub(crate) fn add(&mut self, quantity: &str, unit: &'static str, size: usize, value: f64) {
+    pub fn add(&mut self, quantity: &str, unit: &'static str, size: usize, value: f64) {
         let sample = Sample {
             quantity: quantity.to_string(),
             unit,
@@ -69,7 +69,7 @@
     }
 
     /// Fitted lines of the quantities with samples of at least two sizes.
-    pub(crate) fn fits(&self) -> Vec<Fit> {
+    pub fn fits(&self) -> Vec<Fit> {
         let mut quantities: Vec<&str> = Vec::new();
         for sample in &self.samples {
             if !quantities.contains(&sample.quantity.as_str()) {
--- a/crates/dev/src/capacity/routing.rs
+++ b/crates/capacity/src/routing.rs
@@ -8,11 +8,11 @@
 use cuminlead_routing::{ModelNeed, Route, RouteKind, RouteNeed, Router, RoutingConfig, Usability};
 use cuminlead_types::{BackendServerId, DurationUs, Incarnation, KvPieces, Slots, TimeUs, Tokens};
 
-use super::Report;
-use super::fixture::{
+use crate::Report;
+use crate::fixture::{
     CUSTOMERS_COUNT, ENGINES_COUNT, ListSize, customer, hosts, name, snapshot, target,
 };
-use super::measure::{Times, hold};
+use crate::measure::{Times, hold};
 
 const SERVERS: [usize; 3] = [23, 230, ENGINES_COUNT];
 const DECISIONS: u64 = 50_000;
--- a/crates/dev/src/capacity/serve.rs
+++ b/crates/capacity/src/serve.rs
@@ -12,9 +12,9 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
-use super::Report;
-use super::fixture::{DESIGN_LISTS, changed_part, host, snapshot};
-use super::measure::{Times, hold};
+use crate::Report;
+use crate::fixture::{DESIGN_LISTS, changed_part, host, snapshot};
+use crate::measure::{Times, hold};
 
 const FOLLOWERS: [usize; 3] = [10, 100, 450];
 const CHANGES: u64 = 5;
--- a/crates/dev/src/capacity/spread.rs
+++ b/crates/capacity/src/spread.rs
@@ -5,8 +5,8 @@
 use cuminlead_distribution::readers_of_zone;
 use cuminlead_types::{AvailabilityZoneName, HostId};
 
-use super::Report;
-use super::world::World;
+use crate::Report;
+use crate::world::World;
 
 const PROCESSES: [usize; 4] = [100, 500, 1_000, 2_700];
 /// Time for a started fleet to find its readers.
--- a/crates/dev/src/capacity/wire.rs
+++ b/crates/capacity/src/wire.rs
@@ -11,12 +11,12 @@
 use cuminlead_wire::stream::DecodeMessage;
 use prost::Message;
 
-use super::Report;
-use super::fixture::{
+use crate::Report;
+use crate::fixture::{
     CUSTOMERS_COUNT, DESIGN_LISTS, ENGINES_COUNT, change_customer, customers_text, envelope, host,
     hosts, name, part, snapshot, target,
 };
-use super::measure::Times;
+use crate::measure::Times;
 
 const PART_CUSTOMERS: [usize; 4] = [1, 10, 100, 1_000];
 const FULL_CUSTOMERS: [usize; 3] = [440, 1_100, CUSTOMERS_COUNT];
--- a/crates/dev/src/capacity/world.rs
+++ b/crates/capacity/src/world.rs
@@ -17,7 +17,7 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
-use super::fixture::{hosts, part, plans_text};
+use crate::fixture::{hosts, part, plans_text};
 
 const NEAR: DurationUs = DurationUs(1_500);
 const FAR: DurationUs = DurationUs::from_ms(20);
--- a/crates/dev/examples/demo.rs
+++ b/crates/fleet/examples/demo.rs
@@ -4,11 +4,11 @@
 use std::io;
 use std::time::Duration;
 
-use cuminlead_dev::caller::{Caller, Received};
-use cuminlead_dev::engine::text;
-use cuminlead_dev::fleet::deployment::Deployment;
-use cuminlead_dev::fleet::lists::ListsSource;
-use cuminlead_dev::fleet::{Fleet, FleetConfig};
+use cuminlead_fleet::caller::{Caller, Received};
+use cuminlead_fleet::deployment::Deployment;
+use cuminlead_fleet::lists::ListsSource;
+use cuminlead_fleet::{Fleet, FleetConfig};
+use cuminlead_stand_ins::engine::text;
 use gumdrop::Options;
 use serde_json::json;
 
--- a/crates/dev/examples/handover.rs
+++ b/crates/fleet/examples/handover.rs
@@ -6,11 +6,11 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
-use cuminlead_dev::fleet::handover::{Balancer, Traffic};
-use cuminlead_dev::fleet::process::build_directory;
-use cuminlead_dev::fleet::requests::{Question, RawRequest};
-use cuminlead_dev::fleet::small::{Sizes, small};
-use cuminlead_dev::fleet::{Fleet, FleetConfig, PLANS_KEY, lists};
+use cuminlead_fleet::handover::{Balancer, Traffic};
+use cuminlead_fleet::process::build_directory;
+use cuminlead_fleet::requests::{Question, RawRequest};
+use cuminlead_fleet::small::{Sizes, small};
+use cuminlead_fleet::{Fleet, FleetConfig, PLANS_KEY, lists};
 use gumdrop::Options;
 
 const REQUEST_LIMIT: Duration = Duration::from_secs(120);
--- a/crates/dev/src/caller.rs
+++ b/crates/fleet/src/caller.rs
@@ -43,7 +43,7 @@
     /// Caller with a customer's key; a request ends after `limit`.
     pub fn new(address: &str, key: &str, limit: Duration) -> Self {
         Self {
-            agent: crate::client::agent(limit),
+            agent: cuminlead_stand_ins::client::agent(limit),
             address: address.to_string(),
             key: key.to_string(),
         }
--- a/crates/dev/src/fleet/claims.rs
+++ b/crates/fleet/src/claims.rs
@@ -11,7 +11,7 @@
 
 use super::Fleet;
 use super::requests::RawRequest;
-use crate::client::JsonAnswer;
+use cuminlead_stand_ins::client::JsonAnswer;
 
 /// What a caller may conclude from an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/dev/src/fleet/deployment.rs
+++ b/crates/fleet/src/deployment.rs
@@ -2,7 +2,7 @@
 
 use std::str::FromStr;
 
-use crate::platform::HostRecord;
+use cuminlead_stand_ins::platform::HostRecord;
 
 /// Start of every host's name; the name of the process follows.
 pub const HOST_PREFIX: &str = "host-";
--- a/crates/dev/src/fleet/mod.rs
+++ b/crates/fleet/src/lib.rs
@@ -7,6 +7,7 @@
 //!
 //! | module | holds |
 //! |---|---|
+//! | [`caller`] | requests to entries, as callers send them |
 //! | [`claims`] | non-idempotent calls and what their callers were told |
 //! | [`decisions`] | what a fleet decides on a table of requests |
 //! | [`deployment`] | sizes and places of both deployments |
@@ -18,6 +19,7 @@
 //! | `probe` | reads of a running fleet |
 //! | [`requests`] | requests whose right answer is known |
 
+pub mod caller;
 pub mod claims;
 pub mod decisions;
 pub mod deployment;
@@ -40,8 +42,8 @@
 
 use serde_json::json;
 
-use crate::client;
-use crate::platform::HostRecord;
+use cuminlead_stand_ins::client;
+use cuminlead_stand_ins::platform::HostRecord;
 use deployment::{Deployment, EntryPlace, ServerPlace};
 use lists::ListsSource;
 use process::{Process, Program, Signal, binary, example};
@@ -319,7 +321,11 @@
     }
 
     /// Sets the mode of a stand-in.
-    pub fn set_mode(&self, stand_in: &str, mode: crate::behaviour::Mode) -> io::Result<()> {
+    pub fn set_mode(
+        &self,
+        stand_in: &str,
+        mode: cuminlead_stand_ins::behaviour::Mode,
+    ) -> io::Result<()> {
         self.control(stand_in, "/control", &json!({ "mode": mode }))
     }
 
--- a/crates/dev/src/fleet/lists.rs
+++ b/crates/fleet/src/lists.rs
@@ -34,15 +34,15 @@
 
 /// Example files of the deployment relojeria.
 pub const RELOJERIA: Examples = Examples {
-    plans: include_str!("../../../../examples/relojeria/plans.toml"),
-    allowances: include_str!("../../../../examples/relojeria/allowances.toml"),
+    plans: include_str!("../../../examples/relojeria/plans.toml"),
+    allowances: include_str!("../../../examples/relojeria/allowances.toml"),
     customer: "kiosks-norte",
 };
 
 /// Example files of the deployment bucaramanga.
 pub const BUCARAMANGA: Examples = Examples {
-    plans: include_str!("../../../../examples/bucaramanga/plans.toml"),
-    allowances: include_str!("../../../../examples/bucaramanga/allowances.toml"),
+    plans: include_str!("../../../examples/bucaramanga/plans.toml"),
+    allowances: include_str!("../../../examples/bucaramanga/allowances.toml"),
     customer: "courts-oriente",
 };
 
--- a/crates/dev/src/fleet/probe.rs
+++ b/crates/fleet/src/probe.rs
@@ -8,7 +8,7 @@
 
 use super::{CALL_LIMIT, Fleet, POLL};
 use crate::caller::Caller;
-use crate::client;
+use cuminlead_stand_ins::client;
 
 impl Fleet {
     /// JSON answer of a process to a GET.
--- a/crates/dev/src/fleet/requests.rs
+++ b/crates/fleet/src/requests.rs
@@ -11,8 +11,8 @@
 use super::Fleet;
 use super::deployment::ServerKind;
 use crate::caller::Received;
-use crate::client::{self, JsonAnswer};
-use crate::engine::text;
+use cuminlead_stand_ins::client::{self, JsonAnswer};
+use cuminlead_stand_ins::engine::text;
 
 /// Fleets that may run at once in one test executable; each has up to 15 processes.
 const FLEETS_AT_ONCE: usize = 2;
--- a/crates/dev/tests/process_effects.rs
+++ b/crates/fleet/tests/process_effects.rs
@@ -2,11 +2,11 @@
 
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use cuminlead_dev::fleet::claims::{self, Claim};
-use cuminlead_dev::fleet::process::Signal;
-use cuminlead_dev::fleet::requests::{Question, Turn};
-use cuminlead_dev::fleet::small::{Sizes, small};
-use cuminlead_dev::fleet::{Fleet, FleetConfig};
+use cuminlead_fleet::claims::{self, Claim};
+use cuminlead_fleet::process::Signal;
+use cuminlead_fleet::requests::{Question, Turn};
+use cuminlead_fleet::small::{Sizes, small};
+use cuminlead_fleet::{Fleet, FleetConfig};
 
 const REQUEST_LIMIT: Duration = Duration::from_secs(120);
 const STEP_LIMIT: Duration = Duration::from_secs(30);
--- a/crates/dev/tests/process_input.rs
+++ b/crates/fleet/tests/process_input.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
-use cuminlead_dev::fleet::requests::{Question, RawRequest, Turn};
-use cuminlead_dev::fleet::small::{Sizes, small};
-use cuminlead_dev::fleet::{ALLOWANCES_KEY, Fleet, FleetConfig, PLANS_KEY, lists};
+use cuminlead_fleet::requests::{Question, RawRequest, Turn};
+use cuminlead_fleet::small::{Sizes, small};
+use cuminlead_fleet::{ALLOWANCES_KEY, Fleet, FleetConfig, PLANS_KEY, lists};
 use serde_json::{Value, json};
 
 const REQUEST_LIMIT: Duration = Duration::from_secs(60);
--- a/crates/dev/tests/process_lists.rs
+++ b/crates/fleet/tests/process_lists.rs
@@ -3,14 +3,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cuminlead_dev::behaviour::{Behaviour, Mode};
-use cuminlead_dev::client;
-use cuminlead_dev::fleet::requests::{Question, RawRequest, Turn};
-use cuminlead_dev::fleet::small::{Sizes, entry, small};
-use cuminlead_dev::fleet::{ALLOWANCES_KEY, Fleet, FleetConfig, PLANS_KEY, lists};
-use cuminlead_dev::http::{Answer, Call, Handler, serve};
-use cuminlead_dev::platform::{HostRecord, HostsDocument, Platform, PlatformConfig};
-use cuminlead_dev::relay::Relay;
+use cuminlead_fleet::requests::{Question, RawRequest, Turn};
+use cuminlead_fleet::small::{Sizes, entry, small};
+use cuminlead_fleet::{ALLOWANCES_KEY, Fleet, FleetConfig, PLANS_KEY, lists};
+use cuminlead_stand_ins::behaviour::{Behaviour, Mode};
+use cuminlead_stand_ins::client;
+use cuminlead_stand_ins::http::{Answer, Call, Handler, serve};
+use cuminlead_stand_ins::platform::{HostRecord, HostsDocument, Platform, PlatformConfig};
+use cuminlead_stand_ins::relay::Relay;
 use serde_json::json;
 
 const REQUEST_LIMIT: Duration = Duration::from_secs(120);
@@ -184,7 +184,7 @@
 /// Status of a lookup with a key at an entry.
 fn look_up(fleet: &Fleet, entry: &str, key: &str) -> u16 {
     let address = fleet.address(entry, "callers").expect("address");
-    let caller = cuminlead_dev::caller::Caller::new(&address, key, REQUEST_LIMIT);
+    let caller = cuminlead_fleet::caller::Caller::new(&address, key, REQUEST_LIMIT);
     let received = caller.look_up("counter", "/stock?item=1");
     received.expect("answer").status
 }
--- a/crates/dev/tests/process_memory.rs
+++ b/crates/fleet/tests/process_memory.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
-use cuminlead_dev::fleet::requests::{Question, Turn};
-use cuminlead_dev::fleet::small::{Sizes, small};
-use cuminlead_dev::fleet::{Fleet, FleetConfig};
+use cuminlead_fleet::requests::{Question, Turn};
+use cuminlead_fleet::small::{Sizes, small};
+use cuminlead_fleet::{Fleet, FleetConfig};
 
 /// P1: memory of a request that is gone is free within this time.
 const MEMORY_BOUND: Duration = Duration::from_secs(30);
--- a/crates/dev/tests/process_metrics.rs
+++ b/crates/fleet/tests/process_metrics.rs
@@ -3,12 +3,12 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use cuminlead_dev::behaviour::Mode;
-use cuminlead_dev::client;
-use cuminlead_dev::fleet::process::Signal;
-use cuminlead_dev::fleet::requests::{Question, RawRequest, Turn};
-use cuminlead_dev::fleet::small::{Sizes, small};
-use cuminlead_dev::fleet::{Fleet, FleetConfig, PLANS_KEY, lists};
+use cuminlead_fleet::process::Signal;
+use cuminlead_fleet::requests::{Question, RawRequest, Turn};
+use cuminlead_fleet::small::{Sizes, small};
+use cuminlead_fleet::{Fleet, FleetConfig, PLANS_KEY, lists};
+use cuminlead_stand_ins::behaviour::Mode;
+use cuminlead_stand_ins::client;
 use serde_json::json;
 use yare::parameterized;
 
--- a/crates/dev/tests/process_relay.rs
+++ b/crates/fleet/tests/process_relay.rs
@@ -2,10 +2,10 @@
 
 use std::time::Duration;
 
-use cuminlead_dev::fleet::requests::{Question, Turn};
-use cuminlead_dev::fleet::small::{Sizes, small};
-use cuminlead_dev::fleet::{Fleet, FleetConfig, claims};
-use cuminlead_dev::relay::{Cut, Relay};
+use cuminlead_fleet::requests::{Question, Turn};
+use cuminlead_fleet::small::{Sizes, small};
+use cuminlead_fleet::{Fleet, FleetConfig, claims};
+use cuminlead_stand_ins::relay::{Cut, Relay};
 use yare::parameterized;
 
 const REQUEST_LIMIT: Duration = Duration::from_secs(120);
--- a/crates/dev/tests/process_shutdown.rs
+++ b/crates/fleet/tests/process_shutdown.rs
@@ -2,11 +2,11 @@
 
 use std::time::{Duration, Instant};
 
-use cuminlead_dev::fleet::handover::{Balancer, Traffic};
-use cuminlead_dev::fleet::process::Signal;
-use cuminlead_dev::fleet::requests::{Question, RawRequest, Turn};
-use cuminlead_dev::fleet::small::{Sizes, small};
-use cuminlead_dev::fleet::{Fleet, FleetConfig};
+use cuminlead_fleet::handover::{Balancer, Traffic};
+use cuminlead_fleet::process::Signal;
+use cuminlead_fleet::requests::{Question, RawRequest, Turn};
+use cuminlead_fleet::small::{Sizes, small};
+use cuminlead_fleet::{Fleet, FleetConfig};
 use serde_json::json;
 use yare::parameterized;
 
--- a/crates/dev/tests/process_traces.rs
+++ b/crates/fleet/tests/process_traces.rs
@@ -4,11 +4,11 @@
 use std::net::TcpListener;
 use std::time::Duration;
 
-use cuminlead_dev::caller::Received;
-use cuminlead_dev::collector::{Collector, CollectorMode};
-use cuminlead_dev::fleet::requests::{Question, RawRequest, Turn};
-use cuminlead_dev::fleet::small::{Sizes, small};
-use cuminlead_dev::fleet::{Fleet, FleetConfig};
+use cuminlead_fleet::caller::Received;
+use cuminlead_fleet::requests::{Question, RawRequest, Turn};
+use cuminlead_fleet::small::{Sizes, small};
+use cuminlead_fleet::{Fleet, FleetConfig};
+use cuminlead_stand_ins::collector::{Collector, CollectorMode};
 use serde_json::json;
 use yare::parameterized;
 
--- a/crates/dev/examples/load.rs
+++ b/crates/load/examples/load.rs
@@ -7,11 +7,11 @@
 use std::io;
 use std::time::Duration;
 
-use cuminlead_dev::fleet::deployment::Deployment;
-use cuminlead_dev::fleet::{Fleet, FleetConfig};
-use cuminlead_dev::load::table::{self, Counts};
-use cuminlead_dev::load::{AddedDelay, AddedPlan, LoadPlan, Target, added, run, target};
-use cuminlead_dev::measure::{HEADER, Site};
+use cuminlead_fleet::deployment::Deployment;
+use cuminlead_fleet::{Fleet, FleetConfig};
+use cuminlead_load::table::{self, Counts};
+use cuminlead_load::{AddedDelay, AddedPlan, LoadPlan, Target, added, run, target};
+use cuminlead_measure::{HEADER, Site};
 use cuminlead_types::DurationUs;
 use gumdrop::Options;
 
--- a/crates/dev/src/load/added.rs
+++ b/crates/load/src/added.rs
@@ -14,10 +14,10 @@
 
 use super::table::micros;
 use super::target::{RunningServer, Target};
-use crate::caller::{Caller, Received};
-use crate::client::{self, JsonAnswer};
-use crate::fleet::requests::{Question, USER_PREFIX};
-use crate::measure::latency::Times;
+use cuminlead_fleet::caller::{Caller, Received};
+use cuminlead_fleet::requests::{Question, USER_PREFIX};
+use cuminlead_measure::latency::Times;
+use cuminlead_stand_ins::client::{self, JsonAnswer};
 
 const REQUEST_LIMIT: Duration = Duration::from_secs(110);
 const LOOK_UP_PATH: &str = "/stock?item=spring";
--- a/crates/dev/src/load/mod.rs
+++ b/crates/load/src/lib.rs
@@ -1,4 +1,4 @@
-//! Load on the real processes: the same requests and the same table as [`crate::measure`], and the
+//! Load on the real processes: the same requests and the same table as [`cuminlead_measure`], and the
 //! delay that entry and agent add.
 //!
 //! | module | holds |
--- a/crates/dev/src/load/open_loop.rs
+++ b/crates/load/src/open_loop.rs
@@ -13,11 +13,11 @@
 use serde_json::json;
 
 use super::target::Target;
-use crate::caller::{Caller, Received};
-use crate::engine::text;
-use crate::fleet::requests::USER_PREFIX;
-use crate::measure::Site;
-use crate::measure::workload::{Arrival, Work, arrivals};
+use cuminlead_fleet::caller::{Caller, Received};
+use cuminlead_fleet::requests::USER_PREFIX;
+use cuminlead_measure::Site;
+use cuminlead_measure::workload::{Arrival, Work, arrivals};
+use cuminlead_stand_ins::engine::text;
 
 /// Longer than any request lasts.
 const REQUEST_LIMIT: Duration = Duration::from_secs(110);
--- a/crates/dev/src/load/table.rs
+++ b/crates/load/src/table.rs
@@ -9,9 +9,9 @@
 
 use super::open_loop::{Ended, LoadPlan, LoadRun, Outcome};
 use super::target::Target;
-use crate::engine::EngineConfig;
-use crate::measure::latency::{Latencies, Targets, Times};
-use crate::measure::{Row, Site};
+use cuminlead_measure::latency::{Latencies, Targets, Times};
+use cuminlead_measure::{Row, Site};
+use cuminlead_stand_ins::engine::EngineConfig;
 
 /// Longest time that memory of a request that is gone may stay held (design 5.3).
 const SETTLE_MAX: Duration = Duration::from_secs(30);
--- a/crates/dev/src/load/target.rs
+++ b/crates/load/src/target.rs
@@ -8,12 +8,12 @@
 use cuminlead_types::{DurationUs, KvPieces, Slots, TokensPerSecond};
 use serde_json::Value;
 
-use crate::client;
-use crate::engine::EngineConfig;
-use crate::engine::cache::BLOCK_BYTES;
-use crate::fleet::deployment::{Deployment, EntryPlace, ServerPlace};
-use crate::fleet::{Fleet, FleetConfig};
-use crate::measure::Site;
+use cuminlead_fleet::deployment::{Deployment, EntryPlace, ServerPlace};
+use cuminlead_fleet::{Fleet, FleetConfig};
+use cuminlead_measure::Site;
+use cuminlead_stand_ins::client;
+use cuminlead_stand_ins::engine::EngineConfig;
+use cuminlead_stand_ins::engine::cache::BLOCK_BYTES;
 
 const CALL_LIMIT: Duration = Duration::from_secs(5);
 /// Bytes that `Tokens::estimate` takes for one token.
--- a/crates/dev/tests/load.rs
+++ b/crates/load/tests/load.rs
@@ -1,11 +1,11 @@
 //! Load tool: addresses of a kept fleet, and rows of real processes.
 
-use cuminlead_dev::fleet::Fleet;
-use cuminlead_dev::fleet::deployment::relojeria;
-use cuminlead_dev::fleet::requests::Turn;
-use cuminlead_dev::load::table::{self, Counts};
-use cuminlead_dev::load::{LoadPlan, Target, run, target};
-use cuminlead_dev::measure::Site;
+use cuminlead_fleet::Fleet;
+use cuminlead_fleet::deployment::relojeria;
+use cuminlead_fleet::requests::Turn;
+use cuminlead_load::table::{self, Counts};
+use cuminlead_load::{LoadPlan, Target, run, target};
+use cuminlead_measure::Site;
 use cuminlead_types::DurationUs;
 use yare::parameterized;
 
--- a/crates/dev/src/bench/engine.rs
+++ b/crates/matrix/src/engine.rs
@@ -24,7 +24,7 @@
 use super::event::{BackendEvent, NodeId, ProcessEvent};
 use super::step::Step;
 use super::world::World;
-use crate::engine::text::Generation;
+use cuminlead_stand_ins::engine::text::Generation;
 
 /// What an engine holds and serves.
 #[derive(Debug)]
--- a/crates/dev/src/bench/engine/faults.rs
+++ b/crates/matrix/src/engine/faults.rs
@@ -5,12 +5,12 @@
 use cuminlead_verifier::Observation;
 
 use super::Work;
-use crate::bench::event::NodeId;
-use crate::bench::world::World;
+use crate::event::NodeId;
+use crate::world::World;
 
 impl World {
     /// Ends all connections of the agent to its engine, which goes on.
-    pub(in crate::bench) fn lose_engine_connections(&mut self, node: NodeId) {
+    pub(crate) fn lose_engine_connections(&mut self, node: NodeId) {
         let Some(engine) = self.engines.get_mut(&node) else {
             return;
         };
@@ -26,7 +26,7 @@
     }
 
     /// Ends an engine with all that it holds.
-    pub(in crate::bench) fn end_engine(&mut self, node: NodeId) {
+    pub(crate) fn end_engine(&mut self, node: NodeId) {
         let Some(engine) = self.engines.get_mut(&node) else {
             return;
         };
@@ -45,12 +45,7 @@
     }
 
     /// Answer to a command that finds no engine.
-    pub(in crate::bench) fn engine_unreachable(
-        &mut self,
-        node: NodeId,
-        reader: u64,
-        command: EngineCommand,
-    ) {
+    pub(crate) fn engine_unreachable(&mut self, node: NodeId, reader: u64, command: EngineCommand) {
         let event = match command {
             EngineCommand::Prefill { id, .. }
             | EngineCommand::Decode { id, .. }
--- a/crates/dev/src/bench/engine/orders.rs
+++ b/crates/matrix/src/engine/orders.rs
@@ -9,11 +9,11 @@
 use cuminlead_verifier::{EngineDutyText, Observation};
 
 use super::{Engine, Sequence};
-use crate::bench::cell::EXACT_SEED;
-use crate::bench::duty;
-use crate::bench::event::{BackendEvent, NodeId, ProcessEvent};
-use crate::bench::step::Step;
-use crate::bench::world::World;
+use crate::cell::EXACT_SEED;
+use crate::duty;
+use crate::event::{BackendEvent, NodeId, ProcessEvent};
+use crate::step::Step;
+use crate::world::World;
 
 /// Time that an order takes.
 const ORDER_TIME: DurationUs = DurationUs::from_ms(500);
@@ -113,7 +113,7 @@
         self.push_backend(delay, node, event);
     }
 
-    pub(in crate::bench) fn carry_out_order(
+    pub(crate) fn carry_out_order(
         &mut self,
         node: NodeId,
         agent_generation: u64,
@@ -169,7 +169,7 @@
         life.is_running && life.generation == agent_generation
     }
 
-    pub(in crate::bench) fn observe_served(&mut self, node: NodeId) {
+    pub(crate) fn observe_served(&mut self, node: NodeId) {
         if let Some(engine) = self.engines.get(&node) {
             let server = engine.server.clone();
             let duty = engine.duty();
--- a/crates/dev/tests/matrix.rs
+++ b/crates/matrix/tests/matrix.rs
@@ -1,17 +1,17 @@
 //! The fault matrix: every step of every path with every fault, single and in pairs.
 //!
-//! `MATRIX_CELL="model first_chunk:agent_death" cargo test -p cuminlead-dev --test matrix one_cell --
+//! `MATRIX_CELL="model first_chunk:agent_death" cargo test -p cuminlead-matrix --test matrix one_cell --
 //! --nocapture` runs one cell and prints its record. All pairs run with
-//! `cargo test -p cuminlead-dev --release --test matrix -- --ignored all_pairs --nocapture`.
+//! `cargo test -p cuminlead-matrix --release --test matrix -- --ignored all_pairs --nocapture`.
 
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Mutex, PoisonError};
 use std::thread;
 
-use cuminlead_dev::bench::Cell;
-use cuminlead_dev::bench::cell::{EXACT_SEED, not_applicable, pairs, run_cell, singles};
-use cuminlead_dev::bench::tamper::NoTamper;
+use cuminlead_matrix::Cell;
+use cuminlead_matrix::cell::{EXACT_SEED, not_applicable, pairs, run_cell, singles};
+use cuminlead_matrix::tamper::NoTamper;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use rand::seq::IndexedRandom;
--- a/crates/dev/tests/matrix_guards.rs
+++ b/crates/matrix/tests/matrix_guards.rs
@@ -3,12 +3,12 @@
 //! Each guard is removed by a wrapper of the driver or of a call; the product has no switch for it.
 
 use cuminlead_agent_core::{AgentAction, AgentEvent};
-use cuminlead_dev::bench::cell::{EXACT_SEED, run_cell, singles};
-use cuminlead_dev::bench::{Cell, Tamper};
 use cuminlead_entry_core::{
     Call, CallAction, CallEvent, CallerError, Delivery, Outcome, SendOutcome,
 };
 use cuminlead_lists::{HostList, HostState};
+use cuminlead_matrix::cell::{EXACT_SEED, run_cell, singles};
+use cuminlead_matrix::{Cell, Tamper};
 use cuminlead_protocol::{DecodeEvent, EngineCommand, FinishReason, PermitOutcome, ReplyBody};
 use cuminlead_types::{Sequence, TimeUs, Tokens};
 use yare::parameterized;
--- a/crates/dev/tests/matrix_paths.rs
+++ b/crates/matrix/tests/matrix_paths.rs
@@ -1,8 +1,8 @@
 //! One undisturbed run of each path through the driver.
 
-use cuminlead_dev::bench::cell::{Cell, EXACT_SEED, run_cell};
-use cuminlead_dev::bench::tamper::NoTamper;
-use cuminlead_dev::bench::{BenchConfig, Ending, NodeId, PathKind, RequestSpec, World};
+use cuminlead_matrix::cell::{Cell, EXACT_SEED, run_cell};
+use cuminlead_matrix::tamper::NoTamper;
+use cuminlead_matrix::{BenchConfig, Ending, NodeId, PathKind, RequestSpec, World};
 use cuminlead_types::{RequestId, TimeUs, Tokens};
 use cuminlead_verifier::{Bounds, verify};
 use yare::parameterized;
--- a/crates/dev/tests/stalls.rs
+++ b/crates/matrix/tests/stalls.rs
@@ -1,7 +1,7 @@
 //! First-hand evidence of an entry about a server whose calls make no progress.
 
-use cuminlead_dev::bench::tamper::NoTamper;
-use cuminlead_dev::bench::{BenchConfig, Disturbance, Ending, PathKind, RequestSpec, World};
+use cuminlead_matrix::tamper::NoTamper;
+use cuminlead_matrix::{BenchConfig, Disturbance, Ending, PathKind, RequestSpec, World};
 use cuminlead_types::{BackendServerId, DurationUs, RequestId, TimeUs, Tokens};
 
 const START: TimeUs = TimeUs(10_000_000);
--- a/crates/dev/examples/measure.rs
+++ b/crates/measure/examples/measure.rs
@@ -3,8 +3,8 @@
 use std::error::Error;
 use std::path::Path;
 
-use cuminlead_dev::fleet::deployment::Deployment;
-use cuminlead_dev::measure::{HEADER, RunFault, RunPlan, Site, plot, run_all};
+use cuminlead_fleet::deployment::Deployment;
+use cuminlead_measure::{HEADER, RunFault, RunPlan, Site, plot, run_all};
 use cuminlead_types::DurationUs;
 use gumdrop::Options;
 
--- a/crates/dev/src/measure/mod.rs
+++ b/crates/measure/src/lib.rs
@@ -1,6 +1,6 @@
 //! Measurement of routing policies: goodput and waste of both deployments under load and faults.
 //!
-//! Runs the decision code in the driver of [`crate::bench`] with the sizes and places of a
+//! Runs the decision code in the driver of [`cuminlead_matrix`] with the sizes and places of a
 //! deployment. The same seed gives the same table.
 //!
 //! | module | holds |
--- a/crates/dev/src/measure/row.rs
+++ b/crates/measure/src/row.rs
@@ -8,7 +8,7 @@
 use super::latency::{Latencies, Targets};
 use super::run::RunPlan;
 use super::site::as_f64;
-use crate::bench::{CallerResult, Ending, PathKind, World};
+use cuminlead_matrix::{CallerResult, Ending, PathKind, World};
 
 /// Names of the columns.
 pub const HEADER: &str = "policy\tfault\tload\toffered\tcompleted\tgoodput\tttft_p50_ms\t\
--- a/crates/dev/src/measure/run.rs
+++ b/crates/measure/src/run.rs
@@ -9,8 +9,8 @@
 use super::row::Row;
 use super::site::Site;
 use super::workload::{Arrival, Work, arrivals};
-use crate::bench::tamper::NoTamper;
-use crate::bench::{Disturbance, NodeId, PathKind, RequestSpec, World};
+use cuminlead_matrix::tamper::NoTamper;
+use cuminlead_matrix::{Disturbance, NodeId, PathKind, RequestSpec, World};
 
 /// Lists, hosts and inventories are known everywhere by then.
 const START: TimeUs = TimeUs(8_000_000);
--- a/crates/dev/src/measure/site.rs
+++ b/crates/measure/src/site.rs
@@ -6,9 +6,9 @@
 use cuminlead_types::{BitsPerSecond, DurationUs, KvPieces, Slots, Tokens, TokensPerSecond};
 
 use super::workload::{self, Shape};
-use crate::bench::layout::{Duty, Place, id};
-use crate::bench::{BenchConfig, NodeId};
-use crate::fleet::deployment::{Deployment, EntryPlace, ServerKind, ServerPlace};
+use cuminlead_fleet::deployment::{Deployment, EntryPlace, ServerKind, ServerPlace};
+use cuminlead_matrix::layout::{Duty, Place, id};
+use cuminlead_matrix::{BenchConfig, NodeId};
 
 /// Prompts from which the mean demand is computed.
 const SAMPLE_COUNT: u64 = 20_000;
--- a/crates/dev/tests/measure.rs
+++ b/crates/measure/tests/measure.rs
@@ -1,7 +1,7 @@
 //! Measuring tool: repeatable tables, no KV cache between regions, nothing held afterwards.
 
-use cuminlead_dev::fleet::deployment::{Deployment, bucaramanga, relojeria};
-use cuminlead_dev::measure::{Row, RunFault, RunPlan, Site, run_all};
+use cuminlead_fleet::deployment::{Deployment, bucaramanga, relojeria};
+use cuminlead_measure::{Row, RunFault, RunPlan, Site, run_all};
 use cuminlead_types::DurationUs;
 use yare::parameterized;
 
--- a/crates/dev/examples/engine.rs
+++ b/crates/stand-ins/examples/engine.rs
@@ -3,8 +3,8 @@
 use std::error::Error;
 use std::time::Duration;
 
-use cuminlead_dev::engine::{Engine, EngineConfig};
-use cuminlead_dev::http::announce_and_wait;
+use cuminlead_stand_ins::engine::{Engine, EngineConfig};
+use cuminlead_stand_ins::http::announce_and_wait;
 use gumdrop::Options;
 
 #[derive(Options)]
--- a/crates/dev/examples/platform.rs
+++ b/crates/stand-ins/examples/platform.rs
@@ -3,8 +3,8 @@
 use std::error::Error;
 use std::time::Duration;
 
-use cuminlead_dev::http::announce_and_wait;
-use cuminlead_dev::platform::{Platform, PlatformConfig};
+use cuminlead_stand_ins::http::announce_and_wait;
+use cuminlead_stand_ins::platform::{Platform, PlatformConfig};
 use gumdrop::Options;
 
 #[derive(Options)]
--- a/crates/dev/examples/service.rs
+++ b/crates/stand-ins/examples/service.rs
@@ -3,8 +3,8 @@
 use std::error::Error;
 use std::time::Duration;
 
-use cuminlead_dev::http::announce_and_wait;
-use cuminlead_dev::service::{Service, ServiceConfig};
+use cuminlead_stand_ins::http::announce_and_wait;
+use cuminlead_stand_ins::service::{Service, ServiceConfig};
 use gumdrop::Options;
 
 #[derive(Options)]
--- a/crates/dev/tests/engine.rs
+++ b/crates/stand-ins/tests/engine.rs
@@ -3,8 +3,8 @@
 use std::io::{BufRead, BufReader};
 use std::time::{Duration, Instant};
 
-use cuminlead_dev::client::{self, JsonAnswer};
-use cuminlead_dev::engine::{Engine, EngineConfig, text};
+use cuminlead_stand_ins::client::{self, JsonAnswer};
+use cuminlead_stand_ins::engine::{Engine, EngineConfig, text};
 use serde_json::{Value, json};
 use ureq::Agent;
 
--- a/crates/dev/tests/platform_changes.rs
+++ b/crates/stand-ins/tests/platform_changes.rs
@@ -2,11 +2,11 @@
 
 use std::time::Duration;
 
-use cuminlead_dev::client;
-use cuminlead_dev::platform::{Platform as StandIn, PlatformConfig};
 use cuminlead_distribution::Answer;
 use cuminlead_lists::{HostStore, Snapshot};
 use cuminlead_process::platform::Platform;
+use cuminlead_stand_ins::client;
+use cuminlead_stand_ins::platform::{Platform as StandIn, PlatformConfig};
 use cuminlead_types::Revision;
 use serde_json::{Value, json};
 use yare::parameterized;
--- a/crates/dev/tests/stand_ins.rs
+++ b/crates/stand-ins/tests/stand_ins.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
-use cuminlead_dev::client;
-use cuminlead_dev::platform::{Platform, PlatformConfig};
-use cuminlead_dev::service::{Service, ServiceConfig};
+use cuminlead_stand_ins::client;
+use cuminlead_stand_ins::platform::{Platform, PlatformConfig};
+use cuminlead_stand_ins::service::{Service, ServiceConfig};
 use serde_json::{Value, json};
 use ureq::Agent;
 
--- a/crates/verifier/src/promises/places.rs
+++ b/crates/verifier/src/promises/places.rs
@@ -27,19 +27,17 @@
             Observation::PlaceReleased { server, request } => {
                 held.remove(&place(server, *request));
             }
-            Observation::PrefillSent { request, .. } => {
-                if !held.iter().any(|place| place.request == *request) {
-                    let message = "a prompt was sent to be computed without a place";
-                    report.add(Promise::Places, request, index, message);
-                }
+            Observation::PrefillSent { request, .. }
+                if !held.iter().any(|place| place.request == *request) =>
+            {
+                let message = "a prompt was sent to be computed without a place";
+                report.add(Promise::Places, request, index, message);
             }
             Observation::DecodeSent {
                 server, request, ..
-            } => {
-                if !held.contains(&place(server, *request)) {
-                    let message = format!("an answer was asked for without a place at {server}");
-                    report.add(Promise::Places, request, index, message);
-                }
+            } if !held.contains(&place(server, *request)) => {
+                let message = format!("an answer was asked for without a place at {server}");
+                report.add(Promise::Places, request, index, message);
             }
             _ => {}
         }
