Wait for a prefill until its answer has missed its goal

Cause: a prefill was given up after its computation and 200 ms.

Ruled out: late first events (34 streams), preemptions (2) and the way to the caller.

The time-out now follows from the goal of the route.

The longest pause of a stream is logged and has a histogram, since only the caller could see it before.

--- a/crates/direct-core/src/call.rs
+++ b/crates/direct-core/src/call.rs
@@ -17,8 +17,6 @@
 
 /// Rate at which a loaded engine computes prompts, in tokens a millisecond; half of an idle one's.
 const PREFILL_TOKENS_PER_MS: u64 = 25;
-/// Time of a prefill call beyond the computation: the way there and a short queue.
-const PREFILL_MARGIN: DurationUs = DurationUs::from_ms(200);
 /// Part of the remaining time that one attempt of several may take, in percent.
 const ATTEMPT_SHARE_PERCENT: u64 = 45;
 /// Attempts of a stream may take this many times the goal until the first event.
@@ -225,11 +223,11 @@
 
     fn next_reserve(&self, now: TimeUs, server: ServerKey) -> Option<Action> {
         let model = self.spec.model?;
-        let ttl = prefill_time(model.prompt_tokens).saturating_add(PREFILL_MARGIN);
         Some(Action::Reserve {
             server,
             model,
-            ttl: ttl
+            ttl: self
+                .prefill_timeout(model.prompt_tokens)
                 .min(model.reservation_max?)
                 .min(self.spec.deadline.since(now)),
             is_late: self.is_late(now),
@@ -320,12 +318,21 @@
         self.prefills_count += 1;
         Some(Action::Prefill {
             server,
-            timeout: prefill_time(tokens)
-                .saturating_add(PREFILL_MARGIN)
+            timeout: self
+                .prefill_timeout(tokens)
                 .min(self.spec.deadline.since(now)),
         })
     }
 
+    /// Time until a prefill is given up.
+    ///
+    /// A prompt that waits behind others is worth waiting for until its answer has missed its goal:
+    /// giving it up wastes what was computed, and the decode server then computes it at half the
+    /// speed between the tokens of its answers, which makes all of them late.
+    fn prefill_timeout(&self, prompt: Tokens) -> DurationUs {
+        prefill_time(prompt).saturating_add(self.spec.goal)
+    }
+
     fn next_run(&mut self, now: TimeUs, serving: &mut Serving, server: ServerKey) -> Action {
         let budget = serving.budget(&self.spec.service);
         if self.sends_count == 0 {
--- a/crates/direct-core/tests/call.rs
+++ b/crates/direct-core/tests/call.rs
@@ -411,3 +411,19 @@
     let next = call.next(ms(1), &mut serving);
     assert_eq!(text(&serving, &next), "wait 60");
 }
+
+/// Guards against a prompt that is given up while it waits behind others in a burst. The decode
+/// server computes it then, and delays all answers that it generates.
+#[test]
+fn prefill_is_waited_for_while_the_goal_can_be_met() {
+    let mut serving = notes();
+    let mut call = Call::new(model_spec(STREAM, 1));
+    call.next(ms(0), &mut serving);
+    call.reserved(key(&serving, "d1"), Reservation::Agent);
+    let Action::Prefill { timeout, .. } = call.next(ms(0), &mut serving) else {
+        panic!("a prefill follows the reservation");
+    };
+    // Six prompts of this length at 55 tokens a ms, and a goal of 900 ms.
+    assert!(timeout >= DurationUs::from_ms(550), "{timeout}");
+    assert!(timeout >= call.spec().goal, "{timeout}");
+}
--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -37,6 +37,8 @@
     pub bytes_count: u64,
     /// Server of the present run and the time of its last part.
     pub last_part: Option<(ServerKey, TimeUs)>,
+    /// Longest pause between two parts.
+    pub gap_max: DurationUs,
 }
 
 /// How a relayed stream ended.
@@ -82,9 +84,11 @@
             self.note_silence();
         }
         let total = self.app.now().since(self.arrived_at);
-        self.app.metrics.count_stream(end.name(), total);
+        self.app
+            .metrics
+            .count_stream(end.name(), total, self.gap_max);
         info!(self.app.log, "stream ended"; "request" => &self.exchange.request.id,
-            "end" => end.name(), "total_ms" => total.as_ms(),
+            "end" => end.name(), "total_ms" => total.as_ms(), "gap_max_ms" => self.gap_max.as_ms(),
             "sends" => self.call.sends_count(), "bytes" => self.bytes_count);
     }
 
@@ -94,12 +98,15 @@
         loop {
             let server = answer.lease.server;
             let gap_max = self.gap_max();
-            self.last_part = Some((server, self.app.now()));
+            // The pause before another server continues is a pause for the caller as well.
+            let since = self.last_part.map_or(self.app.now(), |(_, at)| at);
+            self.last_part = Some((server, since));
             let mut sink = Sink {
                 app: &self.app,
                 parts,
                 bytes_count: &mut self.bytes_count,
                 last_part: &mut self.last_part,
+                gap_max: &mut self.gap_max,
             };
             let copied = if is_resumable {
                 copy_events(&mut answer, &mut sink, &mut scanner, gap_max).await
@@ -221,6 +228,7 @@
     parts: &'a Sender<Part>,
     bytes_count: &'a mut u64,
     last_part: &'a mut Option<(ServerKey, TimeUs)>,
+    gap_max: &'a mut DurationUs,
 }
 
 impl Sink<'_> {
@@ -228,7 +236,9 @@
     async fn send(&mut self, data: Bytes) -> Result<(), Outcome> {
         *self.bytes_count += data.len() as u64;
         if let Some((_, last_at)) = self.last_part {
-            *last_at = self.app.now();
+            let now = self.app.now();
+            *self.gap_max = now.since(*last_at).max(*self.gap_max);
+            *last_at = now;
         }
         let sent = self.parts.send(Part::Data(data)).await;
         sent.map_err(|_| Outcome::Unreachable)
--- a/crates/direct/src/serve.rs
+++ b/crates/direct/src/serve.rs
@@ -295,6 +295,7 @@
                 arrived_at,
                 bytes_count: 0,
                 last_part: None,
+                gap_max: DurationUs::ZERO,
             };
             let mut response = Response::new(CallerBody::Relayed(relay.start(*answer)));
             *response.status_mut() = status;
--- a/crates/direct/src/status.rs
+++ b/crates/direct/src/status.rs
@@ -95,7 +95,7 @@
                 );
             }
         }
-        for kind in ["answer", "stream"] {
+        for kind in ["answer", "stream", "gap"] {
             drop(self.latencies.get_or_create(&Label::new("kind", kind)));
         }
     }
@@ -108,10 +108,11 @@
         self.observe("answer", took);
     }
 
-    /// Counts a relayed stream.
-    pub fn count_stream(&self, end: &'static str, took: DurationUs) {
+    /// Counts a relayed stream with its longest pause between two parts.
+    pub fn count_stream(&self, end: &'static str, took: DurationUs, gap_max: DurationUs) {
         self.streams.get_or_create(&Label::new("end", end)).inc();
         self.observe("stream", took);
+        self.observe("gap", gap_max);
     }
 
     /// Counts a failed prefill or run.
