Keep a cache while engines of its region have no place at this moment

Ruled out: a second prefill; the platform counts it as another attempt, and most routes allow one.

The call waits as for any place while the cache lives, which the service's entry states, and gives it up when its life is over instead of offering it to an engine that turns it away.

--- a/crates/direct-core/src/action.rs
+++ b/crates/direct-core/src/action.rs
@@ -36,6 +36,8 @@
     pub answer_tokens: Option<Tokens>,
     /// Longest reservation at an engine; none if engines take no reservations.
     pub reservation_max: Option<DurationUs>,
+    /// Time for which a prefill server keeps a KV cache that nobody takes, if it is known.
+    pub cache_life: Option<DurationUs>,
 }
 
 /// KV cache that waits at a prefill server.
--- a/crates/direct-core/src/call.rs
+++ b/crates/direct-core/src/call.rs
@@ -80,6 +80,8 @@
     decode: Option<ServerKey>,
     /// Cache of the run under way, which a server that turns the request away leaves in place.
     cache_in_use: Option<CacheRef>,
+    /// End of the life of the cache, if it is known.
+    cache_until: Option<TimeUs>,
     /// Whether a server has answered with a failure that can be passed on.
     has_failure: bool,
     end: Option<Action>,
@@ -115,6 +117,7 @@
             excluded_prefills: Vec::new(),
             decode: None,
             cache_in_use: None,
+            cache_until: None,
             has_failure: false,
             end: None,
         }
@@ -153,6 +156,7 @@
         if now >= self.spec.deadline {
             return Action::Refuse(self.timed_out());
         }
+        self.expire_cache(now);
         let server = match self.choose_server(now, serving) {
             Ok(server) => server,
             // A place falls free sooner than a failing server comes back.
@@ -198,6 +202,10 @@
         };
         let mut chosen = choose(now, &serving.servers, need, &mut serving.rng);
         if chosen.is_err() && region.is_some() {
+            if self.is_full_in(serving, region.as_ref()) {
+                // A place there falls free while the cache waits.
+                return Err(NoServer::None);
+            }
             // A cache does not cross regions, so it is given up.
             self.prefill = PrefillState::Skipped;
             need.region = None;
@@ -215,6 +223,23 @@
         }
     }
 
+    /// Whether a server of a region has had no room since the last pause.
+    fn is_full_in(&self, serving: &Serving, region: Option<&RegionName>) -> bool {
+        self.full.iter().any(|key| {
+            let server = serving.servers.get(*key);
+            server.is_some_and(|server| server.region.as_ref() == region)
+        })
+    }
+
+    /// Gives up a cache whose life is over. The decode server then computes the prompt: a second
+    /// prefill would count as another attempt.
+    fn expire_cache(&mut self, now: TimeUs) {
+        let is_over = self.cache_until.is_some_and(|until| now >= until);
+        if is_over && matches!(self.prefill, PrefillState::Done(_)) {
+            self.prefill = PrefillState::Skipped;
+        }
+    }
+
     /// Whether the place is held at another server than the one chosen now, because that one was left
     /// out after a failure of another request.
     fn is_held_elsewhere(&self, chosen: ServerKey) -> bool {
@@ -378,6 +403,10 @@
         if let Some(server) = serving.servers.get_mut(cache.server) {
             server.health.record_success(now);
         }
+        self.cache_until = self
+            .spec
+            .model
+            .and_then(|model| Some(now + model.cache_life?));
         self.prefill = PrefillState::Done(cache);
     }
 
--- a/crates/direct-core/src/catalogue.rs
+++ b/crates/direct-core/src/catalogue.rs
@@ -66,6 +66,8 @@
     /// Longest time for which an engine holds a place and memory for a request that is to come;
     /// none if it holds none.
     pub reservation_max: Option<DurationUs>,
+    /// Time for which a prefill server keeps a KV cache that nobody takes, if it is published.
+    pub cache_life: Option<DurationUs>,
 }
 
 /// Bounds on what callers may send.
--- a/crates/direct-core/tests/call.rs
+++ b/crates/direct-core/tests/call.rs
@@ -427,3 +427,36 @@
     assert!(timeout >= DurationUs::from_ms(550), "{timeout}");
     assert!(timeout >= call.spec().goal, "{timeout}");
 }
+
+/// Guards against a cache that is given up, and its prompt computed again by a decode server, when
+/// the engines of its region have no place at this moment; and against one that is offered after its
+/// life.
+#[test]
+fn cache_waits_for_a_place_in_its_region() {
+    let mut serving = notes();
+    let mut call = reserved_and_prefilled(&mut serving, STREAM, 1);
+    let Action::Run { server, .. } = call.next(ms(100), &mut serving) else {
+        panic!("the run follows the prefill");
+    };
+    call.run_failed(ms(110), &mut serving, server, Outcome::Unreachable);
+    let Action::Reserve { server, .. } = call.next(ms(110), &mut serving) else {
+        panic!("the next server needs a place");
+    };
+    assert_eq!(id(&serving, server), "d2");
+    call.reserve_failed(ms(112), &mut serving, server, Outcome::TurnedAway);
+    let next = call.next(ms(112), &mut serving);
+    assert_eq!(text(&serving, &next), "wait 60", "d3 is in another region");
+    let Action::Reserve { server, .. } = call.next(ms(172), &mut serving) else {
+        panic!("the engine is asked again");
+    };
+    call.reserved(server, Reservation::Agent);
+    let mut late = call.clone();
+    let Action::Run { cache, .. } = call.next(ms(599), &mut serving) else {
+        panic!("the run follows the place");
+    };
+    assert!(cache.is_some());
+    let Action::Run { cache, .. } = late.next(ms(600), &mut serving) else {
+        panic!("the run follows the place");
+    };
+    assert_eq!(cache, None, "caches are kept for 500 ms");
+}
--- a/crates/direct-core/tests/support/mod.rs
+++ b/crates/direct-core/tests/support/mod.rs
@@ -150,6 +150,7 @@
             prompt_tokens: Tokens(5_000),
             answer_tokens: Some(Tokens(4_800)),
             reservation_max: Some(DurationUs::from_ms(2_000)),
+            cache_life: Some(DurationUs::from_ms(500)),
         }),
         attempts_max_count,
         goal: DurationUs::from_ms(900),
--- a/crates/direct-core/tests/support/naive.rs
+++ b/crates/direct-core/tests/support/naive.rs
@@ -30,8 +30,8 @@
     Held(ServerKey),
     /// No place was held.
     NotHeld(ServerKey, Outcome),
-    /// Its prompt was computed.
-    Computed(CacheRef),
+    /// Its prompt was computed, at a time.
+    Computed(CacheRef, TimeUs),
     /// Its prompt was not computed, with whether a repeat was left in the budget then.
     NotComputed {
         server: ServerKey,
@@ -164,10 +164,14 @@
         if now >= self.spec.deadline {
             return self.refuse(RefusalReason::TimedOut);
         }
-        let mut cache = self.cache();
+        let mut cache = self.cache(now);
         let mut region = cache.as_ref().and_then(|cache| cache.region.clone());
         let mut decodes = self.decode_servers(now, serving, region.as_ref());
-        if decodes.is_empty() && region.is_some() {
+        let waits_for_region = self.full().iter().any(|key| {
+            let server = serving.servers.get(*key);
+            server.is_some_and(|server| server.region == region)
+        });
+        if decodes.is_empty() && region.is_some() && !waits_for_region {
             *gives_up_cache = true;
             cache = None;
             region = None;
@@ -300,7 +304,7 @@
         self.past.iter().fold(None, |chosen, past| match past {
             Past::Held(server) | Past::NotAnswered { server, .. } => Some(*server),
             Past::Waited | Past::NotHeld(..) => None,
-            Past::Computed(_) | Past::NotComputed { .. } | Past::CacheGivenUp => chosen,
+            Past::Computed(..) | Past::NotComputed { .. } | Past::CacheGivenUp => chosen,
         })
     }
 
@@ -313,9 +317,18 @@
         })
     }
 
-    fn cache(&self) -> Option<CacheRef> {
+    /// Cache that waits and whose life is not over.
+    fn cache(&self, now: TimeUs) -> Option<CacheRef> {
+        let computed = self.past.iter().rev().find_map(|past| match past {
+            Past::Computed(_, at) => Some(*at),
+            _ => None,
+        })?;
+        let life = self.spec.model?.cache_life;
+        if life.is_some_and(|life| now >= computed + life) {
+            return None;
+        }
         self.past.iter().fold(None, |cached, past| match past {
-            Past::Computed(cache) => Some(cache.clone()),
+            Past::Computed(cache, _) => Some(cache.clone()),
             Past::CacheGivenUp => None,
             Past::NotAnswered { outcome, cache, .. } => match outcome {
                 Outcome::Unreachable | Outcome::TurnedAway | Outcome::OtherIncarnation => {
@@ -331,7 +344,8 @@
     fn may_compute(&self) -> bool {
         let is_model = self.spec.model.is_some();
         let is_given_up = self.past.iter().any(|past| match past {
-            Past::CacheGivenUp | Past::NotAnswered { .. } => true,
+            // A cache that has lapsed is not computed again.
+            Past::Computed(..) | Past::CacheGivenUp | Past::NotAnswered { .. } => true,
             Past::NotComputed { outcome, .. } => {
                 may_run(*outcome) || *outcome == Outcome::CacheGone
             }
@@ -344,7 +358,7 @@
         let computed = self
             .past
             .iter()
-            .filter(|past| matches!(past, Past::Computed(_) | Past::NotComputed { .. }));
+            .filter(|past| matches!(past, Past::Computed(..) | Past::NotComputed { .. }));
         computed.count()
     }
 
--- a/crates/direct-core/tests/support/play.rs
+++ b/crates/direct-core/tests/support/play.rs
@@ -300,7 +300,7 @@
                     region,
                     handle: format!("h{step}"),
                 };
-                self.past.push(Past::Computed(cache.clone()));
+                self.past.push(Past::Computed(cache.clone(), self.now));
                 self.call.prefill_done(self.now, &mut self.serving, cache);
             }
             choice => {
--- a/crates/direct/src/serve.rs
+++ b/crates/direct/src/serve.rs
@@ -251,6 +251,7 @@
         prompt_tokens,
         answer_tokens: exchange.request.answer_tokens,
         reservation_max: engine.reservation_max,
+        cache_life: engine.cache_life,
     }
 }
 
