Let decode engines compute prompts one after the other

Cause: without a usable prefill engine in their region, entries sent prompts to decode engines as they came.

Ruled out: refusing such requests, since engines have the time for four of these prompts a second each if they come apart; and a bound at the entry, which does not see the prompts of other entries.

The agent beside the engine, which gives out its places, now gives one at a time to requests whose prompt its engine computes, with time for the answers between two. A place that was held before the prefill failed is asked for again. The matrix has a choice more on these paths, so it goes one choice deeper to keep its number of cells. The tests of failed prefills expect the new question before the same run as before.

--- a/crates/direct-core/src/action.rs
+++ b/crates/direct-core/src/action.rs
@@ -83,6 +83,8 @@
         ttl: DurationUs,
         /// Whether the request cannot meet its goal any more.
         is_late: bool,
+        /// Whether the server computes the prompt itself.
+        computes_prompt: bool,
     },
     /// Ask again after a pause.
     Wait(DurationUs),
--- a/crates/direct-core/src/call.rs
+++ b/crates/direct-core/src/call.rs
@@ -10,7 +10,7 @@
 use crate::action::{Action, CacheRef, CallSpec, Refusal, RefusalReason, Reservation};
 use crate::catalogue::RequestKind;
 use crate::outcome::{Outcome, evidence, is_proof_of_no_run, leaves_cache, record_outcome};
-use crate::placement::{Need, NoServer, choose, retry_after};
+use crate::placement::{Need, NoServer, choose, has_server, retry_after};
 use crate::server::Stage;
 use crate::servers::ServerKey;
 use crate::serving::Serving;
@@ -46,6 +46,8 @@
     Held {
         server: ServerKey,
         reservation: Reservation,
+        /// Whether the server agreed to compute the prompt itself.
+        computes_prompt: bool,
     },
     /// The request runs without a reservation.
     Skipped,
@@ -163,11 +165,12 @@
             Err(_) if !self.full.is_empty() => return self.wait(now),
             Err(no_server) => return self.refuse_no_server(now, no_server),
         };
-        if self.is_held_elsewhere(server) {
+        let computes_prompt = self.computes_prompt(now, serving, server);
+        if !self.fits_held(server, computes_prompt) {
             self.reserve = ReserveState::Open;
         }
         if self.reserve == ReserveState::Open
-            && let Some(action) = self.next_reserve(now, server)
+            && let Some(action) = self.next_reserve(now, server, computes_prompt)
         {
             return action;
         }
@@ -240,13 +243,51 @@
         }
     }
 
-    /// Whether the place is held at another server than the one chosen now, because that one was left
-    /// out after a failure of another request.
-    fn is_held_elsewhere(&self, chosen: ServerKey) -> bool {
-        matches!(&self.reserve, ReserveState::Held { server, .. } if *server != chosen)
+    /// Whether a held place is one at the chosen server and for what the server is to do. The server
+    /// that held it may be left out after a failure of another request, or the prefill has failed.
+    fn fits_held(&self, chosen: ServerKey, computes_prompt: bool) -> bool {
+        match &self.reserve {
+            ReserveState::Held {
+                server,
+                computes_prompt: agreed,
+                ..
+            } => *server == chosen && (*agreed || !computes_prompt),
+            ReserveState::Open | ReserveState::Skipped => true,
+        }
+    }
+
+    /// Whether the decode server has to compute the prompt.
+    fn computes_prompt(&self, now: TimeUs, serving: &mut Serving, decode: ServerKey) -> bool {
+        match self.prefill {
+            PrefillState::Done(_) => false,
+            PrefillState::Skipped => self.spec.model.is_some(),
+            PrefillState::Open => !self.may_prefill(now, serving, decode),
+        }
+    }
+
+    /// Whether a prefill server may be asked.
+    fn may_prefill(&self, now: TimeUs, serving: &mut Serving, decode: ServerKey) -> bool {
+        let has_attempt = self.prefills_count == 0
+            || self.prefills_count < PREFILLS_MAX && serving.budget(&self.spec.service).allows(now);
+        let Some(server) = serving.servers.get(decode) else {
+            return false;
+        };
+        let need = Need {
+            service: &self.spec.service,
+            stage: Some(Stage::Prefill),
+            origin: &serving.config.origin,
+            region: server.region.as_ref(),
+            excluded: &self.excluded_prefills,
+        };
+        has_attempt && server.region.is_some() && has_server(now, &serving.servers, need)
     }
 
-    fn next_reserve(&self, now: TimeUs, server: ServerKey) -> Option<Action> {
+    fn next_reserve(
+        &self,
+        now: TimeUs,
+        server: ServerKey,
+        computes_prompt: bool,
+    ) -> Option<Action> {
         let model = self.spec.model?;
         Some(Action::Reserve {
             server,
@@ -256,6 +297,7 @@
                 .min(model.reservation_max?)
                 .min(self.spec.deadline.since(now)),
             is_late: self.is_late(now),
+            computes_prompt,
         })
     }
 
@@ -290,10 +332,11 @@
     }
 
     /// Records a place that a server holds; an earlier one is given up.
-    pub fn reserved(&mut self, server: ServerKey, reservation: Reservation) {
+    pub fn reserved(&mut self, server: ServerKey, reservation: Reservation, computes_prompt: bool) {
         self.reserve = ReserveState::Held {
             server,
             reservation,
+            computes_prompt,
         };
     }
 
@@ -325,7 +368,7 @@
         decode: ServerKey,
     ) -> Option<Action> {
         let tokens = self.spec.model?.prompt_tokens;
-        if self.prefills_count >= PREFILLS_MAX {
+        if !self.may_prefill(now, serving, decode) {
             return None;
         }
         let region = serving.servers.get(decode)?.region.clone()?;
@@ -337,9 +380,6 @@
             excluded: &self.excluded_prefills,
         };
         let server = choose(now, &serving.servers, need, &mut serving.rng).ok()?;
-        if self.prefills_count > 0 && !serving.budget(&self.spec.service).allows(now) {
-            return None;
-        }
         self.prefills_count += 1;
         Some(Action::Prefill {
             server,
--- a/crates/direct-core/src/placement.rs
+++ b/crates/direct-core/src/placement.rs
@@ -84,11 +84,7 @@
     need: Need<'_>,
     rng: &mut dyn Rng,
 ) -> Result<ServerKey, NoServer> {
-    let is_ready = |server: &Server| server.standing == Standing::Ready;
-    let is_removed = |server: &Server| match server.standing {
-        Standing::Removed(since) => now.since(since) < REMOVED_HOLD,
-        Standing::Ready | Standing::Leaving => false,
-    };
+    let is_removed = |server: &Server| is_last_resort(now, server);
     let ready = cheapest(now, servers, need, rng, is_ready);
     match ready {
         Ok(key) => Ok(key),
@@ -96,6 +92,29 @@
     }
 }
 
+/// Whether a server can be chosen.
+pub fn has_server(now: TimeUs, servers: &ServerTable, need: Need<'_>) -> bool {
+    let mut of_service = servers.of_service(need.service);
+    of_service.any(|(key, server)| {
+        (is_ready(server) || is_last_resort(now, server))
+            && fits(server, need)
+            && !need.excluded.contains(&key)
+            && !server.health.is_paused(now)
+    })
+}
+
+fn is_ready(server: &Server) -> bool {
+    server.standing == Standing::Ready
+}
+
+/// Whether a server's entry has just gone, so that it is used if there is no other.
+fn is_last_resort(now: TimeUs, server: &Server) -> bool {
+    match server.standing {
+        Standing::Removed(since) => now.since(since) < REMOVED_HOLD,
+        Standing::Ready | Standing::Leaving => false,
+    }
+}
+
 fn cheapest(
     now: TimeUs,
     servers: &ServerTable,
--- a/crates/direct-core/src/places.rs
+++ b/crates/direct-core/src/places.rs
@@ -29,6 +29,12 @@
 /// Time after its refusal in which a request that can meet its goal has asked again; entries ask
 /// every 60 ms.
 const IN_TIME_WAITS_FOR: DurationUs = DurationUs::from_ms(150);
+/// Rate at which a decode engine computes a prompt between the tokens of its answers, in tokens a
+/// millisecond; half of that of an idle prefill engine.
+const PROMPT_TOKENS_PER_MS: u64 = 25;
+/// Time between two prompts in which the answers of an engine go on. Their events of about 70 tokens
+/// take 55 ms, so that no event waits for two prompts.
+const BETWEEN_PROMPTS: DurationUs = DurationUs::from_ms(60);
 /// Longest time for which the place of a preempted answer is kept.
 const PREEMPTED_MAX: DurationUs = DurationUs::from_ms(3_000);
 
@@ -72,6 +78,8 @@
     pub slots: Slots,
     /// Whether the request has missed its goal anyway.
     pub is_late: bool,
+    /// Whether the engine computes the prompt itself, because no KV cache will be there.
+    pub computes_prompt: bool,
 }
 
 /// Answer to a request for a place.
@@ -109,6 +117,8 @@
     typical_answer: f64,
     /// When a request that could still meet its goal was refused last.
     in_time_refused_at: Option<TimeUs>,
+    /// Time until which the engine computes a prompt itself.
+    computing_until: TimeUs,
 }
 
 impl Default for PlaceLedger {
@@ -125,6 +135,7 @@
             held: HashMap::new(),
             typical_answer: TYPICAL_FIRST,
             in_time_refused_at: None,
+            computing_until: TimeUs::ZERO,
         }
     }
 
@@ -190,8 +201,13 @@
         }
     }
 
-    /// Holds a place if the engine has room for the answer until its end.
+    /// Holds a place if the engine has room for the answer until its end. It replaces a place that
+    /// the request had.
+    ///
+    /// An engine that computes prompts itself does so for one after the other: each of them delays
+    /// all answers, and two at once make all of them late.
     pub fn hold(&mut self, now: TimeUs, request: &PlaceRequest) -> PlaceReply {
+        self.held.remove(&request.request);
         let Some(total) = self.report.as_ref().map(|report| report.total_tokens) else {
             return PlaceReply::default();
         };
@@ -213,7 +229,8 @@
             && self
                 .in_time_refused_at
                 .is_some_and(|at| now.since(at) < IN_TIME_WAITS_FOR);
-        let is_held = has_room && !must_yield;
+        let must_queue = request.computes_prompt && now < self.computing_until;
+        let is_held = has_room && !must_yield && !must_queue;
         if !has_room && !request.is_late {
             self.in_time_refused_at = Some(now);
         }
@@ -226,6 +243,10 @@
                 is_running: false,
             };
             self.held.insert(request.request.clone(), held);
+            if request.computes_prompt {
+                let compute = DurationUs::from_ms(request.prompt_tokens.0 / PROMPT_TOKENS_PER_MS);
+                self.computing_until = now + compute + BETWEEN_PROMPTS;
+            }
         }
         let forecast = if is_held {
             peak
--- a/crates/direct-core/tests/call.rs
+++ b/crates/direct-core/tests/call.rs
@@ -27,7 +27,14 @@
     match action {
         Action::Run { server, .. } => format!("run {}", id(serving, *server)),
         Action::Prefill { server, .. } => format!("prefill {}", id(serving, *server)),
-        Action::Reserve { server, .. } => format!("reserve {}", id(serving, *server)),
+        Action::Reserve {
+            server,
+            computes_prompt,
+            ..
+        } => {
+            let computes = if *computes_prompt { " computes" } else { "" };
+            format!("reserve {}{computes}", id(serving, *server))
+        }
         Action::Wait(pause) => format!("wait {}", pause.as_ms()),
         Action::Deliver => "deliver".to_string(),
         Action::Refuse(refusal) => {
@@ -189,7 +196,7 @@
     let mut call = Call::new(model_spec(kind, attempts));
     let first = call.next(ms(0), serving);
     assert_eq!(text(serving, &first), "reserve d1");
-    call.reserved(key(serving, "d1"), Reservation::Agent);
+    call.reserved(key(serving, "d1"), Reservation::Agent, false);
     let Action::Prefill { server, .. } = call.next(ms(2), serving) else {
         panic!("a prefill follows the reservation");
     };
@@ -224,8 +231,8 @@
     publish(&mut serving, &["p1 notes a1 prefill", "d3 notes b1 decode"]);
     let mut call = Call::new(model_spec(STREAM, 1));
     let first = call.next(ms(0), &mut serving);
-    assert_eq!(text(&serving, &first), "reserve d3");
-    call.reserved(key(&serving, "d3"), Reservation::Agent);
+    assert_eq!(text(&serving, &first), "reserve d3 computes");
+    call.reserved(key(&serving, "d3"), Reservation::Agent, true);
     // No prefill server in region b, so the decode server computes the prompt.
     let next = call.next(ms(0), &mut serving);
     assert_eq!(text(&serving, &next), "run d3");
@@ -267,21 +274,26 @@
 #[parameterized(
     turned_away = { Outcome::TurnedAway, "prefill" },
     unreachable = { Outcome::Unreachable, "prefill" },
-    lost = { Outcome::Lost, "run d1" },
-    timed_out = { Outcome::TimedOut, "run d1" },
-    failed = { Outcome::Failed, "run d1" },
+    lost = { Outcome::Lost, "reserve d1 computes" },
+    timed_out = { Outcome::TimedOut, "reserve d1 computes" },
+    failed = { Outcome::Failed, "reserve d1 computes" },
 )]
 fn failed_prefill_leads_to(outcome: Outcome, expected: &str) {
     let mut serving = notes();
     let mut call = Call::new(model_spec(STREAM, 1));
     call.next(ms(0), &mut serving);
-    call.reserved(key(&serving, "d1"), Reservation::Agent);
+    call.reserved(key(&serving, "d1"), Reservation::Agent, false);
     let Action::Prefill { server, .. } = call.next(ms(0), &mut serving) else {
         panic!("a prefill follows the reservation");
     };
     call.prefill_failed(ms(50), &mut serving, server, outcome);
     let next = call.next(ms(50), &mut serving);
     assert!(text(&serving, &next).starts_with(expected), "{next:?}");
+    if let Action::Reserve { server, .. } = next {
+        call.reserved(server, Reservation::Agent, true);
+        let next = call.next(ms(52), &mut serving);
+        assert_eq!(text(&serving, &next), "run d1");
+    }
 }
 
 /// Guards against prefills that fail at every server of a fleet and use up the budget of repeats
@@ -293,7 +305,7 @@
     while serving.budget(&service).try_retry(ms(0)) {}
     let mut call = Call::new(model_spec(STREAM, 1));
     call.next(ms(0), &mut serving);
-    call.reserved(key(&serving, "d1"), Reservation::Agent);
+    call.reserved(key(&serving, "d1"), Reservation::Agent, false);
     let Action::Prefill { server, .. } = call.next(ms(0), &mut serving) else {
         panic!("a prefill follows the reservation");
     };
@@ -316,10 +328,16 @@
         panic!("the run follows the prefill");
     };
     call.run_failed(ms(110), &mut serving, server, outcome);
-    let Action::Reserve { server, .. } = call.next(ms(110), &mut serving) else {
+    let Action::Reserve {
+        server,
+        computes_prompt,
+        ..
+    } = call.next(ms(110), &mut serving)
+    else {
         panic!("the next server needs a place");
     };
-    call.reserved(server, Reservation::Agent);
+    assert_eq!(computes_prompt, !is_kept);
+    call.reserved(server, Reservation::Agent, computes_prompt);
     let Action::Run { cache, .. } = call.next(ms(112), &mut serving) else {
         panic!("no second prefill");
     };
@@ -386,7 +404,7 @@
         panic!("another engine has to hold a place");
     };
     assert_eq!(id(&serving, server), "d3");
-    call.reserved(server, Reservation::Agent);
+    call.reserved(server, Reservation::Agent, true);
     let Action::Run { cache, .. } = call.next(ms(102), &mut serving) else {
         panic!("region b has no prefill server");
     };
@@ -419,7 +437,7 @@
     let mut serving = notes();
     let mut call = Call::new(model_spec(STREAM, 1));
     call.next(ms(0), &mut serving);
-    call.reserved(key(&serving, "d1"), Reservation::Agent);
+    call.reserved(key(&serving, "d1"), Reservation::Agent, false);
     let Action::Prefill { timeout, .. } = call.next(ms(0), &mut serving) else {
         panic!("a prefill follows the reservation");
     };
@@ -449,14 +467,17 @@
     let Action::Reserve { server, .. } = call.next(ms(172), &mut serving) else {
         panic!("the engine is asked again");
     };
-    call.reserved(server, Reservation::Agent);
+    call.reserved(server, Reservation::Agent, false);
     let mut late = call.clone();
     let Action::Run { cache, .. } = call.next(ms(599), &mut serving) else {
         panic!("the run follows the place");
     };
     assert!(cache.is_some());
-    let Action::Run { cache, .. } = late.next(ms(600), &mut serving) else {
-        panic!("the run follows the place");
-    };
-    assert_eq!(cache, None, "caches are kept for 500 ms");
+    let next = late.next(ms(600), &mut serving);
+    let expected = "reserve d2 computes";
+    assert_eq!(
+        text(&serving, &next),
+        expected,
+        "caches are kept for 500 ms"
+    );
 }
--- a/crates/direct-core/tests/failures.rs
+++ b/crates/direct-core/tests/failures.rs
@@ -130,13 +130,13 @@
 }
 
 /// Guards against a fault, or faults together, at any step: each kind of request with each outcome
-/// at each of its first five choices, and no further faults.
+/// at each of its first six choices, and no further faults.
 #[test]
 fn every_fault_at_every_step_breaks_no_promise() {
     let mut cells = 0;
     for kind in KINDS {
         for attempts_max_count in 1..4 {
-            let mut script = Script::with_depth(5);
+            let mut script = Script::with_depth(6);
             loop {
                 play_cell(&mut script, kind, attempts_max_count);
                 cells += 1;
@@ -301,7 +301,9 @@
         let mut runs = 0;
         for _ in 0..4 {
             match call.next(TimeUs::ZERO, &mut serving) {
-                Action::Reserve { server, .. } => call.reserved(server, Reservation::Agent),
+                Action::Reserve { server, .. } => {
+                    call.reserved(server, Reservation::Agent, false);
+                }
                 Action::Prefill { server, .. } => {
                     let cache = CacheRef {
                         server,
--- a/crates/direct-core/tests/places.rs
+++ b/crates/direct-core/tests/places.rs
@@ -15,6 +15,7 @@
         ttl: DurationUs::from_ms(1_000),
         slots: Slots(64),
         is_late: false,
+        computes_prompt: false,
     }
 }
 
@@ -197,3 +198,49 @@
         "nobody in time has asked since"
     );
 }
+
+/// Guards against an engine that computes several prompts beside its answers at once, after the
+/// prefill engines of its region are gone: every answer then pauses for longer than is allowed.
+#[test]
+fn engine_computes_prompts_one_after_the_other() {
+    struct Case {
+        at_ms: u64,
+        id: &'static str,
+        computes_prompt: bool,
+        is_held: bool,
+    }
+    let case = |at_ms, id, computes_prompt, is_held| Case {
+        at_ms,
+        id,
+        computes_prompt,
+        is_held,
+    };
+    let cases = [
+        case(0, "first", true, true),
+        case(100, "second", true, false),
+        case(100, "with cache", false, true),
+        // 5,000 tokens at 25 tokens a ms, and a pause for the answers.
+        case(259, "second", true, false),
+        case(260, "second", true, true),
+        case(261, "third", true, false),
+    ];
+    let mut ledger = ledger(100_000);
+    for case in cases {
+        let asked = PlaceRequest {
+            computes_prompt: case.computes_prompt,
+            ..request(case.id, 5_000, 4_800)
+        };
+        let reply = ledger.hold(ms(case.at_ms), &asked);
+        assert_eq!(reply.is_held, case.is_held, "{} at {}", case.id, case.at_ms);
+    }
+}
+
+/// Guards against two places for one request, one of which nobody gives back.
+#[test]
+fn place_replaces_an_earlier_one_of_its_request() {
+    let mut ledger = ledger(12_000);
+    assert!(ledger.hold(ms(0), &request("a", 5_000, 4_800)).is_held);
+    assert!(ledger.hold(ms(1), &request("a", 5_000, 4_800)).is_held);
+    ledger.give_back("a");
+    assert!(ledger.hold(ms(2), &request("b", 5_000, 4_800)).is_held);
+}
--- a/crates/direct-core/tests/support/naive.rs
+++ b/crates/direct-core/tests/support/naive.rs
@@ -4,7 +4,7 @@
 //! right, so the placement is compared in `placement.rs` only. Pauses and budgets are read from the
 //! context, which has tests of its own.
 
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 
 use cuminlead_direct_core::servers::{REMOVED_HOLD, Server, Standing};
 use cuminlead_direct_core::{
@@ -26,8 +26,8 @@
 pub(crate) enum Past {
     /// It waited for a place.
     Waited,
-    /// A place was held.
-    Held(ServerKey),
+    /// A place was held, and whether the server computes the prompt itself.
+    Held(ServerKey, bool),
     /// No place was held.
     NotHeld(ServerKey, Outcome),
     /// Its prompt was computed, at a time.
@@ -51,7 +51,8 @@
 /// Action that the rules call for, with the servers that they allow.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum Allowed {
-    Reserve(HashSet<ServerKey>),
+    /// Servers that may be asked, and whether they compute the prompt themselves.
+    Reserve(HashMap<ServerKey, bool>),
     Wait,
     Prefill(HashSet<ServerKey>),
     Run {
@@ -76,10 +77,15 @@
     /// How an action differs from what is allowed.
     pub(crate) fn difference(&self, action: &Action) -> Option<String> {
         let is_allowed = match (&self.allowed, action) {
-            (Allowed::Reserve(servers), Action::Reserve { server, .. })
-            | (Allowed::Prefill(servers), Action::Prefill { server, .. }) => {
-                servers.contains(server)
-            }
+            (
+                Allowed::Reserve(servers),
+                Action::Reserve {
+                    server,
+                    computes_prompt,
+                    ..
+                },
+            ) => servers.get(server) == Some(computes_prompt),
+            (Allowed::Prefill(servers), Action::Prefill { server, .. }) => servers.contains(server),
             (
                 Allowed::Run { servers, cache },
                 Action::Run {
@@ -180,22 +186,25 @@
         if decodes.is_empty() {
             return self.without_server(now);
         }
-        let held = self.held();
-        let has_place =
-            self.spec.model.is_none() || held.is_some_and(|server| decodes.contains(&server));
-        if !has_place {
-            return Allowed::Reserve(decodes);
-        }
-        if let Some(server) = held {
-            decodes = HashSet::from([server]);
-        }
-        if cache.is_none() && !*gives_up_cache && self.may_compute() {
-            let prefills = self.prefill_servers(now, serving, held);
-            let is_first = self.computations() == 0;
-            let may_repeat = serving.budget(&self.spec.service).allows(now);
-            if !prefills.is_empty() && (is_first || may_repeat) {
-                return Allowed::Prefill(prefills);
+        let needs_prompt = cache.is_none() && self.spec.model.is_some();
+        let may_compute = needs_prompt && !*gives_up_cache && self.may_compute(now, serving);
+        let computes_prompt = |serving: &Serving, decode: ServerKey| {
+            let prefills = self.prefill_servers(now, serving, decode);
+            needs_prompt && !(may_compute && !prefills.is_empty())
+        };
+        if self.spec.model.is_some() {
+            let held = self.held().filter(|(server, agreed)| {
+                decodes.contains(server) && (*agreed || !computes_prompt(serving, *server))
+            });
+            let Some((server, _)) = held else {
+                let servers = decodes.into_iter();
+                let servers = servers.map(|key| (key, computes_prompt(serving, key)));
+                return Allowed::Reserve(servers.collect());
+            };
+            if needs_prompt && !computes_prompt(serving, server) {
+                return Allowed::Prefill(self.prefill_servers(now, serving, server));
             }
+            decodes = HashSet::from([server]);
         }
         let is_first = self.count_failed_runs(|outcome| outcome != Outcome::Unreachable) == 0;
         if !is_first && !serving.budget(&self.spec.service).allows(now) {
@@ -255,9 +264,10 @@
         &self,
         now: TimeUs,
         serving: &Serving,
-        decode: Option<ServerKey>,
+        decode: ServerKey,
     ) -> HashSet<ServerKey> {
-        let region = decode.and_then(|key| serving.servers.get(key)?.region.clone());
+        let region = serving.servers.get(decode);
+        let region = region.and_then(|server| server.region.clone());
         let failed: HashSet<ServerKey> = self
             .past
             .iter()
@@ -302,16 +312,16 @@
     /// Server that was chosen last and neither failed nor was full.
     fn chosen(&self) -> Option<ServerKey> {
         self.past.iter().fold(None, |chosen, past| match past {
-            Past::Held(server) | Past::NotAnswered { server, .. } => Some(*server),
+            Past::Held(server, _) | Past::NotAnswered { server, .. } => Some(*server),
             Past::Waited | Past::NotHeld(..) => None,
             Past::Computed(..) | Past::NotComputed { .. } | Past::CacheGivenUp => chosen,
         })
     }
 
-    /// Server at which a place is held.
-    fn held(&self) -> Option<ServerKey> {
+    /// Server at which a place is held, and whether it agreed to compute the prompt.
+    fn held(&self) -> Option<(ServerKey, bool)> {
         self.past.iter().fold(None, |held, past| match past {
-            Past::Held(server) => Some(*server),
+            Past::Held(server, agreed) => Some((*server, *agreed)),
             Past::Waited | Past::NotHeld(..) | Past::NotAnswered { .. } => None,
             _ => held,
         })
@@ -341,8 +351,9 @@
     }
 
     /// Whether a prefill server may still compute the prompt.
-    fn may_compute(&self) -> bool {
-        let is_model = self.spec.model.is_some();
+    fn may_compute(&self, now: TimeUs, serving: &mut Serving) -> bool {
+        let has_attempt =
+            self.computations() == 0 || serving.budget(&self.spec.service).allows(now);
         let is_given_up = self.past.iter().any(|past| match past {
             // A cache that has lapsed is not computed again.
             Past::Computed(..) | Past::CacheGivenUp | Past::NotAnswered { .. } => true,
@@ -351,7 +362,7 @@
             }
             _ => false,
         });
-        is_model && !is_given_up && self.computations() < PREFILLS_MAX
+        has_attempt && !is_given_up && self.computations() < PREFILLS_MAX
     }
 
     fn computations(&self) -> usize {
--- a/crates/direct-core/tests/support/play.rs
+++ b/crates/direct-core/tests/support/play.rs
@@ -207,7 +207,11 @@
                 self.now = self.now + pause;
                 self.past.push(Past::Waited);
             }
-            Action::Reserve { server, .. } => self.reserve(chooser, server),
+            Action::Reserve {
+                server,
+                computes_prompt,
+                ..
+            } => self.reserve(chooser, server, computes_prompt),
             Action::Prefill { server, .. } => self.prefill(chooser, server, step),
             Action::Run { server, cache, .. } => return self.run(chooser, server, cache),
             Action::Deliver => {
@@ -260,7 +264,7 @@
         }
     }
 
-    fn reserve(&mut self, chooser: &mut dyn Chooser, server: ServerKey) {
+    fn reserve(&mut self, chooser: &mut dyn Chooser, server: ServerKey, computes_prompt: bool) {
         let id = self.id(server);
         self.release_place();
         let outcome = match chooser.choose(3) {
@@ -269,12 +273,14 @@
                     server: id,
                     request: REQUEST,
                 });
-                self.call.reserved(server, Reservation::Agent);
-                self.past.push(Past::Held(server));
+                self.call
+                    .reserved(server, Reservation::Agent, computes_prompt);
+                self.past.push(Past::Held(server, computes_prompt));
                 return;
             }
             1 if self.removed == Removed::Reservation => {
-                self.call.reserved(server, Reservation::Agent);
+                self.call
+                    .reserved(server, Reservation::Agent, computes_prompt);
                 return;
             }
             1 => Outcome::TurnedAway,
--- a/crates/direct/src/drive.rs
+++ b/crates/direct/src/drive.rs
@@ -93,13 +93,19 @@
                 model,
                 ttl,
                 is_late,
+                computes_prompt,
             } => {
                 let need = exchange::PlaceNeed {
                     model,
                     ttl,
                     is_late,
+                    computes_prompt,
                 };
-                // A place at another server is given back before a new one is asked for.
+                // A place at another server is given back before a new one is asked for; one at the
+                // same server is replaced by the new one.
+                if let Some(held) = &mut place {
+                    held.is_used |= held.server == server && held.reservation == Reservation::Agent;
+                }
                 drop(place.take());
                 place = reserve(app, call, exchange, server, need).await;
             }
@@ -207,7 +213,7 @@
     let mut serving = app.serving.borrow_mut();
     match reserved {
         Ok(reservation) => {
-            call.reserved(server, reservation.clone());
+            call.reserved(server, reservation.clone(), need.computes_prompt);
             Some(HeldPlace {
                 app: Rc::clone(app),
                 request: exchange.request.id.clone(),
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -324,6 +324,8 @@
     pub ttl: DurationUs,
     /// Whether the request cannot meet its goal any more.
     pub is_late: bool,
+    /// Whether the server computes the prompt itself.
+    pub computes_prompt: bool,
 }
 
 /// Has a place and memory held, by the agent beside the engine or, without one, by the engine.
@@ -337,6 +339,7 @@
         model,
         ttl,
         is_late,
+        computes_prompt,
     } = need;
     let _span = app.tracing.hop("reserve", &exchange.traceparent);
     if let Some((agent, slots)) = agent_of(app, server) {
@@ -347,6 +350,7 @@
             ttl,
             slots,
             is_late,
+            computes_prompt,
         };
         if let Ok(reply) = ask_agent(app, agent, &asked).await {
             note_memory(app, server, reply);
--- a/crates/places/src/client.rs
+++ b/crates/places/src/client.rs
@@ -87,6 +87,7 @@
         ttl_us: request.ttl.0,
         slots: request.slots.0,
         is_late: request.is_late,
+        computes_prompt: request.computes_prompt,
     };
     let answered = timeout(ANSWER_TIMEOUT, client.hold(message)).await;
     let reply = answered
--- a/crates/places/src/rpc.rs
+++ b/crates/places/src/rpc.rs
@@ -99,12 +99,14 @@
             ttl: DurationUs(message.ttl_us).min(TTL_MAX),
             slots: Slots(message.slots),
             is_late: message.is_late,
+            computes_prompt: message.computes_prompt,
         };
         let reply = self.ledger.lock().hold(self.clock.mono(), &asked);
         if reply.is_held {
             info!(self.log, "place held"; "request" => &asked.request,
                 "prompt_tokens" => asked.prompt_tokens.0,
                 "answer_tokens" => asked.answer_tokens.map(|tokens| tokens.0),
+                "computes_prompt" => asked.computes_prompt,
                 "free_tokens" => reply.free_tokens.0);
         } else {
             self.count_refusal(&asked, reply);
