Show repeats, waste, bytes, beliefs and latencies by route

Cause: the metrics of the direct path had no repeats, no wasted prefill, nothing of what an entry believes of servers, budget and configuration, no bytes by distance and one latency for all routes, so an operator could not tell which route was late or why prompts were computed in vain.

Ruled out: a series for each server that ever was; what an entry believes is shown anew at each answer of the store. Routes have series of their own up to a bound.

The agent shows its engine's memory, and logs answers that the engine has preempted.

--- a/crates/direct-core/src/catalogue.rs
+++ b/crates/direct-core/src/catalogue.rs
@@ -157,6 +157,11 @@
         &self.routes
     }
 
+    /// All services, in no order.
+    pub fn services(&self) -> impl Iterator<Item = &ServiceSpec> {
+        self.services.values()
+    }
+
     /// Service by name.
     pub fn service(&self, name: &ServiceName) -> Option<&ServiceSpec> {
         self.services.get(name)
--- a/crates/direct-core/src/lib.rs
+++ b/crates/direct-core/src/lib.rs
@@ -41,7 +41,7 @@
 pub use events::EventScanner;
 pub use follow::{Follower, Published, Query, Registry, RegistryError, Update};
 pub use outcome::Outcome;
-pub use places::{EngineReport, PlaceLedger, PlaceReply, PlaceRequest, RunReport};
+pub use places::{EngineReport, LedgerUse, PlaceLedger, PlaceReply, PlaceRequest, RunReport};
 pub use server::{ServerRecord, ServerState, Stage};
 pub use servers::{ServerKey, ServerTable};
 pub use serving::Serving;
--- a/crates/direct-core/src/placement.rs
+++ b/crates/direct-core/src/placement.rs
@@ -11,6 +11,7 @@
 
 use cuminlead_types::{AvailabilityZoneName, DurationUs, RegionName, ServiceName, TimeUs};
 use rand::{Rng, RngExt};
+use strum::{Display, EnumIter, IntoStaticStr};
 
 use crate::server::Stage;
 use crate::servers::{REMOVED_HOLD, Server, ServerKey, ServerTable, Standing};
@@ -242,13 +243,34 @@
     }
 }
 
-fn distance_ms(server: &Server, origin: &Origin) -> f64 {
+/// How far a server is from the process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, EnumIter, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum Distance {
+    /// In the same availability zone.
+    SameZone,
+    /// In another availability zone of the region.
+    OtherZone,
+    /// In another region.
+    OtherRegion,
+}
+
+/// How far a server is from the process.
+pub fn distance(server: &Server, origin: &Origin) -> Distance {
     if server.record.availability_zone == origin.availability_zone {
-        WITHIN_ZONE_MS
+        Distance::SameZone
     } else if server.region.as_ref() == Some(&origin.region) {
-        BETWEEN_ZONES_MS
+        Distance::OtherZone
     } else {
-        BETWEEN_REGIONS_MS
+        Distance::OtherRegion
+    }
+}
+
+fn distance_ms(server: &Server, origin: &Origin) -> f64 {
+    match distance(server, origin) {
+        Distance::SameZone => WITHIN_ZONE_MS,
+        Distance::OtherZone => BETWEEN_ZONES_MS,
+        Distance::OtherRegion => BETWEEN_REGIONS_MS,
     }
 }
 
--- a/crates/direct-core/src/places.rs
+++ b/crates/direct-core/src/places.rs
@@ -93,6 +93,19 @@
     pub total_tokens: Tokens,
 }
 
+/// Use of an engine's memory, for metrics.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LedgerUse {
+    /// Memory in all, as reported.
+    pub total_tokens: Tokens,
+    /// Memory that cannot be evicted, as reported.
+    pub used_tokens: Tokens,
+    /// Highest forecast use.
+    pub forecast_tokens: Tokens,
+    /// Places that are held or in use.
+    pub held_count: usize,
+}
+
 #[derive(Clone, Debug)]
 struct Held {
     prompt_tokens: Tokens,
@@ -139,8 +152,9 @@
         }
     }
 
-    /// Takes a report that was asked for at `asked_at`.
-    pub fn observe(&mut self, asked_at: TimeUs, report: EngineReport) {
+    /// Takes a report that was asked for at `asked_at`; returns the requests whose answers the
+    /// engine has preempted since the last one.
+    pub fn observe(&mut self, asked_at: TimeUs, report: EngineReport) -> Vec<String> {
         let is_restarted = self
             .report
             .as_ref()
@@ -158,9 +172,11 @@
                 None => {}
             }
         }
+        let mut preempted = Vec::new();
         for request in ended {
             if report.waiting_count > 0 {
                 self.note_preempted(&request);
+                preempted.push(request);
             } else {
                 self.end(&request);
             }
@@ -168,6 +184,18 @@
         self.held
             .retain(|_, held| held.is_running || asked_at < held.expires_at + UNSEEN_GRACE);
         self.report = Some(report);
+        preempted
+    }
+
+    /// Use of the engine's memory.
+    pub fn use_now(&self) -> LedgerUse {
+        let report = self.report.as_ref();
+        LedgerUse {
+            total_tokens: report.map_or(Tokens::ZERO, |report| report.total_tokens),
+            used_tokens: report.map_or(Tokens::ZERO, |report| report.used_tokens),
+            forecast_tokens: self.forecast(),
+            held_count: self.held.len(),
+        }
     }
 
     /// Keeps the place of an answer that the engine has preempted: it comes back with all that it
--- a/crates/direct-core/src/serving.rs
+++ b/crates/direct-core/src/serving.rs
@@ -4,14 +4,16 @@
 use std::sync::Arc;
 
 use cuminlead_retry::{RetryBudget, RetryLimits};
-use cuminlead_types::{AvailabilityZoneName, DurationUs, RegionName, ServiceName, TimeUs};
+use cuminlead_types::{
+    AvailabilityZoneName, DurationUs, RegionName, Revision, ServiceName, TimeUs,
+};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
 use crate::catalogue::{Catalogue, Route};
 use crate::follow::Update;
-use crate::placement::Origin;
-use crate::servers::{ServerKey, ServerTable, Standing};
+use crate::placement::{Distance, Origin, distance};
+use crate::servers::{Server, ServerKey, ServerTable, Standing};
 
 /// Time for which an engine without room counts as full in explanations.
 const FULL_KNOWN_FOR: DurationUs = DurationUs::from_ms(1_000);
@@ -44,11 +46,21 @@
     pub full_count: u32,
 }
 
+/// Configuration in force and the time since which it is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Applied {
+    /// Version.
+    pub version: Revision,
+    /// When it was put in force.
+    pub at: TimeUs,
+}
+
 /// What requests decide over; owned by the traffic thread.
 #[derive(Debug)]
 pub struct Serving {
     pub(crate) config: ServingConfig,
     catalogue: Option<Arc<Catalogue>>,
+    applied_at: TimeUs,
     /// Backend servers.
     pub servers: ServerTable,
     budgets: HashMap<ServiceName, RetryBudget>,
@@ -63,6 +75,7 @@
         Self {
             config,
             catalogue: None,
+            applied_at: TimeUs::ZERO,
             servers: ServerTable::default(),
             budgets: HashMap::new(),
             is_synced: false,
@@ -80,6 +93,7 @@
                     .is_none_or(|known| catalogue.version() > known.version());
                 if is_newer {
                     self.catalogue = Some(catalogue);
+                    self.applied_at = now;
                 }
             }
             Update::Server(record) => {
@@ -97,6 +111,20 @@
         self.catalogue.as_ref()
     }
 
+    /// Version of the configuration in force, and since when it is.
+    pub fn applied(&self) -> Option<Applied> {
+        self.catalogue.as_ref().map(|catalogue| Applied {
+            version: catalogue.version(),
+            at: self.applied_at,
+        })
+    }
+
+    /// Services of the configuration in force.
+    pub fn services(&self) -> Vec<ServiceName> {
+        let services = self.catalogue.iter().flat_map(|known| known.services());
+        services.map(|service| service.name.clone()).collect()
+    }
+
     /// Whether requests can be served: the configuration and the servers have been read.
     pub fn is_ready(&self) -> bool {
         self.is_synced && self.catalogue.is_some()
@@ -157,6 +185,11 @@
         counts
     }
 
+    /// How far a server is from this process.
+    pub fn distance(&self, server: &Server) -> Distance {
+        distance(server, &self.config.origin)
+    }
+
     /// Counts a request as under way at a server.
     pub fn begin(&mut self, key: ServerKey) {
         if let Some(server) = self.servers.get_mut(key) {
--- a/crates/direct-core/tests/support/naive.rs
+++ b/crates/direct-core/tests/support/naive.rs
@@ -190,7 +190,7 @@
         let may_compute = needs_prompt && !*gives_up_cache && self.may_compute(now, serving);
         let computes_prompt = |serving: &Serving, decode: ServerKey| {
             let prefills = self.prefill_servers(now, serving, decode);
-            needs_prompt && !(may_compute && !prefills.is_empty())
+            needs_prompt && (!may_compute || prefills.is_empty())
         };
         if self.spec.model.is_some() {
             let held = self.held().filter(|(server, agreed)| {
--- a/crates/direct/src/drive.rs
+++ b/crates/direct/src/drive.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use cuminlead_direct_core::{Action, CacheRef, Call, Outcome, Refusal, Reservation, ServerKey};
-use cuminlead_types::{DurationUs, TimeUs};
+use cuminlead_types::{DurationUs, TimeUs, Tokens};
 use slog::{debug, info};
 use tokio::time::{sleep, timeout};
 
@@ -28,12 +28,16 @@
     app: Rc<App>,
     cache: CacheRef,
     address: SocketAddr,
+    prompt_tokens: Tokens,
     is_used: bool,
 }
 
 impl Drop for HeldCache {
     fn drop(&mut self) {
         if !self.is_used {
+            self.app
+                .metrics
+                .count_wasted_prefill("unused", self.prompt_tokens);
             let (server, handle) = (self.cache.server, self.cache.handle.clone());
             tokio::task::spawn_local(exchange::release(Rc::clone(&self.app), server, handle));
         }
@@ -70,6 +74,7 @@
     let mut failure: Option<HeldAnswer> = None;
     let mut held: Option<HeldCache> = None;
     let mut place: Option<HeldPlace> = None;
+    let mut last_failure: Option<Outcome> = None;
     loop {
         let action = call.next(app.now(), &mut app.serving.borrow_mut());
         match action {
@@ -119,6 +124,9 @@
                 reservation,
                 timeout: time_max,
             } => {
+                if let Some(outcome) = last_failure {
+                    app.metrics.count_retry(outcome);
+                }
                 let held = held.as_mut().filter(|_| cache.is_some());
                 let input = RunInput {
                     cache: held
@@ -129,6 +137,7 @@
                 };
                 let began = app.now();
                 let ran = within(time_max, exchange::run(app, exchange, server, input)).await;
+                last_failure = ran.as_ref().err().copied();
                 settle(&ran, held, place.take());
                 match take_run(app, call, exchange, server, began, ran) {
                     RunEnd::Driven(driven) => return driven,
@@ -157,6 +166,11 @@
     mut place: Option<HeldPlace>,
 ) {
     if let Some(held) = held {
+        if matches!(ran, Err(Outcome::CacheGone)) {
+            held.app
+                .metrics
+                .count_wasted_prefill("lapsed", held.prompt_tokens);
+        }
         held.is_used |= matches!(ran, Ok(_) | Err(Outcome::CacheGone));
     }
     if let Some(place) = &mut place {
@@ -265,12 +279,21 @@
                 app: Rc::clone(app),
                 cache,
                 address,
+                prompt_tokens: prompt_tokens(call),
                 is_used: false,
             })
         }
         (computed, _) => {
             let outcome = computed.err().unwrap_or(Outcome::Lost);
             log_failure(app, exchange, &serving, server, "prefill", outcome);
+            let is_refused = matches!(
+                outcome,
+                Outcome::Unreachable | Outcome::TurnedAway | Outcome::OtherIncarnation
+            );
+            if !is_refused {
+                let tokens = prompt_tokens(call);
+                app.metrics.count_wasted_prefill(outcome.into(), tokens);
+            }
             call.prefill_failed(now, &mut serving, server, outcome);
             drop(serving);
             after_failure(app, server, outcome);
@@ -279,6 +302,12 @@
     }
 }
 
+fn prompt_tokens(call: &Call) -> Tokens {
+    call.spec()
+        .model
+        .map_or(Tokens::ZERO, |model| model.prompt_tokens)
+}
+
 /// Runs a step for at most `time_max`; dropping it closes its connection, which cancels it at the
 /// server.
 async fn within<T>(
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
+use cuminlead_direct_core::placement::Distance;
 use cuminlead_direct_core::servers::FreeMemory;
 use cuminlead_direct_core::{
     ModelNeed, Outcome, PlaceReply, PlaceRequest, RequestKind, Reservation, ServerKey,
@@ -17,7 +18,7 @@
 use cuminlead_types::{BackendServerId, DurationUs, Slots, TimeUs, Tokens};
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use slog::info;
 use tokio::time::timeout;
 
@@ -25,6 +26,7 @@
 use crate::app::{App, InFlight};
 use crate::channel::{Channel, SendError};
 use crate::pool::{IDLE_MAX_ONCE, idle_max};
+use crate::status::Direction;
 
 /// Longest answer that is held until it is whole. Answers of plain services are a few KB; a longer
 /// one is passed on as it comes.
@@ -140,10 +142,19 @@
     pub server: ServerKey,
     channel: Option<Channel>,
     idle_max: DurationUs,
+    distance: Distance,
     _in_flight: InFlight,
 }
 
 impl ServerLease {
+    /// Counts bytes of the answer.
+    pub(crate) fn count_received(&self, bytes_count: usize) {
+        let bytes_count = u64::try_from(bytes_count).unwrap_or(u64::MAX);
+        self.app
+            .metrics
+            .count_bytes(Direction::Received, self.distance, bytes_count);
+    }
+
     /// Keeps the connection for other requests; the answer was read to its end.
     pub fn finish(mut self) {
         if let Some(channel) = self.channel.take() {
@@ -251,7 +262,7 @@
     let headers = app.dialect.answered(&parts.headers);
     let is_stream = matches!(exchange.kind, RequestKind::Stream { .. }) && !is_failure;
     let hold_max_bytes = if is_stream { 0 } else { HELD_MAX_BYTES };
-    match collect(rest, hold_max_bytes).await? {
+    match collect(&lease, rest, hold_max_bytes).await? {
         Collected::Whole(body) => {
             lease.finish();
             Ok(Answer::Whole(HeldAnswer {
@@ -306,7 +317,7 @@
         // The answer is for this process and carries no signature.
         _ => {}
     }
-    let Collected::Whole(body) = collect(rest, HELD_MAX_BYTES).await? else {
+    let Collected::Whole(body) = collect(&lease, rest, HELD_MAX_BYTES).await? else {
         return Err(Outcome::Garbled);
     };
     lease.finish();
@@ -385,6 +396,8 @@
 fn note_memory(app: &App, server: ServerKey, reply: PlaceReply) {
     let known_at = app.now();
     if let Some(server) = app.serving.borrow_mut().servers.get_mut(server) {
+        app.metrics
+            .note_free_tokens(&server.record.id, reply.free_tokens);
         server.memory = Some(FreeMemory {
             free_tokens: reply.free_tokens,
             total_tokens: reply.total_tokens,
@@ -467,7 +480,7 @@
         let (mut lease, response) = send(app, server, address, request, None).await?;
         let (parts, rest) = response.into_parts();
         lease.idle_max = idle_max(&parts.headers);
-        match collect(rest, HELD_MAX_BYTES).await? {
+        match collect(&lease, rest, HELD_MAX_BYTES).await? {
             Collected::Whole(body) => {
                 lease.finish();
                 Ok((parts.status, body))
@@ -479,6 +492,12 @@
     ended.unwrap_or(Err(Outcome::TimedOut))
 }
 
+fn distance_of(app: &App, server: ServerKey) -> Distance {
+    let serving = app.serving.borrow();
+    let known = serving.servers.get(server);
+    known.map_or(Distance::OtherRegion, |server| serving.distance(server))
+}
+
 fn identity(app: &App, server: ServerKey) -> Option<(BackendServerId, SocketAddr)> {
     let serving = app.serving.borrow();
     let server = serving.servers.get(server)?;
@@ -494,6 +513,10 @@
     kept_idle_max: Option<DurationUs>,
 ) -> Result<(ServerLease, Response<Incoming>), Outcome> {
     let in_flight = InFlight::begin(app, server);
+    let distance = distance_of(app, server);
+    let body_bytes = request.body().size_hint().exact().unwrap_or(0);
+    app.metrics
+        .count_bytes(Direction::Sent, distance, body_bytes);
     loop {
         let kept = take_usable(app, server, kept_idle_max).await;
         let is_kept = kept.is_some();
@@ -513,6 +536,7 @@
                     server,
                     channel: Some(channel),
                     idle_max: DurationUs::ZERO,
+                    distance,
                     _in_flight: in_flight,
                 };
                 return Ok((lease, response));
@@ -540,7 +564,7 @@
 
 /// Reads a short answer to its end, so that its connection can be kept.
 async fn drain(lease: ServerLease, rest: Incoming) {
-    if let Ok(Collected::Whole(_)) = collect(rest, HELD_MAX_BYTES).await {
+    if let Ok(Collected::Whole(_)) = collect(&lease, rest, HELD_MAX_BYTES).await {
         lease.finish();
     }
 }
@@ -552,7 +576,11 @@
 }
 
 /// Reads a body until it is whole or longer than `hold_max_bytes`.
-async fn collect(mut rest: Incoming, hold_max_bytes: usize) -> Result<Collected, Outcome> {
+async fn collect(
+    lease: &ServerLease,
+    mut rest: Incoming,
+    hold_max_bytes: usize,
+) -> Result<Collected, Outcome> {
     let mut held = BytesMut::new();
     loop {
         let Some(frame) = rest.frame().await else {
@@ -562,6 +590,7 @@
         let Ok(data) = frame.into_data() else {
             continue;
         };
+        lease.count_received(data.len());
         held.extend_from_slice(&data);
         if held.len() > hold_max_bytes {
             return Ok(Collected::Partial(held.freeze(), rest));
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -87,7 +87,8 @@
     };
     let admin_address = admin::serve(*settings.admin_address(), Arc::new(source))?;
     let (updates_sender, updates) = unbounded_channel();
-    control::spawn(clock, adapter.registry, updates_sender)?;
+    let calls = direct_metrics.registry_calls.clone();
+    control::spawn(clock, adapter.registry, calls, updates_sender)?;
     let (stop_sender, stop) = watch::channel(StopPhase::Running);
     let app = Rc::new(App {
         clock,
@@ -155,6 +156,7 @@
             .catalogue()
             .map_or(0, |catalogue| catalogue.version().0);
         status.config_version.store(version, Ordering::Relaxed);
+        app.metrics.show_beliefs(now, &mut serving);
         let servers_count = u32::try_from(serving.servers.iter().count()).unwrap_or(u32::MAX);
         status.servers_count.store(servers_count, Ordering::Relaxed);
         status
--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -10,7 +10,6 @@
 use cuminlead_direct_core::{Call, EventScanner, Outcome, RequestKind, ServerKey};
 use cuminlead_types::{DurationUs, TimeUs};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use slog::info;
 use tokio::sync::mpsc::{Receiver, Sender, channel};
 use tokio::time::{Instant, sleep_until, timeout};
@@ -31,6 +30,8 @@
     pub exchange: Rc<CallerExchange>,
     /// State of the request.
     pub call: Call,
+    /// Name of its route.
+    pub route: String,
     /// When the request arrived, for the latency at the end.
     pub arrived_at: TimeUs,
     /// Bytes passed on.
@@ -86,7 +87,7 @@
         let total = self.app.now().since(self.arrived_at);
         self.app
             .metrics
-            .count_stream(end.name(), total, self.gap_max);
+            .count_stream(&self.route, end.name(), total, self.gap_max);
         info!(self.app.log, "stream ended"; "request" => &self.exchange.request.id,
             "end" => end.name(), "total_ms" => total.as_ms(), "gap_max_ms" => self.gap_max.as_ms(),
             "sends" => self.call.sends_count(), "bytes" => self.bytes_count);
@@ -176,7 +177,7 @@
 /// Copies bytes as they come.
 async fn copy_bytes(answer: &mut PartialAnswer, sink: &mut Sink<'_>) -> Result<(), Outcome> {
     sink.send(std::mem::take(&mut answer.first)).await?;
-    while let Some(data) = next_data(&mut answer.rest).await? {
+    while let Some(data) = next_data(answer).await? {
         sink.send(data).await?;
     }
     Ok(())
@@ -197,7 +198,7 @@
         if !whole.is_empty() {
             sink.send(Bytes::from(whole)).await?;
         }
-        let next = timeout(gap_max, next_data(&mut answer.rest)).await;
+        let next = timeout(gap_max, next_data(answer)).await;
         match next.unwrap_or(Err(Outcome::TimedOut))? {
             Some(next) => data = next,
             None => break,
@@ -210,12 +211,13 @@
     }
 }
 
-async fn next_data(rest: &mut Incoming) -> Result<Option<Bytes>, Outcome> {
-    while let Some(frame) = rest.frame().await {
+async fn next_data(answer: &mut PartialAnswer) -> Result<Option<Bytes>, Outcome> {
+    while let Some(frame) = answer.rest.frame().await {
         let frame = frame.map_err(|_| Outcome::Lost)?;
         if let Ok(data) = frame.into_data()
             && !data.is_empty()
         {
+            answer.lease.count_received(data.len());
             return Ok(Some(data));
         }
     }
--- a/crates/direct/src/serve.rs
+++ b/crates/direct/src/serve.rs
@@ -276,7 +276,7 @@
     let took = app.now().since(arrived_at);
     let (outcome, sends) = (outcome_name(&driven), call.sends_count());
     span.attribute("outcome", outcome);
-    app.metrics.count_request(outcome, took);
+    app.metrics.count_request(&route, outcome, took);
     info!(app.log, "request answered"; "request" => &exchange.request.id, "route" => &route,
         "service" => %call.spec().service, "config_version" => config_version,
         "outcome" => outcome, "sends" => sends, "waits" => call.waits_count(),
@@ -293,6 +293,7 @@
                 app: Rc::clone(app),
                 exchange,
                 call,
+                route,
                 arrived_at,
                 bytes_count: 0,
                 last_part: None,
--- a/crates/direct/src/status.rs
+++ b/crates/direct/src/status.rs
@@ -1,14 +1,21 @@
 //! Metrics, readiness and the status page.
 
-use std::sync::Arc;
+use std::collections::HashSet;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 
-use cuminlead_direct_core::{Outcome, RefusalReason};
+use std::sync::{Arc, Mutex, PoisonError};
+
+use cuminlead_direct_core::placement::Distance;
+use cuminlead_direct_core::{Outcome, RefusalReason, Serving};
 use cuminlead_process::admin::AdminSource;
-use cuminlead_telemetry::metrics::{Counters, Latencies, RowCounters, start_at_zero};
+use cuminlead_telemetry::metrics::{
+    Counters, Gauges, RouteLabels, RouteLatencies, RowCounters, start_at_zero,
+};
 use cuminlead_telemetry::{Label, Metrics};
-use cuminlead_types::{DurationUs, EntryId};
+use cuminlead_types::{BackendServerId, DurationUs, EntryId, TimeUs, Tokens};
 use http::StatusCode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::gauge::Gauge;
 use serde_json::json;
 use strum::IntoEnumIterator;
 
@@ -23,6 +30,17 @@
 /// Steps that may fail at a server.
 const STEPS: [&str; 4] = ["reserve", "prefill", "run", "stream"];
 
+/// Why prompts were computed in vain, beside the outcomes of failed prefills.
+const WASTE_CAUSES: [&str; 2] = ["lapsed", "unused"];
+/// Directions of bytes between this process and servers.
+const DIRECTIONS: [&str; 2] = ["sent", "received"];
+/// Standing of servers.
+const STANDINGS: [&str; 4] = ["usable", "paused", "full", "leaving"];
+/// Most routes with histograms of their own; a configuration of the users has up to 400.
+const ROUTES_MAX_COUNT: usize = 1_000;
+/// Label of routes beyond these.
+const OTHER_ROUTES: &str = "other";
+
 /// Labels of a failed step.
 fn failure_row(step: &'static str, outcome: Outcome) -> [(&'static str, &'static str); 3] {
     [
@@ -39,13 +57,42 @@
     streams: Counters,
     statuses: Counters,
     step_failures: RowCounters,
-    latencies: Latencies,
+    retries: Counters,
+    wasted_prefill: Counters,
+    bytes: RowCounters,
+    latencies: RouteLatencies,
+    routes: Arc<Mutex<HashSet<String>>>,
+    servers: Gauges,
+    free_tokens: Gauges,
+    retries_left: Gauges,
+    config_version: Gauge,
+    config_age_ms: Gauge,
     /// Connections opened to backend servers.
-    pub channels_opened: prometheus_client::metrics::counter::Counter,
+    pub channels_opened: Counter,
     /// Connections of callers that were closed because too many are open.
-    pub connections_refused: prometheus_client::metrics::counter::Counter,
+    pub connections_refused: Counter,
     /// Unusable entries of the registry.
-    pub unusable_entries: prometheus_client::metrics::counter::Counter,
+    pub unusable_entries: Counter,
+    /// Questions to the registry.
+    pub registry_calls: Counter,
+}
+
+/// What a server is given and gives back, by how far away it is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Direction {
+    /// To the server.
+    Sent,
+    /// From the server.
+    Received,
+}
+
+impl Direction {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Sent => DIRECTIONS[0],
+            Self::Received => DIRECTIONS[1],
+        }
+    }
 }
 
 impl DirectMetrics {
@@ -59,10 +106,35 @@
                 "direct_step_failures",
                 "Failed prefills and runs by outcome",
             ),
-            latencies: metrics.latencies(
+            retries: metrics.counters(
+                "direct_retries",
+                "Sends after the first one, by the outcome before",
+            ),
+            wasted_prefill: metrics.counters(
+                "direct_wasted_prefill_tokens",
+                "Prompt tokens sent to be computed in vain, by cause",
+            ),
+            bytes: metrics.row_counters(
+                "direct_bytes",
+                "Bytes of bodies to and from backend servers, by distance",
+            ),
+            latencies: metrics.route_latencies(
                 "direct_latency_seconds",
-                "Time until the answer, or until the first event and the end of a stream",
+                "Time until the answer or the first event, until the end of a stream, and its longest pause",
             ),
+            routes: Arc::default(),
+            servers: metrics.gauges("direct_servers", "Backend servers by standing"),
+            free_tokens: metrics.gauges(
+                "direct_server_free_tokens",
+                "Free memory of an engine, as its agent said last",
+            ),
+            retries_left: metrics.gauges("direct_retries_left", "Repeats that a service has left"),
+            config_version: metrics.gauge("direct_config_version", "Configuration in force"),
+            config_age_ms: metrics.gauge(
+                "direct_config_age_ms",
+                "Time since the configuration was put in force",
+            ),
+            registry_calls: metrics.counter("direct_registry_calls", "Questions to the registry"),
             channels_opened: metrics.counter(
                 "direct_channels_opened",
                 "Connections opened to backend servers",
@@ -95,24 +167,104 @@
                 );
             }
         }
-        for kind in ["answer", "stream", "gap"] {
-            drop(self.latencies.get_or_create(&Label::new("kind", kind)));
+        let outcomes: Vec<&'static str> = Outcome::iter().map(Into::into).collect();
+        start_at_zero(&self.retries, "outcome", &outcomes);
+        start_at_zero(&self.wasted_prefill, "cause", &outcomes);
+        start_at_zero(&self.wasted_prefill, "cause", &WASTE_CAUSES);
+        for direction in DIRECTIONS {
+            for distance in Distance::iter() {
+                drop(self.bytes.get_or_create(&bytes_row(direction, distance)));
+            }
+        }
+        for standing in STANDINGS {
+            drop(
+                self.servers
+                    .get_or_create(&Label::new("standing", standing)),
+            );
+        }
+    }
+
+    /// Shows what the process believes at a time.
+    pub fn show_beliefs(&self, now: TimeUs, serving: &mut Serving) {
+        let mut standings = [0_u32; STANDINGS.len()];
+        self.retries_left.clear();
+        for service in serving.services() {
+            let counts = serving.standing_counts(now, &service);
+            standings[0] += counts.usable_count;
+            standings[1] += counts.paused_count;
+            standings[2] += counts.full_count;
+            standings[3] += counts.leaving_count;
+            let left = serving.budget(&service).left(now);
+            let label = Label::new("service", service.to_string());
+            self.retries_left.get_or_create(&label).set(i64::from(left));
+        }
+        for (standing, count) in STANDINGS.into_iter().zip(standings) {
+            let label = Label::new("standing", standing);
+            self.servers.get_or_create(&label).set(i64::from(count));
+        }
+        self.free_tokens.clear();
+        for (_, server) in serving.servers.iter() {
+            if let Some(memory) = server.memory {
+                self.note_free_tokens(&server.record.id, memory.free_tokens);
+            }
+        }
+        if let Some(applied) = serving.applied() {
+            self.config_version.set(to_i64(applied.version.0));
+            self.config_age_ms
+                .set(to_i64(now.since(applied.at).as_ms()));
         }
     }
 
+    /// Shows the free memory that an agent told.
+    pub fn note_free_tokens(&self, server: &BackendServerId, free_tokens: Tokens) {
+        let label = Label::new("server", server.to_string());
+        self.free_tokens
+            .get_or_create(&label)
+            .set(to_i64(free_tokens.0));
+    }
+
+    /// Counts a send after the first one.
+    pub fn count_retry(&self, outcome: Outcome) {
+        let label = Label::new("outcome", <&'static str>::from(outcome));
+        self.retries.get_or_create(&label).inc();
+    }
+
+    /// Counts a prompt that was computed in vain, or may have been.
+    pub fn count_wasted_prefill(&self, cause: &'static str, tokens: Tokens) {
+        let label = Label::new("cause", cause);
+        self.wasted_prefill.get_or_create(&label).inc_by(tokens.0);
+    }
+
+    /// Counts bytes of a body.
+    pub fn count_bytes(&self, direction: Direction, distance: Distance, bytes_count: u64) {
+        let row = bytes_row(direction.name(), distance);
+        self.bytes.get_or_create(&row).inc_by(bytes_count);
+    }
+
     /// Counts a request whose answer, or the first part of it, is known.
-    pub fn count_request(&self, outcome: &'static str, took: DurationUs) {
+    pub fn count_request(&self, route: &str, outcome: &'static str, took: DurationUs) {
         self.requests
             .get_or_create(&Label::new("outcome", outcome))
             .inc();
-        self.observe("answer", took);
+        let kind = if outcome == "streaming" {
+            "first_event"
+        } else {
+            "answer"
+        };
+        self.observe(kind, route, outcome, took);
     }
 
     /// Counts a relayed stream with its longest pause between two parts.
-    pub fn count_stream(&self, end: &'static str, took: DurationUs, gap_max: DurationUs) {
+    pub fn count_stream(
+        &self,
+        route: &str,
+        end: &'static str,
+        took: DurationUs,
+        gap_max: DurationUs,
+    ) {
         self.streams.get_or_create(&Label::new("end", end)).inc();
-        self.observe("stream", took);
-        self.observe("gap", gap_max);
+        self.observe("stream", route, end, took);
+        self.observe("gap", route, end, gap_max);
     }
 
     /// Counts a failed prefill or run.
@@ -127,16 +279,45 @@
         self.statuses.get_or_create(&label).inc();
     }
 
+    /// Name of a route, or one for all when the configuration has had very many of them.
+    fn route_label(&self, route: &str) -> String {
+        let mut routes = self.routes.lock().unwrap_or_else(PoisonError::into_inner);
+        if routes.len() < ROUTES_MAX_COUNT || routes.contains(route) {
+            routes.insert(route.to_string());
+            return route.to_string();
+        }
+        OTHER_ROUTES.to_string()
+    }
+
     #[allow(
         clippy::cast_precision_loss,
         reason = "durations are far below 2^52 us"
     )]
-    fn observe(&self, kind: &'static str, took: DurationUs) {
-        let latency = self.latencies.get_or_create(&Label::new("kind", kind));
+    fn observe(&self, kind: &'static str, route: &str, outcome: &'static str, took: DurationUs) {
+        let route = self.route_label(route);
+        let labels = RouteLabels {
+            kind,
+            route,
+            outcome,
+        };
+        let latency = self.latencies.get_or_create(&labels);
         latency.observe(took.0 as f64 / US_PER_SECOND);
     }
 }
 
+fn to_i64(value: u64) -> i64 {
+    i64::try_from(value).unwrap_or(i64::MAX)
+}
+
+/// Labels of bytes.
+fn bytes_row(direction: &'static str, distance: Distance) -> [(&'static str, &'static str); 3] {
+    [
+        ("direction", direction),
+        ("distance", distance.into()),
+        ("kind", "direct"),
+    ]
+}
+
 /// What other threads may read of the traffic thread.
 #[derive(Debug, Default)]
 pub struct SharedStatus {
--- a/crates/places/src/agent.rs
+++ b/crates/places/src/agent.rs
@@ -9,17 +9,18 @@
 use std::thread;
 use std::time::Duration;
 
-use cuminlead_direct_core::PlaceLedger;
 use cuminlead_direct_core::stages::PrefillShare;
+use cuminlead_direct_core::{LedgerUse, PlaceLedger};
 use cuminlead_kernel::Clock;
 use cuminlead_process::StartError;
 use cuminlead_process::admin::{self, AdminSource};
 use cuminlead_process::signal::Signals;
 use cuminlead_settings::AgentSettings;
-use cuminlead_telemetry::metrics::Counters;
+use cuminlead_telemetry::metrics::{Counters, Gauges};
 use cuminlead_telemetry::{Label, Metrics, log};
 use cuminlead_wire::proto::places_server::PlacesServer;
 use error_stack::{Report, ResultExt};
+use prometheus_client::metrics::gauge::Gauge;
 use slog::{Logger, info, warn};
 use tokio::net::TcpListener;
 use tonic::transport::Server;
@@ -61,6 +62,7 @@
     let signals = Signals::new().change_context(StartError::Thread)?;
     let mut metrics = Metrics::new("cuminlead_agent");
     let reports = metrics.counters("place_reports", "Reports of the engine by result");
+    let memory = MemoryGauges::new(&mut metrics);
     let ledger = SharedLedger::new(PlaceLedger::new());
     let is_reporting = Arc::new(AtomicBool::new(false));
     let address = *settings.peer_address();
@@ -79,6 +81,7 @@
         ledger: ledger.clone(),
         is_reporting,
         reports,
+        memory,
         log: log.clone(),
     };
     thread::Builder::new()
@@ -122,19 +125,64 @@
     ledger: SharedLedger,
     is_reporting: Arc<AtomicBool>,
     reports: Counters,
+    memory: MemoryGauges,
     log: Logger,
 }
 
+/// Gauges of the engine's memory.
+#[derive(Clone, Debug)]
+struct MemoryGauges {
+    tokens: Gauges,
+    places: Gauge,
+}
+
+impl MemoryGauges {
+    fn new(metrics: &mut Metrics) -> Self {
+        let gauges = Self {
+            tokens: metrics.gauges(
+                "place_tokens",
+                "Memory of the engine: in all, in use as reported, and highest use by forecast",
+            ),
+            places: metrics.gauge("places_held", "Decode places that are held or in use"),
+        };
+        gauges.show(LedgerUse::default());
+        gauges
+    }
+
+    fn show(&self, used: LedgerUse) {
+        let tokens = [
+            ("total", used.total_tokens),
+            ("used", used.used_tokens),
+            ("forecast", used.forecast_tokens),
+        ];
+        for (kind, tokens) in tokens {
+            let value = i64::try_from(tokens.0).unwrap_or(i64::MAX);
+            let label = Label::new("kind", kind);
+            self.tokens.get_or_create(&label).set(value);
+        }
+        let held_count = i64::try_from(used.held_count).unwrap_or(i64::MAX);
+        self.places.set(held_count);
+    }
+}
+
 impl Watcher {
     fn run(mut self) {
         loop {
             let asked_at = self.clock.mono();
             let report = self.monitor.report();
             self.count(&report);
-            if let Ok(report) = report {
-                self.ledger.lock().observe(asked_at, report);
+            let preempted = report.map_or_else(
+                |_| Vec::new(),
+                |report| self.ledger.lock().observe(asked_at, report),
+            );
+            for request in preempted {
+                info!(self.log, "answer preempted"; "request" => request);
             }
-            let is_busy = self.ledger.lock().is_busy();
+            let (is_busy, used) = {
+                let ledger = self.ledger.lock();
+                (ledger.is_busy(), ledger.use_now())
+            };
+            self.memory.show(used);
             thread::sleep(if is_busy { BUSY_PAUSE } else { IDLE_PAUSE });
         }
     }
--- a/crates/retry/src/budget.rs
+++ b/crates/retry/src/budget.rs
@@ -66,10 +66,15 @@
 
     /// Whether a retry would be allowed.
     pub fn allows(&self, now: TimeUs) -> bool {
+        self.left(now) > 0
+    }
+
+    /// Retries that would be allowed.
+    pub fn left(&self, now: TimeUs) -> u32 {
         let requests = self.requests.count(now, SLOTS - 1);
         let earned = requests / self.limits.requests_per_retry.max(1);
         let allowed = earned.max(self.limits.retries_min_count);
-        self.retries.count(now, SLOTS) < allowed
+        allowed.saturating_sub(self.retries.count(now, SLOTS))
     }
 
     /// Takes one retry from the budget; false when none is left.
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -52,6 +52,29 @@
 pub type Counters = Family<Label, Counter>;
 /// Counters with three labels, whose values come from closed enumerations.
 pub type RowCounters = Family<[(&'static str, &'static str); 3], Counter>;
+/// Latency histograms with three labels, of which the second comes from the configuration.
+pub type RouteLatencies = Family<RouteLabels, Histogram, LatencyBuckets>;
+
+/// What was timed, for which route, and how it ended.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct RouteLabels {
+    /// What was timed.
+    pub kind: &'static str,
+    /// Route.
+    pub route: String,
+    /// How it ended.
+    pub outcome: &'static str,
+}
+
+impl EncodeLabelSet for RouteLabels {
+    fn encode(&self, encoder: &mut LabelSetEncoder<'_>) -> Result<(), fmt::Error> {
+        use prometheus_client::encoding::EncodeLabel;
+        ("kind", self.kind).encode(encoder.encode_label())?;
+        ("route", self.route.as_str()).encode(encoder.encode_label())?;
+        ("outcome", self.outcome).encode(encoder.encode_label())
+    }
+}
+
 /// Gauges with one label.
 pub type Gauges = Family<Label, Gauge>;
 /// Latency histograms with one label.
@@ -189,6 +212,13 @@
         family
     }
 
+    /// Registers latency histograms by route.
+    pub fn route_latencies(&mut self, name: &str, help: &str) -> RouteLatencies {
+        let family = RouteLatencies::new_with_constructor(LatencyBuckets);
+        self.registry.register(name, help, family.clone());
+        family
+    }
+
     /// Registers latency histograms with one label.
     pub fn latencies(&mut self, name: &str, help: &str) -> Latencies {
         let family = Latencies::new_with_constructor(LatencyBuckets);
