Take no streams that outlast a stopping process

Cause: a process that was asked to stop took requests until its end 7.6 s later.

Streams are refused as not run once the balancer has had its time, unless their deadline is before the end; plain requests that are still open 300 ms before the end are answered.

--- a/crates/direct-core/src/action.rs
+++ b/crates/direct-core/src/action.rs
@@ -128,6 +128,8 @@
     TimedOut,
     /// It was sent, and what became of it is not known.
     OutcomeUnknown,
+    /// The process stops before an answer could be whole.
+    Stopping,
 }
 
 /// Answer without a server.
--- a/crates/direct-core/src/lib.rs
+++ b/crates/direct-core/src/lib.rs
@@ -15,6 +15,7 @@
 //! | [`call`] | the state of one request |
 //! | [`serving`] | catalogue, servers and budgets, as one context |
 //! | [`follow`] | following the registry without ever going back |
+//! | [`stopping`] | what a process still takes after it was asked to stop |
 //! | [`stages`] | which engines compute prompts |
 //! | [`events`] | boundaries of events in a stream |
 
@@ -31,6 +32,7 @@
 pub mod servers;
 pub mod serving;
 pub mod stages;
+pub mod stopping;
 
 pub use action::{Action, CacheRef, CallSpec, ModelNeed, Refusal, RefusalReason, Reservation};
 pub use call::Call;
--- a/crates/direct/src/app.rs
+++ b/crates/direct/src/app.rs
@@ -1,9 +1,10 @@
 //! What all requests of the traffic thread share.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
 
+use cuminlead_direct_core::stopping::Stopping;
 use cuminlead_direct_core::{ServerKey, Serving};
 use cuminlead_kernel::Clock;
 use cuminlead_places::PlaceClient;
@@ -27,6 +28,8 @@
     TurningAway,
     /// Idle connections are closed; requests under way are finished.
     Closing,
+    /// Requests without an answer are answered by the process itself.
+    Answering,
 }
 
 /// State of the traffic thread.
@@ -51,6 +54,8 @@
     pub log: Logger,
     /// Phase of the shutdown.
     pub stop: watch::Receiver<StopPhase>,
+    /// Times of the shutdown, once it was asked for.
+    pub stopping: Cell<Option<Stopping>>,
     /// What other threads may read.
     pub status: Arc<SharedStatus>,
 }
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -4,7 +4,7 @@
 //! two looks a second apart to turn away. Then idle connections close, and the process ends with
 //! its last request, or shortly before it would be killed.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -15,19 +15,21 @@
 use cuminlead_direct_core::follow::Update;
 use cuminlead_direct_core::placement::Origin;
 use cuminlead_direct_core::serving::ServingConfig;
+use cuminlead_direct_core::stopping::Stopping;
 use cuminlead_kernel::Clock;
 use cuminlead_places::PlaceClient;
 use cuminlead_process::signal::Signals;
 use cuminlead_process::{StartError, admin, start};
 use cuminlead_settings::EntrySettings;
 use cuminlead_telemetry::{Metrics, Tracing, log};
+use cuminlead_types::{DurationUs, TimeUs};
 use error_stack::{Report, ResultExt};
 use slog::{Logger, info, warn};
 use tokio::net::TcpListener;
 use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
 use tokio::sync::watch;
 use tokio::task::LocalSet;
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::sleep;
 
 use crate::adapter::{self, Adapter};
 use crate::app::{App, StopPhase};
@@ -103,6 +105,7 @@
         tracing: tracing.clone(),
         log: log.clone(),
         stop,
+        stopping: Cell::new(None),
         status: Arc::clone(&status),
     });
     tokio::task::spawn_local(apply_updates(Rc::clone(&app), updates, Arc::clone(&status)));
@@ -184,19 +187,31 @@
     }
 }
 
+/// Waits until all connections are closed, at most until a time.
+async fn wait_for_callers(app: &App, latest: TimeUs) {
+    while app.status.connections_count.load(Ordering::Relaxed) > 0 {
+        let rest = Duration::from(latest.since(app.now()));
+        if rest.is_zero() {
+            return;
+        }
+        sleep(rest.min(STOP_POLL)).await;
+    }
+}
+
 async fn stop_gracefully(settings: &EntrySettings, app: &Rc<App>, stop: &watch::Sender<StopPhase>) {
-    let began = Instant::now();
+    let now = app.now();
+    let stopping = Stopping {
+        turned_away_at: now + DurationUs::from_ms(settings.drain_delay_ms().0),
+        ends_at: now + DurationUs::from_ms(settings.drain_max_ms().0),
+    };
+    app.stopping.set(Some(stopping));
     info!(app.log, "entry stopping"; "connections" => app.status.connections_count.load(Ordering::Relaxed));
     // Receivers live as long as the state of the traffic thread.
     let _ = stop.send(StopPhase::TurningAway);
-    sleep(Duration::from_millis(settings.drain_delay_ms().0)).await;
+    sleep(stopping.turned_away_at.since(app.now()).into()).await;
     let _ = stop.send(StopPhase::Closing);
-    let latest = began + Duration::from_millis(settings.drain_max_ms().0);
-    while app.status.connections_count.load(Ordering::Relaxed) > 0 && Instant::now() < latest {
-        tokio::select! {
-            () = sleep(STOP_POLL) => {}
-            () = sleep_until(latest) => {}
-        }
-    }
+    wait_for_callers(app, stopping.answers_at()).await;
+    let _ = stop.send(StopPhase::Answering);
+    wait_for_callers(app, stopping.ends_at).await;
     info!(app.log, "entry stopped"; "connections" => app.status.connections_count.load(Ordering::Relaxed));
 }
--- a/crates/direct/src/serve.rs
+++ b/crates/direct/src/serve.rs
@@ -20,6 +20,7 @@
 use hyper_util::rt::TokioTimer;
 use slog::{debug, info};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
 use tokio::time::{Instant, timeout_at};
 
 use crate::app::{App, StopPhase};
@@ -110,7 +111,7 @@
             debug!(app.log, "head of a request took too long");
             return;
         }
-        _ = stop.wait_for(|phase| *phase == StopPhase::Closing) => None,
+        _ = stop.wait_for(|phase| *phase >= StopPhase::Closing) => None,
     };
     let ended = match ended {
         Some(ended) => ended,
@@ -186,6 +187,10 @@
     let body = body.map_err(|status| rejected(app, status, "body cannot be read"))?;
     let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
     let patience = caller.patience.unwrap_or(route.timeout).min(route.timeout);
+    let deadline = arrived_at + patience;
+    if let Some(refusal) = refused_by_stop(app, &caller.id, route, deadline) {
+        return Err(refused(app, &refusal));
+    }
     let given = parts.headers.get(TRACEPARENT);
     let given = given.and_then(|context| context.to_str().ok());
     let span = app.tracing.hop("request", given.unwrap_or_default());
@@ -199,7 +204,7 @@
         kind: route.kind,
         goal: route.goal,
         arrived_at,
-        deadline: arrived_at + patience,
+        deadline,
         is_returning: is_returning(patience, route.timeout),
     };
     let call = new_call(app, &catalogue, route, &exchange);
@@ -219,6 +224,30 @@
     patience.0 < route_timeout.0 / 100 * FIRST_ATTEMPT_PERCENT
 }
 
+/// Ends when a stopping process answers what is open.
+async fn time_to_answer(mut stop: watch::Receiver<StopPhase>) {
+    if stop
+        .wait_for(|phase| *phase == StopPhase::Answering)
+        .await
+        .is_err()
+    {
+        // The sender lives as long as the process.
+        std::future::pending::<()>().await;
+    }
+}
+
+/// Refusal of a request for which a stopping process has no time.
+fn refused_by_stop(app: &App, request: &str, route: &Route, deadline: TimeUs) -> Option<Refusal> {
+    let (now, stopping) = (app.now(), app.stopping.get()?);
+    if stopping.admits(now, route.kind, deadline) {
+        return None;
+    }
+    let refusal = stopping.refusal(now);
+    info!(app.log, "request refused"; "request" => request, "reason" => "stopping",
+        "not_run" => true, "retry_after_ms" => refusal.retry_after.as_ms());
+    Some(refusal)
+}
+
 fn ready_catalogue(app: &App) -> Option<std::sync::Arc<Catalogue>> {
     let serving = app.serving.borrow();
     serving.is_ready().then(|| serving.catalogue().cloned())?
@@ -265,8 +294,11 @@
     } = admitted;
     let exchange = Rc::new(exchange);
     let deadline = Instant::from_std(app.clock.instant(exchange.deadline));
-    let driven = timeout_at(deadline, drive(app, &mut call, &exchange, None)).await;
-    let driven = driven.unwrap_or_else(|_| {
+    let driven = tokio::select! {
+        driven = timeout_at(deadline, drive(app, &mut call, &exchange, None)) => driven.ok(),
+        () = time_to_answer(app.stop.clone()) => None,
+    };
+    let driven = driven.unwrap_or_else(|| {
         Driven::Refused(Refusal {
             // A request that is under way somewhere may have run.
             is_not_run: call.sends_count() == 0,
