Part what a call prepares from its state, and own requests from the exchange

A place and a cache before a run, and the requests that the process sends for itself, are matters of their own.

--- a/crates/direct-core/src/call.rs
+++ b/crates/direct-core/src/call.rs
@@ -9,8 +9,9 @@
 
 use crate::action::{Action, CacheRef, CallSpec, Refusal, RefusalReason, Reservation};
 use crate::catalogue::RequestKind;
-use crate::outcome::{Outcome, evidence, is_proof_of_no_run, leaves_cache, record_outcome};
+use crate::outcome::{Outcome, evidence, is_proof_of_no_run, record_outcome};
 use crate::placement::{Need, NoServer, choose, has_server, retry_after};
+use crate::preparation::{PlaceState, Prompt};
 use crate::server::Stage;
 use crate::servers::ServerKey;
 use crate::serving::Serving;
@@ -33,57 +34,25 @@
 /// Time after which a caller without a place may come back. Answers hold their places for three
 /// seconds and more, and one that has missed its goal is of the same use then.
 const PLACES_RETRY_AFTER: DurationUs = DurationUs::from_ms(3_000);
-/// Most prefill calls for one request; each one after the first repeats work.
-const PREFILLS_MAX: u32 = 2;
 /// Most servers that may turn one request away before it is refused.
 const REFUSALS_MAX: u32 = 3;
 
-#[derive(Clone, Debug, PartialEq, Eq)]
-enum ReserveState {
-    /// A place is needed.
-    Open,
-    /// Held at the decode server.
-    Held {
-        server: ServerKey,
-        reservation: Reservation,
-        /// Whether the server agreed to compute the prompt itself.
-        computes_prompt: bool,
-    },
-    /// The request runs without a reservation.
-    Skipped,
-}
-
-#[derive(Clone, Debug, PartialEq, Eq)]
-enum PrefillState {
-    /// Another prefill may be tried.
-    Open,
-    Done(CacheRef),
-    /// The decode server computes the prompt.
-    Skipped,
-}
-
 /// State of one request.
 #[derive(Clone, Debug)]
 pub struct Call {
     spec: CallSpec,
-    reserve: ReserveState,
+    place: PlaceState,
     /// Servers without room for this request since the last pause.
     full: Vec<ServerKey>,
-    prefill: PrefillState,
-    prefills_count: u32,
+    prompt: Prompt,
     /// Servers that may have run the request.
     runs_count: u32,
     turned_away_count: u32,
     sends_count: u32,
     waits_count: u32,
     excluded: Vec<ServerKey>,
-    excluded_prefills: Vec<ServerKey>,
     /// Decode server chosen before the prefill, so that a cache has a place to go.
     decode: Option<ServerKey>,
-    /// Cache of the run under way, which a server that turns the request away leaves in place.
-    cache_in_use: Option<CacheRef>,
-    /// End of the life of the cache, if it is known.
-    cache_until: Option<TimeUs>,
     /// Whether a server has answered with a failure that can be passed on.
     has_failure: bool,
     end: Option<Action>,
@@ -92,34 +61,26 @@
 impl Call {
     /// Call that has not begun.
     pub fn new(spec: CallSpec) -> Self {
-        let prefill = if spec.model.is_some() {
-            PrefillState::Open
-        } else {
-            PrefillState::Skipped
-        };
         let takes_reservations = spec
             .model
             .is_some_and(|model| model.reservation_max.is_some());
-        let reserve = if takes_reservations {
-            ReserveState::Open
+        let place = if takes_reservations {
+            PlaceState::Needed
         } else {
-            ReserveState::Skipped
+            PlaceState::Skipped
         };
+        let prompt = Prompt::new(spec.model.is_some());
         Self {
             spec,
-            reserve,
+            place,
             full: Vec::new(),
-            prefill,
-            prefills_count: 0,
+            prompt,
             runs_count: 0,
             turned_away_count: 0,
             sends_count: 0,
             waits_count: 0,
             excluded: Vec::new(),
-            excluded_prefills: Vec::new(),
             decode: None,
-            cache_in_use: None,
-            cache_until: None,
             has_failure: false,
             end: None,
         }
@@ -158,7 +119,7 @@
         if now >= self.spec.deadline {
             return Action::Refuse(self.timed_out());
         }
-        self.expire_cache(now);
+        self.prompt.expire_cache(now);
         let server = match self.choose_server(now, serving) {
             Ok(server) => server,
             // A place falls free sooner than a failing server comes back.
@@ -166,19 +127,16 @@
             Err(no_server) => return self.refuse_no_server(now, no_server),
         };
         let computes_prompt = self.computes_prompt(now, serving, server);
-        if !self.fits_held(server, computes_prompt) {
-            self.reserve = ReserveState::Open;
+        if !self.place.fits(server, computes_prompt) {
+            self.place.give_up();
         }
-        if self.reserve == ReserveState::Open
+        if self.place == PlaceState::Needed
             && let Some(action) = self.next_reserve(now, server, computes_prompt)
         {
             return action;
         }
-        if self.prefill == PrefillState::Open {
-            if let Some(action) = self.next_prefill(now, serving, server) {
-                return action;
-            }
-            self.prefill = PrefillState::Skipped;
+        if let Some(action) = self.next_prefill(now, serving, server) {
+            return action;
         }
         self.next_run(now, serving, server)
     }
@@ -194,7 +152,7 @@
             return Ok(key);
         }
         let stage = self.spec.model.map(|_| Stage::Decode);
-        let region = self.cache_region();
+        let region = self.prompt.cache_region();
         let unusable: Vec<_> = self.excluded.iter().chain(&self.full).copied().collect();
         let mut need = Need {
             service: &self.spec.service,
@@ -210,7 +168,7 @@
                 return Err(NoServer::None);
             }
             // A cache does not cross regions, so it is given up.
-            self.prefill = PrefillState::Skipped;
+            self.prompt.skip();
             need.region = None;
             chosen = choose(now, &serving.servers, need, &mut serving.rng);
         }
@@ -218,14 +176,6 @@
         chosen
     }
 
-    /// Region of the cache that waits for this call.
-    fn cache_region(&self) -> Option<RegionName> {
-        match &self.prefill {
-            PrefillState::Done(cache) => cache.region.clone(),
-            PrefillState::Open | PrefillState::Skipped => None,
-        }
-    }
-
     /// Whether a server of a region has had no room since the last pause.
     fn is_full_in(&self, serving: &Serving, region: Option<&RegionName>) -> bool {
         self.full.iter().any(|key| {
@@ -234,41 +184,16 @@
         })
     }
 
-    /// Gives up a cache whose life is over. The decode server then computes the prompt: a second
-    /// prefill would count as another attempt.
-    fn expire_cache(&mut self, now: TimeUs) {
-        let is_over = self.cache_until.is_some_and(|until| now >= until);
-        if is_over && matches!(self.prefill, PrefillState::Done(_)) {
-            self.prefill = PrefillState::Skipped;
-        }
-    }
-
-    /// Whether a held place is one at the chosen server and for what the server is to do. The server
-    /// that held it may be left out after a failure of another request, or the prefill has failed.
-    fn fits_held(&self, chosen: ServerKey, computes_prompt: bool) -> bool {
-        match &self.reserve {
-            ReserveState::Held {
-                server,
-                computes_prompt: agreed,
-                ..
-            } => *server == chosen && (*agreed || !computes_prompt),
-            ReserveState::Open | ReserveState::Skipped => true,
-        }
-    }
-
     /// Whether the decode server has to compute the prompt.
     fn computes_prompt(&self, now: TimeUs, serving: &mut Serving, decode: ServerKey) -> bool {
-        match self.prefill {
-            PrefillState::Done(_) => false,
-            PrefillState::Skipped => self.spec.model.is_some(),
-            PrefillState::Open => !self.may_prefill(now, serving, decode),
-        }
+        let is_model_call = self.spec.model.is_some();
+        is_model_call && !self.prompt.is_cached() && !self.may_prefill(now, serving, decode)
     }
 
     /// Whether a prefill server may be asked.
     fn may_prefill(&self, now: TimeUs, serving: &mut Serving, decode: ServerKey) -> bool {
-        let has_attempt = self.prefills_count == 0
-            || self.prefills_count < PREFILLS_MAX && serving.budget(&self.spec.service).allows(now);
+        let is_in_budget =
+            !self.prompt.was_sent() || serving.budget(&self.spec.service).allows(now);
         let Some(server) = serving.servers.get(decode) else {
             return false;
         };
@@ -277,9 +202,12 @@
             stage: Some(Stage::Prefill),
             origin: &serving.config.origin,
             region: server.region.as_ref(),
-            excluded: &self.excluded_prefills,
+            excluded: &self.prompt.excluded,
         };
-        has_attempt && server.region.is_some() && has_server(now, &serving.servers, need)
+        self.prompt.is_open()
+            && is_in_budget
+            && server.region.is_some()
+            && has_server(now, &serving.servers, need)
     }
 
     fn next_reserve(
@@ -309,9 +237,7 @@
         }
         self.full.clear();
         self.decode = None;
-        if let ReserveState::Held { .. } = self.reserve {
-            self.reserve = ReserveState::Open;
-        }
+        self.place.give_up();
         self.waits_count += 1;
         if self.is_late(now) {
             Action::Wait(LATE_WAIT_PAUSE)
@@ -333,7 +259,7 @@
 
     /// Records a place that a server holds; an earlier one is given up.
     pub fn reserved(&mut self, server: ServerKey, reservation: Reservation, computes_prompt: bool) {
-        self.reserve = ReserveState::Held {
+        self.place = PlaceState::Held {
             server,
             reservation,
             computes_prompt,
@@ -377,10 +303,10 @@
             stage: Some(Stage::Prefill),
             origin: &serving.config.origin,
             region: Some(&region),
-            excluded: &self.excluded_prefills,
+            excluded: &self.prompt.excluded,
         };
         let server = choose(now, &serving.servers, need, &mut serving.rng).ok()?;
-        self.prefills_count += 1;
+        self.prompt.count_prefill();
         Some(Action::Prefill {
             server,
             timeout: self
@@ -406,15 +332,8 @@
             return self.finish(RefusalReason::RetryBudget, DurationUs::from_ms(1_000));
         }
         self.sends_count += 1;
-        let cache = match std::mem::replace(&mut self.prefill, PrefillState::Skipped) {
-            PrefillState::Done(cache) => Some(cache),
-            PrefillState::Open | PrefillState::Skipped => None,
-        };
-        let reservation = match std::mem::replace(&mut self.reserve, ReserveState::Skipped) {
-            ReserveState::Held { reservation, .. } => Some(reservation),
-            ReserveState::Open | ReserveState::Skipped => None,
-        };
-        self.cache_in_use.clone_from(&cache);
+        let cache = self.prompt.take_cache();
+        let reservation = self.place.take();
         Action::Run {
             server,
             cache,
@@ -443,11 +362,8 @@
         if let Some(server) = serving.servers.get_mut(cache.server) {
             server.health.record_success(now);
         }
-        self.cache_until = self
-            .spec
-            .model
-            .and_then(|model| Some(now + model.cache_life?));
-        self.prefill = PrefillState::Done(cache);
+        let life = self.spec.model.and_then(|model| model.cache_life);
+        self.prompt.cached(cache, life.map(|life| now + life));
     }
 
     /// Records a prefill that gave no cache.
@@ -462,7 +378,7 @@
         outcome: Outcome,
     ) {
         record_outcome(now, serving, server, outcome);
-        self.excluded_prefills.push(server);
+        self.prompt.excluded.push(server);
         // What reached a server counts as a repeat, because the run is yet to come.
         let is_counted = outcome != Outcome::Unreachable;
         if is_counted && !serving.budget(&self.spec.service).try_retry(now) {
@@ -473,7 +389,7 @@
             Outcome::Unreachable | Outcome::TurnedAway | Outcome::OtherIncarnation
         );
         if !is_refused {
-            self.prefill = PrefillState::Skipped;
+            self.prompt.skip();
         }
     }
 
@@ -508,7 +424,7 @@
             .model
             .is_some_and(|model| model.reservation_max.is_some())
         {
-            self.reserve = ReserveState::Open;
+            self.place = PlaceState::Needed;
         }
         if outcome == Outcome::Unreachable {
             // Nothing reached a server, so nothing counts as a repeat.
@@ -517,12 +433,7 @@
         if outcome == Outcome::TurnedAway {
             self.turned_away_count += 1;
         }
-        let cache = self.cache_in_use.take();
-        if let Some(cache) = cache
-            && leaves_cache(outcome)
-        {
-            self.prefill = PrefillState::Done(cache);
-        }
+        self.prompt.run_failed(outcome);
         self.has_failure |= outcome == Outcome::Failed;
         self.end = self.decide_end(outcome);
     }
--- a/crates/direct-core/src/lib.rs
+++ b/crates/direct-core/src/lib.rs
@@ -12,6 +12,7 @@
 //! | [`places`] | decode places of one engine, by a forecast of its memory |
 //! | [`action`] | what a request needs and what is done for it next |
 //! | [`outcome`] | what became of a step, and what that proves |
+//! | `preparation` | place and cache of a model call before its run |
 //! | [`call`] | the state of one request |
 //! | [`serving`] | catalogue, servers and budgets, as one context |
 //! | [`follow`] | following the registry without ever going back |
@@ -28,6 +29,7 @@
 pub mod outcome;
 pub mod placement;
 pub mod places;
+mod preparation;
 pub mod server;
 pub mod servers;
 pub mod serving;
--- a/crates/direct/src/drive.rs
+++ b/crates/direct/src/drive.rs
@@ -11,6 +11,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::app::App;
+use crate::command;
 use crate::exchange::{self, Answer, CallerExchange, HeldAnswer, PartialAnswer, RunInput};
 
 /// How a call ended, or its stream began.
@@ -39,7 +40,7 @@
                 .metrics
                 .count_wasted_prefill("unused", self.prompt_tokens);
             let (server, handle) = (self.cache.server, self.cache.handle.clone());
-            tokio::task::spawn_local(exchange::release(Rc::clone(&self.app), server, handle));
+            tokio::task::spawn_local(command::release(Rc::clone(&self.app), server, handle));
         }
     }
 }
@@ -59,7 +60,7 @@
             let request = std::mem::take(&mut self.request);
             let reservation = self.reservation.clone();
             let app = Rc::clone(&self.app);
-            tokio::task::spawn_local(exchange::unreserve(app, request, self.server, reservation));
+            tokio::task::spawn_local(command::unreserve(app, request, self.server, reservation));
         }
     }
 }
@@ -100,7 +101,7 @@
                 is_late,
                 computes_prompt,
             } => {
-                let need = exchange::PlaceNeed {
+                let need = command::PlaceNeed {
                     model,
                     ttl,
                     is_late,
@@ -220,9 +221,9 @@
     call: &mut Call,
     exchange: &CallerExchange,
     server: ServerKey,
-    need: exchange::PlaceNeed,
+    need: command::PlaceNeed,
 ) -> Option<HeldPlace> {
-    let reserved = exchange::reserve(app, exchange, server, need).await;
+    let reserved = command::reserve(app, exchange, server, need).await;
     let now = app.now();
     let mut serving = app.serving.borrow_mut();
     match reserved {
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -14,6 +14,7 @@
 //! | [`channel`] | one connection to a backend server |
 //! | [`pool`] | kept connections |
 //! | [`exchange`] | sends one request to one server |
+//! | [`command`] | requests of this process itself: places, and caches that nobody takes |
 //! | [`drive`] | carries out the actions of a call |
 //! | [`head_timer`] | bounds the time of a head |
 //! | [`relay`] | passes a stream on |
@@ -26,6 +27,7 @@
 pub mod app;
 pub mod body;
 pub mod channel;
+pub mod command;
 pub mod control;
 pub mod drive;
 pub mod exchange;
