Answer a request on a connection that is opened to a closing process

Cause: a connection that was opened after a stopping process had begun to close idle ones was closed before its request was read.

Ruled out: load of the machine; the close follows from the phase alone.

Such connections come when the balancer has no other process, so their request is answered and the answer closes them.

--- a/crates/direct/src/serve.rs
+++ b/crates/direct/src/serve.rs
@@ -85,6 +85,8 @@
         .unwrap_or_default();
     let head_max = usize::try_from(limits.head_max_bytes.0).unwrap_or(usize::MAX);
     let mut stop = app.stop.clone();
+    // The balancer has nobody else, so the connection gets its answer before it is closed.
+    let is_last_resort = *stop.borrow() >= StopPhase::Closing;
     let timer = HeadTimer::default();
     let service = {
         let (app, timer) = (Rc::clone(&app), timer.clone());
@@ -111,7 +113,7 @@
             debug!(app.log, "head of a request took too long");
             return;
         }
-        _ = stop.wait_for(|phase| *phase >= StopPhase::Closing) => None,
+        _ = stop.wait_for(|phase| *phase >= StopPhase::Closing), if !is_last_resort => None,
     };
     let ended = match ended {
         Some(ended) => ended,
