Send no work to removed and leaving servers for as long as before

The entry had read the removal 0.39 s later, held the server as a last resort for 2.2 s from then, and ran the request after a prefill of 0.16 s. A call also kept the server that it had prepared its answer at, for whatever time it had been leaving.

A removed server is a last resort for 1.5 s; for 2.2 s only after an outage of the store, in which entries lapse and come back within two seconds. A call keeps a leaving server for 1.2 s. The tests failed before: there was no difference between the two holds, and a prepared answer stayed at its leaving server.

--- a/crates/direct-core/src/call.rs
+++ b/crates/direct-core/src/call.rs
@@ -147,7 +147,7 @@
             && serving
                 .servers
                 .get(key)
-                .is_some_and(|server| !server.health.is_paused(now))
+                .is_some_and(|server| server.takes_prepared(now) && !server.health.is_paused(now))
         {
             return Ok(key);
         }
--- a/crates/direct-core/src/placement.rs
+++ b/crates/direct-core/src/placement.rs
@@ -14,7 +14,7 @@
 use strum::{Display, EnumIter, IntoStaticStr};
 
 use crate::server::Stage;
-use crate::servers::{REMOVED_HOLD, Server, ServerKey, ServerTable, Standing};
+use crate::servers::{Server, ServerKey, ServerTable, Standing};
 
 /// Way to a server in the same availability zone and back.
 const WITHIN_ZONE_MS: f64 = 0.4;
@@ -111,8 +111,8 @@
 /// Whether a server's entry has just gone, so that it is used if there is no other.
 fn is_last_resort(now: TimeUs, server: &Server) -> bool {
     match server.standing {
-        Standing::Removed(since) => now.since(since) < REMOVED_HOLD,
-        Standing::Ready | Standing::Leaving => false,
+        Standing::Removed { until } => now < until,
+        Standing::Ready | Standing::Leaving(_) => false,
     }
 }
 
--- a/crates/direct-core/src/servers.rs
+++ b/crates/direct-core/src/servers.rs
@@ -1,8 +1,8 @@
 //! The table of all backend servers.
 //!
 //! A removed entry is not forgotten at once. Entries lapse together while the registry is away and
-//! come back within two seconds of its return, so a removed server stays for
-//! [`REMOVED_HOLD`] as a last resort: it gets work only if its service has no other server.
+//! come back within two seconds of its return, so a removed server stays for a while as a last
+//! resort: it gets work only if its service has no other server.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -13,9 +13,14 @@
 use crate::health::Health;
 use crate::server::{ServerRecord, ServerState};
 
-/// Time for which a removed server is a last resort. It covers the two seconds in which lapsed
-/// entries come back and is below the 2.5 s after which a leaving server must get no work.
-pub const REMOVED_HOLD: DurationUs = DurationUs::from_ms(2_200);
+/// Time for which a removed server is a last resort. A leaving server must get no work 2.5 s after
+/// the registry has its word, and a removal is read up to half a second later.
+pub const REMOVED_HOLD: DurationUs = DurationUs::from_ms(1_500);
+/// The same after an outage of the registry: the two seconds in which lapsed entries come back.
+pub const LAPSED_HOLD: DurationUs = DurationUs::from_ms(2_200);
+/// Time for which a request keeps a leaving server that it has prepared its answer at. Its prefill
+/// takes less, but for a long queue.
+pub const PREPARED_HOLD: DurationUs = DurationUs::from_ms(1_200);
 
 new_key_type! {
     /// Reference to a server of the table.
@@ -27,10 +32,13 @@
 pub enum Standing {
     /// Published as ready.
     Ready,
-    /// Its entry is gone since the given time.
-    Removed(TimeUs),
-    /// It gets no new work.
-    Leaving,
+    /// Its entry is gone; it is a last resort until the given time.
+    Removed {
+        /// End of that.
+        until: TimeUs,
+    },
+    /// It gets no new work since the given time.
+    Leaving(TimeUs),
 }
 
 /// Free memory of an engine at a time.
@@ -63,6 +71,17 @@
     pub memory: Option<FreeMemory>,
 }
 
+impl Server {
+    /// Whether a request that has prepared its answer here may still run here.
+    pub fn takes_prepared(&self, now: TimeUs) -> bool {
+        match self.standing {
+            Standing::Ready => true,
+            Standing::Removed { until } => now < until,
+            Standing::Leaving(since) => now.since(since) < PREPARED_HOLD,
+        }
+    }
+}
+
 /// All backend servers, by key, id and service.
 #[derive(Clone, Debug, Default)]
 pub struct ServerTable {
@@ -103,10 +122,15 @@
     ///
     /// An entry under a known id with another address, service or start is another incarnation:
     /// what was known of the earlier one does not hold for it.
-    pub fn publish(&mut self, record: ServerRecord, region: Option<RegionName>) -> ServerKey {
+    pub fn publish(
+        &mut self,
+        now: TimeUs,
+        record: ServerRecord,
+        region: Option<RegionName>,
+    ) -> ServerKey {
         let standing = match record.state {
             ServerState::Ready => Standing::Ready,
-            ServerState::Draining => Standing::Leaving,
+            ServerState::Draining => Standing::Leaving(now),
         };
         if let Some(key) = self.key_of(&record.id) {
             if let Some(server) = self.servers.get_mut(key)
@@ -114,7 +138,10 @@
             {
                 server.record = record;
                 server.region = region;
-                server.standing = standing;
+                let was_leaving = matches!(server.standing, Standing::Leaving(_));
+                if !was_leaving || standing == Standing::Ready {
+                    server.standing = standing;
+                }
                 return key;
             }
             self.forget(key);
@@ -149,16 +176,16 @@
         }
     }
 
-    /// Applies the removal of an entry.
-    pub fn remove(&mut self, now: TimeUs, id: &BackendServerId) {
+    /// Applies the removal of an entry; its server is a last resort until a time.
+    pub fn remove(&mut self, until: TimeUs, id: &BackendServerId) {
         let Some(key) = self.key_of(id) else { return };
         let Some(server) = self.servers.get_mut(key) else {
             return;
         };
         match server.standing {
-            Standing::Ready => server.standing = Standing::Removed(now),
-            Standing::Removed(_) => {}
-            Standing::Leaving => self.forget(key),
+            Standing::Ready => server.standing = Standing::Removed { until },
+            Standing::Removed { .. } => {}
+            Standing::Leaving(_) => self.forget(key),
         }
     }
 
@@ -178,11 +205,11 @@
         }
     }
 
-    /// Forgets servers whose entries have been gone for [`REMOVED_HOLD`].
+    /// Forgets removed servers that are no last resort any more.
     pub fn expire(&mut self, now: TimeUs) {
         let is_expired = |server: &Server| match server.standing {
-            Standing::Removed(since) => now.since(since) >= REMOVED_HOLD,
-            Standing::Ready | Standing::Leaving => false,
+            Standing::Removed { until } => now >= until,
+            Standing::Ready | Standing::Leaving(_) => false,
         };
         let keys: Vec<_> = self
             .servers
--- a/crates/direct-core/src/serving.rs
+++ b/crates/direct-core/src/serving.rs
@@ -13,11 +13,15 @@
 use crate::catalogue::{Catalogue, Route};
 use crate::follow::Update;
 use crate::placement::{Distance, Origin, distance};
-use crate::servers::{Server, ServerKey, ServerTable, Standing};
+use crate::servers::{LAPSED_HOLD, REMOVED_HOLD, Server, ServerKey, ServerTable, Standing};
 
 /// Time for which an engine without room counts as full in explanations.
 const FULL_KNOWN_FOR: DurationUs = DurationUs::from_ms(1_000);
 
+/// Time after an outage of the registry in which a removed entry may have lapsed in it: the history
+/// of the outage arrives within a few answers.
+const AFTER_OUTAGE: DurationUs = DurationUs::from_ms(4_000);
+
 /// Settings of the context.
 #[derive(Clone, Debug)]
 pub struct ServingConfig {
@@ -65,6 +69,8 @@
     pub servers: ServerTable,
     budgets: HashMap<ServiceName, RetryBudget>,
     is_synced: bool,
+    /// When the registry answered again after it had been away.
+    regained_at: Option<TimeUs>,
     pub(crate) rng: SmallRng,
 }
 
@@ -79,6 +85,7 @@
             servers: ServerTable::default(),
             budgets: HashMap::new(),
             is_synced: false,
+            regained_at: None,
             rng,
         }
     }
@@ -98,11 +105,22 @@
             }
             Update::Server(record) => {
                 let region = self.config.regions.get(&record.availability_zone).cloned();
-                self.servers.publish(record, region);
+                self.servers.publish(now, record, region);
+            }
+            Update::ServerRemoved(id) => {
+                let is_after_outage = self
+                    .regained_at
+                    .is_some_and(|at| now.since(at) < AFTER_OUTAGE);
+                let hold = if is_after_outage {
+                    LAPSED_HOLD
+                } else {
+                    REMOVED_HOLD
+                };
+                self.servers.remove(now + hold, &id);
             }
-            Update::ServerRemoved(id) => self.servers.remove(now, &id),
             Update::Synced(_) => self.is_synced = true,
-            Update::Unusable { .. } | Update::Lost(_) | Update::Regained => {}
+            Update::Regained => self.regained_at = Some(now),
+            Update::Unusable { .. } | Update::Lost(_) => {}
         }
     }
 
--- a/crates/direct-core/tests/call.rs
+++ b/crates/direct-core/tests/call.rs
@@ -3,7 +3,8 @@
 mod support;
 
 use cuminlead_direct_core::{
-    Action, CacheRef, Call, Outcome, Refusal, RefusalReason, RequestKind, Reservation, Serving,
+    Action, CacheRef, Call, Outcome, Refusal, RefusalReason, RequestKind, Reservation, ServerState,
+    Serving, Stage, Update,
 };
 use cuminlead_types::DurationUs;
 use support::{id, key, model_spec, ms, plain_spec, publish, serving};
@@ -481,3 +482,32 @@
         "caches are kept for 500 ms"
     );
 }
+
+/// Guards against an answer that is asked for at a leaving server long after it has said so, because
+/// it was prepared there: the server must get no work 2.5 s after its word.
+#[test]
+fn prepared_answer_moves_on_from_a_leaving_server() {
+    struct Case {
+        run_ms: u64,
+        expected: &'static str,
+    }
+    let cases = [
+        Case {
+            run_ms: 1_199,
+            expected: "reserve d1",
+        },
+        Case {
+            run_ms: 1_200,
+            expected: "reserve d2",
+        },
+    ];
+    for case in cases {
+        let mut serving = notes();
+        let mut call = reserved_and_prefilled(&mut serving, STREAM, 1);
+        let mut leaving = support::record("d1", "notes", "a1", Some(Stage::Decode));
+        leaving.state = ServerState::Draining;
+        serving.apply(ms(0), Update::Server(leaving));
+        let next = call.next(ms(case.run_ms), &mut serving);
+        assert!(text(&serving, &next).starts_with(case.expected), "{next:?}");
+    }
+}
--- a/crates/direct-core/tests/placement.rs
+++ b/crates/direct-core/tests/placement.rs
@@ -128,6 +128,41 @@
     );
 }
 
+/// Guards against work for a server that left without a word, 2.5 s after the registry had removed
+/// it, and against requests without a server while entries that lapsed in an outage come back.
+#[test]
+fn removed_servers_are_held_for_longer_after_an_outage() {
+    struct Case {
+        regained_ms: Option<u64>,
+        removed_ms: u64,
+        until_ms: u64,
+    }
+    let case = |regained_ms, removed_ms, until_ms| Case {
+        regained_ms,
+        removed_ms,
+        until_ms,
+    };
+    let cases = [
+        case(None, 1_000, 2_500),
+        case(Some(1_000), 1_000, 3_200),
+        case(Some(1_000), 4_999, 7_199),
+        case(Some(1_000), 5_000, 6_500),
+    ];
+    for case in cases {
+        let mut serving = counter();
+        if let Some(at) = case.regained_ms {
+            serving.apply(ms(at), Update::Regained);
+        }
+        for id in ["s1", "s2", "s3"] {
+            let id = id.parse().expect("a valid fixture");
+            serving.apply(ms(case.removed_ms), Update::ServerRemoved(id));
+        }
+        let last = ms(case.until_ms - 1);
+        assert_eq!(chosen(&serving, last, PLAIN, None), "s1");
+        assert_eq!(chosen(&serving, ms(case.until_ms), PLAIN, None), "None");
+    }
+}
+
 /// Guards against a request for a server that has started again under its id or whose address has
 /// another service.
 #[test]
--- a/crates/direct-core/tests/support/naive.rs
+++ b/crates/direct-core/tests/support/naive.rs
@@ -6,7 +6,7 @@
 
 use std::collections::{HashMap, HashSet};
 
-use cuminlead_direct_core::servers::{REMOVED_HOLD, Server, Standing};
+use cuminlead_direct_core::servers::{Server, Standing};
 use cuminlead_direct_core::{
     Action, CacheRef, CallSpec, Outcome, RefusalReason, RequestKind, ServerKey, Serving, Stage,
 };
@@ -246,7 +246,7 @@
             && serving
                 .servers
                 .get(key)
-                .is_some_and(|server| !server.health.is_paused(now))
+                .is_some_and(|server| server.takes_prepared(now) && !server.health.is_paused(now))
         {
             return HashSet::from([key]);
         }
@@ -304,8 +304,8 @@
             return ready;
         }
         of_standing(&|standing| match standing {
-            Standing::Removed(since) => now.since(since) < REMOVED_HOLD,
-            Standing::Ready | Standing::Leaving => false,
+            Standing::Removed { until } => now < until,
+            Standing::Ready | Standing::Leaving(_) => false,
         })
     }
 
