--- a/crates/direct/src/adapter.rs
+++ b/crates/direct/src/adapter.rs
@@ -9,7 +9,7 @@
 
 use cuminlead_direct_core::Registry;
 use cuminlead_settings::EntrySettings;
-use cuminlead_types::{BackendServerId, DurationUs, Tokens};
+use cuminlead_types::{BackendServerId, DurationUs, PromptPartId, Tokens};
 use http::{HeaderMap, Method, StatusCode};
 
 /// Properties of a request that its headers state.
@@ -23,6 +23,9 @@
     pub prompt_tokens: Option<Tokens>,
     /// The caller's estimate of the output length, often inaccurate.
     pub answer_tokens: Option<Tokens>,
+    /// Parts of the prompt that other requests may share, in order; without the last part, which is
+    /// the request's own.
+    pub prompt_parts: Vec<PromptPartId>,
 }
 
 /// Values that the headers of a run or prefill pass to the server.
--- a/crates/direct/src/drive.rs
+++ b/crates/direct/src/drive.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use cuminlead_direct_core::{Action, CacheRef, Call, Refusal, Reservation, ServerKey, StepOutcome};
-use cuminlead_types::{DurationUs, TimeUs, Tokens};
+use cuminlead_types::{DurationUs, PromptPartId, TimeUs, Tokens};
 use slog::{debug, info};
 use tokio::time::{sleep, timeout};
 
@@ -403,5 +403,17 @@
     info!(app.log, "step failed"; "request" => &exchange.request.id, "step" => step,
         "outcome" => %outcome, "server" => %server.record.id,
         "in_flight" => server.in_flight_count,
-        "left_ms" => exchange.deadline.since(app.now()).as_ms());
+        "left_ms" => exchange.deadline.since(app.now()).as_ms(),
+        "prompt_parts" => prompt_parts_field(exchange, outcome));
+}
+
+/// Prompt parts of a request whose connection was lost, which relate crashes of engines to the
+/// requests that they were processing; `None` for other outcomes.
+fn prompt_parts_field(exchange: &CallerExchange, outcome: StepOutcome) -> Option<String> {
+    let parts = &exchange.request.prompt_parts;
+    if outcome != StepOutcome::Lost || parts.is_empty() {
+        return None;
+    }
+    let parts: Vec<_> = parts.iter().map(PromptPartId::as_str).collect();
+    Some(parts.join(","))
 }
--- a/crates/types/src/ids.rs
+++ b/crates/types/src/ids.rs
@@ -75,6 +75,10 @@
     /// Name of an adapter that is loaded on top of a model.
     AdapterName
 );
+name_type!(
+    /// Id of a part that prompts have in common, such as a system prompt or a document.
+    PromptPartId
+);
 name_type!(
     /// Version of a model's weights.
     VersionName
