Take a stream that ends inside an event for broken off

Cause: a stream without a length and without chunks ends with its connection. On routes that are not resumable, any regular close was forwarded as the complete end, also one in the middle of an event. Resumable streams were forwarded in complete events already.

Change: the relay of other streams follows the event boundaries of text/event-stream responses and closes the caller's connection without the end if the last event is incomplete.

--- a/crates/direct-core/src/events.rs
+++ b/crates/direct-core/src/events.rs
@@ -64,3 +64,49 @@
     let id = text.lines().rev().find_map(|line| line.strip_prefix("id:"));
     id.map(|id| id.trim().to_string())
 }
+
+/// Tells whether the bytes of a stream so far end after a complete event, without keeping them. A
+/// line ends with a line feed, a carriage return or both.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EventBoundary {
+    is_at_boundary: bool,
+    is_line_empty: bool,
+    was_carriage_return: bool,
+}
+
+impl Default for EventBoundary {
+    fn default() -> Self {
+        Self {
+            is_at_boundary: true,
+            is_line_empty: true,
+            was_carriage_return: false,
+        }
+    }
+}
+
+impl EventBoundary {
+    /// Adds bytes of the stream.
+    pub fn push(&mut self, bytes: &[u8]) {
+        for byte in bytes {
+            let ends_line = match byte {
+                b'\n' if self.was_carriage_return => false,
+                b'\n' | b'\r' => true,
+                _ => {
+                    self.is_at_boundary = false;
+                    self.is_line_empty = false;
+                    false
+                }
+            };
+            if ends_line {
+                self.is_at_boundary |= self.is_line_empty;
+                self.is_line_empty = true;
+            }
+            self.was_carriage_return = *byte == b'\r';
+        }
+    }
+
+    /// Whether no event has begun since the last complete one.
+    pub fn is_at_boundary(self) -> bool {
+        self.is_at_boundary
+    }
+}
--- a/crates/direct-core/src/lib.rs
+++ b/crates/direct-core/src/lib.rs
@@ -44,7 +44,7 @@
     Action, CacheRef, CallSpec, ModelRequirements, Refusal, RefusalReason, Reservation,
 };
 pub use call::Call;
-pub use events::EventScanner;
+pub use events::{EventBoundary, EventScanner};
 pub use operator_config::{
     CallerLimits, EngineSpec, OperatorConfig, RequestKind, Route, RouteMatch, ServiceSpec,
     WeightedService,
--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -8,8 +8,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use cuminlead_direct_core::{Call, CallSpec, EventScanner, RequestKind, ServerKey, StepOutcome};
+use cuminlead_direct_core::{
+    Call, CallSpec, EventBoundary, EventScanner, RequestKind, ServerKey, StepOutcome,
+};
 use cuminlead_types::{DurationUs, TimeUs};
+use http::header::CONTENT_TYPE;
 use http_body_util::BodyExt;
 use slog::info;
 use tokio::sync::mpsc::{Receiver, Sender, channel};
@@ -23,6 +26,8 @@
     CallerExchange, StreamingResponse, UNRESPONSIVE_AFTER_TARGETS, mark_unresponsive,
 };
 
+/// Content type of a stream of server-sent events.
+const EVENT_STREAM: &[u8] = b"text/event-stream";
 /// Chunks that are buffered for a caller that reads slowly.
 const CHUNKS_MAX_COUNT: usize = 16;
 
@@ -206,14 +211,23 @@
     }
 }
 
-/// Forwards bytes as they arrive.
+/// Forwards bytes as they arrive. A stream of events that ends inside an event was broken off: if
+/// the end of the connection delimits it, nothing else tells.
 async fn copy_bytes(
     response: &mut StreamingResponse,
     sink: &mut Sink<'_>,
 ) -> Result<(), StepOutcome> {
-    sink.send(std::mem::take(&mut response.first)).await?;
-    while let Some(data) = next_data(response).await? {
+    let content_type = response.headers.get(CONTENT_TYPE);
+    let has_events = content_type.is_some_and(|value| value.as_bytes().starts_with(EVENT_STREAM));
+    let mut boundary = EventBoundary::default();
+    let mut next = Some(std::mem::take(&mut response.first));
+    while let Some(data) = next {
+        boundary.push(&data);
         sink.send(data).await?;
+        next = next_data(response).await?;
+    }
+    if has_events && !boundary.is_at_boundary() {
+        return Err(StepOutcome::Lost);
     }
     Ok(())
 }
