--- a/crates/direct-core/src/servers.rs
+++ b/crates/direct-core/src/servers.rs
@@ -7,7 +7,9 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
-use cuminlead_types::{BackendServerId, DurationUs, RegionName, ServiceName, TimeUs, Tokens};
+use cuminlead_types::{
+    BackendServerId, DurationUs, MillirequestsPerSecond, RegionName, ServiceName, TimeUs, Tokens,
+};
 use slotmap::{SlotMap, new_key_type};
 
 use crate::health::Health;
@@ -53,6 +55,15 @@
     pub reported_at: TimeUs,
 }
 
+/// Limit that a server has named for the requests of all processes together.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct NamedLimit {
+    /// Rate that it accepts.
+    pub rate: MillirequestsPerSecond,
+    /// When the last response with it was received.
+    pub named_at: TimeUs,
+}
+
 /// Backend server with this process's view of it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Server {
@@ -68,11 +79,35 @@
     pub in_flight_count: u32,
     /// When it last had no free slot for a request.
     pub full_at: Option<TimeUs>,
+    /// Limit that the server has named last; `None` if its last response had none.
+    pub limit: Option<NamedLimit>,
     /// Free memory of an engine; `None` before its agent's first report.
     pub memory: Option<FreeMemory>,
 }
 
 impl Server {
+    /// Records the limit that a response names; returns whether it has changed.
+    ///
+    /// Responses may overtake each other, so one without a limit lifts it only if its request was
+    /// sent after the limit was last named.
+    pub fn record_limit(
+        &mut self,
+        now: TimeUs,
+        sent_at: TimeUs,
+        rate: Option<MillirequestsPerSecond>,
+    ) -> bool {
+        let known = self.limit;
+        self.limit = match (rate, known) {
+            (Some(rate), _) => Some(NamedLimit {
+                rate,
+                named_at: now,
+            }),
+            (None, Some(known)) if sent_at < known.named_at => Some(known),
+            (None, _) => None,
+        };
+        self.limit.map(|limit| limit.rate) != known.map(|limit| limit.rate)
+    }
+
     /// Whether a request that was prepared for this server may still run here.
     pub fn accepts_prepared(&self, now: TimeUs) -> bool {
         match self.lifecycle {
@@ -156,6 +191,7 @@
             health: Health::default(),
             in_flight_count: 0,
             full_at: None,
+            limit: None,
             memory: None,
         });
         self.by_id.insert(id, key);
--- a/crates/direct/src/adapter.rs
+++ b/crates/direct/src/adapter.rs
@@ -9,7 +9,7 @@
 
 use cuminlead_direct_core::Registry;
 use cuminlead_settings::EntrySettings;
-use cuminlead_types::{BackendServerId, DurationUs, PromptPartId, Tokens};
+use cuminlead_types::{BackendServerId, DurationUs, MillirequestsPerSecond, PromptPartId, Tokens};
 use http::{HeaderMap, Method, StatusCode};
 
 /// Properties of a request that its headers state.
@@ -43,6 +43,13 @@
     pub resume_after: Option<&'a str>,
 }
 
+/// What a server says about itself in the head of any response.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ServerNotice {
+    /// Requests that the server accepts from all processes together, for as long as it says so.
+    pub limit: Option<MillirequestsPerSecond>,
+}
+
 /// Meaning of a response's head.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ResponseClass {
@@ -80,6 +87,9 @@
         headers: &HeaderMap,
     ) -> ResponseClass;
 
+    /// Parses what the server says about itself; malformed values are taken as absent.
+    fn read_notice(&self, headers: &HeaderMap) -> ServerNotice;
+
     /// Parses the name of the KV cache from the response to a prefill. The error says what is
     /// malformed.
     fn read_prefill(&self, body: &[u8]) -> Result<String, String>;
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -365,8 +365,10 @@
                     .ok_or(StepOutcome::Unreachable)?
             }
         };
+        let sent_at = app.now();
         match connection.send(request).await {
             Ok(response) => {
+                apply_notice(app, server, sent_at, response.headers());
                 let lease = ServerLease {
                     app: Rc::clone(app),
                     server,
@@ -384,6 +386,19 @@
     }
 }
 
+/// Records what a server says about itself in the head of a response.
+fn apply_notice(app: &App, server: ServerKey, sent_at: TimeUs, headers: &HeaderMap) {
+    let notice = app.protocol_mapping.read_notice(headers);
+    let mut serving = app.serving.borrow_mut();
+    let Some(server) = serving.servers.get_mut(server) else {
+        return;
+    };
+    if server.record_limit(app.now(), sent_at, notice.limit) {
+        info!(app.log, "server changed its limit"; "server" => %server.record.id,
+            "millirequests_per_s" => notice.limit.map(|limit| limit.0));
+    }
+}
+
 async fn take_usable(
     app: &Rc<App>,
     server: ServerKey,
--- a/crates/types/src/rates.rs
+++ b/crates/types/src/rates.rs
@@ -9,6 +9,10 @@
     /// Requests per second.
     RequestsPerSecond(u32)
 );
+number_type!(
+    /// Thousandths of a request per second.
+    MillirequestsPerSecond(u64)
+);
 number_type!(
     /// Tokens per second.
     TokensPerSecond(u64)
