Take permits for requests to servers that have named a limit

What the users saw: servers that named a limit got up to 1.6 times what the users' rule allows. Callers saw nothing of it.

Cause: entries recorded the limit and nothing followed from it. Each entry knows only its own requests, so no entry alone can keep a limit that is meant for all.

Change: an agent owns the permits of a server, the one beside an engine or else one of the server's region that all entries choose by the same hash. A reservation of a decode slot includes a permit; prefills, plain requests and runs without an agent's reservation take one before they are sent. A server without a permit is held back like a paused one: the request goes to another server, waits for the next permit if it can still be on time, or is refused at once with the time until then. Decode servers compute prompts while all prefill servers of their region are held back. Without an agent that can be asked nothing is sent to such a server.

--- a/crates/direct-core/src/action.rs
+++ b/crates/direct-core/src/action.rs
@@ -121,6 +121,8 @@
 pub enum RefusalReason {
     /// No server can accept the request.
     NoServer,
+    /// All servers have reached the limits that they named.
+    Limited,
     /// No engine has a free slot in time.
     #[strum(serialize = "no_place")]
     NoSlot,
--- a/crates/direct-core/src/call.rs
+++ b/crates/direct-core/src/call.rs
@@ -37,6 +37,8 @@
 /// Retry-after for a caller that got no slot. Outputs occupy their slots for three seconds and
 /// more, and a response that has missed its latency target is as useful after that time.
 const NO_SLOT_RETRY_AFTER: DurationUs = DurationUs::from_ms(3_000);
+/// Most waits of one request for a permit of a server with a limit.
+const PERMIT_WAITS_MAX: u32 = 2;
 /// Most servers that may reject one request before it is refused.
 const REJECTIONS_MAX: u32 = 3;
 
@@ -53,6 +55,7 @@
     rejections_count: u32,
     sends_count: u32,
     waits_count: u32,
+    permit_waits_count: u32,
     excluded: Vec<ServerKey>,
     /// Server chosen before the prefill, so that the KV cache has a destination.
     chosen_server: Option<ServerKey>,
@@ -82,6 +85,7 @@
             rejections_count: 0,
             sends_count: 0,
             waits_count: 0,
+            permit_waits_count: 0,
             excluded: Vec::new(),
             chosen_server: None,
             has_failure_response: false,
@@ -133,6 +137,10 @@
             Ok(server) => server,
             // A slot becomes free sooner than a failing server recovers.
             Err(_) if !self.full_servers.is_empty() => return self.wait_for_slot(now),
+            Err(PlacementError::LimitedUntil(until)) if self.may_wait_for_permit(until) => {
+                self.permit_waits_count += 1;
+                return Action::Wait(until.since(now));
+            }
             Err(error) => return self.refuse_without_server(now, error),
         };
         let computes_prompt = self.computes_prompt(now, serving, server);
@@ -274,15 +282,29 @@
         }
     }
 
+    /// Whether the call waits until a server's limit permits a request. It does if the response can
+    /// still meet the latency target; others that wait may take the permit first, so it does not
+    /// wait again and again.
+    fn may_wait_for_permit(&self, until: TimeUs) -> bool {
+        let waited = until.since(self.spec.arrived_at);
+        self.permit_waits_count < PERMIT_WAITS_MAX
+            && waited.saturating_add(self.response_time()) < self.spec.latency_target
+    }
+
     /// Whether a response that begins now misses the latency target.
     fn is_late(&self, now: TimeUs) -> bool {
+        let waited = now.since(self.spec.arrived_at);
+        self.spec.is_caller_retry
+            || waited.saturating_add(self.response_time()) >= self.spec.latency_target
+    }
+
+    /// Time from the choice of a server until the response begins.
+    fn response_time(&self) -> DurationUs {
         let prompt = self
             .spec
             .model
             .map_or(Tokens::ZERO, |model| model.prompt_tokens);
-        let remaining = prefill_time(prompt).saturating_add(FIRST_EVENT_MARGIN);
-        let waited = now.since(self.spec.arrived_at);
-        self.spec.is_caller_retry || waited.saturating_add(remaining) >= self.spec.latency_target
+        prefill_time(prompt).saturating_add(FIRST_EVENT_MARGIN)
     }
 
     /// Records a reservation; it replaces an earlier one.
@@ -310,7 +332,9 @@
             }
         } else {
             record_outcome(now, serving, server, outcome);
-            self.excluded.push(server);
+            if outcome != StepOutcome::Limited {
+                self.excluded.push(server);
+            }
         }
         self.chosen_server = None;
     }
@@ -407,6 +431,11 @@
         server: ServerKey,
         outcome: StepOutcome,
     ) {
+        if outcome == StepOutcome::Limited {
+            // Nothing was sent. The limit keeps the server from being chosen for a while.
+            self.prompt.uncount_prefill_attempt();
+            return;
+        }
         record_outcome(now, serving, server, outcome);
         self.prompt.excluded.push(server);
         // A prefill that reached a server counts as a retry, because the run is still to come.
@@ -443,6 +472,8 @@
         match outcome {
             // The decode server is not at fault and can compute the prompt.
             StepOutcome::CacheUnavailable => {}
+            // The limit keeps the server from being chosen for a while.
+            StepOutcome::Limited => self.chosen_server = None,
             _ => self.excluded.push(server),
         }
         if !proves_not_run(outcome) {
@@ -456,7 +487,7 @@
         {
             self.slot = SlotState::Needed;
         }
-        if outcome == StepOutcome::Unreachable {
+        if matches!(outcome, StepOutcome::Unreachable | StepOutcome::Limited) {
             // Nothing reached a server, so nothing counts as a retry.
             self.sends_count -= 1;
         }
@@ -501,10 +532,10 @@
     }
 
     fn refuse_without_server(&mut self, now: TimeUs, error: PlacementError) -> Action {
-        let reason = if self.rejections_count > 0 {
-            RefusalReason::Rejected
-        } else {
-            RefusalReason::NoServer
+        let reason = match error {
+            _ if self.rejections_count > 0 => RefusalReason::Rejected,
+            PlacementError::LimitedUntil(_) => RefusalReason::Limited,
+            PlacementError::PausedUntil(_) | PlacementError::None => RefusalReason::NoServer,
         };
         self.finish(reason, retry_after(now, error))
     }
--- a/crates/direct-core/src/lib.rs
+++ b/crates/direct-core/src/lib.rs
@@ -11,6 +11,7 @@
 //! | [`placement`] | choice of the server for a request |
 //! | [`reservation`] | reservations of decode slots on one engine, by a forecast of its memory |
 //! | [`output_length`] | expected length of outputs |
+//! | [`rate_limit`] | permits for requests to servers that have named a limit |
 //! | [`quarantine`] | prompt parts that crash engines |
 //! | [`action`] | requirements of a request, and its next action |
 //! | [`outcome`] | outcomes of a step, and what they prove |
@@ -32,6 +33,7 @@
 pub mod placement;
 mod preparation;
 pub mod quarantine;
+pub mod rate_limit;
 pub mod registry;
 pub mod reservation;
 pub mod server;
@@ -51,6 +53,7 @@
 };
 pub use outcome::StepOutcome;
 pub use quarantine::{CrashReport, PromptQuarantine, QuarantineState, QuarantinedPart};
+pub use rate_limit::{PermitReply, RateLimiter};
 pub use registry::{Published, Query, Registry, RegistryError, RegistryUpdate, RegistryWatcher};
 pub use reservation::{
     EngineReport, MemoryUse, OutputReport, ReservationReply, ReservationRequest, ReservationTable,
--- a/crates/direct-core/src/outcome.rs
+++ b/crates/direct-core/src/outcome.rs
@@ -13,6 +13,8 @@
 pub enum StepOutcome {
     /// No connection was made, or nothing was sent on it.
     Unreachable,
+    /// Nothing was sent, because the server's limit permits no request now.
+    Limited,
     /// The server rejected the request and has not run it.
     #[strum(serialize = "turned_away")]
     Rejected,
@@ -53,7 +55,7 @@
         | StepOutcome::Failed
         | StepOutcome::Lost
         | StepOutcome::Malformed => server.health.record_failure(now),
-        StepOutcome::CacheUnavailable | StepOutcome::OtherIncarnation => {}
+        StepOutcome::Limited | StepOutcome::CacheUnavailable | StepOutcome::OtherIncarnation => {}
     }
 }
 
@@ -61,7 +63,10 @@
 pub(crate) fn retains_cache(outcome: StepOutcome) -> bool {
     matches!(
         outcome,
-        StepOutcome::Unreachable | StepOutcome::Rejected | StepOutcome::OtherIncarnation
+        StepOutcome::Unreachable
+            | StepOutcome::Limited
+            | StepOutcome::Rejected
+            | StepOutcome::OtherIncarnation
     )
 }
 
@@ -69,6 +74,7 @@
 pub(crate) fn proves_not_run(outcome: StepOutcome) -> bool {
     match outcome {
         StepOutcome::Unreachable
+        | StepOutcome::Limited
         | StepOutcome::Rejected
         | StepOutcome::OtherIncarnation
         | StepOutcome::CacheUnavailable => true,
@@ -81,7 +87,7 @@
 
 pub(crate) fn retry_evidence(outcome: StepOutcome) -> Evidence {
     match outcome {
-        StepOutcome::Unreachable => Evidence::ConnectFailed,
+        StepOutcome::Unreachable | StepOutcome::Limited => Evidence::ConnectFailed,
         StepOutcome::Rejected | StepOutcome::OtherIncarnation | StepOutcome::CacheUnavailable => {
             Evidence::RefusedNotRun
         }
--- a/crates/direct-core/src/placement.rs
+++ b/crates/direct-core/src/placement.rs
@@ -76,6 +76,9 @@
 pub enum PlacementError {
     /// All are paused; the first pause ends at the given time.
     PausedUntil(TimeUs),
+    /// All are paused or have reached the limits that they named; one with a limit is the first that
+    /// may get a request, at the given time.
+    LimitedUntil(TimeUs),
     /// None is published, or all have rejected or failed this request.
     None,
 }
@@ -103,7 +106,7 @@
         (is_ready(server) || is_fallback(now, server))
             && is_eligible(server, request)
             && !request.excluded.contains(&key)
-            && !server.health.is_paused(now)
+            && server.held_back_until(now).is_none()
     })
 }
 
@@ -128,15 +131,16 @@
 ) -> Result<ServerKey, PlacementError> {
     let mut best: Option<(f64, ServerKey)> = None;
     let mut ties = 1_u32;
-    let mut first_pause_end: Option<TimeUs> = None;
+    let mut first_usable: Option<(TimeUs, bool)> = None;
     let prefill_costs = prefill_costs(now, servers, request);
     for (key, server) in servers.of_service(request.service) {
         if !is_allowed(server) || !is_eligible(server, request) || request.excluded.contains(&key) {
             continue;
         }
-        if server.health.is_paused(now) {
-            let until = server.health.paused_until();
-            first_pause_end = Some(first_pause_end.map_or(until, |first| first.min(until)));
+        if let Some(until) = server.held_back_until(now) {
+            let is_limited = until == server.limited_until;
+            let usable = (until, is_limited);
+            first_usable = Some(first_usable.map_or(usable, |first| first.min(usable)));
             continue;
         }
         let cost = cost_ms(now, server, request) + prefill_cost_ms(&prefill_costs, server);
@@ -155,9 +159,10 @@
             Ordering::Greater => {}
         }
     }
-    match (best, first_pause_end) {
+    match (best, first_usable) {
         (Some((_, key)), _) => Ok(key),
-        (None, Some(until)) => Err(PlacementError::PausedUntil(until)),
+        (None, Some((until, true))) => Err(PlacementError::LimitedUntil(until)),
+        (None, Some((until, false))) => Err(PlacementError::PausedUntil(until)),
         (None, None) => Err(PlacementError::None),
     }
 }
@@ -181,7 +186,8 @@
     };
     let mut costs = HashMap::new();
     for (_, server) in servers.of_service(request.service) {
-        let is_usable = server.lifecycle == ServerLifecycle::Ready && !server.health.is_paused(now);
+        let is_usable =
+            server.lifecycle == ServerLifecycle::Ready && server.held_back_until(now).is_none();
         let Some(region) = server.region.as_ref().filter(|_| is_usable) else {
             continue;
         };
@@ -284,7 +290,9 @@
 /// Time after which a refused caller may find a server, as far as this is known.
 pub fn retry_after(now: TimeUs, error: PlacementError) -> DurationUs {
     match error {
-        PlacementError::PausedUntil(until) => until.since(now).max(RETRY_AFTER_MIN),
+        PlacementError::PausedUntil(until) | PlacementError::LimitedUntil(until) => {
+            until.since(now).max(RETRY_AFTER_MIN)
+        }
         PlacementError::None => RETRY_AFTER_UNKNOWN,
     }
 }
--- a/crates/direct-core/src/preparation.rs
+++ b/crates/direct-core/src/preparation.rs
@@ -111,6 +111,11 @@
         self.prefill_attempts_count += 1;
     }
 
+    /// Takes back the count of an attempt that was not sent.
+    pub(crate) fn uncount_prefill_attempt(&mut self) {
+        self.prefill_attempts_count = self.prefill_attempts_count.saturating_sub(1);
+    }
+
     pub(crate) fn cache_region(&self) -> Option<RegionName> {
         match &self.state {
             PromptState::Cached(cache) => cache.region.clone(),
--- a/crates/direct-core/src/reservation.rs
+++ b/crates/direct-core/src/reservation.rs
@@ -12,7 +12,9 @@
 
 use std::collections::HashMap;
 
-use cuminlead_types::{DurationUs, Slots, TimeUs, Tokens, UnixMs};
+use cuminlead_types::{
+    BackendServerId, DurationUs, MillirequestsPerSecond, Slots, TimeUs, Tokens, UnixMs,
+};
 
 use crate::output_length::OutputLengthEstimator;
 
@@ -83,6 +85,8 @@
     pub computes_prompt: bool,
     /// Start of the incarnation that is to generate the output; zero if unknown.
     pub engine_started_at_ms: UnixMs,
+    /// Engine, and the limit that it has named; `None` if it has named none.
+    pub limit: Option<(BackendServerId, MillirequestsPerSecond)>,
 }
 
 /// Reply to a request for a reservation.
@@ -94,6 +98,8 @@
     pub is_unavailable: bool,
     /// Whether the engine has restarted since the incarnation that the request is for.
     pub is_other_incarnation: bool,
+    /// Time until the engine's limit permits a request; `None` if it permits one now.
+    pub limited_for: Option<DurationUs>,
     /// Usable memory beyond the highest forecast use.
     pub free_tokens: Tokens,
     /// All KV memory of the engine, free or in use.
@@ -336,6 +342,7 @@
             is_held,
             is_unavailable: false,
             is_other_incarnation: false,
+            limited_for: None,
             free_tokens: usable.saturating_sub(forecast),
             total_tokens: total,
         }
@@ -354,6 +361,11 @@
         self.is_unavailable() || self.has_restarted_since(started_at_ms)
     }
 
+    /// Whether a request has a reservation.
+    pub fn has_reservation(&self, request: &str) -> bool {
+        self.reservations.contains_key(request)
+    }
+
     /// Releases a reservation that was not used.
     pub fn release_slot(&mut self, request: &str) {
         self.reservations.remove(request);
--- a/crates/direct-core/src/servers.rs
+++ b/crates/direct-core/src/servers.rs
@@ -25,6 +25,11 @@
 /// still run there. A prefill takes less, unless the queue is long.
 pub const PREPARED_GRACE: DurationUs = DurationUs::from_ms(1_200);
 
+/// Time within which a permit is used; later it would add to the requests of another moment.
+const PERMIT_LIFETIME: DurationUs = DurationUs::from_ms(500);
+/// Shortest time for which a server without permits is not asked for one again.
+const LIMIT_PAUSE_MIN: DurationUs = DurationUs::from_ms(20);
+
 new_key_type! {
     /// Key of a server in the table.
     pub struct ServerKey;
@@ -64,6 +69,31 @@
     pub named_at: TimeUs,
 }
 
+/// Permits for requests to a server with a limit.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct UnusedPermits {
+    count: u32,
+    expires_at: TimeUs,
+}
+
+impl UnusedPermits {
+    /// Adds permits; they replace earlier ones that have expired.
+    pub fn add(&mut self, now: TimeUs, count: u32) {
+        let unexpired_count = if now < self.expires_at { self.count } else { 0 };
+        self.count = unexpired_count.saturating_add(count);
+        self.expires_at = now + PERMIT_LIFETIME;
+    }
+
+    /// Uses a permit, if there is one.
+    pub fn take(&mut self, now: TimeUs) -> bool {
+        let has_permit = now < self.expires_at && self.count > 0;
+        if has_permit {
+            self.count -= 1;
+        }
+        has_permit
+    }
+}
+
 /// Backend server with this process's view of it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Server {
@@ -81,6 +111,10 @@
     pub full_at: Option<TimeUs>,
     /// Limit that the server has named last; `None` if its last response had none.
     pub limit: Option<NamedLimit>,
+    /// Until when the server's limit permits no request.
+    pub limited_until: TimeUs,
+    /// Permits that this process has taken from their owner and not used yet.
+    pub permits: UnusedPermits,
     /// Free memory of an engine; `None` before its agent's first report.
     pub memory: Option<FreeMemory>,
 }
@@ -105,9 +139,24 @@
             (None, Some(known)) if sent_at < known.named_at => Some(known),
             (None, _) => None,
         };
+        if self.limit.is_none() {
+            self.limited_until = TimeUs::ZERO;
+        }
         self.limit.map(|limit| limit.rate) != known.map(|limit| limit.rate)
     }
 
+    /// Records that the server's limit permits no request for the given time.
+    pub fn hold_back(&mut self, now: TimeUs, pause: DurationUs) {
+        let until = now + pause.max(LIMIT_PAUSE_MIN);
+        self.limited_until = self.limited_until.max(until);
+    }
+
+    /// When the server may get its next request; `None` if it may get one now.
+    pub fn held_back_until(&self, now: TimeUs) -> Option<TimeUs> {
+        let until = self.health.paused_until().max(self.limited_until);
+        (now < until).then_some(until)
+    }
+
     /// Whether a request that was prepared for this server may still run here.
     pub fn accepts_prepared(&self, now: TimeUs) -> bool {
         match self.lifecycle {
@@ -192,6 +241,8 @@
             in_flight_count: 0,
             full_at: None,
             limit: None,
+            limited_until: TimeUs::ZERO,
+            permits: UnusedPermits::default(),
             memory: None,
         });
         self.by_id.insert(id, key);
--- a/crates/direct-core/src/serving.rs
+++ b/crates/direct-core/src/serving.rs
@@ -49,6 +49,8 @@
     pub paused_count: u32,
     /// Draining, or with a removed entry.
     pub draining_count: u32,
+    /// Without a permit under the limit that they named.
+    pub limited_count: u32,
     /// Engines that recently had no free slot.
     pub full_count: u32,
 }
@@ -203,6 +205,8 @@
                 counts.draining_count += 1;
             } else if server.health.is_paused(now) {
                 counts.paused_count += 1;
+            } else if now < server.limited_until {
+                counts.limited_count += 1;
             } else if server
                 .full_at
                 .is_some_and(|at| now.since(at) < FULL_STATE_PERIOD)
--- a/crates/direct-core/tests/reservation.rs
+++ b/crates/direct-core/tests/reservation.rs
@@ -17,6 +17,7 @@
         is_late: false,
         computes_prompt: false,
         engine_started_at_ms: UnixMs(0),
+        limit: None,
     }
 }
 
--- a/crates/direct-core/tests/reservation_load.rs
+++ b/crates/direct-core/tests/reservation_load.rs
@@ -75,6 +75,7 @@
         is_late: false,
         computes_prompt: false,
         engine_started_at_ms: UnixMs(1),
+        limit: None,
     };
     (request, output as u64)
 }
--- a/crates/direct/src/app.rs
+++ b/crates/direct/src/app.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use cuminlead_direct_core::shutdown::ShutdownSchedule;
-use cuminlead_direct_core::{ServerKey, ServingState};
+use cuminlead_direct_core::{RateLimiter, ServerKey, ServingState};
 use cuminlead_kernel::Clock;
 use cuminlead_places::ReservationClient;
 use cuminlead_telemetry::Tracing;
@@ -42,6 +42,8 @@
     pub pool: RefCell<ConnectionPool>,
     /// Connections to the agents that reserve decode slots.
     pub reservation_client: RefCell<ReservationClient>,
+    /// Permits that this process owns itself, in deployments without agents.
+    pub local_limiter: RefCell<RateLimiter>,
     /// Port of these agents; without it, slots are reserved at the engines.
     pub place_port: Option<u16>,
     /// Protocol mapping of the platform.
--- a/crates/direct/src/drive.rs
+++ b/crates/direct/src/drive.rs
@@ -16,6 +16,7 @@
 use crate::exchange::{
     self, BufferedResponse, CallerExchange, RunInput, ServerResponse, StreamingResponse,
 };
+use crate::permits;
 
 /// Result of a call, or the start of its stream.
 pub enum CallResult {
@@ -150,8 +151,18 @@
                     resume_after,
                 };
                 let started_at = app.now();
-                let run_result =
-                    with_timeout(step_timeout, exchange::run(app, exchange, server, input)).await;
+                // The permit is part of a reservation that an agent made.
+                let permit = match reservation {
+                    Some(Reservation::Agent) => Ok(()),
+                    Some(Reservation::Engine(_)) | None => permits::acquire(app, server).await,
+                };
+                let run_result = match permit {
+                    Ok(()) => {
+                        let run = exchange::run(app, exchange, server, input);
+                        with_timeout(step_timeout, run).await
+                    }
+                    Err(outcome) => Err(outcome),
+                };
                 last_failure = run_result.as_ref().err().copied();
                 mark_used(&run_result, cache_guard, slot_guard.take());
                 match record_run(app, call, exchange, server, started_at, run_result) {
@@ -193,7 +204,7 @@
         // A run that was sent has used the slot, or the server has released it.
         slot.is_used |= !matches!(
             run_result,
-            Err(StepOutcome::Unreachable | StepOutcome::CacheUnavailable)
+            Err(StepOutcome::Unreachable | StepOutcome::Limited | StepOutcome::CacheUnavailable)
         );
     }
 }
@@ -283,8 +294,13 @@
     step_timeout: DurationUs,
 ) -> Option<CacheGuard> {
     let started_at = app.now();
-    let prefill_result =
-        with_timeout(Some(step_timeout), exchange::prefill(app, exchange, server)).await;
+    let prefill_result = match permits::acquire(app, server).await {
+        Ok(()) => {
+            let prefill = exchange::prefill(app, exchange, server);
+            with_timeout(Some(step_timeout), prefill).await
+        }
+        Err(outcome) => Err(outcome),
+    };
     let now = app.now();
     let mut serving = app.serving.borrow_mut();
     let location = serving
@@ -313,7 +329,10 @@
             log_failure(app, exchange, &serving, server, "prefill", outcome);
             let is_refused = matches!(
                 outcome,
-                StepOutcome::Unreachable | StepOutcome::Rejected | StepOutcome::OtherIncarnation
+                StepOutcome::Unreachable
+                    | StepOutcome::Limited
+                    | StepOutcome::Rejected
+                    | StepOutcome::OtherIncarnation
             );
             if !is_refused {
                 let tokens = prompt_tokens(call);
--- a/crates/direct/src/engine_resources.rs
+++ b/crates/direct/src/engine_resources.rs
@@ -25,6 +25,7 @@
 use crate::exchange::{
     BUFFERED_MAX_BYTES, CallerExchange, Collected, collect, id_and_address, send,
 };
+use crate::permits::{hold_back, limit_of};
 use crate::pool::idle_max;
 
 /// Output tokens for which an engine reserves memory if the request has no estimate, and the most
@@ -72,6 +73,7 @@
             is_late,
             computes_prompt,
             engine_started_at_ms: record.started_at_ms,
+            limit: limit_of(app, server),
         };
         if let Ok(reply) = query_agent(app, agent, &request).await {
             if reply.is_other_incarnation {
@@ -81,6 +83,10 @@
                 return Err(StepOutcome::Unreachable);
             }
             record_free_memory(app, server, reply);
+            if let Some(pause) = reply.limited_for {
+                hold_back(app, server, pause);
+                return Err(StepOutcome::Limited);
+            }
             return if reply.is_held {
                 Ok(Reservation::Agent)
             } else {
@@ -129,10 +135,14 @@
 
 /// Address of the agent beside an engine, and the engine's published entry.
 pub(crate) fn agent_of(app: &App, server: ServerKey) -> Option<(SocketAddr, ServerRecord)> {
-    let port = app.place_port?;
     let serving = app.serving.borrow();
     let record = serving.servers.get(server)?.record.clone();
-    Some((SocketAddr::new(record.address.ip(), port), record))
+    Some((agent_address(app, record.address)?, record))
+}
+
+/// Address of the agent on the host of an engine; `None` in deployments without agents.
+pub(crate) fn agent_address(app: &App, engine: SocketAddr) -> Option<SocketAddr> {
+    Some(SocketAddr::new(engine.ip(), app.place_port?))
 }
 
 async fn reserve_at_engine(
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -16,6 +16,7 @@
 //! | [`pool`] | idle connections to backend servers |
 //! | [`exchange`] | one request to one server, and its response |
 //! | [`engine_resources`] | reservation of decode slots, release of slots and KV caches |
+//! | `permits` | permits for requests to servers that have named a limit |
 //! | `crash_reports` | reports of crashed engines, as evidence against prompt parts |
 //! | [`drive`] | execution of a call's actions |
 //! | [`head_timer`] | timeout for the head of a caller's request |
@@ -35,6 +36,7 @@
 pub mod engine_resources;
 pub mod exchange;
 pub mod head_timer;
+mod permits;
 pub mod pool;
 pub mod process;
 pub mod relay;
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -99,6 +99,7 @@
         serving: RefCell::new(ServingState::new(serving_config(settings))),
         pool: RefCell::new(ConnectionPool::default()),
         reservation_client: RefCell::new(ReservationClient::default()),
+        local_limiter: RefCell::default(),
         place_port: settings
             .place_port()
             .and_then(|port| u16::try_from(port.0).ok()),
--- a/crates/direct/src/serve.rs
+++ b/crates/direct/src/serve.rs
@@ -363,7 +363,8 @@
     info!(app.log, "request refused"; "request" => &exchange.request.id, "reason" => reason,
         "not_run" => refusal.is_not_run, "retry_after_ms" => refusal.retry_after.as_ms(),
         "service" => %service, "usable" => counts.usable_count, "paused" => counts.paused_count,
-        "full" => counts.full_count, "leaving" => counts.draining_count);
+        "limited" => counts.limited_count, "full" => counts.full_count,
+        "leaving" => counts.draining_count);
 }
 
 fn outcome_name(result: &CallResult) -> &'static str {
--- a/crates/places/src/client.rs
+++ b/crates/places/src/client.rs
@@ -8,12 +8,16 @@
 use std::time::Duration;
 
 use cuminlead_direct_core::{
-    CrashReport, QuarantineState, QuarantinedPart, ReservationReply, ReservationRequest,
+    CrashReport, PermitReply, QuarantineState, QuarantinedPart, ReservationReply,
+    ReservationRequest,
+};
+use cuminlead_types::{
+    BackendServerId, DurationUs, MillirequestsPerSecond, PromptPartId, TimeUs, Tokens, UnixMs,
 };
-use cuminlead_types::{DurationUs, PromptPartId, TimeUs, Tokens, UnixMs};
 use cuminlead_wire::proto::places_client::PlacesClient;
 use cuminlead_wire::proto::{
     self, CheckEngineRequest, GiveBackRequest, HoldRequest, ReportCrashRequest, ReportSoundRequest,
+    TakePermitsRequest,
 };
 use tokio::time::timeout;
 use tonic::transport::{Channel, Endpoint};
@@ -90,6 +94,7 @@
     mut client: PlacesClient<Channel>,
     request: &ReservationRequest,
 ) -> Result<(ReservationReply, QuarantineState), ReservationError> {
+    let limit = request.limit.as_ref();
     let message = HoldRequest {
         request: request.request.clone(),
         prompt_tokens: request.prompt_tokens.0,
@@ -99,6 +104,8 @@
         is_late: request.is_late,
         computes_prompt: request.computes_prompt,
         engine_started_at_ms: request.engine_started_at_ms.0,
+        server: limit.map_or_else(String::new, |(server, _)| server.to_string()),
+        limit_millirequests_per_s: limit.map(|(_, rate)| rate.0),
     };
     let answered = timeout(REPLY_TIMEOUT, client.hold(message)).await;
     let reply = answered
@@ -110,6 +117,7 @@
         is_held: reply.is_held,
         is_unavailable: reply.is_unavailable,
         is_other_incarnation: reply.is_other_incarnation,
+        limited_for: reply.limited_for_us.map(DurationUs),
         free_tokens: Tokens(reply.free_tokens),
         total_tokens: Tokens(reply.total_tokens),
     };
@@ -136,6 +144,29 @@
     }
 }
 
+/// Takes permits for requests to a server with a limit from the agent that owns them.
+pub async fn take_permits(
+    mut client: PlacesClient<Channel>,
+    server: &BackendServerId,
+    rate: MillirequestsPerSecond,
+    count: u32,
+) -> Result<PermitReply, ReservationError> {
+    let message = TakePermitsRequest {
+        server: server.to_string(),
+        limit_millirequests_per_s: rate.0,
+        count,
+    };
+    let answered = timeout(REPLY_TIMEOUT, client.take_permits(message)).await;
+    let reply = answered
+        .map_err(|_| ReservationError::NoReply)?
+        .map_err(|_| ReservationError::NoReply)?
+        .into_inner();
+    Ok(PermitReply {
+        granted_count: reply.granted_count,
+        retry_after: DurationUs(reply.retry_after_us),
+    })
+}
+
 /// Asks an agent whether its engine still is the incarnation that started at the given time.
 pub async fn has_engine_ended(
     mut client: PlacesClient<Channel>,
--- a/crates/places/src/rpc.rs
+++ b/crates/places/src/rpc.rs
@@ -3,15 +3,18 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use cuminlead_direct_core::{
-    CrashReport, PromptQuarantine, QuarantineState, ReservationReply, ReservationRequest,
-    ReservationTable,
+    CrashReport, PromptQuarantine, QuarantineState, RateLimiter, ReservationReply,
+    ReservationRequest, ReservationTable,
 };
 use cuminlead_kernel::Clock;
-use cuminlead_types::{DurationUs, PromptPartId, Slots, TimeUs, Tokens, UnixMs};
+use cuminlead_types::{
+    DurationUs, MillirequestsPerSecond, PromptPartId, Slots, TimeUs, Tokens, UnixMs,
+};
 use cuminlead_wire::proto::places_server::Places;
 use cuminlead_wire::proto::{
     CheckEngineReply, CheckEngineRequest, GiveBackReply, GiveBackRequest, HoldReply, HoldRequest,
     QuarantinedPart, ReportCrashReply, ReportCrashRequest, ReportSoundReply, ReportSoundRequest,
+    TakePermitsReply, TakePermitsRequest,
 };
 use slog::{Logger, info};
 use tonic::{Request, Response, Status};
@@ -46,6 +49,7 @@
 pub struct ReservationRpc {
     table: SharedReservationTable,
     quarantine: Arc<Mutex<PromptQuarantine>>,
+    limiter: Arc<Mutex<RateLimiter>>,
     clock: Clock,
     log: Logger,
     refusals: Arc<Mutex<Refusals>>,
@@ -57,12 +61,42 @@
         Self {
             table,
             quarantine: Arc::default(),
+            limiter: Arc::default(),
             clock,
             log,
             refusals: Arc::default(),
         }
     }
 
+    /// Reserves a slot. If the engine has named a limit, the reservation includes a permit; one that
+    /// replaces the request's earlier reservation has its permit already.
+    fn reserve_slot(&self, now: TimeUs, reservation: &ReservationRequest) -> ReservationReply {
+        let mut table = self.table.lock();
+        let has_permit = table.has_reservation(&reservation.request);
+        let reply = table.reserve_slot(now, reservation);
+        let Some((server, rate)) = &reservation.limit else {
+            return reply;
+        };
+        if !reply.is_held || has_permit {
+            return reply;
+        }
+        let permit = self.limiter().take(now, server, *rate, 1);
+        if permit.granted_count > 0 {
+            return reply;
+        }
+        table.release_slot(&reservation.request);
+        ReservationReply {
+            is_held: false,
+            limited_for: Some(permit.retry_after),
+            ..reply
+        }
+    }
+
+    fn limiter(&self) -> MutexGuard<'_, RateLimiter> {
+        // The permits are consistent after each call, including one that panicked.
+        self.limiter.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn quarantine(&self) -> MutexGuard<'_, PromptQuarantine> {
         // The table is consistent after each call, including one that panicked.
         self.quarantine
@@ -103,7 +137,8 @@
         }
         info!(self.log, "slot reservations refused"; "count" => refusals.count,
             "newest" => &reservation.request, "unavailable" => reply.is_unavailable,
-            "other_incarnation" => reply.is_other_incarnation, "prompt_tokens" => reservation.prompt_tokens.0,
+            "other_incarnation" => reply.is_other_incarnation,
+            "limited" => reply.limited_for.is_some(), "prompt_tokens" => reservation.prompt_tokens.0,
             "free_tokens" => reply.free_tokens.0, "total_tokens" => reply.total_tokens.0);
         *refusals = Refusals {
             count: 0,
@@ -128,7 +163,14 @@
         if message.request.is_empty() || message.request.len() > REQUEST_ID_MAX_BYTES {
             return Err(Status::invalid_argument("request id"));
         }
+        let limit = message.limit_millirequests_per_s.map(|rate| {
+            let server = message.server.parse();
+            server.map(|server| (server, MillirequestsPerSecond(rate)))
+        });
         let reservation = ReservationRequest {
+            limit: limit
+                .transpose()
+                .map_err(|_| Status::invalid_argument("server"))?,
             request: message.request,
             prompt_tokens: Tokens(message.prompt_tokens),
             answer_tokens: Some(Tokens(message.answer_tokens)).filter(|tokens| tokens.0 > 0),
@@ -139,7 +181,7 @@
             engine_started_at_ms: UnixMs(message.engine_started_at_ms),
         };
         let now = self.clock.monotonic();
-        let reply = self.table.lock().reserve_slot(now, &reservation);
+        let reply = self.reserve_slot(now, &reservation);
         if reply.is_held {
             info!(self.log, "decode slot reserved"; "request" => &reservation.request,
                 "prompt_tokens" => reservation.prompt_tokens.0,
@@ -158,6 +200,7 @@
             total_tokens: reply.total_tokens.0,
             is_unavailable: reply.is_unavailable,
             is_other_incarnation: reply.is_other_incarnation,
+            limited_for_us: reply.limited_for.map(|pause| pause.0),
         }))
     }
 
@@ -204,6 +247,22 @@
         }))
     }
 
+    async fn take_permits(
+        &self,
+        request: Request<TakePermitsRequest>,
+    ) -> Result<Response<TakePermitsReply>, Status> {
+        let message = request.into_inner();
+        let server = message.server.parse();
+        let server = server.map_err(|_| Status::invalid_argument("server"))?;
+        let rate = MillirequestsPerSecond(message.limit_millirequests_per_s);
+        let now = self.clock.monotonic();
+        let reply = self.limiter().take(now, &server, rate, message.count);
+        Ok(Response::new(TakePermitsReply {
+            granted_count: reply.granted_count,
+            retry_after_us: reply.retry_after.0,
+        }))
+    }
+
     async fn report_sound(
         &self,
         request: Request<ReportSoundRequest>,
