Send no new requests to a server that says it is leaving

Entries read only the published state, so a server whose entry lags or that never publishes draining got requests until its entry was removed.

Change: Server-Leaving makes the incarnation draining in the local table, like a published draining state. It stays so whatever is published about the same incarnation afterwards, also after its entry was removed and published again; another incarnation is not affected.

--- a/crates/direct-core/src/servers.rs
+++ b/crates/direct-core/src/servers.rs
@@ -9,6 +9,7 @@
 
 use cuminlead_types::{
     BackendServerId, DurationUs, MillirequestsPerSecond, RegionName, ServiceName, TimeUs, Tokens,
+    UnixMs,
 };
 use slotmap::{SlotMap, new_key_type};
 
@@ -25,6 +26,9 @@
 /// still run there. A prefill takes less, unless the queue is long.
 pub const PREPARED_GRACE: DurationUs = DurationUs::from_ms(1_200);
 
+/// Time for which a server that has said that it is leaving is remembered. Servers end within
+/// seconds to minutes.
+const LEAVING_RETENTION: DurationUs = DurationUs::from_ms(3_600_000);
 /// Time within which a permit is used; later it would add to the requests of another moment.
 const PERMIT_LIFETIME: DurationUs = DurationUs::from_ms(500);
 /// Shortest time for which a server without permits is not asked for one again.
@@ -174,6 +178,16 @@
     by_id: HashMap<BackendServerId, ServerKey>,
     by_service: HashMap<ServiceName, Vec<ServerKey>>,
     by_address: HashMap<SocketAddr, ServerKey>,
+    /// Servers that have said themselves that they are leaving. They stay here after they are
+    /// dropped, because the registry may publish them as ready again.
+    leaving: HashMap<BackendServerId, LeavingServer>,
+}
+
+/// Incarnation that has said that it is leaving.
+#[derive(Clone, Copy, Debug)]
+struct LeavingServer {
+    started_at_ms: UnixMs,
+    since: TimeUs,
 }
 
 impl ServerTable {
@@ -213,9 +227,13 @@
         record: ServerRecord,
         region: Option<RegionName>,
     ) -> ServerKey {
-        let lifecycle = match record.state {
-            ServerState::Ready => ServerLifecycle::Ready,
-            ServerState::Draining => ServerLifecycle::Draining(now),
+        let leaving = self.leaving.get(&record.id);
+        let leaving = leaving.filter(|leaving| leaving.started_at_ms == record.started_at_ms);
+        let lifecycle = match (leaving, record.state) {
+            // A server's own word is newer than what the registry publishes.
+            (Some(leaving), _) => ServerLifecycle::Draining(leaving.since),
+            (None, ServerState::Ready) => ServerLifecycle::Ready,
+            (None, ServerState::Draining) => ServerLifecycle::Draining(now),
         };
         if let Some(key) = self.key_of(&record.id) {
             if let Some(server) = self.servers.get_mut(key)
@@ -278,6 +296,27 @@
         }
     }
 
+    /// Records that a server says itself that it is leaving; returns whether that is new.
+    pub fn record_leaving(&mut self, now: TimeUs, key: ServerKey) -> bool {
+        let Some(server) = self.servers.get_mut(key) else {
+            return false;
+        };
+        let started_at_ms = server.record.started_at_ms;
+        let known = self.leaving.get(&server.record.id);
+        if known.is_some_and(|known| known.started_at_ms == started_at_ms) {
+            return false;
+        }
+        if !matches!(server.lifecycle, ServerLifecycle::Draining(_)) {
+            server.lifecycle = ServerLifecycle::Draining(now);
+        }
+        let leaving = LeavingServer {
+            started_at_ms,
+            since: now,
+        };
+        self.leaving.insert(server.record.id.clone(), leaving);
+        true
+    }
+
     /// Drops a server that is known to have ended, such as one at whose address another server
     /// responds.
     pub fn drop_server(&mut self, key: ServerKey) {
@@ -295,8 +334,11 @@
         }
     }
 
-    /// Drops removed servers whose time as fallback servers is over.
+    /// Drops removed servers whose time as fallback servers is over, and forgets servers that left
+    /// long ago.
     pub fn expire(&mut self, now: TimeUs) {
+        self.leaving
+            .retain(|_, leaving| now.since(leaving.since) < LEAVING_RETENTION);
         let is_expired = |server: &Server| match server.lifecycle {
             ServerLifecycle::Removed { until } => now >= until,
             ServerLifecycle::Ready | ServerLifecycle::Draining(_) => false,
--- a/crates/direct-core/tests/placement.rs
+++ b/crates/direct-core/tests/placement.rs
@@ -5,7 +5,7 @@
 use cuminlead_direct_core::placement::{PlacementError, PlacementRequest, choose, retry_after};
 use cuminlead_direct_core::servers::{FreeMemory, REMOVED_RETENTION};
 use cuminlead_direct_core::{RegistryUpdate, ServerState, ServingState, Stage};
-use cuminlead_types::{DurationUs, TimeUs, Tokens};
+use cuminlead_types::{DurationUs, TimeUs, Tokens, UnixMs};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use support::{ENGINES, PLAIN, id, key, ms, publish, record, serving};
@@ -133,6 +133,60 @@
     );
 }
 
+/// Guards against new work for a server that has said itself that it is leaving, whatever the
+/// registry publishes about the same incarnation afterwards.
+#[test]
+fn leaving_server_gets_no_new_requests_from_any_published_state() {
+    struct Case {
+        name: &'static str,
+        updates: Vec<RegistryUpdate>,
+        expected: &'static str,
+    }
+    let published = |started_at_ms| {
+        let mut entry = record("s1", PLAIN, "a1", None);
+        entry.started_at_ms = UnixMs(started_at_ms);
+        RegistryUpdate::Server(entry)
+    };
+    let removed = || RegistryUpdate::ServerRemoved("s1".parse().expect("a valid fixture"));
+    let cases = [
+        Case {
+            name: "nothing published",
+            updates: vec![],
+            expected: "s2",
+        },
+        Case {
+            name: "published as ready",
+            updates: vec![published(1)],
+            expected: "s2",
+        },
+        Case {
+            name: "removed and published as ready",
+            updates: vec![removed(), published(1)],
+            expected: "s2",
+        },
+        Case {
+            name: "started again",
+            updates: vec![published(2)],
+            expected: "s1",
+        },
+    ];
+    for case in cases {
+        let mut serving = plain_serving();
+        let server = key(&serving, "s1");
+        assert!(serving.servers.record_leaving(ms(0), server));
+        assert!(!serving.servers.record_leaving(ms(10), server));
+        for update in case.updates {
+            serving.apply(ms(1_000), update);
+        }
+        assert_eq!(
+            chosen(&serving, ms(1_000), PLAIN, None),
+            case.expected,
+            "{}",
+            case.name
+        );
+    }
+}
+
 /// Guards against work for a server 2.5 s after the registry removed its entry, if the server never
 /// published that it drains; and against requests without a server while entries that expired in an
 /// outage are published again.
--- a/crates/direct/src/adapter.rs
+++ b/crates/direct/src/adapter.rs
@@ -48,6 +48,8 @@
 pub struct ServerNotice {
     /// Requests that the server accepts from all processes together, for as long as it says so.
     pub limit: Option<MillirequestsPerSecond>,
+    /// Whether the server is about to end and wants no further requests.
+    pub is_leaving: bool,
 }
 
 /// Meaning of a response's head.
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -368,7 +368,7 @@
         let sent_at = app.now();
         match connection.send(request).await {
             Ok(response) => {
-                apply_notice(app, server, sent_at, response.headers());
+                apply_notice(app, server, sent_at, &response);
                 let lease = ServerLease {
                     app: Rc::clone(app),
                     server,
@@ -387,16 +387,22 @@
 }
 
 /// Records what a server says about itself in the head of a response.
-fn apply_notice(app: &App, server: ServerKey, sent_at: TimeUs, headers: &HeaderMap) {
-    let notice = app.protocol_mapping.read_notice(headers);
+fn apply_notice(app: &App, server: ServerKey, sent_at: TimeUs, response: &Response<Incoming>) {
+    let notice = app.protocol_mapping.read_notice(response.headers());
+    let now = app.now();
     let mut serving = app.serving.borrow_mut();
-    let Some(server) = serving.servers.get_mut(server) else {
+    let Some(known) = serving.servers.get_mut(server) else {
         return;
     };
-    if server.record_limit(app.now(), sent_at, notice.limit) {
-        info!(app.log, "server changed its limit"; "server" => %server.record.id,
+    if known.record_limit(now, sent_at, notice.limit) {
+        info!(app.log, "server changed its limit"; "server" => %known.record.id,
             "millirequests_per_s" => notice.limit.map(|limit| limit.0));
     }
+    if notice.is_leaving && serving.servers.record_leaving(now, server) {
+        let id = serving.servers.get(server).map(|server| &server.record.id);
+        info!(app.log, "server is leaving by its own account";
+            "server" => id.map(ToString::to_string));
+    }
 }
 
 async fn take_usable(
