Send nothing to a server for the time that its rejection names

A runner that rejects a request with 503 may add Retry-After: it wants nothing from that machine for so long. Entries ignored it and sent the next request by cost, since a rejection only raises a server's failure rate.

Callers that find no other server are refused with the rest of it. Requests of the entry itself, such as the release of a cache, are not sent either: what they release expires.

--- a/crates/direct-core/src/call.rs
+++ b/crates/direct-core/src/call.rs
@@ -168,7 +168,7 @@
             && serving
                 .servers
                 .get(key)
-                .is_some_and(|server| server.accepts_prepared(now) && !server.health.is_paused(now))
+                .is_some_and(|server| server.accepts_prepared(now) && !server.is_paused(now))
         {
             return Ok(key);
         }
--- a/crates/direct-core/src/servers.rs
+++ b/crates/direct-core/src/servers.rs
@@ -115,6 +115,8 @@
     pub full_at: Option<TimeUs>,
     /// Limit that the server has named last; `None` if its last response had none.
     pub limit: Option<NamedLimit>,
+    /// Until when the server wants no requests from this process.
+    pub pause_until: TimeUs,
     /// Until when the server's limit permits no request.
     pub limited_until: TimeUs,
     /// Permits that this process has taken from their owner and not used yet.
@@ -149,6 +151,21 @@
         self.limit.map(|limit| limit.rate) != known.map(|limit| limit.rate)
     }
 
+    /// Records that the server wants no requests for the given time. Responses to other requests do
+    /// not shorten it.
+    pub fn record_pause(&mut self, now: TimeUs, pause: DurationUs) {
+        self.pause_until = self.pause_until.max(now + pause);
+    }
+
+    /// Whether the server gets no requests now, because it failed or asked for a pause.
+    pub fn is_paused(&self, now: TimeUs) -> bool {
+        now < self.paused_until()
+    }
+
+    fn paused_until(&self) -> TimeUs {
+        self.health.paused_until().max(self.pause_until)
+    }
+
     /// Records that the server's limit permits no request for the given time.
     pub fn hold_back(&mut self, now: TimeUs, pause: DurationUs) {
         let until = now + pause.max(LIMIT_PAUSE_MIN);
@@ -157,7 +174,7 @@
 
     /// When the server may get its next request; `None` if it may get one now.
     pub fn held_back_until(&self, now: TimeUs) -> Option<TimeUs> {
-        let until = self.health.paused_until().max(self.limited_until);
+        let until = self.paused_until().max(self.limited_until);
         (now < until).then_some(until)
     }
 
@@ -259,6 +276,7 @@
             in_flight_count: 0,
             full_at: None,
             limit: None,
+            pause_until: TimeUs::ZERO,
             limited_until: TimeUs::ZERO,
             permits: UnusedPermits::default(),
             memory: None,
--- a/crates/direct-core/src/serving.rs
+++ b/crates/direct-core/src/serving.rs
@@ -203,7 +203,7 @@
         for (_, server) in self.servers.of_service(service) {
             if server.lifecycle != ServerLifecycle::Ready {
                 counts.draining_count += 1;
-            } else if server.health.is_paused(now) {
+            } else if server.is_paused(now) {
                 counts.paused_count += 1;
             } else if now < server.limited_until {
                 counts.limited_count += 1;
--- a/crates/direct-core/tests/placement.rs
+++ b/crates/direct-core/tests/placement.rs
@@ -187,6 +187,20 @@
     }
 }
 
+/// Guards against requests to a server that has asked for a pause, also after other requests of
+/// this process succeeded there.
+#[test]
+fn server_gets_no_requests_in_the_pause_that_it_asked_for() {
+    let mut serving = plain_serving();
+    let server = key(&serving, "s1");
+    let server = serving.servers.get_mut(server).expect("a valid fixture");
+    server.record_pause(ms(0), DurationUs::from_ms(3_000));
+    server.record_pause(ms(100), DurationUs::from_ms(500));
+    server.health.record_success(ms(200));
+    assert_eq!(chosen(&serving, ms(2_999), PLAIN, None), "s2");
+    assert_eq!(chosen(&serving, ms(3_000), PLAIN, None), "s1");
+}
+
 /// Guards against work for a server 2.5 s after the registry removed its entry, if the server never
 /// published that it drains; and against requests without a server while entries that expired in an
 /// outage are published again.
--- a/crates/direct/src/adapter.rs
+++ b/crates/direct/src/adapter.rs
@@ -50,6 +50,8 @@
     pub limit: Option<MillirequestsPerSecond>,
     /// Whether the server is about to end and wants no further requests.
     pub is_leaving: bool,
+    /// Time for which the server wants no requests from this process.
+    pub pause: Option<DurationUs>,
 }
 
 /// Meaning of a response's head.
@@ -90,7 +92,7 @@
     ) -> ResponseClass;
 
     /// Parses what the server says about itself; malformed values are taken as absent.
-    fn read_notice(&self, headers: &HeaderMap) -> ServerNotice;
+    fn read_notice(&self, status: StatusCode, headers: &HeaderMap) -> ServerNotice;
 
     /// Parses the name of the KV cache from the response to a prefill. The error says what is
     /// malformed.
--- a/crates/direct/src/engine_resources.rs
+++ b/crates/direct/src/engine_resources.rs
@@ -199,6 +199,13 @@
     }
 }
 
+/// Whether a server has asked for a pause that is not over. What would be released there expires.
+fn wants_no_requests(app: &App, server: ServerKey) -> bool {
+    let (now, serving) = (app.now(), app.serving.borrow());
+    let server = serving.servers.get(server);
+    server.is_some_and(|server| now < server.pause_until)
+}
+
 /// Sends a request of this process to a server and reads the complete response.
 async fn send_command(
     app: &Rc<App>,
@@ -208,6 +215,9 @@
     body: Bytes,
 ) -> Result<(StatusCode, Bytes), StepOutcome> {
     let (_, address) = id_and_address(app, server).ok_or(StepOutcome::Unreachable)?;
+    if wants_no_requests(app, server) {
+        return Err(StepOutcome::Limited);
+    }
     let request = Request::builder()
         .method(method)
         .uri(path)
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -388,7 +388,9 @@
 
 /// Records what a server says about itself in the head of a response.
 fn apply_notice(app: &App, server: ServerKey, sent_at: TimeUs, response: &Response<Incoming>) {
-    let notice = app.protocol_mapping.read_notice(response.headers());
+    let notice = app
+        .protocol_mapping
+        .read_notice(response.status(), response.headers());
     let now = app.now();
     let mut serving = app.serving.borrow_mut();
     let Some(known) = serving.servers.get_mut(server) else {
@@ -398,6 +400,11 @@
         info!(app.log, "server changed its limit"; "server" => %known.record.id,
             "millirequests_per_s" => notice.limit.map(|limit| limit.0));
     }
+    if let Some(pause) = notice.pause {
+        known.record_pause(now, pause);
+        info!(app.log, "server asked for a pause"; "server" => %known.record.id,
+            "pause_ms" => pause.as_ms());
+    }
     if notice.is_leaving && serving.servers.record_leaving(now, server) {
         let id = serving.servers.get(server).map(|server| &server.record.id);
         info!(app.log, "server is leaving by its own account";
