Count a request and its retry once while servers have no permit for it

Each server without a permit for a request counted the request for the budget once more, which allows more retries than a fifth; a retry without a permit used the budget once for each server. Entries that were told the same time came back together and asked in vain again, and each of these steps was logged.

Change: a request counts once, and a retry that was not sent is kept for the next server. The owner of a server's permits tells processes different times to come back, one after the other at the limit's rate and 250 ms at most. Steps without a permit are counted and no longer logged. Unused permits remain for 250 ms in place of a second: 20 at once overflowed the queue of a plain server, which rejected 1,639 requests.

--- a/crates/direct-core/src/call.rs
+++ b/crates/direct-core/src/call.rs
@@ -54,6 +54,10 @@
     runs_count: u32,
     rejections_count: u32,
     sends_count: u32,
+    /// Whether the retry budget has counted the request.
+    is_counted: bool,
+    /// Whether the budget has granted a retry that was not sent for lack of a permit.
+    has_unused_retry: bool,
     waits_count: u32,
     permit_waits_count: u32,
     excluded: Vec<ServerKey>,
@@ -84,6 +88,8 @@
             runs_count: 0,
             rejections_count: 0,
             sends_count: 0,
+            is_counted: false,
+            has_unused_retry: false,
             waits_count: 0,
             permit_waits_count: 0,
             excluded: Vec::new(),
@@ -380,8 +386,11 @@
     fn next_run(&mut self, now: TimeUs, serving: &mut ServingState, server: ServerKey) -> Action {
         let budget = serving.budget(&self.spec.service);
         if self.sends_count == 0 {
-            budget.count_request(now);
-        } else if !budget.try_retry(now) {
+            if !self.is_counted {
+                budget.count_request(now);
+                self.is_counted = true;
+            }
+        } else if !std::mem::take(&mut self.has_unused_retry) && !budget.try_retry(now) {
             return self.finish(RefusalReason::RetryBudget, DurationUs::from_ms(1_000));
         }
         self.sends_count += 1;
@@ -490,6 +499,7 @@
         if matches!(outcome, StepOutcome::Unreachable | StepOutcome::Limited) {
             // Nothing reached a server, so nothing counts as a retry.
             self.sends_count -= 1;
+            self.has_unused_retry = outcome == StepOutcome::Limited && self.sends_count > 0;
         }
         if outcome == StepOutcome::Rejected {
             self.rejections_count += 1;
--- a/crates/direct-core/src/rate_limit.rs
+++ b/crates/direct-core/src/rate_limit.rs
@@ -9,8 +9,9 @@
 //! come unevenly, and is less than one request for the limits of engines. Shares in proportion to
 //! the demand that processes report suit high limits only.
 //!
-//! Permits that are not used at once remain for a second, so that the rate is used up although
-//! requests arrive unevenly.
+//! Permits that are not used at once remain for a short time, so that the rate is used up although
+//! requests arrive unevenly. Processes without a permit are told different times to come back, one
+//! after the other at the rate, so that they do not ask in vain again and again.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -20,8 +21,12 @@
 
 /// Fewest permits that may be taken at once after a pause.
 const BURST_COUNT: u64 = 3;
-/// Time for which unused permits remain, if they are more than [`BURST_COUNT`].
-const BURST_TIME: DurationUs = DurationUs::from_ms(1_000);
+/// Time for which unused permits remain, if they are more than [`BURST_COUNT`]. More at once would
+/// overflow the queue of a server.
+const BURST_TIME: DurationUs = DurationUs::from_ms(250);
+/// Longest time that a process without a permit is told to wait. Processes that do not come back
+/// leave their turns to others.
+const TURN_MAX: DurationUs = DurationUs::from_ms(250);
 /// Time whose permits one process takes at once from the owner, to ask less often.
 const BATCH_TIME: DurationUs = DurationUs::from_ms(50);
 /// Rate for servers that name a lower one: without any request it would not be known when they
@@ -61,6 +66,8 @@
 #[derive(Clone, Copy, Debug)]
 struct ServerPermits {
     used_until: TimeUs,
+    /// Last time at which a process was told to come back.
+    last_turn_at: TimeUs,
     asked_at: TimeUs,
 }
 
@@ -79,6 +86,7 @@
         let burst = DurationUs(interval.0.saturating_mul(BURST_COUNT)).max(BURST_TIME);
         let permits = self.servers.entry(server.clone()).or_insert(ServerPermits {
             used_until: now,
+            last_turn_at: TimeUs::ZERO,
             asked_at: now,
         });
         permits.asked_at = now;
@@ -93,7 +101,11 @@
         let retry_after = if granted_count > 0 {
             DurationUs::ZERO
         } else {
-            interval.saturating_sub(unused)
+            let next_permit = interval.saturating_sub(unused);
+            let next_turn = (permits.last_turn_at + interval).since(now);
+            let turn = next_permit.max(next_turn.min(TURN_MAX));
+            permits.last_turn_at = now + turn;
+            turn
         };
         PermitReply {
             granted_count,
--- a/crates/direct-core/tests/rate_limit.rs
+++ b/crates/direct-core/tests/rate_limit.rs
@@ -134,10 +134,28 @@
     let refused = limiter.take(ms(100), &server(), rate, 1);
     assert_eq!(refused.granted_count, 0);
     assert_eq!(refused.retry_after, DurationUs::from_ms(400));
+    let next = limiter.take(ms(200), &server(), rate, 1);
+    assert_eq!(
+        next.retry_after,
+        DurationUs::from_ms(300),
+        "no sooner than the next permit, whatever the turn"
+    );
     let granted = limiter.take(ms(500), &server(), rate, 1);
     assert_eq!(granted.granted_count, 1);
 }
 
+/// Guards against processes that all come back for the same permit.
+#[test]
+fn refused_processes_come_back_one_after_the_other() {
+    let mut limiter = RateLimiter::default();
+    let rate = MillirequestsPerSecond(20_000);
+    assert_eq!(limiter.take(ms(0), &server(), rate, 9).granted_count, 5);
+    let turns: Vec<_> = (0..8)
+        .map(|_| limiter.take(ms(0), &server(), rate, 1).retry_after.as_ms())
+        .collect();
+    assert_eq!(turns, [50, 100, 150, 200, 250, 250, 250, 250]);
+}
+
 /// Guards against permits of one server that several agents grant, because processes list the
 /// agents in different orders.
 #[test]
@@ -263,3 +281,38 @@
     assert!(server.record_limit(ms(200), ms(150), None));
     assert_eq!(server.held_back_until(ms(200)), None);
 }
+
+/// Guards against a retry budget that grows with each server that has no permit for a request.
+#[test]
+fn request_counts_once_for_the_retry_budget() {
+    let mut serving = serving();
+    publish(&mut serving, &["s1 counter a1 -", "s2 counter a2 -"]);
+    let service = "counter".parse().expect("a valid fixture");
+    let before = serving.budget(&service).left(ms(0));
+    for _ in 0..3 {
+        let mut call = Call::new(plain_spec(RequestKind::NonIdempotent, 1));
+        for _ in 0..40 {
+            let run = call.next(ms(0), &mut serving);
+            let server = run_server(&run).expect("a run");
+            call.run_failed(ms(0), &mut serving, server, StepOutcome::Limited);
+        }
+    }
+    assert_eq!(serving.budget(&service).left(ms(0)), before);
+}
+
+/// Guards against a retry that uses the budget once for each server that has no permit for it.
+#[test]
+fn retry_uses_the_budget_once() {
+    let mut serving = serving();
+    publish(&mut serving, &["s1 counter a1 -", "s2 counter a2 -"]);
+    let service = "counter".parse().expect("a valid fixture");
+    let mut call = Call::new(plain_spec(RequestKind::NonIdempotent, 1));
+    let first = run_server(&call.next(ms(0), &mut serving)).expect("a run");
+    call.run_failed(ms(0), &mut serving, first, StepOutcome::Rejected);
+    let before = serving.budget(&service).left(ms(0));
+    for _ in 0..5 {
+        let server = run_server(&call.next(ms(0), &mut serving)).expect("a run");
+        call.run_failed(ms(0), &mut serving, server, StepOutcome::Limited);
+    }
+    assert_eq!(serving.budget(&service).left(ms(0)), before - 1);
+}
--- a/crates/direct/src/drive.rs
+++ b/crates/direct/src/drive.rs
@@ -419,6 +419,10 @@
     outcome: StepOutcome,
 ) {
     app.metrics.count_step_failure(step, outcome);
+    if outcome == StepOutcome::Limited {
+        // Under load, each request may meet several servers without a permit.
+        return;
+    }
     let Some(server) = serving.servers.get(server) else {
         debug!(app.log, "step failed"; "request" => &exchange.request.id, "step" => step,
             "outcome" => %outcome);
