--- a/crates/direct/src/permits.rs
+++ b/crates/direct/src/permits.rs
@@ -131,8 +131,9 @@
     ordered
 }
 
-/// Takes a permit from this process's own share of a limit, in deployments without agents. There are fewer processes than backend
-/// servers, so a share for each server bounds what all of them take.
+/// Takes a permit from this process's own share of a limit, in deployments without agents. There
+/// are fewer processes than backend servers, so a share for each server bounds what all of them
+/// take.
 fn take_local(app: &App, id: &BackendServerId, rate: MillirequestsPerSecond) -> PermitReply {
     let servers_count = app.serving.borrow().servers.iter().count().max(1) as u64;
     let share = MillirequestsPerSecond(rate.0 / servers_count);
