--- a/crates/direct-core/src/outcome.rs
+++ b/crates/direct-core/src/outcome.rs
@@ -13,7 +13,8 @@
 pub enum StepOutcome {
     /// No connection was made, or nothing was sent on it.
     Unreachable,
-    /// Nothing was sent, because the server's limit permits no request now.
+    /// Nothing was sent, because the server's limit or the pause that it asked for permits no request
+    /// now.
     Limited,
     /// The server rejected the request and has not run it.
     #[strum(serialize = "turned_away")]
