Move the quarantine of prompt parts to a package of its own

The path through agents needs it too, and neither path's packages depend on the other's. direct-core, direct and places use it as before.

A crash report may name its request: crashes of different engines by one request that is sent again count as separate although they follow each other within 300 ms, in which crashes otherwise share a cause. Reports may arrive in another order than the crashes; the interval between two crashes no longer depends on it. Calls of the users' platform name no request, so nothing changes there.

--- a/crates/direct-core/src/lib.rs
+++ b/crates/direct-core/src/lib.rs
@@ -12,7 +12,6 @@
 //! | [`reservation`] | reservations of decode slots on one engine, by a forecast of its memory |
 //! | [`output_length`] | expected length of outputs |
 //! | [`rate_limit`] | permits for requests to servers that have named a limit |
-//! | [`quarantine`] | prompt parts that crash engines |
 //! | [`action`] | requirements of a request, and its next action |
 //! | [`outcome`] | outcomes of a step, and what they prove |
 //! | `preparation` | slot reservation and KV cache of a model call before its run |
@@ -32,7 +31,6 @@
 pub mod output_length;
 pub mod placement;
 mod preparation;
-pub mod quarantine;
 pub mod rate_limit;
 pub mod registry;
 pub mod reservation;
@@ -52,7 +50,6 @@
     WeightedService,
 };
 pub use outcome::StepOutcome;
-pub use quarantine::{CrashReport, PromptQuarantine, QuarantineState, QuarantinedPart};
 pub use rate_limit::{PermitReply, RateLimiter};
 pub use registry::{Published, Query, Registry, RegistryError, RegistryUpdate, RegistryWatcher};
 pub use reservation::{
--- a/crates/direct-core/src/serving.rs
+++ b/crates/direct-core/src/serving.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
+use cuminlead_quarantine::PromptQuarantine;
 use cuminlead_retry::{RetryBudget, RetryLimits};
 use cuminlead_types::{
     AvailabilityZoneName, DurationUs, RegionName, Revision, ServiceName, TimeUs,
@@ -12,7 +13,6 @@
 
 use crate::operator_config::{OperatorConfig, Route};
 use crate::placement::{ClientLocality, Distance, distance};
-use crate::quarantine::PromptQuarantine;
 use crate::registry::RegistryUpdate;
 use crate::servers::{
     EXPIRED_RETENTION, REMOVED_RETENTION, Server, ServerKey, ServerLifecycle, ServerTable,
--- a/crates/direct/src/crash_reports.rs
+++ b/crates/direct/src/crash_reports.rs
@@ -10,17 +10,16 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use cuminlead_direct_core::{CrashReport, QuarantineState, ServerKey};
+use cuminlead_direct_core::ServerKey;
 use cuminlead_places::client;
-use cuminlead_types::{DurationUs, PromptPartId, ServiceName, UnixMs};
+use cuminlead_quarantine::{CrashReport, QuarantineState};
+use cuminlead_types::{PromptPartId, ServiceName, UnixMs};
 use slog::{Logger, info};
 use tokio::time::sleep;
 
 use crate::app::App;
 use crate::engine_resources::agent_of;
 
-/// Time of output after which an engine has not crashed on the beginning of it.
-pub(crate) const SOUND_AFTER: DurationUs = DurationUs::from_ms(300);
 /// Pauses before an agent is asked whether its engine has ended. It notices this after two failed
 /// reports; the first one fails up to 400 ms after the end of an engine that was idle before.
 const CHECK_DELAYS: [Duration; 3] = [
@@ -46,6 +45,7 @@
     }
     let report = CrashReport {
         server: record.id,
+        request: None,
         parts: suspects,
     };
     let (app, service) = (Rc::clone(app), service.clone());
--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -11,6 +11,7 @@
 use cuminlead_direct_core::{
     Call, CallSpec, EventBoundary, EventScanner, RequestKind, ServerKey, StepOutcome,
 };
+use cuminlead_quarantine::SOUND_AFTER;
 use cuminlead_types::{DurationUs, TimeUs};
 use http::header::CONTENT_TYPE;
 use http_body_util::BodyExt;
@@ -20,7 +21,7 @@
 
 use crate::app::App;
 use crate::body::Chunk;
-use crate::crash_reports::{SOUND_AFTER, record_sound, report_if_crashed};
+use crate::crash_reports::{record_sound, report_if_crashed};
 use crate::drive::{CallResult, drive, log_failure};
 use crate::exchange::{
     CallerExchange, StreamingResponse, UNRESPONSIVE_AFTER_TARGETS, mark_unresponsive,
--- a/crates/places/src/client.rs
+++ b/crates/places/src/client.rs
@@ -7,10 +7,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use cuminlead_direct_core::{
-    CrashReport, PermitReply, QuarantineState, QuarantinedPart, ReservationReply,
-    ReservationRequest,
-};
+use cuminlead_direct_core::{PermitReply, ReservationReply, ReservationRequest};
+use cuminlead_quarantine::{CrashReport, QuarantineState, QuarantinedPart};
 use cuminlead_types::{
     BackendServerId, DurationUs, MillirequestsPerSecond, PromptPartId, TimeUs, Tokens, UnixMs,
 };
--- a/crates/places/src/rpc.rs
+++ b/crates/places/src/rpc.rs
@@ -2,11 +2,9 @@
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use cuminlead_direct_core::{
-    CrashReport, PromptQuarantine, QuarantineState, RateLimiter, ReservationReply,
-    ReservationRequest, ReservationTable,
-};
+use cuminlead_direct_core::{RateLimiter, ReservationReply, ReservationRequest, ReservationTable};
 use cuminlead_kernel::Clock;
+use cuminlead_quarantine::{CrashReport, PromptQuarantine, QuarantineState};
 use cuminlead_types::{
     DurationUs, MillirequestsPerSecond, PromptPartId, Slots, TimeUs, Tokens, UnixMs,
 };
@@ -231,6 +229,7 @@
         let server = message.server.parse();
         let report = CrashReport {
             server: server.map_err(|_| Status::invalid_argument("server"))?,
+            request: None,
             parts: parse_parts(&message.parts),
         };
         let now = self.clock.monotonic();
--- a/crates/direct-core/src/quarantine.rs
+++ b/crates/quarantine/src/lib.rs
@@ -13,14 +13,18 @@
 //! Alternatives: refusing the route or the caller affects sound requests, and quarantining whole
 //! prompts has no effect, since no two are alike.
 //!
-//! Agents and entries keep the same table. Entries report crashes to all agents of a service, and
-//! learn about quarantined parts from the replies of any agent.
+//! Several processes see only some of the crashes each, so evidence has to be exchanged. Where
+//! entries call engines themselves, agents keep the same table, get the reports of all entries and
+//! name the quarantined parts in their replies. Where agents call engines, each agent tells its
+//! crashes in its replies, and each entry decides alone.
 
 use std::cmp::Reverse;
 use std::collections::HashMap;
 
-use cuminlead_types::{BackendServerId, DurationUs, PromptPartId, TimeUs};
+use cuminlead_types::{BackendServerId, DurationUs, PromptPartId, RequestId, TimeUs};
 
+/// Time of output after which an engine has not crashed on the beginning of it.
+pub const SOUND_AFTER: DurationUs = DurationUs::from_ms(300);
 /// Separate crashes after which the last suspected part of a prompt is quarantined.
 const CRASHES_TO_QUARANTINE: usize = 3;
 /// Separate crashes after which an earlier part is quarantined, which more requests have in common.
@@ -54,6 +58,8 @@
 pub struct CrashReport {
     /// Engine that crashed.
     pub server: BackendServerId,
+    /// Request of the run; `None` if its crashes are not connected by their request.
+    pub request: Option<RequestId>,
     /// Shared parts of the run's prompt that may have caused the crash, in order.
     pub parts: Vec<PromptPartId>,
 }
@@ -88,9 +94,25 @@
 #[derive(Clone, Debug)]
 struct Crash {
     server: BackendServerId,
+    request: Option<RequestId>,
     at: TimeUs,
 }
 
+impl Crash {
+    /// Whether a report at `at` is about this crash, or about one with the same cause outside of
+    /// the requests.
+    fn explains(&self, at: TimeUs, report: &CrashReport) -> bool {
+        // Reports from several agents arrive in any order.
+        let interval = at.since(self.at).max(self.at.since(at));
+        if self.server == report.server {
+            return interval < SAME_CRASH_PERIOD;
+        }
+        // A request that was sent again after a crash connects the two crashes.
+        let is_repeat = self.request.is_some() && self.request == report.request;
+        !is_repeat && interval < SEPARATE_CRASH_INTERVAL
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Quarantine {
     until: TimeUs,
@@ -114,17 +136,17 @@
     }
 
     /// Adds a crash, unless it is one of those that count already.
-    fn add_crash(&mut self, now: TimeUs, server: &BackendServerId) {
+    fn add_crash(&mut self, at: TimeUs, report: &CrashReport) {
         self.crashes
-            .retain(|crash| now.since(crash.at) < CRASH_RETENTION);
-        let is_counted = self.crashes.iter().any(|crash| {
-            let age = now.since(crash.at);
-            age < SEPARATE_CRASH_INTERVAL || (crash.server == *server && age < SAME_CRASH_PERIOD)
-        });
-        self.updated_at = now;
+            .retain(|crash| at.since(crash.at) < CRASH_RETENTION);
+        let is_counted = self.crashes.iter().any(|crash| crash.explains(at, report));
+        self.updated_at = self.updated_at.max(at);
         if !is_counted && self.crashes.len() < CRASHES_TO_QUARANTINE_EARLIER {
-            let server = server.clone();
-            self.crashes.push(Crash { server, at: now });
+            self.crashes.push(Crash {
+                server: report.server.clone(),
+                request: report.request,
+                at,
+            });
         }
     }
 
@@ -168,22 +190,22 @@
             .collect()
     }
 
-    /// Records a crash; returns the part that it puts into quarantine, if any.
-    pub fn record_crash(&mut self, now: TimeUs, report: &CrashReport) -> Option<PromptPartId> {
+    /// Records a crash at the given time; returns the part that it puts into quarantine, if any.
+    pub fn record_crash(&mut self, at: TimeUs, report: &CrashReport) -> Option<PromptPartId> {
         // A crash that a quarantined part explains is no evidence against the others.
-        if self.find_quarantined(now, &report.parts).is_some() {
+        if self.find_quarantined(at, &report.parts).is_some() {
             return None;
         }
         for part in &report.parts {
             let evidence = self.evidence.entry(part.clone()).or_default();
-            evidence.add_crash(now, &report.server);
+            evidence.add_crash(at, report);
         }
-        let quarantined = self.find_blamed(now, &report.parts);
+        let quarantined = self.find_blamed(at, &report.parts);
         if let Some(part) = &quarantined {
             let evidence = self.evidence.entry(part.clone()).or_default();
-            evidence.begin_quarantine(now);
+            evidence.begin_quarantine(at);
         }
-        self.limit_evidence(now);
+        self.limit_evidence(at);
         quarantined
     }
 
