Quarantine prompts that crash engines on the path through agents too

What callers saw: a request on whose prompt each decode engine crashes was sent to up to three engines, and so was each repeat by its caller and each request with the same beginning.

Retry table, membership and routing blame servers only, and nothing connects a crash with the prompt that met it.

Change: Reserve carries the prompt's prefixes. When a decode fails whose output had just begun or was to begin, the agent reads the inventory at once; if the engine can't be reached, it has crashed, and the agent's replies state the sequence for 30 s. Entries count these crashes in the same table as on the users' path and do not route a prompt with a quarantined part (503, quarantined). Output that lasts 300 ms or ends clears the parts. Prefix hashes use xxh3, since all entries must compute the same ones.

Ruled out: blaming every failed sequence (an engine that rejects or lacks a sequence, hangs or was gone before has not crashed on it) and counting per entry what its own calls meet.

With real processes repeated_request_that_crashes_engines_is_refused passes. Tests that render a call's actions have the new action "generated".

--- a/crates/admission/src/context.rs
+++ b/crates/admission/src/context.rs
@@ -3,7 +3,9 @@
 use cuminlead_protocol::{
     AgentFailure, EngineCommand, LoadReport, ModelTarget, RefusalReason, ReplyBody,
 };
-use cuminlead_types::{AttemptId, CustomerId, DurationUs, KvPieces, Priority, TimeUs, Tokens};
+use cuminlead_types::{
+    AttemptId, CustomerId, DurationUs, KvPieces, Priority, PromptPartId, TimeUs, Tokens,
+};
 
 use crate::action::{AdmissionAction, AdmissionRecord, CallRef, ReleaseCause, StreamMessage};
 use crate::backlog::PrefillBacklog;
@@ -71,6 +73,18 @@
         self.leases.find(id).is_some() || self.queue.find(id).is_some()
     }
 
+    /// Prompt parts of a decode whose output has just begun or is to begin; `None` for other
+    /// attempts.
+    pub fn parts_of_begun_output(&self, now: TimeUs, id: AttemptId) -> Option<&[PromptPartId]> {
+        let lease = self.leases.get(self.leases.find(id)?)?;
+        match &lease.state {
+            LeaseState::Decoding(decoding) if decoding.has_just_begun(now) => {
+                Some(&lease.prompt_parts)
+            }
+            _ => None,
+        }
+    }
+
     /// Whether there are no queued requests, leases and retained outputs.
     pub fn is_idle(&self) -> bool {
         self.leases.is_empty() && self.queue.is_empty()
@@ -200,6 +214,7 @@
             target: waiting.target,
             priority: waiting.priority,
             prompt_tokens: waiting.prompt_tokens,
+            prompt_parts: waiting.prompt_parts,
             allocated: waiting.required,
             missed_inventories_count: 0,
             state,
--- a/crates/admission/src/engine.rs
+++ b/crates/admission/src/engine.rs
@@ -180,6 +180,7 @@
             }
         };
         decoding.record_progress(now);
+        decoding.first_token_at.get_or_insert(now);
         if let Some(attached) = &mut decoding.attached {
             attached.last_sent_at = now;
             let stream = attached.stream;
--- a/crates/admission/src/lease.rs
+++ b/crates/admission/src/lease.rs
@@ -3,7 +3,10 @@
 use std::collections::BTreeMap;
 
 use cuminlead_protocol::{KvHandle, ModelTarget};
-use cuminlead_types::{AttemptId, CustomerId, DurationUs, EntryId, Priority, TimeUs, Tokens};
+use cuminlead_quarantine::SOUND_AFTER;
+use cuminlead_types::{
+    AttemptId, CustomerId, DurationUs, EntryId, Priority, PromptPartId, TimeUs, Tokens,
+};
 use slotmap::{SlotMap, new_key_type};
 
 use crate::action::{CallRef, StreamRef};
@@ -34,6 +37,8 @@
     pub priority: Priority,
     /// Tokens of the prompt, as the entry counted them.
     pub prompt_tokens: Tokens,
+    /// Prefixes of the prompt that other prompts may share; none for a prefill.
+    pub prompt_parts: Vec<PromptPartId>,
     /// Capacity that the attempt occupies; none once the output is complete.
     pub allocated: Capacity,
     /// Consecutive inventories that did not list the sequence.
@@ -112,6 +117,8 @@
     pub phase: DecodePhase,
     /// Time of the start, the import or the last token, whichever is latest.
     pub last_progress_at: TimeUs,
+    /// Time of the first token; absent before it.
+    pub first_token_at: Option<TimeUs>,
     /// Losses of the engine's stream since `last_progress_at`.
     pub stream_loss_count: u32,
     /// Time of the next resumption of the engine's stream; absent unless one is pending.
@@ -214,6 +221,16 @@
         !matches!(self.phase, DecodePhase::Finished { .. })
     }
 
+    /// Whether the engine generates output, and has not done so long enough to rule out that it
+    /// crashes on the beginning.
+    pub fn has_just_begun(&self, now: TimeUs) -> bool {
+        let is_generating = self.phase == DecodePhase::Generating;
+        let is_sound = self
+            .first_token_at
+            .is_some_and(|at| now.since(at) >= SOUND_AFTER);
+        is_generating && !is_sound
+    }
+
     /// Time at which the decode or its retained output is released if the entry makes no contact.
     pub fn orphaned_at(&self, config: &AdmissionConfig) -> TimeUs {
         match self.phase {
--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -5,7 +5,7 @@
 
 use cuminlead_protocol::ModelTarget;
 use cuminlead_types::{
-    AttemptId, Bytes, CustomerId, DurationUs, EntryId, Priority, TimeUs, Tokens,
+    AttemptId, Bytes, CustomerId, DurationUs, EntryId, Priority, PromptPartId, TimeUs, Tokens,
 };
 use slotmap::{SlotMap, new_key_type};
 
@@ -38,6 +38,8 @@
     pub required: Capacity,
     /// Tokens of the prompt, as the entry counted them.
     pub prompt_tokens: Tokens,
+    /// Prefixes of the prompt that other prompts may share; none for a prefill.
+    pub prompt_parts: Vec<PromptPartId>,
     /// Messages that wait for the reply: the first one and its repeats.
     pub calls: Vec<CallRef>,
     /// Time of the entry's last message about the attempt.
--- a/crates/admission/src/stream.rs
+++ b/crates/admission/src/stream.rs
@@ -153,6 +153,7 @@
                 expires_at: now + self.config.import_timeout_us,
             },
             last_progress_at: now,
+            first_token_at: None,
             stream_loss_count: 0,
             resume_at: None,
             last_contact_at: now,
--- a/crates/agent-core/src/action.rs
+++ b/crates/agent-core/src/action.rs
@@ -65,6 +65,11 @@
         /// Attempt under which the engine lists the sequence.
         id: AttemptId,
     },
+    /// The engine crashed when the output of an attempt had just begun or was to begin.
+    EngineCrashed {
+        /// Attempt that may have caused the crash.
+        id: AttemptId,
+    },
     /// An engine order failed, or the engine has seen an order of a later agent.
     Order(OrderReport),
     /// A permit was voided or expired before use.
--- a/crates/agent-core/src/context.rs
+++ b/crates/agent-core/src/context.rs
@@ -15,6 +15,7 @@
 use crate::action::{AgentAction, AgentRecord};
 use crate::active_lists::ActiveLists;
 use crate::config::AgentConfig;
+use crate::crash_detector::CrashDetector;
 use crate::event::{AgentEvent, CallRef};
 use crate::inventory_poll::InventoryPoll;
 use crate::pending_orders::PendingOrders;
@@ -29,6 +30,7 @@
     pub(crate) permits: Option<Permits>,
     pub(crate) active_lists: ActiveLists,
     pub(crate) inventory_poll: InventoryPoll,
+    pub(crate) crash_detector: CrashDetector,
     pub(crate) orders: Orders,
     pub(crate) pending_orders: PendingOrders,
     pub(crate) running_calls: RunningCalls,
@@ -53,6 +55,7 @@
             permits: None,
             active_lists: ActiveLists::new(config.server.clone()),
             inventory_poll: InventoryPoll::new(config.inventory_interval_us),
+            crash_detector: CrashDetector::default(),
             orders: Orders::new(OrdersConfig::new(config.incarnation)),
             pending_orders: PendingOrders::default(),
             running_calls: RunningCalls::default(),
@@ -80,6 +83,7 @@
             hosts_revision: self.hosts_revision,
             draining: self.is_draining,
             load: self.load(now),
+            crashes: self.crash_detector.recent(now),
         }
     }
 
--- a/crates/agent-core/src/inventory_poll.rs
+++ b/crates/agent-core/src/inventory_poll.rs
@@ -32,6 +32,11 @@
         self.next_at.get_or_insert(now);
     }
 
+    /// Schedules a request at `now`; no effect unless polling has started.
+    pub fn request(&mut self, now: TimeUs) {
+        self.next_at = self.next_at.map(|at| at.min(now));
+    }
+
     /// Returns whether the inventory must be requested now, and if so schedules the next request
     /// one interval later.
     pub fn take_due(&mut self, now: TimeUs) -> bool {
--- a/crates/agent-core/src/lib.rs
+++ b/crates/agent-core/src/lib.rs
@@ -12,6 +12,7 @@
 //! | [`active_lists`] | active lists of the agent, and the checks of requests against them |
 //! | [`pending_orders`] | engine orders whose effect is not yet known |
 //! | [`inventory_poll`] | polling of the engine's inventory |
+//! | [`crash_detector`] | engine crashes that a sequence may have caused |
 //! | [`running_calls`] | application calls in progress |
 //!
 //! The private modules implement the handling of model calls (`model_calls`), application calls
@@ -22,6 +23,7 @@
 mod application_calls;
 pub mod config;
 pub mod context;
+pub mod crash_detector;
 mod engine_orders;
 pub mod event;
 pub mod inventory_poll;
--- a/crates/agent-core/src/model_calls.rs
+++ b/crates/agent-core/src/model_calls.rs
@@ -8,7 +8,7 @@
     DecodeEvent, EngineCommand, EngineEvent, EngineRole, Envelope, ModelTarget, Prefill,
     RefusalReason, Release, Reserve,
 };
-use cuminlead_types::{Priority, TimeUs};
+use cuminlead_types::{AttemptId, Priority, TimeUs};
 
 use crate::action::{AgentAction, AgentRecord};
 use crate::context::AgentContext;
@@ -93,8 +93,17 @@
         self.update_orders(now, &event, actions);
         let is_inventory = matches!(event, EngineEvent::Inventory(_));
         match &event {
-            EngineEvent::Inventory(inventory) => self.inventory_poll.record(inventory.clone()),
-            EngineEvent::Unreachable => self.inventory_poll.invalidate(),
+            EngineEvent::Inventory(inventory) => {
+                self.inventory_poll.record(inventory.clone());
+                self.crash_detector.record_reachable();
+            }
+            EngineEvent::Unreachable => {
+                self.inventory_poll.invalidate();
+                for id in self.crash_detector.record_unreachable(now) {
+                    actions.push(AgentAction::Record(AgentRecord::EngineCrashed { id }));
+                }
+            }
+            EngineEvent::SequenceFailed { id } => self.record_failed_sequence(now, *id, actions),
             _ => {}
         }
         self.admission
@@ -104,6 +113,22 @@
         }
     }
 
+    /// Finds out whether the engine has crashed, if the sequence may be the cause.
+    fn record_failed_sequence(
+        &mut self,
+        now: TimeUs,
+        id: AttemptId,
+        actions: &mut Vec<AgentAction>,
+    ) {
+        let Some(parts) = self.admission.parts_of_begun_output(now, id) else {
+            return;
+        };
+        if self.crash_detector.record_failure(now, id, parts.to_vec()) {
+            actions.push(AgentAction::Record(AgentRecord::EngineCrashed { id }));
+        }
+        self.inventory_poll.request(now);
+    }
+
     /// Converts the actions of admission. Called after the event has been handled, so replies carry
     /// the agent's state after the decision.
     pub(crate) fn forward_admission_actions(
--- a/crates/agent/src/controller.rs
+++ b/crates/agent/src/controller.rs
@@ -210,6 +210,10 @@
                 debug!(log, "attempt released"; "request" => %id, "cause" => %cause,
                     "wasted_prefill_tokens" => wasted_prefill_tokens.0);
             }
+            AgentRecord::EngineCrashed { id } => {
+                warn!(log, "engine crashed on the beginning of an output";
+                    "request" => %id);
+            }
             AgentRecord::UnknownSequence { id } => {
                 warn!(log, "engine reported a sequence unknown to the agent"; "request" => %id);
             }
--- a/crates/agent/src/status.rs
+++ b/crates/agent/src/status.rs
@@ -33,6 +33,7 @@
     releases: Counters,
     wasted_prefill_tokens: Counters,
     unknown_sequences: Counter,
+    suspected_sequences: Counter,
     permits: Counters,
     order_failures: Counters,
 }
@@ -56,6 +57,10 @@
                 "unknown_sequences",
                 "Engine sequences that the agent did not know",
             ),
+            suspected_sequences: metrics.counter(
+                "suspected_sequences",
+                "Sequences that may have crashed the engine",
+            ),
             permits: metrics.counters("permits", "Permits by what became of them"),
             order_failures: metrics.counters(
                 "order_failures",
@@ -100,6 +105,9 @@
                     inc(wasted, "cause", &cause.to_string(), wasted_prefill_tokens.0);
                 }
             }
+            AgentRecord::EngineCrashed { .. } => {
+                self.suspected_sequences.inc();
+            }
             AgentRecord::UnknownSequence { .. } => {
                 self.unknown_sequences.inc();
             }
--- a/crates/capacity/src/agent.rs
+++ b/crates/capacity/src/agent.rs
@@ -18,7 +18,9 @@
 };
 
 use crate::Report;
-use crate::fixture::{DESIGN_LISTS, ListSize, customer, envelope, name, snapshot, target};
+use crate::fixture::{
+    DESIGN_LISTS, ListSize, customer, envelope, name, prompt_parts, snapshot, target,
+};
 use crate::measure::{Timings, measure_heap};
 
 const LEASE_COUNTS: [usize; 4] = [1, 5, 10, 20];
@@ -342,6 +344,7 @@
         envelope: envelope(number),
         target: target(),
         prompt_tokens: Tokens(PROMPT_TOKENS),
+        prompt_parts: prompt_parts(1),
         output_max_tokens: Tokens(200),
         lease_us: DurationUs::from_ms(10_000),
         due_us: DurationUs::from_ms(10_000),
--- a/crates/capacity/src/fixture.rs
+++ b/crates/capacity/src/fixture.rs
@@ -5,7 +5,7 @@
 
 use cuminlead_lists::{HostEntry, HostList, HostState, Part, PartKey, ProcessKind, Snapshot};
 use cuminlead_protocol::{Envelope, ModelTarget};
-use cuminlead_types::{Attempt, AttemptId, RequestId, Revision};
+use cuminlead_types::{Attempt, AttemptId, PromptPartId, RequestId, Revision};
 use sha2::{Digest, Sha256};
 
 /// Regions at the design scale.
@@ -38,6 +38,15 @@
     engines: ENGINES_COUNT,
 };
 
+/// Parts of a prompt of 10,000 tokens that the router gets.
+pub(crate) fn prompt_parts(seed: u64) -> Vec<PromptPartId> {
+    let hashes = (0..11).map(|number| {
+        seed.wrapping_add(number)
+            .wrapping_mul(0x9e37_79b9_7f4a_7c15)
+    });
+    hashes.map(|hash| name(&format!("{hash:016x}"))).collect()
+}
+
 /// Parses a name; panics if it is invalid.
 pub(crate) fn name<T: FromStr<Err: Debug>>(text: &str) -> T {
     text.parse().expect("valid name")
--- a/crates/capacity/src/routing.rs
+++ b/crates/capacity/src/routing.rs
@@ -12,7 +12,7 @@
 
 use crate::Report;
 use crate::fixture::{
-    CUSTOMERS_COUNT, ENGINES_COUNT, ListSize, customer, hosts, name, snapshot, target,
+    CUSTOMERS_COUNT, ENGINES_COUNT, ListSize, customer, hosts, name, prompt_parts, snapshot, target,
 };
 use crate::measure::{Timings, measure_heap};
 
@@ -140,6 +140,7 @@
         kind: RouteKind::Pair(ModelRequirements {
             target: target(),
             prefix_hashes: (0..PROMPT_BLOCKS).map(hash).collect(),
+            prompt_parts: prompt_parts(hash(PROMPT_BLOCKS)),
             prompt_tokens: Tokens(PROMPT_BLOCKS * 256),
             prompt_bytes: 0,
             output_max_tokens: Tokens(200),
--- a/crates/capacity/src/wire.rs
+++ b/crates/capacity/src/wire.rs
@@ -15,7 +15,7 @@
 use crate::Report;
 use crate::fixture::{
     CUSTOMERS_COUNT, DESIGN_LISTS, ENGINES_COUNT, change_customer, customers_text, envelope, host,
-    hosts, name, part, snapshot, target,
+    hosts, name, part, prompt_parts, snapshot, target,
 };
 use crate::measure::Timings;
 
@@ -167,6 +167,7 @@
         envelope: envelope(1),
         target: target(),
         prompt_tokens: Tokens(10_000),
+        prompt_parts: prompt_parts(1),
         output_max_tokens: Tokens(200),
         lease_us: DurationUs::from_ms(10_000),
         due_us: DurationUs::from_ms(2_000),
@@ -225,6 +226,7 @@
             pending_prompt_tokens: Tokens(10_000),
             oldest_stall_us: DurationUs(12_345),
         },
+        crashes: Vec::new(),
     }
 }
 
--- a/crates/entry-core/src/call.rs
+++ b/crates/entry-core/src/call.rs
@@ -5,7 +5,7 @@
 };
 use cuminlead_retry::{CallKind, Evidence, Step};
 use cuminlead_routing::{NoRoute, Route, RouteRequest};
-use cuminlead_types::{BackendServerId, RequestId, SequenceNumber, TimeUs, Tokens};
+use cuminlead_types::{BackendServerId, PromptPartId, RequestId, SequenceNumber, TimeUs, Tokens};
 
 use crate::error::CallerError;
 use crate::stall::PendingStep;
@@ -135,6 +135,12 @@
         /// Evidence of its failure; `None` when the server completed its part.
         evidence: Option<Evidence>,
     },
+    /// Reports that an engine has generated output for the prompt of the call, and has not crashed
+    /// on it.
+    OutputGenerated {
+        /// Prefixes of the prompt that other prompts may share, shortest first.
+        prompt_parts: Vec<PromptPartId>,
+    },
     /// Reports to [`crate::StallReports`] that the call waits for a server without progress.
     Stalled {
         /// Request of the stalled call.
--- a/crates/entry-core/src/cause.rs
+++ b/crates/entry-core/src/cause.rs
@@ -13,6 +13,8 @@
     pub(crate) refusal: Option<RefusalReason>,
     /// Whether the KV transfer failed, which leaves the reserved decode slot intact.
     pub(crate) is_transfer_failure: bool,
+    /// Whether the prompt has a part that crashes engines.
+    pub(crate) is_quarantined: bool,
 }
 
 impl Cause {
@@ -21,6 +23,7 @@
             evidence,
             refusal: None,
             is_transfer_failure: false,
+            is_quarantined: false,
         }
     }
 
@@ -66,7 +69,16 @@
     /// No server was chosen, so nothing was sent.
     pub(crate) const NO_SERVER: Self = Self::new(Evidence::RefusedNotRun);
 
+    /// A part of the prompt is in quarantine, so nothing was sent.
+    pub(crate) const QUARANTINED: Self = Self {
+        is_quarantined: true,
+        ..Self::NO_SERVER
+    };
+
     pub(crate) fn error_code(&self) -> ErrorCode {
+        if self.is_quarantined {
+            return ErrorCode::Quarantined;
+        }
         match self.refusal {
             Some(reason) => refusal_code(reason),
             None => evidence_code(self.evidence),
@@ -77,6 +89,9 @@
     pub(crate) fn message(&self) -> String {
         match self.refusal {
             Some(reason) => format!("refused by the backend server: {reason}"),
+            None if self.is_quarantined => {
+                "a part of the prompt crashes backend servers".to_string()
+            }
             None if *self == Self::NO_SERVER => "no usable backend server".to_string(),
             None => format!("no answer from the backend server: {}", self.evidence),
         }
--- a/crates/entry-core/src/error.rs
+++ b/crates/entry-core/src/error.rs
@@ -34,6 +34,8 @@
     Overloaded,
     /// No backend server is usable.
     NoServer,
+    /// A part of the prompt is in quarantine because it crashes backend servers.
+    Quarantined,
     /// The process is shutting down.
     Stopping,
     /// The deadline was exceeded, or a backend server was unresponsive.
@@ -54,7 +56,7 @@
             Self::NotFound => 404,
             Self::BodyTooLarge => 413,
             Self::RateLimited | Self::Overloaded => 429,
-            Self::NoServer | Self::Stopping => 503,
+            Self::NoServer | Self::Quarantined | Self::Stopping => 503,
             Self::BackendFailed => 502,
             Self::TimedOut | Self::OutcomeUnknown => 504,
         }
--- a/crates/entry-core/src/model.rs
+++ b/crates/entry-core/src/model.rs
@@ -18,7 +18,8 @@
 use cuminlead_protocol::ModelTarget;
 use cuminlead_retry::Step;
 use cuminlead_types::{
-    BackendServerId, CustomerId, DurationUs, EntryId, Priority, RequestId, Revision, TimeUs, Tokens,
+    BackendServerId, CustomerId, DurationUs, EntryId, Priority, PromptPartId, RequestId, Revision,
+    TimeUs, Tokens,
 };
 
 use crate::call::{Call, CallAction, CallEvent};
@@ -76,6 +77,7 @@
     config: CallConfig,
     request: ModelRequest,
     prefix_hashes: Vec<u64>,
+    prompt_parts: Vec<PromptPartId>,
     phase: Phase,
     attempt: AttemptState,
     delivered: DeliveredOutput,
@@ -91,10 +93,12 @@
     /// Call for an accepted request; [`CallEvent::Start`] begins it.
     pub fn new(config: CallConfig, request: ModelRequest) -> Self {
         let prefix_hashes = prefix::hashes(&request.prompt, config.prefix_block_tokens);
+        let prompt_parts = prefix::parts(&request.prompt, &prefix_hashes);
         Self {
             config,
             request,
             prefix_hashes,
+            prompt_parts,
             phase: Phase::Created,
             attempt: AttemptState::default(),
             delivered: DeliveredOutput::default(),
--- a/crates/entry-core/src/model/messages.rs
+++ b/crates/entry-core/src/model/messages.rs
@@ -32,6 +32,7 @@
             target: self.request.target.clone(),
             priority: self.request.priority,
             prompt_tokens: self.prompt_tokens(),
+            prompt_parts: self.prompt_parts.clone(),
             output_max_tokens: self.remaining_output(),
             lease_us: self.lease_duration(),
             due_us: self.first_token_due_in(now),
@@ -96,6 +97,7 @@
         ModelRequirements {
             target: self.request.target.clone(),
             prefix_hashes: self.prefix_hashes.clone(),
+            prompt_parts: self.prompt_parts.clone(),
             prompt_tokens: self.prompt_tokens(),
             prompt_bytes: prompt_bytes as u64,
             output_max_tokens: self.remaining_output(),
--- a/crates/entry-core/src/model/state.rs
+++ b/crates/entry-core/src/model/state.rs
@@ -54,6 +54,10 @@
     pub(super) is_kv_imported: bool,
     /// Whether a chunk of this attempt was delivered to the caller.
     pub(super) has_delivered: bool,
+    /// When the first of these chunks was delivered.
+    pub(super) first_chunk_at: Option<TimeUs>,
+    /// Whether the call has reported that the engine generates output.
+    pub(super) is_output_reported: bool,
     /// Repeats of the message that the call waits for.
     pub(super) message_repeat_count: u32,
     /// Failed imports of the current KV cache.
--- a/crates/entry-core/src/model/steps.rs
+++ b/crates/entry-core/src/model/steps.rs
@@ -49,6 +49,9 @@
             (Phase::RoutePrefill | Phase::RoutePair, Err(NoRoute::RetryBudget)) => {
                 self.fail_unrouted(turn);
             }
+            (Phase::RoutePrefill | Phase::RoutePair, Err(NoRoute::Quarantined)) => {
+                self.fail(turn, Cause::QUARANTINED);
+            }
             (Phase::RoutePrefill, _) => self.new_attempt(turn, Step::Route, Cause::NO_SERVER),
             (Phase::RoutePair, _) => self.on_no_pair(turn),
             _ => {}
--- a/crates/entry-core/src/model/stream.rs
+++ b/crates/entry-core/src/model/stream.rs
@@ -1,6 +1,7 @@
 //! Events, deadlines and acknowledgements of the decode stream.
 
 use cuminlead_protocol::{AgentFailure, AgentState, Chunk, DecodeControl, DecodeEvent};
+use cuminlead_quarantine::SOUND_AFTER;
 use cuminlead_retry::{Evidence, Step};
 use cuminlead_types::TimeUs;
 
@@ -113,6 +114,7 @@
         self.delivered.tokens += chunk.tokens;
         self.attempt.has_delivered = true;
         self.attempt.resume_count = 0;
+        self.report_output(turn, chunk.finish.is_some());
         turn.push(CallAction::Deliver(Delivery {
             sequence: chunk.sequence,
             text: chunk.text,
@@ -124,6 +126,19 @@
         }
     }
 
+    /// Reports once for an attempt that the engine has generated output for long enough, or all of
+    /// it.
+    fn report_output(&mut self, turn: &mut Turn, is_last: bool) {
+        let first_chunk_at = *self.attempt.first_chunk_at.get_or_insert(turn.now);
+        let is_sound = is_last || turn.now.since(first_chunk_at) >= SOUND_AFTER;
+        if is_sound && !self.attempt.is_output_reported {
+            self.attempt.is_output_reported = true;
+            turn.push(CallAction::OutputGenerated {
+                prompt_parts: self.prompt_parts.clone(),
+            });
+        }
+    }
+
     fn on_stream_failed(&mut self, turn: &mut Turn, state: &AgentState, failure: &AgentFailure) {
         let cause = self.stream_failure_cause(state, failure);
         if cause.is_transfer_failure {
--- a/crates/entry-core/tests/common/mod.rs
+++ b/crates/entry-core/tests/common/mod.rs
@@ -135,6 +135,7 @@
         "service" => CallEvent::Routed(Ok(Route::Service(parse(words[1])))),
         "noroute" => CallEvent::Routed(Err(NoRoute::NoServer)),
         "nobudget" => CallEvent::Routed(Err(NoRoute::RetryBudget)),
+        "quarantined" => CallEvent::Routed(Err(NoRoute::Quarantined)),
         "imported" | "chunk" | "heartbeat" | "stream_failed" => CallEvent::Stream {
             stream: CallStreamRef(parse(words[1])),
             event: stream_event(words),
@@ -274,6 +275,7 @@
             let text = evidence.map_or("ok".to_string(), |e: Evidence| e.to_string());
             format!("report {server} {text}")
         }
+        CallAction::OutputGenerated { .. } => "generated".to_string(),
         CallAction::WastedPrefill { tokens, cause } => format!("wasted {tokens} {cause}"),
         CallAction::Retried { evidence, .. } => format!("retried {evidence}"),
     }
--- a/crates/entry/src/controller.rs
+++ b/crates/entry/src/controller.rs
@@ -19,8 +19,8 @@
 use cuminlead_routing::{LinkUse, RouteRequest, Router, Usability};
 use cuminlead_telemetry::BusyTime;
 use cuminlead_types::{
-    BackendServerId, Bytes, CustomerId, DurationUs, HostId, Now, RequestId, RequestsPerSecond,
-    TimeUs,
+    BackendServerId, Bytes, CustomerId, DurationUs, HostId, Now, PromptPartId, RequestId,
+    RequestsPerSecond, TimeUs,
 };
 use slog::{Logger, info, warn};
 use tokio::sync::oneshot;
@@ -62,6 +62,11 @@
         /// Failure; `None` if the server did what was requested.
         evidence: Option<Evidence>,
     },
+    /// An engine has generated output for a prompt.
+    OutputGenerated {
+        /// Prefixes of the prompt that other prompts may share, shortest first.
+        prompt_parts: Vec<PromptPartId>,
+    },
     /// A call has made no progress at a server for a while, or has progressed again.
     Stalled {
         /// Request of the call.
@@ -185,7 +190,12 @@
     /// ones.
     fn record_agent_state(&mut self, now: Now, state: &AgentState) {
         self.membership.record_report(now.mono_us, state);
-        self.parts.router.record_report(now.mono_us, state);
+        let quarantined = self.parts.router.record_report(now.mono_us, state);
+        for part in quarantined {
+            warn!(self.parts.log, "prompt part quarantined"; "part" => %part,
+                "crashed" => %state.server);
+            self.parts.metrics.count_quarantine();
+        }
         let revisions = Revisions {
             lists: state.lists_revision,
             hosts: state.hosts_revision,
@@ -364,6 +374,12 @@
             }
             ControlEvent::Observed(state) => self.record_agent_state(now, &state),
             ControlEvent::Report { server, evidence } => self.report(now, &server, evidence),
+            ControlEvent::OutputGenerated { prompt_parts } => {
+                let cleared = self.parts.router.record_sound(now.mono_us, &prompt_parts);
+                for part in cleared {
+                    info!(self.parts.log, "suspected prompt part cleared"; "part" => %part);
+                }
+            }
             ControlEvent::Stalled {
                 request,
                 server,
--- a/crates/entry/src/driver.rs
+++ b/crates/entry/src/driver.rs
@@ -206,6 +206,9 @@
             CallAction::Report { server, evidence } => {
                 self.notify_control(ControlEvent::Report { server, evidence });
             }
+            CallAction::OutputGenerated { prompt_parts } => {
+                self.notify_control(ControlEvent::OutputGenerated { prompt_parts });
+            }
             CallAction::Stalled {
                 request,
                 server,
--- a/crates/entry/src/status.rs
+++ b/crates/entry/src/status.rs
@@ -12,6 +12,7 @@
 use cuminlead_telemetry::metrics::{Counters, Latencies, RowCounters, start_at_zero};
 use cuminlead_telemetry::{CommonMetrics, Label, Metrics};
 use cuminlead_types::{Bytes, DurationUs, EntryId, Revision, Tokens};
+use prometheus_client::metrics::counter::Counter;
 use serde_json::json;
 use strum::IntoEnumIterator;
 
@@ -30,6 +31,7 @@
     wasted_prefill_tokens: Counters,
     latencies: Latencies,
     link_bytes: Counters,
+    quarantined_parts: Counter,
 }
 
 impl EntryMetrics {
@@ -58,6 +60,10 @@
                 "link_bytes",
                 "Bytes of prompts to and answers from other regions",
             ),
+            quarantined_parts: metrics.counter(
+                "quarantined_parts",
+                "Quarantines of prompt parts that crash engines",
+            ),
         };
         entry.start_at_zero();
         entry
@@ -135,6 +141,11 @@
             .inc_by(tokens.0);
     }
 
+    /// Counts a prompt part that is put into quarantine.
+    pub fn count_quarantine(&self) {
+        self.quarantined_parts.inc();
+    }
+
     /// Sets the revision in effect of `list`, which is `lists` or `hosts`.
     pub fn set_revision(&self, list: &str, revision: Revision) {
         let value = i64::try_from(revision.0).unwrap_or(i64::MAX);
--- a/crates/matrix/src/config.rs
+++ b/crates/matrix/src/config.rs
@@ -95,6 +95,9 @@
     pub has_whole_outputs: bool,
     /// Time for which the plain service executes a call.
     pub service_run_us: DurationUs,
+    /// Text in a prompt on which an engine crashes when it generates the first token; none when not
+    /// set.
+    pub crashing_text: Option<String>,
 }
 
 impl Default for SimulationConfig {
@@ -138,6 +141,7 @@
             kv_life_us: None,
             has_whole_outputs: false,
             service_run_us: DurationUs::from_ms(20),
+            crashing_text: None,
         }
     }
 }
--- a/crates/matrix/src/engine.rs
+++ b/crates/matrix/src/engine.rs
@@ -85,6 +85,8 @@
     Decoding {
         generation: Generation,
         emitted: u64,
+        /// Whether the engine crashes on the first token.
+        is_crashing: bool,
     },
 }
 
@@ -386,6 +388,7 @@
 
     pub(super) fn sequence_step(&mut self, node: NodeId, id: AttemptId, serial: u64) {
         let is_full_length = self.config.has_whole_outputs;
+        let crashing_text = self.config.crashing_text.clone();
         let engine = self.engine_mut(node);
         let Some(sequence) = engine.sequences.get_mut(&id) else {
             return;
@@ -412,6 +415,7 @@
                 let work = Work::Decoding {
                     generation,
                     emitted: 0,
+                    is_crashing: crashing_text.is_some_and(|text| prompt.contains(&text)),
                 };
                 sequence.work = work;
                 self.emit(node, receiver, EngineEvent::Imported { id });
@@ -475,10 +479,15 @@
         let Work::Decoding {
             generation,
             emitted,
+            is_crashing,
         } = &mut sequence.work
         else {
             return;
         };
+        if *is_crashing {
+            self.kill_backend(node);
+            return;
+        }
         let generation = *generation;
         let first = *emitted;
         *emitted += 1;
@@ -516,6 +525,7 @@
         let Work::Decoding {
             generation,
             emitted,
+            ..
         } = &sequence.work
         else {
             return;
--- a/crates/matrix/src/entry.rs
+++ b/crates/matrix/src/entry.rs
@@ -400,6 +400,11 @@
                 self.close(node, request);
             }
             CallAction::Report { server, evidence } => self.report(node, &server, evidence),
+            CallAction::OutputGenerated { prompt_parts } => {
+                let now = self.now;
+                let entry = self.entry_mut(node);
+                entry.router.record_sound(now, &prompt_parts);
+            }
             CallAction::Stalled {
                 request,
                 server,
--- a/crates/matrix/src/timed_fault.rs
+++ b/crates/matrix/src/timed_fault.rs
@@ -12,6 +12,8 @@
 pub enum TimedFault {
     /// The agent and the engine of a host crash and restart.
     RunnerLost(NodeId),
+    /// The engine of a host crashes and restarts, while its agent runs on.
+    EngineLost(NodeId),
     /// No network path between an availability zone and the other zones works.
     ZoneCut(AvailabilityZoneName, DurationUs),
     /// No network path between a region and the other regions works.
@@ -39,6 +41,7 @@
                 self.kill(node);
                 self.kill_backend(node);
             }
+            TimedFault::EngineLost(node) => self.kill_backend(node),
             TimedFault::EngineHangs(node, time) => self.pause_backend(node, time),
             TimedFault::ZoneCut(zone, time) => {
                 self.partition_hosts(|node_spec| node_spec.zone == zone, time)
--- a/crates/protocol/src/envelope.rs
+++ b/crates/protocol/src/envelope.rs
@@ -1,8 +1,8 @@
 //! Fields common to all messages and replies.
 
 use cuminlead_types::{
-    AttemptId, BackendServerId, CustomerId, DurationUs, EntryId, Incarnation, KvPieces, Revision,
-    Slots, Tokens,
+    AttemptId, BackendServerId, CustomerId, DurationUs, EntryId, Incarnation, KvPieces,
+    PromptPartId, Revision, Slots, Tokens,
 };
 
 /// Header of every message from an entry.
@@ -37,6 +37,19 @@
     pub draining: bool,
     /// Load when the reply was sent.
     pub load: LoadReport,
+    /// Sequences that may have caused a recent crash of the engine.
+    pub crashes: Vec<SequenceCrash>,
+}
+
+/// Sequence that had generated no output, or had only begun to, when its engine crashed.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct SequenceCrash {
+    /// Attempt of the sequence.
+    pub id: AttemptId,
+    /// Time since the crash.
+    pub age_us: DurationUs,
+    /// Prefixes of the prompt that other prompts may share, shortest first.
+    pub prompt_parts: Vec<PromptPartId>,
 }
 
 /// Load of a backend server, as tracked by its agent.
--- a/crates/protocol/src/request.rs
+++ b/crates/protocol/src/request.rs
@@ -1,8 +1,8 @@
 //! Requests from an entry to an agent, each answered by one reply.
 
 use cuminlead_types::{
-    AdapterName, DurationUs, IdempotencyKey, ModelName, PermitId, Priority, ServiceName, Tokens,
-    UnixMs, VersionName,
+    AdapterName, DurationUs, IdempotencyKey, ModelName, PermitId, Priority, PromptPartId,
+    ServiceName, Tokens, UnixMs, VersionName,
 };
 use strum::{Display, IntoStaticStr};
 
@@ -79,6 +79,8 @@
     pub priority: Priority,
     /// Length of the prompt.
     pub prompt_tokens: Tokens,
+    /// Prefixes of the prompt that other prompts may share, shortest first.
+    pub prompt_parts: Vec<PromptPartId>,
     /// Maximum length of the output.
     pub output_max_tokens: Tokens,
     /// Time for which the lease must last if decoding does not start; the agent may shorten it.
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -11,6 +11,7 @@
 //! | [`load`] | load estimate of one server: its last report plus later decisions of this entry |
 //! | [`mean_load`] | load estimate for a server with a stale load report |
 //! | [`prefix`] | prompt prefixes that each server has recently computed |
+//! | [`crashes`] | prompt parts that crash engines |
 //! | [`link`] | traffic and backlog of the paid links between regions |
 //! | [`ring`] | consistent hashing over the servers of a pool |
 //! | [`servers`] | records of all backend servers in the lists |
@@ -20,6 +21,7 @@
 //! | [`router`] | [`Router`], the routing state of an entry |
 
 pub mod config;
+pub mod crashes;
 pub mod link;
 pub mod load;
 pub mod mean_load;
--- a/crates/routing/src/request.rs
+++ b/crates/routing/src/request.rs
@@ -2,7 +2,8 @@
 
 use cuminlead_protocol::ModelTarget;
 use cuminlead_types::{
-    BackendServerId, CustomerId, DurationUs, IdempotencyKey, RegionName, ServiceName, Tokens,
+    BackendServerId, CustomerId, DurationUs, IdempotencyKey, PromptPartId, RegionName, ServiceName,
+    Tokens,
 };
 
 /// Backend servers chosen for a call.
@@ -30,6 +31,8 @@
     NoServer,
     /// The servers that could otherwise be used have exhausted their retry budgets.
     RetryBudget,
+    /// A part of the prompt is in quarantine because it crashes engines.
+    Quarantined,
 }
 
 /// Constraints of one routing decision.
@@ -79,6 +82,8 @@
     pub target: ModelTarget,
     /// Hashes of the leading blocks of the prompt; each also covers all blocks before its own.
     pub prefix_hashes: Vec<u64>,
+    /// Prefixes of the prompt that other prompts may share, shortest first.
+    pub prompt_parts: Vec<PromptPartId>,
     /// Length of the prompt in tokens.
     pub prompt_tokens: Tokens,
     /// Size of the prompt on a paid link, in bytes.
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -11,10 +11,12 @@
 use cuminlead_permits::{KeyId, owner_of};
 use cuminlead_protocol::AgentState;
 use cuminlead_types::{
-    BackendServerId, Bytes, IdempotencyKey, KvPieces, RegionName, ServiceName, TimeUs, Tokens,
+    BackendServerId, Bytes, IdempotencyKey, KvPieces, PromptPartId, RegionName, ServiceName,
+    TimeUs, Tokens,
 };
 
 use crate::config::RoutingConfig;
+use crate::crashes::Crashes;
 use crate::link::{LinkUse, Links};
 use crate::load::Demand;
 use crate::policy::{PolicyView, RoutingPolicy, UnknownPolicy, build_policy};
@@ -38,6 +40,7 @@
     policy: Box<dyn RoutingPolicy>,
     lists: Arc<Lists>,
     state: RouterState,
+    crashes: Crashes,
     sample_seed: u64,
 }
 
@@ -65,6 +68,7 @@
             policy,
             lists: Arc::default(),
             state,
+            crashes: Crashes::default(),
             sample_seed: config.initial_sample_seed,
             config,
         })
@@ -105,9 +109,17 @@
         }
     }
 
-    /// Records the agent state that a reply carries.
-    pub fn record_report(&mut self, now: TimeUs, state: &AgentState) {
+    /// Records the agent state that a reply carries. Returns the prompt parts that it puts into
+    /// quarantine.
+    pub fn record_report(&mut self, now: TimeUs, state: &AgentState) -> Vec<PromptPartId> {
         self.state.servers.observe(now, state, &self.config);
+        self.crashes.record(now, state)
+    }
+
+    /// Records that an engine generates output for a prompt. Returns the prompt parts whose crashes
+    /// no longer count.
+    pub fn record_sound(&mut self, now: TimeUs, parts: &[PromptPartId]) -> Vec<PromptPartId> {
+        self.crashes.record_sound(now, parts)
     }
 
     /// Records that a server has ended its part of a call; `is_ok` is false if it failed.
@@ -142,6 +154,7 @@
         request: &RouteRequest,
         requirements: &ModelRequirements,
     ) -> Result<Route, NoRoute> {
+        self.check_quarantine(now, requirements)?;
         let sample_seed = self.next_sample_seed();
         let view = self
             .state
@@ -180,6 +193,7 @@
         region: &RegionName,
         requirements: &ModelRequirements,
     ) -> Result<Route, NoRoute> {
+        self.check_quarantine(now, requirements)?;
         let sample_seed = self.next_sample_seed();
         let view = self
             .state
@@ -199,6 +213,17 @@
         Ok(Route::Prefill(self.id(prefill)?))
     }
 
+    fn check_quarantine(
+        &self,
+        now: TimeUs,
+        requirements: &ModelRequirements,
+    ) -> Result<(), NoRoute> {
+        if self.crashes.is_quarantined(now, &requirements.prompt_parts) {
+            return Err(NoRoute::Quarantined);
+        }
+        Ok(())
+    }
+
     fn route_service(
         &mut self,
         now: TimeUs,
--- a/crates/routing/tests/fleet/mod.rs
+++ b/crates/routing/tests/fleet/mod.rs
@@ -143,6 +143,9 @@
     route_request(RouteKind::Pair(ModelRequirements {
         target: target(),
         prefix_hashes: (0..40).map(hash).collect(),
+        prompt_parts: (0..11)
+            .map(|number| parse(&format!("{:016x}", hash(number))))
+            .collect(),
         prompt_tokens: Tokens(40 * 256),
         prompt_bytes: 40_960,
         output_max_tokens: Tokens(200),
--- a/crates/stand-ins/examples/engine.rs
+++ b/crates/stand-ins/examples/engine.rs
@@ -38,6 +38,11 @@
     cache_blocks: usize,
     #[options(help = "generate every answer up to its output limit", no_short)]
     answers_to_limit: bool,
+    #[options(
+        help = "text in a prompt on which the engine crashes when it generates output",
+        no_short
+    )]
+    crash_text: Option<String>,
     #[options(
         help = "fixed time of a decode step, in microseconds",
         default = "8000"
@@ -76,6 +81,7 @@
         total_pieces: arguments.total_pieces,
         cache_blocks: arguments.cache_blocks,
         answers_to_limit: arguments.answers_to_limit,
+        crash_text: arguments.crash_text,
         prefill_tokens_per_second: arguments.prefill_rate,
         step: Duration::from_micros(arguments.step_us),
         step_per_sequence: Duration::from_micros(arguments.step_per_sequence_us),
--- a/crates/stand-ins/src/engine/api.rs
+++ b/crates/stand-ins/src/engine/api.rs
@@ -181,6 +181,7 @@
             false => Generation::of(&head.prompt, request.output_max_tokens),
         };
         if let Some(sequence) = state.sequences.get_mut(&request.id) {
+            sequence.prompt.clone_from(&head.prompt);
             sequence.prompt_tokens = head.prompt_tokens;
             sequence.phase = Phase::Decode {
                 generation,
--- a/crates/stand-ins/src/engine/batch.rs
+++ b/crates/stand-ins/src/engine/batch.rs
@@ -11,6 +11,9 @@
 /// Most prompt tokens computed in one step.
 const PREFILL_STEP_TOKENS: u64 = 512;
 
+/// Exit status of an engine that crashes on a prompt.
+const CRASH_STATUS: i32 = 70;
+
 /// Sequences that one step computes.
 #[derive(Default)]
 struct Step {
@@ -76,10 +79,22 @@
             self.apply_prefill(state, id, step.prefill_tokens);
         }
         for id in &step.decodes {
+            self.crash_if_configured(state, id);
             apply_decode(state, id);
         }
     }
 
+    /// Ends the process if the prompt of a sequence has the configured text.
+    fn crash_if_configured(&self, state: &State, id: &str) {
+        let prompt = state.sequences.get(id).map(|sequence| &sequence.prompt);
+        let (Some(text), Some(prompt)) = (&self.config.crash_text, prompt) else {
+            return;
+        };
+        if prompt.contains(text) {
+            std::process::exit(CRASH_STATUS);
+        }
+    }
+
     fn apply_prefill(&self, state: &mut State, id: &str, tokens: u64) {
         let Some(sequence) = state.sequences.get_mut(id) else {
             return;
--- a/crates/stand-ins/src/engine/mod.rs
+++ b/crates/stand-ins/src/engine/mod.rs
@@ -87,6 +87,9 @@
     /// Whether every answer has exactly the requested output limit, instead of a length that
     /// follows from the prompt.
     pub answers_to_limit: bool,
+    /// Text in a prompt on which the process exits when it generates the first token; none when not
+    /// set.
+    pub crash_text: Option<String>,
 }
 
 impl Default for EngineConfig {
@@ -109,6 +112,7 @@
             weight_bytes_per_second: 200_000_000,
             report_lag: Duration::from_secs(1),
             answers_to_limit: false,
+            crash_text: None,
         }
     }
 }
--- a/crates/wire/src/envelope.rs
+++ b/crates/wire/src/envelope.rs
@@ -1,9 +1,9 @@
 //! Conversions of the fields common to all messages and replies, and of ids.
 
-use cuminlead_protocol::{AgentState, Envelope, LoadReport};
+use cuminlead_protocol::{AgentState, Envelope, LoadReport, SequenceCrash};
 use cuminlead_types::{
-    Attempt, AttemptId, CustomerId, DurationUs, Incarnation, KvPieces, PermitId, RequestId,
-    Revision, Slots, Tokens,
+    Attempt, AttemptId, CustomerId, DurationUs, Incarnation, KvPieces, PermitId, PromptPartId,
+    RequestId, Revision, Slots, Tokens,
 };
 
 use crate::error::{WireError, required};
@@ -98,6 +98,7 @@
             hosts_revision: state.hosts_revision.0,
             draining: state.draining,
             load: Some(state.load.into()),
+            crashes: state.crashes.into_iter().map(Into::into).collect(),
         }
     }
 }
@@ -106,6 +107,7 @@
     type Error = WireError;
 
     fn try_from(state: proto::AgentState) -> Result<Self, WireError> {
+        let crashes = state.crashes.into_iter().map(TryInto::try_into);
         Ok(Self {
             server: state.server.parse()?,
             incarnation: Incarnation(state.incarnation),
@@ -113,10 +115,46 @@
             hosts_revision: Revision(state.hosts_revision),
             draining: state.draining,
             load: required("load", state.load)?.into(),
+            crashes: crashes.collect::<Result<_, WireError>>()?,
         })
     }
 }
 
+impl From<SequenceCrash> for proto::SequenceCrash {
+    fn from(crash: SequenceCrash) -> Self {
+        Self {
+            request: request_to_wire(crash.id.request),
+            attempt: crash.id.attempt.0,
+            age_us: crash.age_us.0,
+            prompt_parts: parts_to_wire(&crash.prompt_parts),
+        }
+    }
+}
+
+impl TryFrom<proto::SequenceCrash> for SequenceCrash {
+    type Error = WireError;
+
+    fn try_from(crash: proto::SequenceCrash) -> Result<Self, WireError> {
+        Ok(Self {
+            id: AttemptId {
+                request: request_from_wire(&crash.request)?,
+                attempt: Attempt(crash.attempt),
+            },
+            age_us: DurationUs(crash.age_us),
+            prompt_parts: parts_from_wire(&crash.prompt_parts)?,
+        })
+    }
+}
+
+pub(crate) fn parts_to_wire(parts: &[PromptPartId]) -> Vec<String> {
+    parts.iter().map(ToString::to_string).collect()
+}
+
+pub(crate) fn parts_from_wire(parts: &[String]) -> Result<Vec<PromptPartId>, WireError> {
+    let parts = parts.iter().map(|part| Ok(part.parse()?));
+    parts.collect()
+}
+
 impl From<PermitId> for proto::PermitId {
     fn from(permit: PermitId) -> Self {
         Self {
--- a/crates/wire/src/request.rs
+++ b/crates/wire/src/request.rs
@@ -6,6 +6,7 @@
 };
 use cuminlead_types::{DurationUs, Priority, Tokens, UnixMs};
 
+use crate::envelope::{parts_from_wire, parts_to_wire};
 use crate::error::{WireError, required};
 use crate::proto;
 use crate::proto::call_request::Body;
@@ -30,6 +31,7 @@
             lease_us: message.lease_us.0,
             due_us: message.due_us.0,
             wait_max_us: message.wait_max_us.0,
+            prompt_parts: parts_to_wire(&message.prompt_parts),
         }),
         AgentRequest::Prefill(message) => Body::Prefill(proto::Prefill {
             target: Some(message.target.into()),
@@ -89,6 +91,7 @@
         target: required("target", body.target)?.try_into()?,
         priority: priority_from_wire(body.priority)?,
         prompt_tokens: Tokens(body.prompt_tokens),
+        prompt_parts: parts_from_wire(&body.prompt_parts)?,
         output_max_tokens: Tokens(body.output_max_tokens),
         lease_us: DurationUs(body.lease_us),
         due_us: DurationUs(body.due_us),
