Limit the crash reports that an entry sends to agents

A report goes to each agent of the service. When many engines fail at once each lost run that had not begun its output was reported, nearly all of them bystanders: 2,300 messages for each run at full size, at the moment of the failure.

An entry sends 16 reports at once and four a second. Separate crashes are 300 ms apart at least, so the rate is enough for a part that crashes engine after engine; the burst covers the runs that one crash meets. The entry itself counts dropped reports.

reports_are_limited has four cases.

--- a/crates/direct-core/src/serving.rs
+++ b/crates/direct-core/src/serving.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use cuminlead_quarantine::PromptQuarantine;
+use cuminlead_quarantine::{PromptQuarantine, ReportBudget};
 use cuminlead_retry::{RetryBudget, RetryLimits};
 use cuminlead_types::{
     AvailabilityZoneName, DurationUs, RegionName, Revision, ServiceName, TimeUs,
@@ -74,6 +74,8 @@
     pub servers: ServerTable,
     /// Prompt parts that crash engines, as far as this process knows.
     pub quarantine: PromptQuarantine,
+    /// Crash reports that this process may send to agents.
+    pub crash_reports: ReportBudget,
     budgets: HashMap<ServiceName, RetryBudget>,
     is_synced: bool,
     /// When the registry responded again after an outage.
@@ -91,6 +93,7 @@
             activated_at: TimeUs::ZERO,
             servers: ServerTable::default(),
             quarantine: PromptQuarantine::default(),
+            crash_reports: ReportBudget::default(),
             budgets: HashMap::new(),
             is_synced: false,
             registry_regained_at: None,
--- a/crates/direct/src/crash_reports.rs
+++ b/crates/direct/src/crash_reports.rs
@@ -83,6 +83,10 @@
     if let Some(part) = quarantined {
         log_quarantined(&app.log, &part, "crash");
     }
+    if !app.serving.borrow_mut().crash_reports.take(now) {
+        info!(app.log, "crash not reported: too many reports"; "server" => %report.server);
+        return;
+    }
     let report = Rc::new(report);
     for agent in agents_of(app, service) {
         let (app, report) = (Rc::clone(app), Rc::clone(&report));
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -18,11 +18,15 @@
 //! name the quarantined parts in their replies. Where agents call engines, each agent tells its
 //! crashes in its replies, and each entry decides alone.
 
+mod report_budget;
+
 use std::cmp::Reverse;
 use std::collections::HashMap;
 
 use cuminlead_types::{BackendServerId, DurationUs, PromptPartId, RequestId, TimeUs};
 
+pub use report_budget::ReportBudget;
+
 /// Time of output after which an engine has not crashed on the beginning of it.
 pub const SOUND_AFTER: DurationUs = DurationUs::from_ms(300);
 /// Separate crashes after which the last suspected part of a prompt is quarantined.
