Say more precisely how processes share evidence of crashes

Found in reading the change as a whole: the head of the quarantine package said that whole prompts have no effect, while calls through agents have the whole prompt as their last part, for callers that repeat a request.

--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -11,12 +11,12 @@
 //! suspected part of a prompt is quarantined first and an earlier one only after more crashes.
 //!
 //! Alternatives: refusing the route or the caller affects sound requests, and quarantining whole
-//! prompts has no effect, since no two are alike.
+//! prompts alone has no effect on prompts that have only a part in common.
 //!
 //! Several processes see only some of the crashes each, so evidence has to be exchanged. Where
 //! entries call engines themselves, agents keep the same table, get the reports of all entries and
-//! name the quarantined parts in their replies. Where agents call engines, each agent tells its
-//! crashes in its replies, and each entry decides alone.
+//! name the quarantined parts in their replies. Where agents call engines, each agent states in its
+//! replies the crashes of its engine, and each entry decides alone.
 
 mod report_budget;
 
