Choose each port for one process only in the fleet's tests

Cause: the launcher of fleets drew peer ports at random and checked only that nothing listened on them, so it could draw one port for two processes of a fleet before the first of them bound it. The log names the agents' ports without a match; the entries of that fleet had not logged theirs. Ruled out: ports of ended processes (listeners set SO_REUSEADDR) and ephemeral ports (the range lies below them). Tests of the platform's path had the same fault and claim their ports since.

Change: the claim moves from the platform's test support to the stand-ins (`ports`), and the launcher uses it. chosen_port_is_not_chosen_again moves with it, with all its checks.

ports_are_chosen_once, with 1,000 ports, failed on the launcher's way to choose and passes now.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -34,16 +34,14 @@
 use std::collections::BTreeMap;
 use std::fs;
 use std::io;
-use std::net::TcpListener;
-use std::ops::Range;
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use serde_json::json;
 
-use cuminlead_stand_ins::client;
 use cuminlead_stand_ins::platform::HostRecord;
+use cuminlead_stand_ins::{client, ports};
 use deployment::{Deployment, EntrySpec, ServerSpec};
 use lists::ListsSource;
 use process::{Process, Program, Signal, binary, example};
@@ -57,8 +55,6 @@
 
 const CALL_TIMEOUT: Duration = Duration::from_secs(5);
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
-const PEER_PORT_RANGE: Range<u16> = 10_000..32_000;
-const PORT_ATTEMPTS_MAX: usize = 100;
 const PLATFORM_NAME: &str = "platform";
 
 /// Configuration of a fleet.
@@ -416,7 +412,7 @@
         if let Some(address) = self.peer_addresses.get(name) {
             return Ok(address.clone());
         }
-        let address = free_address()?;
+        let address = format!("127.0.0.1:{}", ports::free_port()?);
         let reserved = &mut self.peer_addresses;
         reserved.insert(name.to_string(), address.clone());
         Ok(address)
@@ -538,21 +534,6 @@
     }
 }
 
-/// Free loopback address. Its port is below the range from which the system assigns ports to
-/// outgoing connections, so none of these takes the port before the process listens on it.
-fn free_address() -> io::Result<String> {
-    let mut tried = Ok(());
-    for _ in 0..PORT_ATTEMPTS_MAX {
-        let port = rand::random_range(PEER_PORT_RANGE);
-        let address = format!("127.0.0.1:{port}");
-        match TcpListener::bind(&address) {
-            Ok(_) => return Ok(address),
-            Err(error) => tried = Err(error),
-        }
-    }
-    tried.map(|()| String::new())
-}
-
 impl Drop for Fleet {
     fn drop(&mut self) {
         if self.is_kept {
--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -13,6 +13,7 @@
 //! | [`engine`] | inference engine with prefill and decode roles |
 //! | [`service`] | plain service that counts the effects of its calls |
 //! | [`platform`] | configuration service and host list |
+//! | [`ports`] | ports chosen for processes before their start |
 //! | [`relay`] | TCP relay that blocks the traffic of connections |
 
 pub mod behaviour;
@@ -21,5 +22,6 @@
 pub mod engine;
 pub mod http;
 pub mod platform;
+pub mod ports;
 pub mod relay;
 pub mod service;
