Keep what a server says about itself while its registry entry lapses

What a server would see: it rejects a request with Retry-After or names a limit, is cut off from the registry for some seconds, and gets requests as if it had said neither.

Cause: limit and pause are fields of the table's server and end with it when its entry is removed for longer than 2.2 s; only leaving was kept for each incarnation. A response that arrives after the drop was ignored altogether, so that a server that says there that it is leaving got requests when it was published again.

Change: `server_notices` keeps the notices of an incarnation while it is not in the table, and records those of late responses by incarnation and not by key. A response without a limit lifts a kept one as before.

--- a/crates/direct-core/src/lib.rs
+++ b/crates/direct-core/src/lib.rs
@@ -6,6 +6,7 @@
 //! |---|---|
 //! | [`operator_config`] | routes, services and limits of one version of the configuration |
 //! | [`server`] | published entry of a backend server |
+//! | [`server_notices`] | what servers say about themselves in their responses |
 //! | [`servers`] | table of all backend servers |
 //! | [`health`] | locally observed failures, and the pause that follows them |
 //! | [`placement`] | choice of the server for a request |
@@ -35,6 +36,7 @@
 pub mod registry;
 pub mod reservation;
 pub mod server;
+pub mod server_notices;
 pub mod servers;
 pub mod serving;
 pub mod shutdown;
@@ -56,5 +58,6 @@
     EngineReport, MemoryUse, OutputReport, ReservationReply, ReservationRequest, ReservationTable,
 };
 pub use server::{ServerRecord, ServerState, Stage};
+pub use server_notices::{Incarnation, ServerNotice};
 pub use servers::{ServerKey, ServerTable};
 pub use serving::ServingState;
--- a/crates/direct-core/src/servers.rs
+++ b/crates/direct-core/src/servers.rs
@@ -9,12 +9,14 @@
 
 use cuminlead_types::{
     BackendServerId, DurationUs, MillirequestsPerSecond, RegionName, ServiceName, TimeUs, Tokens,
-    UnixMs,
 };
 use slotmap::{SlotMap, new_key_type};
 
 use crate::health::Health;
 use crate::server::{ServerRecord, ServerState};
+use crate::server_notices::{
+    Incarnation, NamedLimit, NoticeChanges, NoticeStore, ServerNotice, next_limit,
+};
 
 /// Time for which a removed server is a fallback server. A draining server must get no work 2.5 s
 /// after the registry has that update, and a removal is read up to half a second later.
@@ -26,9 +28,6 @@
 /// still run there. A prefill takes less, unless the queue is long.
 pub const PREPARED_GRACE: DurationUs = DurationUs::from_ms(1_200);
 
-/// Time for which a server that has said that it is leaving is remembered. Servers end within
-/// seconds to minutes.
-const LEAVING_RETENTION: DurationUs = DurationUs::from_ms(3_600_000);
 /// Time within which a permit is used; later it would add to the requests of another moment.
 const PERMIT_LIFETIME: DurationUs = DurationUs::from_ms(500);
 /// Shortest time for which a server without permits is not asked for one again.
@@ -64,15 +63,6 @@
     pub reported_at: TimeUs,
 }
 
-/// Limit that a server has named for the requests of all processes together.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct NamedLimit {
-    /// Rate that it accepts.
-    pub rate: MillirequestsPerSecond,
-    /// When the last response with it was received.
-    pub named_at: TimeUs,
-}
-
 /// Permits for requests to a server with a limit.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct UnusedPermits {
@@ -127,9 +117,6 @@
 
 impl Server {
     /// Records the limit that a response names; returns whether it has changed.
-    ///
-    /// Responses may overtake each other, so one without a limit lifts it only if its request was
-    /// sent after the limit was last named.
     pub fn record_limit(
         &mut self,
         now: TimeUs,
@@ -137,14 +124,7 @@
         rate: Option<MillirequestsPerSecond>,
     ) -> bool {
         let known = self.limit;
-        self.limit = match (rate, known) {
-            (Some(rate), _) => Some(NamedLimit {
-                rate,
-                named_at: now,
-            }),
-            (None, Some(known)) if sent_at < known.named_at => Some(known),
-            (None, _) => None,
-        };
+        self.limit = next_limit(now, sent_at, known, rate);
         if self.limit.is_none() {
             self.limited_until = TimeUs::ZERO;
         }
@@ -195,16 +175,7 @@
     by_id: HashMap<BackendServerId, ServerKey>,
     by_service: HashMap<ServiceName, Vec<ServerKey>>,
     by_address: HashMap<SocketAddr, ServerKey>,
-    /// Servers that have said themselves that they are leaving. They stay here after they are
-    /// dropped, because the registry may publish them as ready again.
-    leaving: HashMap<BackendServerId, LeavingServer>,
-}
-
-/// Incarnation that has said that it is leaving.
-#[derive(Clone, Copy, Debug)]
-struct LeavingServer {
-    started_at_ms: UnixMs,
-    since: TimeUs,
+    notices: NoticeStore,
 }
 
 impl ServerTable {
@@ -244,11 +215,11 @@
         record: ServerRecord,
         region: Option<RegionName>,
     ) -> ServerKey {
-        let leaving = self.leaving.get(&record.id);
-        let leaving = leaving.filter(|leaving| leaving.started_at_ms == record.started_at_ms);
-        let lifecycle = match (leaving, record.state) {
+        let notices = self.notices.find(&record.id, record.started_at_ms).copied();
+        let leaving_since = notices.and_then(|notices| notices.leaving_since);
+        let lifecycle = match (leaving_since, record.state) {
             // A server's own word is newer than what the registry publishes.
-            (Some(leaving), _) => ServerLifecycle::Draining(leaving.since),
+            (Some(since), _) => ServerLifecycle::Draining(since),
             (None, ServerState::Ready) => ServerLifecycle::Ready,
             (None, ServerState::Draining) => ServerLifecycle::Draining(now),
         };
@@ -275,8 +246,8 @@
             health: Health::default(),
             in_flight_count: 0,
             full_at: None,
-            limit: None,
-            pause_until: TimeUs::ZERO,
+            limit: notices.and_then(|notices| notices.limit),
+            pause_until: notices.map_or(TimeUs::ZERO, |notices| notices.pause_until),
             limited_until: TimeUs::ZERO,
             permits: UnusedPermits::default(),
             memory: None,
@@ -319,20 +290,47 @@
         let Some(server) = self.servers.get_mut(key) else {
             return false;
         };
-        let started_at_ms = server.record.started_at_ms;
-        let known = self.leaving.get(&server.record.id);
-        if known.is_some_and(|known| known.started_at_ms == started_at_ms) {
-            return false;
-        }
-        if !matches!(server.lifecycle, ServerLifecycle::Draining(_)) {
+        let is_new = self.notices.record_leaving(now, server);
+        if is_new && !matches!(server.lifecycle, ServerLifecycle::Draining(_)) {
             server.lifecycle = ServerLifecycle::Draining(now);
         }
-        let leaving = LeavingServer {
-            started_at_ms,
-            since: now,
+        is_new
+    }
+
+    /// Incarnation of a server.
+    pub fn incarnation(&self, key: ServerKey) -> Option<Incarnation> {
+        let record = &self.servers.get(key)?.record;
+        Some(Incarnation {
+            id: record.id.clone(),
+            started_at_ms: record.started_at_ms,
+        })
+    }
+
+    /// Records what an incarnation says about itself in the response to a request, also if the
+    /// table has dropped it meanwhile.
+    pub fn record_notice(
+        &mut self,
+        now: TimeUs,
+        sent_at: TimeUs,
+        incarnation: &Incarnation,
+        notice: &ServerNotice,
+    ) -> NoticeChanges {
+        let found = self
+            .key_of(&incarnation.id)
+            .and_then(|key| Some((key, self.servers.get_mut(key)?)))
+            .filter(|(_, server)| server.record.started_at_ms == incarnation.started_at_ms);
+        let Some((key, server)) = found else {
+            self.notices.record(now, sent_at, incarnation, notice);
+            return NoticeChanges::default();
         };
-        self.leaving.insert(server.record.id.clone(), leaving);
-        true
+        let is_limit_changed = server.record_limit(now, sent_at, notice.limit);
+        if let Some(pause) = notice.pause {
+            server.record_pause(now, pause);
+        }
+        NoticeChanges {
+            is_limit_changed,
+            is_leaving_new: notice.is_leaving && self.record_leaving(now, key),
+        }
     }
 
     /// Drops a server that is known to have ended, such as one at whose address another server
@@ -341,6 +339,7 @@
         let Some(server) = self.servers.remove(key) else {
             return;
         };
+        self.notices.keep(&server);
         if self.by_id.get(&server.record.id) == Some(&key) {
             self.by_id.remove(&server.record.id);
         }
@@ -352,11 +351,10 @@
         }
     }
 
-    /// Drops removed servers whose time as fallback servers is over, and forgets servers that left
+    /// Drops removed servers whose time as fallback servers is over, and forgets what servers said
     /// long ago.
     pub fn expire(&mut self, now: TimeUs) {
-        self.leaving
-            .retain(|_, leaving| now.since(leaving.since) < LEAVING_RETENTION);
+        self.notices.expire(now);
         let is_expired = |server: &Server| match server.lifecycle {
             ServerLifecycle::Removed { until } => now >= until,
             ServerLifecycle::Ready | ServerLifecycle::Draining(_) => false,
--- a/crates/direct/src/adapter.rs
+++ b/crates/direct/src/adapter.rs
@@ -7,9 +7,9 @@
 
 use std::sync::Arc;
 
-use cuminlead_direct_core::Registry;
+use cuminlead_direct_core::{Registry, ServerNotice};
 use cuminlead_settings::EntrySettings;
-use cuminlead_types::{BackendServerId, DurationUs, MillirequestsPerSecond, PromptPartId, Tokens};
+use cuminlead_types::{BackendServerId, DurationUs, PromptPartId, Tokens};
 use http::{HeaderMap, Method, StatusCode};
 
 /// Properties of a request that its headers state.
@@ -43,17 +43,6 @@
     pub resume_after: Option<&'a str>,
 }
 
-/// What a server says about itself in the head of any response.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct ServerNotice {
-    /// Requests that the server accepts from all processes together, for as long as it says so.
-    pub limit: Option<MillirequestsPerSecond>,
-    /// Whether the server is about to end and wants no further requests.
-    pub is_leaving: bool,
-    /// Time for which the server wants no requests from this process.
-    pub pause: Option<DurationUs>,
-}
-
 /// Meaning of a response's head.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ResponseClass {
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -9,7 +9,7 @@
 
 use bytes::{Bytes, BytesMut};
 use cuminlead_direct_core::placement::Distance;
-use cuminlead_direct_core::{RequestKind, ServerKey, StepOutcome};
+use cuminlead_direct_core::{Incarnation, RequestKind, ServerKey, StepOutcome};
 use cuminlead_telemetry::HopSpan;
 use cuminlead_types::{BackendServerId, DurationUs, TimeUs};
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
@@ -348,6 +348,8 @@
     mut request: Request<Full<Bytes>>,
     reuse_idle_max: Option<DurationUs>,
 ) -> Result<(ServerLease, Response<Incoming>), StepOutcome> {
+    let incarnation = app.serving.borrow().servers.incarnation(server);
+    let incarnation = incarnation.ok_or(StepOutcome::Unreachable)?;
     let in_flight = InFlight::begin(app, server);
     let distance = distance_of(app, server);
     let body_bytes = request.body().size_hint().exact().unwrap_or(0);
@@ -368,7 +370,7 @@
         let sent_at = app.now();
         match connection.send(request).await {
             Ok(response) => {
-                apply_notice(app, server, sent_at, &response);
+                apply_notice(app, &incarnation, sent_at, &response);
                 let lease = ServerLease {
                     app: Rc::clone(app),
                     server,
@@ -387,28 +389,30 @@
 }
 
 /// Records what a server says about itself in the head of a response.
-fn apply_notice(app: &App, server: ServerKey, sent_at: TimeUs, response: &Response<Incoming>) {
+fn apply_notice(
+    app: &App,
+    incarnation: &Incarnation,
+    sent_at: TimeUs,
+    response: &Response<Incoming>,
+) {
     let notice = app
         .protocol_mapping
         .read_notice(response.status(), response.headers());
     let now = app.now();
     let mut serving = app.serving.borrow_mut();
-    let Some(known) = serving.servers.get_mut(server) else {
-        return;
-    };
-    if known.record_limit(now, sent_at, notice.limit) {
-        info!(app.log, "server changed its limit"; "server" => %known.record.id,
+    let changes = serving
+        .servers
+        .record_notice(now, sent_at, incarnation, &notice);
+    let id = &incarnation.id;
+    if changes.is_limit_changed {
+        info!(app.log, "server changed its limit"; "server" => %id,
             "millirequests_per_s" => notice.limit.map(|limit| limit.0));
     }
     if let Some(pause) = notice.pause {
-        known.record_pause(now, pause);
-        info!(app.log, "server asked for a pause"; "server" => %known.record.id,
-            "pause_ms" => pause.as_ms());
+        info!(app.log, "server asked for a pause"; "server" => %id, "pause_ms" => pause.as_ms());
     }
-    if notice.is_leaving && serving.servers.record_leaving(now, server) {
-        let id = serving.servers.get(server).map(|server| &server.record.id);
-        info!(app.log, "server is leaving by its own account";
-            "server" => id.map(ToString::to_string));
+    if changes.is_leaving_new {
+        info!(app.log, "server is leaving by its own account"; "server" => %id);
     }
 }
 
