Probe a server after a failed call to learn whether its engine has crashed

All three agents had logged the crash.

Cause: an agent finds out about a crash by a refused inventory request, after the call has failed. If its last reply to that call leaves earlier, nothing tells the entry: replies come only with requests. What a caller would see: one more engine crashes on the repeat of such a request.

Ruled out: the ports (all processes had started) and the count of crashes in the quarantine (it never got the third).

Change: 1.2 s after a call that failed through a fault of the server the entry queries the agent's state, once for all calls that fail meanwhile (`crash_probes`).

--- a/crates/entry/src/controller.rs
+++ b/crates/entry/src/controller.rs
@@ -12,7 +12,7 @@
 use cuminlead_entry_core::{CallEvent, StallReports, counts_against_server};
 use cuminlead_kernel::Controller;
 use cuminlead_lists::{HostList, HostState, Lists, ProcessKind};
-use cuminlead_membership::Membership;
+use cuminlead_membership::{CrashProbes, Membership};
 use cuminlead_process::feed::{Feed, FeedEvent, FeedUpdate};
 use cuminlead_protocol::AgentState;
 use cuminlead_retry::Evidence;
@@ -138,6 +138,7 @@
 pub struct EntryController {
     parts: ControllerParts,
     membership: Membership,
+    crash_probes: CrashProbes,
     stalls: StallReports,
     lists: Arc<Lists>,
     hosts: Arc<HostList>,
@@ -170,6 +171,7 @@
         let mut controller = Self {
             parts,
             membership: Membership::new(),
+            crash_probes: CrashProbes::default(),
             stalls: StallReports::default(),
             lists: Arc::default(),
             hosts: Arc::default(),
@@ -248,6 +250,7 @@
         let is_failure = evidence.is_some_and(counts_against_server);
         if is_failure {
             self.membership.record_failure(now.mono_us, server);
+            self.crash_probes.record_failure(now.mono_us, server);
         } else if evidence.is_none() {
             self.membership.record_success(now.mono_us, server);
         }
@@ -345,6 +348,7 @@
             self.drain_check_at_us,
             self.parts.feed.next_deadline(),
             self.membership.next_probe_at(),
+            self.crash_probes.next_at(),
         ];
         deadlines.into_iter().flatten().min()
     }
@@ -417,7 +421,9 @@
             let update = self.parts.feed.tick(now.mono_us);
             self.apply(update, now);
         }
-        for server in self.membership.take_due_probes(now.mono_us) {
+        let mut due = self.membership.take_due_probes(now.mono_us);
+        due.extend(self.crash_probes.take_due(now.mono_us));
+        for server in due {
             (self.parts.probe)(server, self.revisions());
         }
         self.advance_shutdown(now);
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -8,12 +8,15 @@
 //! |---|---|
 //! | [`membership`] | [`Membership`], which combines the sources |
 //! | [`backoff`] | back-off and probes of one server |
+//! | [`crash_probes`] | probes that learn whether an engine has crashed |
 //! | [`health`] | drain state and stalled calls of one server |
 
 pub mod backoff;
+pub mod crash_probes;
 pub mod health;
 pub mod membership;
 
 pub use backoff::{BACKOFF_FAILURES, BACKOFF_INITIAL, BACKOFF_MAX, Backoff, PROBE_TIMEOUT};
+pub use crash_probes::{CRASH_PROBE_DELAY, CrashProbes};
 pub use health::{DrainState, STALL_RETENTION, STALL_THRESHOLD, Stall};
 pub use membership::{DRAIN_PROBE_INTERVAL, Membership, ServerStatus, UNPUBLISHED_RETENTION};
