Begin with one permit when an agent becomes the owner of a server's limit

Cause: entries that do not reach the owner of a server's permits ask the next agent. That one knows nothing of the permits granted until now and began with a full burst of three; with a second change of owners, or when the first is back with its own burst, they add up.

Change: an owner begins with one permit and accrues the others.

--- a/crates/direct-core/src/rate_limit.rs
+++ b/crates/direct-core/src/rate_limit.rs
@@ -10,7 +10,8 @@
 //! the demand that processes report suit high limits only.
 //!
 //! Permits that are not used at once remain for a short time, so that the rate is used up although
-//! requests arrive unevenly. Processes without a permit are told different times to come back, one
+//! requests arrive unevenly. A new owner begins with one permit only: it may follow one that has
+//! ended or that is not reached, and would otherwise add to what that one has just granted. Processes without a permit are told different times to come back, one
 //! after the other at the rate, so that they do not ask in vain again and again.
 
 use std::collections::HashMap;
@@ -85,7 +86,8 @@
         let interval = request_interval(rate);
         let burst = DurationUs(interval.0.saturating_mul(BURST_COUNT)).max(BURST_TIME);
         let permits = self.servers.entry(server.clone()).or_insert(ServerPermits {
-            used_until: now,
+            // Another process may have granted permits until now.
+            used_until: now + burst.saturating_sub(interval),
             last_turn_at: TimeUs::ZERO,
             asked_at: now,
         });
