--- a/crates/direct-core/tests/rate_limit.rs
+++ b/crates/direct-core/tests/rate_limit.rs
@@ -68,6 +68,21 @@
 /// Length of the window in which the users count requests.
 const WINDOW: DurationUs = DurationUs::from_ms(4_000);
 
+/// Checks that no window has more requests than one and a half times the limit and five.
+fn check_windows(name: &str, limit: u64, sent: &[TimeUs]) {
+    let allowed_count = limit * 4 * 3 / 2 / 1_000 + 5;
+    for (first, at) in sent.iter().enumerate() {
+        let in_window = sent[first..]
+            .iter()
+            .take_while(|later| later.since(*at) < WINDOW);
+        let count = in_window.count() as u64;
+        assert!(
+            count <= allowed_count,
+            "{name}: {count} requests in 4 s, {allowed_count} are allowed"
+        );
+    }
+}
+
 /// Guards against more requests than a server accepts from all processes together, and against a
 /// limit of which most remains unused while requests are held back.
 ///
@@ -103,18 +118,7 @@
                 sent.push(now);
             }
         }
-        let allowed_count = case.limit * 4 * 3 / 2 / 1_000 + 5;
-        for (first, at) in sent.iter().enumerate() {
-            let in_window = sent[first..]
-                .iter()
-                .take_while(|later| later.since(*at) < WINDOW);
-            let count = in_window.count() as u64;
-            assert!(
-                count <= allowed_count,
-                "{}: {count} requests in 4 s, {allowed_count} are allowed",
-                case.name
-            );
-        }
+        check_windows(case.name, case.limit, &sent);
         let least_count = case.limit * 100 / 1_000 * case.used_min_percent / 100;
         assert!(
             sent.len() as u64 >= least_count,
@@ -166,20 +170,9 @@
             let begun = case.owners.iter().rev().find(|(from, _)| at >= *from);
             let (_, owner) = begun.expect("the first owner is asked from 0");
             let reply = limiters[*owner].take(ms(at), &server(), rate, 1);
-            sent.extend((0..reply.granted_count).map(|_| at));
-        }
-        let allowed_count = case.limit * 4 * 3 / 2 / 1_000 + 5;
-        for (first, at) in sent.iter().enumerate() {
-            let in_window = sent[first..]
-                .iter()
-                .take_while(|later| **later - at < 4_000);
-            let count = in_window.count() as u64;
-            assert!(
-                count <= allowed_count,
-                "{}: {count} requests in 4 s, {allowed_count} are allowed",
-                case.name
-            );
+            sent.extend((0..reply.granted_count).map(|_| ms(at)));
         }
+        check_windows(case.name, case.limit, &sent);
     }
 }
 
--- a/crates/direct-core/tests/server_notices.rs
+++ b/crates/direct-core/tests/server_notices.rs
@@ -133,7 +133,7 @@
         (server.is_paused(PUBLISHED_AGAIN_AT), "paused"),
         (is_draining, "draining"),
     ];
-    let states = states.iter().filter(|(is_so, _)| *is_so);
+    let states = states.iter().filter(|(is_set, _)| *is_set);
     states.map(|(_, name)| *name).collect::<Vec<_>>().join(" ")
 }
 
