--- a/review/stand-ins/cases.rs
+++ b/review/stand-ins/cases.rs
@@ -22,6 +22,7 @@
         "foreign-handle" => foreign_handle(record, has_trouble),
         "run-twice" => run_twice(record, has_trouble),
         "silent-stream" => silent_stream(record, has_trouble),
+        "stale-configuration" => stale_configuration(record, has_trouble),
         "large-bodies" => large_bodies(record, has_trouble),
         _ => Err(format!("unknown case {case}")),
     }
@@ -29,14 +30,14 @@
 
 const ENGINE: &str = r#"{"slots":64,"kv_capacity":108296,"kv_token_bytes":163840,"link_mbps":8900000.0,"moves":true,"backups":true,"stride":74,"most":12,"kv_hold_s":0.5,"stage_switch_s":6.0,"pin_ms":4000.0,"hold_ms":2000.0,"models":[{"name":"m"}]}"#;
 
-/// Configuration with the four kinds of requests of the sheets.
-fn operator_config() -> String {
+/// Configuration with the four kinds of requests of the sheets, and with further routes.
+fn operator_config(version: u32, further_routes: &[String]) -> String {
     let route = |name: &str, rest: &str| {
         format!(r#"{{"name":"{name}","host":"{HOST}","prefix":"/{name}/",{rest}}}"#)
     };
     let stream = r#""kind":"streaming","timeout_ms":14000,"target_latency_ms":900,"priority":1,"service":"writers","sticky":true,"gap_aim_ms":300"#;
     let plain = r#""timeout_ms":4000,"target_latency_ms":400,"priority":2,"service":"desk""#;
-    let routes = [
+    let mut routes = vec![
         route(
             "brief",
             &format!(r#"{stream},"max_attempts":1,"resumable":false"#),
@@ -54,8 +55,11 @@
             &format!(r#""kind":"safe",{plain},"max_attempts":2"#),
         ),
     ];
+    let further =
+        |name: &String| route(name, &format!(r#""kind":"safe",{plain},"max_attempts":2"#));
+    routes.extend(further_routes.iter().map(further));
     format!(
-        r#"{{"version":7,"routes":[{}],"services":[{{"name":"writers","health_path":"/health","max_connections":360,"protocol":"h1","tls":false,"engine":{ENGINE}}},{{"name":"desk","health_path":"/health","max_connections":100,"protocol":"h1","tls":false}}],"limits":{{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}}}}"#,
+        r#"{{"version":{version},"routes":[{}],"services":[{{"name":"writers","health_path":"/health","max_connections":360,"protocol":"h1","tls":false,"engine":{ENGINE}}},{{"name":"desk","health_path":"/health","max_connections":100,"protocol":"h1","tls":false}}],"limits":{{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}}}}"#,
         routes.join(",")
     )
 }
@@ -63,7 +67,7 @@
 /// One entry, one prefill engine and some decode engines with their agents, and two plain runners.
 struct Deployment {
     fleet: Arc<Fleet>,
-    _store: Store,
+    store: Store,
     prefill: Runner,
     decode: Vec<Runner>,
     _plain: Vec<Runner>,
@@ -81,7 +85,7 @@
     let decode: Vec<_> = decode.collect();
     let plain = |id: &str, last| Runner::start(&fleet, id, "desk", None, size, ip(last));
     let plain = vec![plain("i-desk-1", 12), plain("i-desk-2", 13)];
-    store.put("op/config", &operator_config());
+    store.put("op/config", &operator_config(7, &[]));
     for runner in decode.iter().chain(&plain).chain([&prefill]) {
         store.put(&format!("servers/{}", runner.id), &runner.entry());
     }
@@ -90,15 +94,15 @@
     let place_port = system::common_port(&ips);
     for (number, engine) in decode.iter().chain([&prefill]).enumerate() {
         let name = format!("side-{number}");
-        system::start_agent(&name, store.address, engine.address, place_port);
+        system::start_agent(&name, store.agent_address, engine.address, place_port);
     }
-    let entry = Entry::start("front-1", store.address, place_port);
+    let entry = Entry::start("front-1", store.entry_address, place_port);
     entry.wait_until_ready();
     // The agents read their engines' reports first.
     thread::sleep(Duration::from_millis(1_500));
     Ok(Deployment {
         fleet,
-        _store: store,
+        store,
         prefill,
         decode,
         _plain: plain,
@@ -512,3 +516,87 @@
     record.line(&format!("{lost_count} of them beside a SIGHUP"));
     Ok(lost_count > 0)
 }
+
+/// Routes by which the configuration grows: twice the 1,400 of one `big_config`.
+const FURTHER_ROUTES_COUNT: usize = 2_800;
+/// A `config_storm`: length, and the pause between two changes.
+const STORM: Duration = Duration::from_millis(4_000);
+const STORM_GAP: Duration = Duration::from_millis(330);
+/// Time for which the store turns the entry away.
+const TURNED_AWAY: Duration = Duration::from_millis(9_000);
+/// `stable_ms` and `config_apply_ms` of the large site.
+const STABLE: Duration = Duration::from_millis(5_000);
+const CONFIG_APPLY: Duration = Duration::from_millis(5_000);
+
+/// CONFIG: a machine in touch handles a request as only an older version of the configuration
+/// allows: it answers 404 though the route is there.
+fn stale_configuration(record: Record, has_trouble: bool) -> Verdict {
+    let deployment = deploy(record, 2, EngineSize::default())?;
+    let (fleet, store) = (&deployment.fleet, &deployment.store);
+    let mut routes: Vec<_> = (0..FURTHER_ROUTES_COUNT)
+        .map(|number| format!("further-{number:04}"))
+        .collect();
+    let mut version = 8;
+    let mut write = |routes: &[String]| {
+        version += 2;
+        let config = operator_config(version, routes);
+        store.put("op/config", &config);
+        fleet.record.line(&format!(
+            "version {version} confirmed, {} bytes",
+            config.len()
+        ));
+    };
+    write(&routes);
+    thread::sleep(Duration::from_secs(5));
+    let turned_away_at = Instant::now();
+    if has_trouble {
+        fleet.record.line("the store turns the entry away");
+        store.turn_entries_away(true);
+    }
+    // Two storms, one after the other. Each change adds a route.
+    for _ in 0..2 {
+        let storm_began_at = Instant::now();
+        while storm_began_at.elapsed() < STORM {
+            routes.push(format!("added-{}", routes.len()));
+            write(&routes);
+            thread::sleep(STORM_GAP);
+        }
+    }
+    let confirmed_at = Instant::now();
+    thread::sleep(TURNED_AWAY.saturating_sub(turned_away_at.elapsed()));
+    store.turn_entries_away(false);
+    let served_again_at = Instant::now();
+    fleet.record.line("the store serves the entry again");
+    let newest = routes.last().cloned().unwrap_or_default();
+    let (mut stale_count, mut asked_count) = (0, 0);
+    let channels = KeptChannels::default();
+    while served_again_at.elapsed() < Duration::from_secs(25) {
+        thread::sleep(Duration::from_millis(200));
+        let id = format!(
+            "{:08x}{asked_count:04}-newest",
+            (fleet.random() * 4e9) as u64
+        );
+        let is_judged = served_again_at.elapsed() > STABLE && confirmed_at.elapsed() > CONFIG_APPLY;
+        let request = Request {
+            id: &id,
+            method: "GET",
+            path: &format!("/{newest}/2f"),
+            headers: "",
+            body: "",
+            deadline_ms: 4_000,
+        };
+        let seen = send(deployment.entry.callers, &request, &channels);
+        asked_count += 1;
+        let is_stale = is_judged && seen.status == 404;
+        stale_count += u32::from(is_stale);
+        let judged = if is_stale { "BROKEN: " } else { "" };
+        fleet.record.line(&format!(
+            "{judged}request {id} on route {newest}: status {}",
+            seen.status
+        ));
+    }
+    fleet.record.line(&format!(
+        "{stale_count} of {asked_count} requests refused as by an older version, in touch"
+    ));
+    Ok(stale_count > 0)
+}
