Accept a server's response only for the request whose id it bears

Cause: a prefill engine sent its response a second time, when the next prefill arrived on the connection. `exchange::prefill` accepted any response with status 200, also one that `classify_response` had found to be for another request, and returned the connection to the pool while its own response was still to come. From then on each prefill on that connection got the response, and the handle, of the one before. In the same way a 421 was taken as proof that a request was not run, whatever id it bore.

Ruled out: handles that lapse or are reused, and addresses that pass to another server.

Change: one rule in one place. `exchange::send`, through which all responses to runs and prefills pass, accepts a response only if it bears the id of the request; one without an id only on a connection that has carried nothing else. Any other closes the connection, is logged and counted (direct_foreign_responses), and is no evidence: neither of the request's outcome, nor of what the server says about itself, since a copy repeats a notice that was read before.

Why this works: the id is the only thing in HTTP/1 that tells the responses of two requests on a connection apart, and a connection on which one is out of place is not used again.

--- a/crates/direct/src/adapter.rs
+++ b/crates/direct/src/adapter.rs
@@ -54,7 +54,7 @@
     Rejected,
     /// Another incarnation than the addressed one received the request and did not run it.
     OtherIncarnation,
-    /// Not a response to this request, or one that can't be forwarded.
+    /// Response that can't be forwarded and proves nothing about the request.
     Unusable,
 }
 
@@ -72,13 +72,11 @@
     /// Adds the headers of a prefill, which computes only the prompt.
     fn write_prefill_headers(&self, headers: &mut HeaderMap, order: &RunHeaders<'_>);
 
-    /// Classifies a response by its head.
-    fn classify_response(
-        &self,
-        request: &CallerRequest,
-        status: StatusCode,
-        headers: &HeaderMap,
-    ) -> ResponseClass;
+    /// Id of the request that a response states to be for; `None` if it states none.
+    fn response_id<'h>(&self, headers: &'h HeaderMap) -> Option<&'h str>;
+
+    /// Classifies a response to a run or a prefill by its head.
+    fn classify_response(&self, status: StatusCode, headers: &HeaderMap) -> ResponseClass;
 
     /// Parses what the server says about itself; malformed values are taken as absent.
     fn read_notice(&self, status: StatusCode, headers: &HeaderMap) -> ServerNotice;
--- a/crates/direct/src/engine_resources.rs
+++ b/crates/direct/src/engine_resources.rs
@@ -226,7 +226,7 @@
         .body(Full::new(body))
         .map_err(|_| StepOutcome::Unreachable)?;
     let exchange = async {
-        let (mut lease, response) = send(app, server, address, request, None).await?;
+        let (mut lease, response) = send(app, None, server, address, request, None).await?;
         let (parts, rest) = response.into_parts();
         lease.idle_max = idle_max(&parts.headers);
         match collect(&lease, rest, BUFFERED_MAX_BYTES).await? {
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -1,5 +1,8 @@
 //! Sends one request to one server and reads the head of its response.
 //!
+//! All responses of servers pass through [`send`], which discards those that do not belong to the
+//! request; see [`crate::correlation`].
+//!
 //! A short response is buffered until it is complete. This way a truncated response is never
 //! forwarded as if it were complete, and the request can be retried at another server where that is
 //! allowed.
@@ -20,6 +23,7 @@
 use crate::adapter::{CallerRequest, ResponseClass, RunHeaders};
 use crate::app::{App, InFlight};
 use crate::connection::{Connection, SendError};
+use crate::correlation::is_response_to;
 use crate::pool::{IDLE_MAX_NOT_REPEATABLE, idle_max};
 use crate::status::Direction;
 
@@ -208,10 +212,10 @@
     server: ServerKey,
     input: RunInput<'_>,
 ) -> Result<ServerResponse, StepOutcome> {
-    let (id, address) = id_and_address(app, server).ok_or(StepOutcome::Unreachable)?;
+    let (server_id, address) = id_and_address(app, server).ok_or(StepOutcome::Unreachable)?;
     let mut headers = exchange.headers.clone();
     let run_headers = RunHeaders {
-        server: &id,
+        server: &server_id,
         time_left: exchange.deadline.since(app.now()),
         cache: input.cache,
         reservation: input.reservation,
@@ -220,7 +224,7 @@
     app.protocol_mapping
         .write_run_headers(&mut headers, &run_headers);
     let mut span = exchange.start_span(app, "run", &mut headers);
-    span.attribute("server", id.as_str());
+    span.attribute("server", server_id.as_str());
     let request = exchange.request(headers).ok_or(StepOutcome::Unreachable)?;
     let reuse_idle_max = (!exchange.is_repeatable()).then_some(IDLE_MAX_NOT_REPEATABLE);
     let mut pending = PendingResponse {
@@ -235,15 +239,16 @@
         ),
         is_answered: false,
     };
-    let sent = send(app, server, address, request, reuse_idle_max).await;
+    let id = Some(exchange.request.id.as_str());
+    let sent = send(app, id, server, address, request, reuse_idle_max).await;
     // If sending failed, the outcome records the failure.
     pending.is_answered = true;
     let (mut lease, response) = sent?;
     let (parts, rest) = response.into_parts();
     lease.idle_max = idle_max(&parts.headers);
-    let class =
-        app.protocol_mapping
-            .classify_response(&exchange.request, parts.status, &parts.headers);
+    let class = app
+        .protocol_mapping
+        .classify_response(parts.status, &parts.headers);
     let is_failure = match class {
         ResponseClass::Success => false,
         ResponseClass::Failure => true,
@@ -286,10 +291,10 @@
     exchange: &CallerExchange,
     server: ServerKey,
 ) -> Result<String, StepOutcome> {
-    let (id, address) = id_and_address(app, server).ok_or(StepOutcome::Unreachable)?;
+    let (server_id, address) = id_and_address(app, server).ok_or(StepOutcome::Unreachable)?;
     let mut headers = exchange.headers.clone();
     let run_headers = RunHeaders {
-        server: &id,
+        server: &server_id,
         time_left: exchange.deadline.since(app.now()),
         cache: None,
         reservation: None,
@@ -298,14 +303,15 @@
     app.protocol_mapping
         .write_prefill_headers(&mut headers, &run_headers);
     let mut span = exchange.start_span(app, "prefill", &mut headers);
-    span.attribute("server", id.as_str());
+    span.attribute("server", server_id.as_str());
     let request = exchange.request(headers).ok_or(StepOutcome::Unreachable)?;
-    let (mut lease, response) = send(app, server, address, request, None).await?;
+    let id = Some(exchange.request.id.as_str());
+    let (mut lease, response) = send(app, id, server, address, request, None).await?;
     let (parts, rest) = response.into_parts();
     lease.idle_max = idle_max(&parts.headers);
-    let class =
-        app.protocol_mapping
-            .classify_response(&exchange.request, parts.status, &parts.headers);
+    let class = app
+        .protocol_mapping
+        .classify_response(parts.status, &parts.headers);
     match class {
         ResponseClass::Rejected => {
             drain(lease, rest).await;
@@ -340,9 +346,12 @@
     Some((server.record.id.clone(), server.record.address))
 }
 
-/// Sends a request on an idle connection, or on a new one if none is usable.
+/// Sends a request on an idle connection, or on a new one if none is usable. A response that does
+/// not belong to the request is discarded with its connection, because the request's own response
+/// may still arrive on it. A request of this process has no id, and its response is not checked.
 pub(crate) async fn send(
     app: &Rc<App>,
+    request_id: Option<&str>,
     server: ServerKey,
     address: SocketAddr,
     mut request: Request<Full<Bytes>>,
@@ -370,6 +379,13 @@
         let sent_at = app.now();
         match connection.send(request).await {
             Ok(response) => {
+                let response_id = app.protocol_mapping.response_id(response.headers());
+                if let Some(request_id) = request_id
+                    && !is_response_to(request_id, response_id, !is_reused)
+                {
+                    log_foreign_response(app, &incarnation, request_id, response_id, &response);
+                    return Err(StepOutcome::Malformed);
+                }
                 apply_notice(app, &incarnation, sent_at, &response);
                 let lease = ServerLease {
                     app: Rc::clone(app),
@@ -388,6 +404,19 @@
     }
 }
 
+fn log_foreign_response(
+    app: &App,
+    incarnation: &Incarnation,
+    request_id: &str,
+    response_id: Option<&str>,
+    response: &Response<Incoming>,
+) {
+    app.metrics.foreign_responses.inc();
+    info!(app.log, "server sent a response that does not belong to the request";
+        "request" => request_id, "response_request" => response_id,
+        "status" => response.status().as_u16(), "server" => %incarnation.id);
+}
+
 /// Records what a server says about itself in the head of a response.
 fn apply_notice(
     app: &App,
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -12,6 +12,7 @@
 //! | [`app`] | state shared by all requests of the traffic thread |
 //! | [`body`] | body of a response to a caller |
 //! | [`connection`] | one connection to a backend server |
+//! | [`correlation`] | whether a response belongs to a request |
 //! | [`shared_stream`] | TCP stream that can be inspected while hyper owns it |
 //! | [`pool`] | idle connections to backend servers |
 //! | [`exchange`] | one request to one server, and its response |
@@ -31,6 +32,7 @@
 pub mod body;
 pub mod connection;
 pub mod control;
+pub mod correlation;
 mod crash_reports;
 pub mod drive;
 pub mod engine_resources;
--- a/crates/direct/src/status.rs
+++ b/crates/direct/src/status.rs
@@ -68,6 +68,8 @@
     config_age_ms: Gauge,
     /// Connections opened to backend servers.
     pub connections_opened: Counter,
+    /// Responses of backend servers that did not belong to the request.
+    pub foreign_responses: Counter,
     /// Callers' connections closed because the maximum number is open.
     pub connections_refused: Counter,
     /// Registry entries that were ignored as unusable.
@@ -138,6 +140,10 @@
                 "direct_channels_opened",
                 "Connections opened to backend servers",
             ),
+            foreign_responses: metrics.counter(
+                "direct_foreign_responses",
+                "Responses of backend servers that did not belong to the request",
+            ),
             connections_refused: metrics.counter(
                 "direct_connections_refused",
                 "Connections of callers closed because too many are open",
