Open a new connection for a request's second send to a server

Cause: a decode engine that rejects a run because its KV cache has lapsed gets the run again without the cache, under the same request id, on the connection that was just returned to the pool. If the engine sends the rejection a second time, late, the copy bears the id of the request and was taken as the response to the second run, which was going on. The retry table then allowed another server, or refused the request.

Weighed: closing each connection after a rejection (new connections at the rate of rejections, which are most frequent under overload), and remembering on each connection the ids that it has carried (state that grows with the connection). Chosen: the request remembers the servers it was sent to, and its second send to one of them opens a connection. Runs, prefills and resumed runs go through the same place. For plain services the case did not exist, since a server that rejects a request is excluded for it; a prefill and a run at the same engine after a change of its stage are covered.

Why this works: nothing that a server sent for the first attempt can arrive on a connection that was opened after it. On the old connection the copy has a foreign id for whichever request comes next.

--- a/crates/direct/src/engine_resources.rs
+++ b/crates/direct/src/engine_resources.rs
@@ -23,7 +23,7 @@
 use crate::app::App;
 use crate::crash_reports;
 use crate::exchange::{
-    BUFFERED_MAX_BYTES, CallerExchange, Collected, collect, id_and_address, send,
+    BUFFERED_MAX_BYTES, CallerExchange, Collected, ConnectionChoice, collect, id_and_address, send,
 };
 use crate::permits::{hold_back, limit_of};
 use crate::pool::idle_max;
@@ -226,7 +226,8 @@
         .body(Full::new(body))
         .map_err(|_| StepOutcome::Unreachable)?;
     let exchange = async {
-        let (mut lease, response) = send(app, None, server, address, request, None).await?;
+        let connection = ConnectionChoice::Pooled { idle_max: None };
+        let (mut lease, response) = send(app, None, server, address, request, connection).await?;
         let (parts, rest) = response.into_parts();
         lease.idle_max = idle_max(&parts.headers);
         match collect(&lease, rest, BUFFERED_MAX_BYTES).await? {
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -23,7 +23,7 @@
 use crate::adapter::{CallerRequest, ResponseClass, RunHeaders};
 use crate::app::{App, InFlight};
 use crate::connection::{Connection, SendError};
-use crate::correlation::is_response_to;
+use crate::correlation::{SentTo, is_response_to};
 use crate::pool::{IDLE_MAX_NOT_REPEATABLE, idle_max};
 use crate::status::Direction;
 
@@ -61,6 +61,8 @@
     pub is_caller_retry: bool,
     /// Trace context of the request's span.
     pub traceparent: String,
+    /// Servers to which runs and prefills of the request were sent.
+    pub sent_to: SentTo,
 }
 
 impl CallerExchange {
@@ -92,6 +94,28 @@
             RequestKind::Idempotent | RequestKind::Stream { resumable: true }
         )
     }
+
+    /// Connections that may carry a run or prefill of the request to a server.
+    fn connection_choice(
+        &self,
+        server: ServerKey,
+        idle_max: Option<DurationUs>,
+    ) -> ConnectionChoice {
+        if self.sent_to.is_first(server) {
+            ConnectionChoice::Pooled { idle_max }
+        } else {
+            ConnectionChoice::New
+        }
+    }
+}
+
+/// Connections that may carry a request.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum ConnectionChoice {
+    /// An idle connection, unless it was idle for longer than `idle_max`, or a new one.
+    Pooled { idle_max: Option<DurationUs> },
+    /// A connection that has carried no request before.
+    New,
 }
 
 /// Response of a server.
@@ -240,7 +264,8 @@
         is_answered: false,
     };
     let id = Some(exchange.request.id.as_str());
-    let sent = send(app, id, server, address, request, reuse_idle_max).await;
+    let connection = exchange.connection_choice(server, reuse_idle_max);
+    let sent = send(app, id, server, address, request, connection).await;
     // If sending failed, the outcome records the failure.
     pending.is_answered = true;
     let (mut lease, response) = sent?;
@@ -306,7 +331,8 @@
     span.attribute("server", server_id.as_str());
     let request = exchange.request(headers).ok_or(StepOutcome::Unreachable)?;
     let id = Some(exchange.request.id.as_str());
-    let (mut lease, response) = send(app, id, server, address, request, None).await?;
+    let connection = exchange.connection_choice(server, None);
+    let (mut lease, response) = send(app, id, server, address, request, connection).await?;
     let (parts, rest) = response.into_parts();
     lease.idle_max = idle_max(&parts.headers);
     let class = app
@@ -346,16 +372,17 @@
     Some((server.record.id.clone(), server.record.address))
 }
 
-/// Sends a request on an idle connection, or on a new one if none is usable. A response that does
-/// not belong to the request is discarded with its connection, because the request's own response
-/// may still arrive on it. A request of this process has no id, and its response is not checked.
+/// Sends a request and waits for the head of its response.
+///
+/// A response that does not belong to the request is discarded with its connection, because the
+/// request's own response may still arrive on it. A request of this process has no id, and its response is not checked.
 pub(crate) async fn send(
     app: &Rc<App>,
     request_id: Option<&str>,
     server: ServerKey,
     address: SocketAddr,
     mut request: Request<Full<Bytes>>,
-    reuse_idle_max: Option<DurationUs>,
+    choice: ConnectionChoice,
 ) -> Result<(ServerLease, Response<Incoming>), StepOutcome> {
     let incarnation = app.serving.borrow().servers.incarnation(server);
     let incarnation = incarnation.ok_or(StepOutcome::Unreachable)?;
@@ -365,7 +392,10 @@
     app.metrics
         .count_bytes(Direction::Sent, distance, body_bytes);
     loop {
-        let reused = take_usable(app, server, reuse_idle_max).await;
+        let reused = match choice {
+            ConnectionChoice::Pooled { idle_max } => take_usable(app, server, idle_max).await,
+            ConnectionChoice::New => None,
+        };
         let is_reused = reused.is_some();
         let mut connection = match reused {
             Some(connection) => connection,
--- a/crates/direct/src/serve.rs
+++ b/crates/direct/src/serve.rs
@@ -26,6 +26,7 @@
 
 use crate::app::{App, StopPhase};
 use crate::body::CallerBody;
+use crate::correlation::SentTo;
 use crate::drive::{CallResult, drive};
 use crate::exchange::{BufferedResponse, CallerExchange, TRACEPARENT};
 use crate::head_timer::{HeadTimer, TimedStream};
@@ -217,6 +218,7 @@
         arrived_at,
         deadline,
         is_caller_retry: is_caller_retry(caller_timeout, route.timeout),
+        sent_to: SentTo::default(),
     };
     let call = new_call(app, &operator_config, route, &exchange);
     let call = call.ok_or_else(|| refusal_response(app, &starting_refusal()))?;
