Give each request of the entry itself a connection of its own

Cause: reservations and releases at an engine carry no request id, so their responses bear none, and they shared the connections of prefills and runs. A second copy of a rejected reservation (503, not executed) states of whichever request comes next that it was not run; one of a granted reservation hands its name to the next reservation.

Change: such a request opens a connection, which is closed after its response. With that, is_response_to covers all requests, also those without an id.

--- a/crates/direct/src/correlation.rs
+++ b/crates/direct/src/correlation.rs
@@ -9,6 +9,9 @@
 //! before tells their responses apart, so the second send to a server opens one ([`SentTo`]).
 //! Closing every connection after a rejection would do as well, but rejections are frequent under
 //! overload, and second sends to the same server are rare.
+//!
+//! Requests of this process itself, such as reservations, have no id. Each uses a connection of its
+//! own, which is closed afterwards, so that no second copy of its response arrives anywhere else.
 
 use std::cell::RefCell;
 
@@ -30,16 +33,18 @@
     }
 }
 
-/// Whether a response belongs to the request that was sent last on its connection.
+/// Whether a response belongs to the request that was sent last on its connection; `request_id` is
+/// `None` for a request of this process.
 ///
-/// A response without an id belongs to that request only if the connection has carried no other.
+/// Without an id in the request or in the response, only a connection that has carried no other
+/// request proves that it does.
 pub fn is_response_to(
-    request_id: &str,
+    request_id: Option<&str>,
     response_id: Option<&str>,
     is_first_on_connection: bool,
 ) -> bool {
-    match response_id {
-        Some(id) => id == request_id,
-        None => is_first_on_connection,
+    match (request_id, response_id) {
+        (Some(request_id), Some(response_id)) => response_id == request_id,
+        (None, _) | (_, None) => is_first_on_connection,
     }
 }
--- a/crates/direct/src/engine_resources.rs
+++ b/crates/direct/src/engine_resources.rs
@@ -26,7 +26,6 @@
     BUFFERED_MAX_BYTES, CallerExchange, Collected, ConnectionChoice, collect, id_and_address, send,
 };
 use crate::permits::{hold_back, limit_of};
-use crate::pool::idle_max;
 
 /// Output tokens for which an engine reserves memory if the request has no estimate, and the most
 /// that it reserves for any request. A longer output uses memory that other requests release.
@@ -206,7 +205,8 @@
     server.is_some_and(|server| now < server.pause_until)
 }
 
-/// Sends a request of this process to a server and reads the complete response.
+/// Sends a request of this process to a server, on a connection of its own, and reads the complete
+/// response.
 async fn send_command(
     app: &Rc<App>,
     server: ServerKey,
@@ -226,15 +226,12 @@
         .body(Full::new(body))
         .map_err(|_| StepOutcome::Unreachable)?;
     let exchange = async {
-        let connection = ConnectionChoice::Pooled { idle_max: None };
-        let (mut lease, response) = send(app, None, server, address, request, connection).await?;
+        let connection = ConnectionChoice::New;
+        // The connection is closed with the lease.
+        let (lease, response) = send(app, None, server, address, request, connection).await?;
         let (parts, rest) = response.into_parts();
-        lease.idle_max = idle_max(&parts.headers);
         match collect(&lease, rest, BUFFERED_MAX_BYTES).await? {
-            Collected::Complete(body) => {
-                lease.finish();
-                Ok((parts.status, body))
-            }
+            Collected::Complete(body) => Ok((parts.status, body)),
             Collected::OverLimit(..) => Err(StepOutcome::Malformed),
         }
     };
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -375,7 +375,8 @@
 /// Sends a request and waits for the head of its response.
 ///
 /// A response that does not belong to the request is discarded with its connection, because the
-/// request's own response may still arrive on it. A request of this process has no id, and its response is not checked.
+/// request's own response may still arrive on it. `request_id` is `None` for a request of this
+/// process.
 pub(crate) async fn send(
     app: &Rc<App>,
     request_id: Option<&str>,
@@ -410,9 +411,7 @@
         match connection.send(request).await {
             Ok(response) => {
                 let response_id = app.protocol_mapping.response_id(response.headers());
-                if let Some(request_id) = request_id
-                    && !is_response_to(request_id, response_id, !is_reused)
-                {
+                if !is_response_to(request_id, response_id, !is_reused) {
                     log_foreign_response(app, &incarnation, request_id, response_id, &response);
                     return Err(StepOutcome::Malformed);
                 }
@@ -437,7 +436,7 @@
 fn log_foreign_response(
     app: &App,
     incarnation: &Incarnation,
-    request_id: &str,
+    request_id: Option<&str>,
     response_id: Option<&str>,
     response: &Response<Incoming>,
 ) {
