Open a connection for each command of an agent to its engine

Cause: the driver of engines reuses connections, and responses of this protocol name no sequence. A second copy of a prefill response, sent when the next command arrives on the connection, was taken as the response to that command, with the handle of the earlier sequence.

Change: each command opens its own connection, as the driver of plain services does. A field for the sequence in the responses was weighed; it changes the protocol of the engines and leaves decode streams of earlier attempts untold apart.

Other readers of a server's answers: orders already use a connection each; load reports of the platform's engines keep one, and a second copy makes one report an interval old, since unread bytes close the connection (report_is_at_most_one_interval_old, passes before and after).

--- a/crates/agent/src/backend/engine.rs
+++ b/crates/agent/src/backend/engine.rs
@@ -2,6 +2,10 @@
 //!
 //! Each sequence is named after its attempt. A repeated command therefore attaches to the running
 //! sequence, and a restarted agent recognises the sequences that the engine holds.
+//!
+//! Each command opens its own connection. Responses of engines name no sequence, so on a reused
+//! connection a late second copy of one would pass for the response to the next command, for
+//! example with the handle of another sequence's KV cache.
 
 use std::io::{BufRead, BufReader};
 use std::sync::Arc;
@@ -70,6 +74,7 @@
         let config = Agent::config_builder()
             .timeout_connect(Some(CONNECT_TIMEOUT))
             .http_status_as_error(false)
+            .max_idle_connections(0)
             .build();
         let client = EngineClient {
             base: format!("http://{}", context.address),
