Discard the KV cache of a prefill server that has ended

A second cause that can give a request the KV cache of another one, found by asking which could remain after the late second responses: a prefill server restarts under its id, or another one follows at its address, while a request waits with its cache for a decode slot. Its handle then names nothing, or, if handles repeat, the cache of another request.

Cause: a call kept the cache of a server that the table had dropped. The table drops a server only when it has ended: another incarnation or a successor is published, it answers 421, or its entry is removed after it drained. A server whose entry is merely removed stays for 1.5 s, longer than a cache lives, and its caches are still used.

The reference model of the differential tests and its rule for caches changed with it, since it required the use of such a cache; it now requires that none is used, for every change of a server at every step.

What remains: until the registry publishes the successor, a process cannot know of it.

--- a/crates/direct-core/src/action.rs
+++ b/crates/direct-core/src/action.rs
@@ -47,8 +47,7 @@
 pub struct CacheRef {
     /// Server that computed it.
     pub server: ServerKey,
-    /// Region of that server, which the cache does not leave. It is stored here because the server
-    /// may be dropped from the table before the cache is used.
+    /// Region of that server, which the cache does not leave.
     pub region: Option<RegionName>,
     /// Name of the cache at that server.
     pub handle: String,
--- a/crates/direct-core/src/call.rs
+++ b/crates/direct-core/src/call.rs
@@ -138,7 +138,7 @@
         if let Some(quarantined) = quarantined {
             return self.finish(RefusalReason::Quarantined, quarantined.remaining);
         }
-        self.prompt.discard_expired_cache(now);
+        self.prompt.discard_unusable_cache(now, &serving.servers);
         let server = match self.choose_server(now, serving) {
             Ok(server) => server,
             // A slot becomes free sooner than a failing server recovers.
--- a/crates/direct-core/src/preparation.rs
+++ b/crates/direct-core/src/preparation.rs
@@ -4,7 +4,7 @@
 
 use crate::action::{CacheRef, Reservation};
 use crate::outcome::{StepOutcome, retains_cache};
-use crate::servers::ServerKey;
+use crate::servers::{ServerKey, ServerTable};
 
 /// Most prefill calls for one request; each one after the first repeats work.
 const PREFILL_ATTEMPTS_MAX: u32 = 2;
@@ -129,8 +129,14 @@
         self.state = PromptState::Skipped;
     }
 
-    pub(crate) fn discard_expired_cache(&mut self, now: TimeUs) {
-        if self.is_cached() && self.cache_expires_at.is_some_and(|until| now >= until) {
+    /// Discards a cache that has expired or whose server has ended. A server that follows at the
+    /// address or under the id of another one may give the same name to another request's cache.
+    pub(crate) fn discard_unusable_cache(&mut self, now: TimeUs, servers: &ServerTable) {
+        let PromptState::Cached(cache) = &self.state else {
+            return;
+        };
+        let is_expired = self.cache_expires_at.is_some_and(|until| now >= until);
+        if is_expired || servers.get(cache.server).is_none() {
             self.skip_prefill();
         }
     }
--- a/crates/direct-core/tests/support/reference.rs
+++ b/crates/direct-core/tests/support/reference.rs
@@ -184,6 +184,8 @@
             return self.refuse(RefusalReason::TimedOut);
         }
         let mut cache = self.cache(now);
+        // A server that has ended has no caches; its successor may use their names for others.
+        cache.take_if(|cache| serving.servers.get(cache.server).is_none());
         let mut region = cache.as_ref().and_then(|cache| cache.region.clone());
         let mut candidates = self.decode_servers(now, serving, region.as_ref());
         let is_region_full = self.full().iter().any(|key| {
