Keep a silent stream until another server has a slot for it

Cause: after two latency targets without a chunk the relay closed the connection and then looked for another server. With all others full the call was refused at once, and the stream was lost, although its engine would have gone on with it.

Ruled out: the engine breaking off (its connection was open in all cuts), and the SIGHUP (the cuts come without it).

Change: the response of a silent server stays open while the call looks for a slot. It is closed before another server gets the request, so no two servers work on it; without another server the stream stays. A partial event is dropped only when the stream moves.

--- a/crates/direct/src/drive.rs
+++ b/crates/direct/src/drive.rs
@@ -78,13 +78,21 @@
     }
 }
 
-/// Executes a call. `resume_after` is the id of the last event that the caller received of an
-/// interrupted stream.
+/// Stream that a call continues at another server.
+pub struct InterruptedStream<'a> {
+    /// Id of the last event that the caller received.
+    pub last_event_id: Option<&'a str>,
+    /// Response of a server that has gone silent. It is closed when another server has a slot for
+    /// the stream, before that server gets the request.
+    pub silent_response: &'a mut Option<StreamingResponse>,
+}
+
+/// Executes a call, from the start or from the interruption of its stream.
 pub async fn drive(
     app: &Rc<App>,
     call: &mut Call,
     exchange: &CallerExchange,
-    resume_after: Option<&str>,
+    mut interrupted: Option<InterruptedStream<'_>>,
 ) -> CallResult {
     let mut failure: Option<BufferedResponse> = None;
     let mut cache_guard: Option<CacheGuard> = None;
@@ -92,6 +100,11 @@
     let mut last_failure: Option<StepOutcome> = None;
     loop {
         let action = call.next(app.now(), &mut app.serving.borrow_mut());
+        if let Some(interrupted) = &mut interrupted
+            && matches!(action, Action::Prefill { .. } | Action::Run { .. })
+        {
+            drop(interrupted.silent_response.take());
+        }
         match action {
             Action::Refuse(refusal) => return CallResult::Refused(refusal),
             Action::ForwardFailure => {
@@ -148,7 +161,7 @@
                         .as_ref()
                         .map(|guard| (guard.address, guard.cache.handle.as_str())),
                     reservation: reservation.as_ref().and_then(Reservation::engine_name),
-                    resume_after,
+                    resume_after: interrupted.as_ref().and_then(|stream| stream.last_event_id),
                 };
                 let started_at = app.now();
                 // The permit is part of a reservation that an agent made.
--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -3,6 +3,10 @@
 //! Bytes are forwarded unchanged as they arrive. A stream that another server may resume is
 //! forwarded in complete events. If a stream can't be finished, the connection is closed, so that
 //! the caller does not take the stream for complete.
+//!
+//! A server that has gone silent may be unreachable, or may have preempted the stream while its
+//! memory is full. The stream moves to another server if one has a slot for it; otherwise it stays
+//! where it is, since a preempted stream goes on and no other server would continue it.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -22,7 +26,7 @@
 use crate::app::App;
 use crate::body::Chunk;
 use crate::crash_reports::{record_sound, report_if_crashed};
-use crate::drive::{CallResult, drive, log_failure};
+use crate::drive::{CallResult, InterruptedStream, drive, log_failure};
 use crate::exchange::{
     CallerExchange, StreamingResponse, UNRESPONSIVE_AFTER_TARGETS, mark_unresponsive,
 };
@@ -110,9 +114,9 @@
     ) -> RelayEnd {
         let is_resumable = self.exchange.kind == RequestKind::Stream { resumable: true };
         let mut scanner = EventScanner::new();
+        let mut chunk_timeout = Some(self.chunk_timeout());
         loop {
             let server = response.lease.server;
-            let chunk_timeout = self.chunk_timeout();
             // The time until another server resumes counts as a gap, since the caller waits for it.
             let since = self.last_chunk.map_or(self.app.now(), |(_, at)| at);
             self.last_chunk = Some((server, since));
@@ -135,6 +139,7 @@
                 copy_bytes(&mut response, &mut sink).await
             };
             let now = self.app.now();
+            let mut silent_response;
             match copied {
                 Ok(()) => {
                     response.lease.finish();
@@ -148,9 +153,9 @@
                 }
                 Err(StepOutcome::Unreachable) => return RelayEnd::CallerDisconnected,
                 Err(outcome) => {
-                    // Close the connection first, so that the lost run does not continue beside the
-                    // next one.
-                    drop(response);
+                    // Any other connection is closed first, so that the lost run does not continue
+                    // beside the next one.
+                    silent_response = (outcome == StepOutcome::TimedOut).then_some(response);
                     let mut serving = self.app.serving.borrow_mut();
                     log_failure(
                         &self.app,
@@ -172,17 +177,25 @@
                 return RelayEnd::Lost;
             }
             let last_id = scanner.last_id().map(ToString::to_string);
-            let result = drive(
-                &self.app,
-                &mut self.call,
-                &self.exchange,
-                last_id.as_deref(),
-            )
-            .await;
-            match result {
-                CallResult::Streaming(next) => response = *next,
-                CallResult::Answered(_) | CallResult::Refused(_) => return RelayEnd::Lost,
-            }
+            let interrupted = InterruptedStream {
+                last_event_id: last_id.as_deref(),
+                silent_response: &mut silent_response,
+            };
+            let result = drive(&self.app, &mut self.call, &self.exchange, Some(interrupted)).await;
+            response = match (result, silent_response) {
+                (CallResult::Streaming(next), _) => {
+                    // The next server generates a partial event again.
+                    drop(scanner.take_rest());
+                    *next
+                }
+                (CallResult::Answered(_) | CallResult::Refused(_), Some(silent)) => {
+                    info!(self.app.log, "no server to move a silent stream to";
+                        "request" => &self.exchange.request.id);
+                    chunk_timeout = None;
+                    silent
+                }
+                (CallResult::Answered(_) | CallResult::Refused(_), None) => return RelayEnd::Lost,
+            };
         }
     }
 
@@ -233,23 +246,27 @@
     Ok(())
 }
 
-/// Forwards complete events.
+/// Forwards complete events. Fails with [`StepOutcome::TimedOut`] after `chunk_timeout` without a
+/// chunk.
 async fn copy_events(
     response: &mut StreamingResponse,
     sink: &mut Sink<'_>,
     scanner: &mut EventScanner,
-    chunk_timeout: Duration,
+    chunk_timeout: Option<Duration>,
 ) -> Result<(), StepOutcome> {
-    // Discard a partial event of the previous server; this server generates it again.
-    drop(scanner.take_rest());
     let mut data = std::mem::take(&mut response.first);
     loop {
         let events = scanner.push(&data);
         if !events.is_empty() {
             sink.send(Bytes::from(events)).await?;
         }
-        let next = timeout(chunk_timeout, next_data(response)).await;
-        match next.unwrap_or(Err(StepOutcome::TimedOut))? {
+        let next = match chunk_timeout {
+            Some(chunk_timeout) => timeout(chunk_timeout, next_data(response))
+                .await
+                .unwrap_or(Err(StepOutcome::TimedOut)),
+            None => next_data(response).await,
+        };
+        match next? {
             Some(next) => data = next,
             None => break,
         }
