List the registry when the changes of a watch do not arrive in full

Cause: a watch returns each version of the configuration since the last known revision in full.

Ruled out: that the watch is not sent again (the stand-in store answers each of them), and an older version that replaces a newer one (none is applied).

Change: an incomplete response to a watch leads to a listing, which has the newest version only. A response that does not begin still counts as an unreachable store.

--- a/crates/direct-core/src/registry.rs
+++ b/crates/direct-core/src/registry.rs
@@ -2,8 +2,9 @@
 //!
 //! The watcher lists the published entries, then watches for changes from the revision of the first
 //! page, because the pages are not one snapshot. If the registry no longer keeps the changes after
-//! the last known revision, the watcher lists again; the earlier view stays active meanwhile. A
-//! server's entry is applied only if its revision is newer, and a configuration only if its version
+//! the last known revision, or if they do not arrive in full, the watcher lists again; the earlier
+//! view stays active meanwhile. Changes name each version of the configuration in full, so they may
+//! be larger than a response may be, while a listing has only the newest one. A server's entry is applied only if its revision is newer, and a configuration only if its version
 //! is newer, so neither a late response nor a second listing reverts anything.
 
 use std::collections::{HashMap, HashSet};
@@ -108,6 +109,8 @@
 pub enum RegistryError {
     /// The registry no longer keeps the changes after the revision.
     HistoryGone,
+    /// The response began and did not arrive in full, with the reason.
+    Incomplete(String),
     /// No usable response, with the reason.
     Unavailable(String),
 }
@@ -118,6 +121,9 @@
             Self::HistoryGone => f.write_str(
                 "the registry no longer keeps the changes after the last known revision",
             ),
+            Self::Incomplete(reason) => {
+                write!(f, "incomplete response from the registry: {reason}")
+            }
             Self::Unavailable(reason) => {
                 write!(f, "no usable response from the registry: {reason}")
             }
@@ -258,6 +264,11 @@
             self.phase = Phase::start_listing();
             return Vec::new();
         }
+        let is_watching = matches!(self.phase, Phase::Watching { .. });
+        if is_watching && matches!(error, RegistryError::Incomplete(_)) {
+            // The same watch would have the same response and more.
+            self.phase = Phase::start_listing();
+        }
         let factor = 1_u64 << self.failures_count.min(8);
         let pause = DurationUs(PAUSE_INITIAL.0 * factor).min(PAUSE_MAX);
         self.paused_until = now + pause;
--- a/crates/direct-core/tests/registry.rs
+++ b/crates/direct-core/tests/registry.rs
@@ -116,6 +116,25 @@
     assert_eq!(texts(&updates), ["removed s1", "synced 90"]);
 }
 
+/// Guards against a process that asks for the same changes again and again although they are too
+/// large for a response, and acts on an old configuration meanwhile.
+#[test]
+fn incomplete_changes_lead_to_a_new_listing() {
+    let mut watcher = synced();
+    let incomplete = || Err(RegistryError::Incomplete("too large".to_string()));
+    assert_eq!(texts(&watcher.handle(ms(0), incomplete())), ["lost"]);
+    assert_eq!(watcher.paused_until(), ms(50));
+    assert!(matches!(watcher.query(), Query::List { .. }));
+    let updates = watcher.handle(ms(50), page(90, vec![config(9, 80)]));
+    assert_eq!(texts(&updates), ["regained", "version 9"]);
+    // A page that is incomplete is asked for again; those before it need not be.
+    watcher.handle(ms(51), incomplete());
+    let Query::List { collection, .. } = watcher.query() else {
+        panic!("the listing goes on");
+    };
+    assert_eq!(collection, Collection::Servers);
+}
+
 /// Guards against polling an unreachable registry without pauses, and against an outage that does
 /// not appear in the log.
 #[test]
