Refuse requests whose bodies exceed the memory of the entry together

Cause: a body is buffered until its request ends. Its size and the number of connections have bounds, but not their product.

A request that does not fit is refused at once with 503 and Retry-After, before it is sent to a server.

--- a/crates/direct-core/src/registry.rs
+++ b/crates/direct-core/src/registry.rs
@@ -4,8 +4,9 @@
 //! page, because the pages are not one snapshot. If the registry no longer keeps the changes after
 //! the last known revision, or if they do not arrive in full, the watcher lists again; the earlier
 //! view stays active meanwhile. Changes name each version of the configuration in full, so they may
-//! be larger than a response may be, while a listing has only the newest one. A server's entry is applied only if its revision is newer, and a configuration only if its version
-//! is newer, so neither a late response nor a second listing reverts anything.
+//! be larger than a response may be, while a listing has only the newest one. A server's entry is
+//! applied only if its revision is newer, and a configuration only if its version is newer, so
+//! neither a late response nor a second listing reverts anything.
 
 use std::collections::{HashMap, HashSet};
 use std::fmt;
--- a/crates/direct/src/app.rs
+++ b/crates/direct/src/app.rs
@@ -14,6 +14,7 @@
 use tokio::sync::watch;
 
 use crate::adapter::ProtocolMapping;
+use crate::body_memory::BodyMemory;
 use crate::pool::ConnectionPool;
 use crate::status::{DirectMetrics, SharedStatus};
 
@@ -38,6 +39,8 @@
     pub clock: Clock,
     /// Operator configuration, servers and retry budgets.
     pub serving: RefCell<ServingState>,
+    /// Memory for the bodies of callers' requests.
+    pub body_memory: Rc<BodyMemory>,
     /// Idle connections to backend servers.
     pub pool: RefCell<ConnectionPool>,
     /// Connections to the agents that reserve decode slots.
--- a/crates/direct/src/engine_resources.rs
+++ b/crates/direct/src/engine_resources.rs
@@ -226,8 +226,8 @@
         .body(Full::new(body))
         .map_err(|_| StepOutcome::Unreachable)?;
     let exchange = async {
+        // The lease is dropped without being finished, which closes the connection.
         let connection = ConnectionChoice::New;
-        // The connection is closed with the lease.
         let (lease, response) = send(app, None, server, address, request, connection).await?;
         let (parts, rest) = response.into_parts();
         match collect(&lease, rest, BUFFERED_MAX_BYTES).await? {
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -22,6 +22,7 @@
 
 use crate::adapter::{CallerRequest, ResponseClass, RunHeaders};
 use crate::app::{App, InFlight};
+use crate::body_memory::BodyLease;
 use crate::connection::{Connection, SendError};
 use crate::correlation::{SentTo, is_response_to};
 use crate::pool::{IDLE_MAX_NOT_REPEATABLE, idle_max};
@@ -49,6 +50,8 @@
     pub headers: HeaderMap,
     /// Request body, buffered before the first attempt.
     pub body: Bytes,
+    /// Memory of the body.
+    pub body_lease: BodyLease,
     /// Whether the request may be repeated or resumed.
     pub kind: RequestKind,
     /// Time within which the response is of full use.
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -10,6 +10,7 @@
 //! |---|---|
 //! | [`adapter`] | interfaces that a platform implements |
 //! | [`app`] | state shared by all requests of the traffic thread |
+//! | [`body_memory`] | bound on the memory of callers' request bodies |
 //! | [`body`] | body of a response to a caller |
 //! | [`connection`] | one connection to a backend server |
 //! | [`correlation`] | whether a response belongs to a request |
@@ -30,6 +31,7 @@
 pub mod adapter;
 pub mod app;
 pub mod body;
+pub mod body_memory;
 pub mod connection;
 pub mod control;
 pub mod correlation;
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -23,7 +23,7 @@
 use cuminlead_process::{StartError, admin, start};
 use cuminlead_settings::EntrySettings;
 use cuminlead_telemetry::{Metrics, Tracing, log};
-use cuminlead_types::{DurationUs, TimeUs};
+use cuminlead_types::{Bytes, DurationUs, TimeUs};
 use error_stack::{Report, ResultExt};
 use slog::{Logger, info, warn};
 use tokio::net::TcpListener;
@@ -34,6 +34,7 @@
 
 use crate::adapter::{self, Adapter};
 use crate::app::{App, StopPhase};
+use crate::body_memory::BodyMemory;
 use crate::control;
 use crate::pool::ConnectionPool;
 use crate::serve::accept;
@@ -41,9 +42,17 @@
 
 /// One retry is allowed for this many requests, the share that the platform permits.
 const REQUESTS_PER_RETRY: u32 = 5;
+/// Share of the process's memory for bodies of requests, in percent. As much again may be in the
+/// buffers of connections while bodies arrive and are sent on.
+const BODY_MEMORY_PERCENT: u64 = 40;
 /// Interval between checks for open connections during shutdown.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
+fn body_memory_max(settings: &EntrySettings) -> Bytes {
+    let memory_bytes = u64::from(settings.memory_max_mb().0) * 1_000_000;
+    Bytes(memory_bytes / 100 * BODY_MEMORY_PERCENT)
+}
+
 /// Runs the entry until a shutdown is requested and the open requests are answered. Fails if the
 /// adapter is unknown, an address can't be bound or a thread can't be started.
 pub fn run(settings: &EntrySettings, adapter_name: &str) -> Result<(), Report<StartError>> {
@@ -97,6 +106,7 @@
     let app = Rc::new(App {
         clock,
         serving: RefCell::new(ServingState::new(serving_config(settings))),
+        body_memory: BodyMemory::new(body_memory_max(settings)),
         pool: RefCell::new(ConnectionPool::default()),
         reservation_client: RefCell::new(ReservationClient::default()),
         local_limiter: RefCell::default(),
--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -153,8 +153,8 @@
                 }
                 Err(StepOutcome::Unreachable) => return RelayEnd::CallerDisconnected,
                 Err(outcome) => {
-                    // Any other connection is closed first, so that the lost run does not continue
-                    // beside the next one.
+                    // The response of a silent server is kept for now. Any other connection is
+                    // closed first, so that the lost run does not continue beside the next one.
                     silent_response = (outcome == StepOutcome::TimedOut).then_some(response);
                     let mut serving = self.app.serving.borrow_mut();
                     log_failure(
--- a/crates/direct/src/serve.rs
+++ b/crates/direct/src/serve.rs
@@ -5,13 +5,13 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::BytesMut;
 use cuminlead_direct_core::{
     Call, CallSpec, EngineSpec, ModelRequirements, OperatorConfig, Refusal, RefusalReason, Route,
     RouteMatch,
 };
 use cuminlead_telemetry::HopSpan;
-use cuminlead_types::{DurationUs, TimeUs, Tokens};
+use cuminlead_types::{Bytes, DurationUs, TimeUs, Tokens};
 use http::header::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HOST, RETRY_AFTER};
 use http::{HeaderValue, Request, Response, StatusCode};
 use http_body_util::BodyExt;
@@ -26,6 +26,7 @@
 
 use crate::app::{App, StopPhase};
 use crate::body::CallerBody;
+use crate::body_memory::{BodyLease, NoBodyMemory};
 use crate::correlation::SentTo;
 use crate::drive::{CallResult, drive};
 use crate::exchange::{BufferedResponse, CallerExchange, TRACEPARENT};
@@ -34,6 +35,8 @@
 
 /// Time after which a caller may retry at a process that has not read the configuration yet.
 const STARTING_RETRY_AFTER: DurationUs = DurationUs::from_ms(500);
+/// Time after which a caller may retry whose body finds no memory. Most requests end within it.
+const NO_MEMORY_RETRY_AFTER: DurationUs = DurationUs::from_ms(1_000);
 /// Pause after a failed accept, which means that file descriptors are exhausted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Divisor that estimates the prompt of a model call that does not state its size: about four bytes
@@ -189,9 +192,11 @@
         ));
     }
     let body_deadline = Instant::from_std(app.clock.instant(arrived_at + route.timeout));
-    let body = timeout_at(body_deadline, read_body(body, body_max)).await;
-    let body = body.unwrap_or(Err(StatusCode::REQUEST_TIMEOUT));
-    let body = body.map_err(|status| error_response(app, status, "body cannot be read"))?;
+    let mut body_lease = app.body_memory.lease();
+    let body = read_body(body, Bytes(body_max), &mut body_lease);
+    let body = timeout_at(body_deadline, body).await;
+    let body = body.unwrap_or(Err(BodyError::TimedOut));
+    let body = body.map_err(|error| body_error_response(app, &caller.id, error))?;
     let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
     let caller_timeout = caller
         .caller_timeout
@@ -213,6 +218,7 @@
         method: parts.method,
         path: path.to_string(),
         body,
+        body_lease,
         kind: route.kind,
         latency_target: route.latency_target,
         arrived_at,
@@ -378,20 +384,62 @@
     }
 }
 
-/// Reads a body; the error is the status for the caller.
-async fn read_body(mut body: Incoming, max_bytes: u64) -> Result<Bytes, StatusCode> {
+/// Why the body of a caller's request was not read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum BodyError {
+    Malformed,
+    TooLarge,
+    TimedOut,
+    NoMemory,
+}
+
+fn body_error_response(app: &App, request: &str, error: BodyError) -> Response<CallerBody> {
+    let status = match error {
+        BodyError::Malformed => StatusCode::BAD_REQUEST,
+        BodyError::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+        BodyError::TimedOut => StatusCode::REQUEST_TIMEOUT,
+        BodyError::NoMemory => {
+            let refusal = Refusal {
+                is_not_run: true,
+                reason: RefusalReason::NoMemory,
+                retry_after: NO_MEMORY_RETRY_AFTER,
+            };
+            info!(app.log, "request refused"; "request" => request, "reason" => %refusal.reason,
+                "body_memory_used_bytes" => app.body_memory.used().0);
+            return refusal_response(app, &refusal);
+        }
+    };
+    error_response(app, status, "body cannot be read")
+}
+
+/// Reads a body into memory of the lease.
+async fn read_body(
+    mut body: Incoming,
+    max: Bytes,
+    lease: &mut BodyLease,
+) -> Result<bytes::Bytes, BodyError> {
     if body.is_end_stream() {
-        return Ok(Bytes::new());
+        return Ok(bytes::Bytes::new());
     }
     let mut read = BytesMut::new();
+    if let Some(size) = body.size_hint().exact() {
+        lease
+            .extend_to(Bytes(size))
+            .map_err(|NoBodyMemory| BodyError::NoMemory)?;
+        read.reserve(usize::try_from(size).unwrap_or(0));
+    }
     while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|_| StatusCode::BAD_REQUEST)?;
+        let frame = frame.map_err(|_| BodyError::Malformed)?;
         let Ok(data) = frame.into_data() else {
             continue;
         };
-        if read.len() as u64 + data.len() as u64 > max_bytes {
-            return Err(StatusCode::PAYLOAD_TOO_LARGE);
+        let size = Bytes(read.len() as u64 + data.len() as u64);
+        if size > max {
+            return Err(BodyError::TooLarge);
         }
+        lease
+            .extend_to(size)
+            .map_err(|NoBodyMemory| BodyError::NoMemory)?;
         read.extend_from_slice(&data);
     }
     Ok(read.freeze())
--- a/crates/settings/src/entry.rs
+++ b/crates/settings/src/entry.rs
@@ -74,6 +74,9 @@
         /// Largest number of open connections of callers when backend servers are called directly.
         /// Each connection uses a file descriptor, and each in-flight request uses another.
         connections_max_count: Count = Default("2500") in 1..=65536;
+        /// Memory that the process may use, in millions of bytes. Two fifths of it are for the
+        /// bodies of requests when backend servers are called directly.
+        memory_max_mb: Count = Default("256") in 16..=1000000;
         /// Least severe level of log lines that are written.
         log_level: LogLevel = Default("\"info\"");
         /// Shared secret that entries present to agents, the same for all processes. Agents without
