Check the keys of callers and name their teams to servers

Cause: where the configuration has teams, requests need a key that names the caller's team.

Change: `direct_core::teams` holds teams by digests of their keys; an entry refuses unknown keys with 401 (503 without a configuration) and the adapter replaces the key by the name of the team and sends the priority.

--- a/crates/direct-core/src/lib.rs
+++ b/crates/direct-core/src/lib.rs
@@ -21,6 +21,7 @@
 //! | [`registry`] | watcher of the registry |
 //! | [`shutdown`] | admission of requests while a process shuts down |
 //! | [`stages`] | which engines compute prompts |
+//! | [`teams`] | teams of callers, their keys, priorities and usage limits |
 //! | [`events`] | event boundaries in a stream |
 
 pub mod action;
@@ -41,6 +42,7 @@
 pub mod serving;
 pub mod shutdown;
 pub mod stages;
+pub mod teams;
 
 pub use action::{
     Action, CacheRef, CallSpec, ModelRequirements, Refusal, RefusalReason, Reservation,
@@ -48,8 +50,8 @@
 pub use call::Call;
 pub use events::{EventBoundary, EventScanner};
 pub use operator_config::{
-    CallerLimits, EngineSpec, OperatorConfig, RequestKind, Route, RouteMatch, ServiceSpec,
-    WeightedService,
+    CallerLimits, EngineSpec, OperatorConfig, RequestKind, RequestPriority, Route, RouteMatch,
+    ServiceSpec, WeightedService,
 };
 pub use outcome::StepOutcome;
 pub use rate_limit::{PermitReply, RateLimiter};
@@ -61,3 +63,4 @@
 pub use server_notices::{Incarnation, ServerNotice};
 pub use servers::{ServerKey, ServerTable};
 pub use serving::ServingState;
+pub use teams::{KeyDigest, Team, Teams, UnknownKey, UsageLimit, UsageUnit};
--- a/crates/direct-core/src/operator_config.rs
+++ b/crates/direct-core/src/operator_config.rs
@@ -7,6 +7,8 @@
 
 use cuminlead_types::{Bytes, DurationUs, Revision, ServiceName};
 
+use crate::teams::Teams;
+
 /// How a request is answered, and whether it may run again after a failure.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RequestKind {
@@ -21,6 +23,33 @@
     },
 }
 
+/// Priority of a request; the lowest number is the most urgent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RequestPriority(u8);
+
+impl RequestPriority {
+    /// Most urgent priority.
+    pub const HIGHEST: Self = Self(0);
+    /// Least urgent priority.
+    pub const LOWEST: Self = Self(9);
+
+    /// Priority of a number; numbers above that of the least urgent one count as it.
+    pub fn new(number: u64) -> Self {
+        u8::try_from(number).map_or(Self::LOWEST, |number| Self(number).min(Self::LOWEST))
+    }
+
+    /// Number of the priority.
+    pub fn number(self) -> u8 {
+        self.0
+    }
+}
+
+impl Default for RequestPriority {
+    fn default() -> Self {
+        Self(5)
+    }
+}
+
 /// Service with its share of a route's requests.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct WeightedService {
@@ -49,6 +78,10 @@
     pub latency_target: DurationUs,
     /// Most servers on which one request may run.
     pub attempts_max_count: u32,
+    /// Priority of its requests.
+    pub priority: RequestPriority,
+    /// Whether requests need the key of a team, if the configuration has teams.
+    pub checks_keys: bool,
 }
 
 /// Service of backend servers.
@@ -113,6 +146,7 @@
     by_host: HashMap<String, Vec<usize>>,
     services: HashMap<ServiceName, ServiceSpec>,
     limits: CallerLimits,
+    teams: Option<Teams>,
 }
 
 impl OperatorConfig {
@@ -139,9 +173,21 @@
                 .map(|spec| (spec.name.clone(), spec))
                 .collect(),
             limits,
+            teams: None,
         }
     }
 
+    /// The configuration with teams, whose keys requests need.
+    pub fn with_teams(mut self, teams: Teams) -> Self {
+        self.teams = Some(teams);
+        self
+    }
+
+    /// Teams of callers; `None` if callers need no key.
+    pub fn teams(&self) -> Option<&Teams> {
+        self.teams.as_ref()
+    }
+
     /// Version number that the operator assigned.
     pub fn version(&self) -> Revision {
         self.version
--- a/crates/direct-core/tests/support/mod.rs
+++ b/crates/direct-core/tests/support/mod.rs
@@ -13,8 +13,9 @@
 use cuminlead_direct_core::placement::ClientLocality;
 use cuminlead_direct_core::serving::ServingConfig;
 use cuminlead_direct_core::{
-    CallSpec, CallerLimits, ModelRequirements, OperatorConfig, RegistryUpdate, RequestKind, Route,
-    ServerKey, ServerRecord, ServerState, ServiceSpec, ServingState, Stage, WeightedService,
+    CallSpec, CallerLimits, ModelRequirements, OperatorConfig, RegistryUpdate, RequestKind,
+    RequestPriority, Route, ServerKey, ServerRecord, ServerState, ServiceSpec, ServingState, Stage,
+    WeightedService,
 };
 use cuminlead_types::{DurationUs, Revision, Slots, TimeUs, Tokens, UnixMs};
 
@@ -116,6 +117,8 @@
         timeout: DurationUs::from_ms(800),
         latency_target: DurationUs::from_ms(250),
         attempts_max_count: 2,
+        priority: RequestPriority::default(),
+        checks_keys: true,
     };
     let service = |name: &str, engine| ServiceSpec {
         name: name.parse().expect("a valid fixture"),
--- a/crates/direct/src/adapter.rs
+++ b/crates/direct/src/adapter.rs
@@ -7,9 +7,9 @@
 
 use std::sync::Arc;
 
-use cuminlead_direct_core::{Registry, ServerNotice};
+use cuminlead_direct_core::{KeyDigest, Registry, RequestPriority, ServerNotice};
 use cuminlead_settings::EntrySettings;
-use cuminlead_types::{BackendServerId, DurationUs, PromptPartId, Tokens};
+use cuminlead_types::{BackendServerId, DurationUs, PromptPartId, TeamName, Tokens};
 use http::{HeaderMap, Method, StatusCode};
 
 /// Properties of a request that its headers state.
@@ -19,6 +19,10 @@
     pub id: String,
     /// Time that the caller waits; the route's timeout applies if absent.
     pub caller_timeout: Option<DurationUs>,
+    /// Digest of the caller's key; `None` if it sent none, or several.
+    pub key: Option<KeyDigest>,
+    /// Prompt tokens and most output tokens of a model call together, if stated.
+    pub stated_tokens: Option<Tokens>,
     /// Prompt size of a model call; estimated from the body if absent.
     pub prompt_tokens: Option<Tokens>,
     /// The caller's estimate of the output length, often inaccurate.
@@ -28,6 +32,20 @@
     pub prompt_parts: Vec<PromptPartId>,
 }
 
+/// What a forwarded request tells about its caller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Identity<'a> {
+    /// Callers need no key, and headers about them are forwarded as any other.
+    Unchecked,
+    /// Keys are not forwarded, and servers get the name of the team instead.
+    Checked {
+        /// Team of the caller; `None` for a caller without a known key.
+        team: Option<&'a TeamName>,
+        /// Urgency of the request.
+        priority: RequestPriority,
+    },
+}
+
 /// Values that the headers of a run or prefill pass to the server.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RunHeaders<'a> {
@@ -63,8 +81,8 @@
     /// Parses the headers of a caller's request. The error is the reason given to the caller.
     fn read_request(&self, headers: &HeaderMap) -> Result<CallerRequest, String>;
 
-    /// Selects the request headers that are forwarded to servers.
-    fn request_headers(&self, headers: &HeaderMap) -> HeaderMap;
+    /// Selects the request headers that are forwarded to servers, and adds the caller's identity.
+    fn request_headers(&self, headers: &HeaderMap, identity: &Identity<'_>) -> HeaderMap;
 
     /// Adds the headers of a run.
     fn write_run_headers(&self, headers: &mut HeaderMap, order: &RunHeaders<'_>);
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -9,10 +9,11 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 
 use bytes::{Bytes, BytesMut};
 use cuminlead_direct_core::placement::Distance;
-use cuminlead_direct_core::{Incarnation, RequestKind, ServerKey, StepOutcome};
+use cuminlead_direct_core::{Incarnation, RequestKind, ServerKey, StepOutcome, Team};
 use cuminlead_telemetry::HopSpan;
 use cuminlead_types::{BackendServerId, DurationUs, TimeUs};
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
@@ -42,6 +43,8 @@
 pub struct CallerExchange {
     /// Properties stated by its headers.
     pub request: CallerRequest,
+    /// Team of the caller; `None` if callers need no key, or this one has no known key.
+    pub team: Option<Arc<Team>>,
     /// Method of the caller's request.
     pub method: Method,
     /// Path and query, unchanged.
--- a/crates/direct/src/serve.rs
+++ b/crates/direct/src/serve.rs
@@ -2,13 +2,14 @@
 
 use std::convert::Infallible;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::BytesMut;
 use cuminlead_direct_core::{
     Call, CallSpec, EngineSpec, ModelRequirements, OperatorConfig, Refusal, RefusalReason, Route,
-    RouteMatch,
+    RouteMatch, Team, UnknownKey,
 };
 use cuminlead_telemetry::HopSpan;
 use cuminlead_types::{Bytes, DurationUs, TimeUs, Tokens};
@@ -24,6 +25,7 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, timeout_at};
 
+use crate::adapter::{CallerRequest, Identity};
 use crate::app::{App, StopPhase};
 use crate::body::CallerBody;
 use crate::body_memory::{BodyLease, NoBodyMemory};
@@ -181,6 +183,7 @@
             "config_version" => operator_config.version().0);
         return Err(error_response(app, StatusCode::NOT_FOUND, "no route"));
     };
+    let team = identify(app, &operator_config, route, &caller)?;
     let body_max = operator_config.limits().body_max_bytes.0;
     let declared = parts.headers.get(CONTENT_LENGTH);
     let declared = declared.and_then(|length| length.to_str().ok()?.parse::<u64>().ok());
@@ -211,9 +214,20 @@
     let span = app
         .tracing
         .hop("request", parent_context.unwrap_or_default());
+    let priority = team.as_ref().and_then(|team| team.priority);
+    let identity = match operator_config.teams() {
+        Some(_) => Identity::Checked {
+            team: team.as_ref().map(|team| &team.name),
+            priority: priority.unwrap_or(route.priority),
+        },
+        None => Identity::Unchecked,
+    };
     let exchange = CallerExchange {
         traceparent: span.traceparent().to_string(),
-        headers: app.protocol_mapping.request_headers(&parts.headers),
+        headers: app
+            .protocol_mapping
+            .request_headers(&parts.headers, &identity),
+        team,
         request: caller,
         method: parts.method,
         path: path.to_string(),
@@ -237,6 +251,25 @@
     })
 }
 
+/// Team of a request by its key. Fails with the response to a request that needs a key and has no
+/// valid one.
+fn identify(
+    app: &App,
+    operator_config: &OperatorConfig,
+    route: &Route,
+    caller: &CallerRequest,
+) -> Result<Option<Arc<Team>>, Response<CallerBody>> {
+    let Some(teams) = operator_config.teams() else {
+        return Ok(None);
+    };
+    teams.identify(route, caller.key).map_err(|UnknownKey| {
+        app.metrics.unknown_keys.inc();
+        info!(app.log, "request refused"; "request" => &caller.id, "reason" => "unknown_key",
+            "has_key" => caller.key.is_some(), "config_version" => operator_config.version().0);
+        error_response(app, StatusCode::UNAUTHORIZED, "unknown key")
+    })
+}
+
 /// Whether a caller repeats a refused request. Each attempt states the rest of the caller's
 /// timeout, which for a first attempt is nearly all of the route's timeout.
 fn is_caller_retry(caller_timeout: DurationUs, route_timeout: DurationUs) -> bool {
@@ -267,7 +300,7 @@
     Some(refusal)
 }
 
-fn ready_operator_config(app: &App) -> Option<std::sync::Arc<OperatorConfig>> {
+fn ready_operator_config(app: &App) -> Option<Arc<OperatorConfig>> {
     let serving = app.serving.borrow();
     serving
         .is_ready()
--- a/crates/direct/src/status.rs
+++ b/crates/direct/src/status.rs
@@ -26,7 +26,7 @@
 /// How relayed streams end.
 const STREAM_ENDS: [&str; 4] = ["whole", "lost", "timed_out", "caller_gone"];
 /// Statuses of responses that this process generates itself.
-const STATUSES: [&str; 7] = ["400", "404", "408", "413", "502", "503", "504"];
+const STATUSES: [&str; 8] = ["400", "401", "404", "408", "413", "502", "503", "504"];
 /// Steps that may fail at a server.
 const STEPS: [&str; 4] = ["reserve", "prefill", "run", "stream"];
 
@@ -70,6 +70,8 @@
     pub connections_opened: Counter,
     /// Responses of backend servers that did not belong to the request.
     pub foreign_responses: Counter,
+    /// Requests refused because their key is unknown or missing.
+    pub unknown_keys: Counter,
     /// Callers' connections closed because the maximum number is open.
     pub connections_refused: Counter,
     /// Registry entries that were ignored as unusable.
@@ -144,6 +146,10 @@
                 "direct_foreign_responses",
                 "Responses of backend servers that did not belong to the request",
             ),
+            unknown_keys: metrics.counter(
+                "direct_unknown_keys",
+                "Requests refused because their key is unknown or missing",
+            ),
             connections_refused: metrics.counter(
                 "direct_connections_refused",
                 "Connections of callers closed because too many are open",
--- a/crates/types/src/ids.rs
+++ b/crates/types/src/ids.rs
@@ -83,6 +83,10 @@
     /// Version of a model's weights.
     VersionName
 );
+name_type!(
+    /// Name of a team, to which the keys of callers belong.
+    TeamName
+);
 name_type!(
     /// Name of a plain service.
     ServiceName
