Hold teams to their usage limits over all entries

Change: an agent, chosen by a hash of the team, owns the team's token bucket (`direct_core::usage_ledger`). Entries admit at once while the bucket is known not to be empty and charge it 100 ms later; otherwise they ask first (`direct_core::usage_view`, `direct::team_usage`, RPC ChargeUsage). A refused request gets 429 with the time at which the bucket has room; one that did not run is refunded. Without an owner each entry uses its share.

--- a/crates/direct-core/src/action.rs
+++ b/crates/direct-core/src/action.rs
@@ -130,6 +130,8 @@
     Rejected,
     /// A part of the prompt is in quarantine because it crashes engines.
     Quarantined,
+    /// The caller's team has reached its usage limit.
+    UsageLimit,
     /// No memory is left for the body of the request.
     NoMemory,
     /// The retry budget of the service is exhausted.
--- a/crates/direct-core/src/lib.rs
+++ b/crates/direct-core/src/lib.rs
@@ -22,6 +22,8 @@
 //! | [`shutdown`] | admission of requests while a process shuts down |
 //! | [`stages`] | which engines compute prompts |
 //! | [`teams`] | teams of callers, their keys, priorities and usage limits |
+//! | [`usage_ledger`] | usage of teams under their limits, at its owner |
+//! | [`usage_view`] | what an entry knows about it, and the requests that it admits |
 //! | [`events`] | event boundaries in a stream |
 
 pub mod action;
@@ -43,6 +45,8 @@
 pub mod shutdown;
 pub mod stages;
 pub mod teams;
+pub mod usage_ledger;
+pub mod usage_view;
 
 pub use action::{
     Action, CacheRef, CallSpec, ModelRequirements, Refusal, RefusalReason, Reservation,
@@ -64,3 +68,5 @@
 pub use servers::{ServerKey, ServerTable};
 pub use serving::ServingState;
 pub use teams::{KeyDigest, Team, Teams, UnknownKey, UsageLimit, UsageUnit};
+pub use usage_ledger::{UsageCharge, UsageLedger, UsageReply};
+pub use usage_view::{UsageDecision, UsageView};
--- a/crates/direct-core/src/rate_limit.rs
+++ b/crates/direct-core/src/rate_limit.rs
@@ -116,11 +116,11 @@
     }
 }
 
-/// Owners of a server's permits in the order in which they are asked: the same at all processes
-/// that know the same agents.
-pub fn owners(server: &BackendServerId, mut agents: Vec<SocketAddr>) -> Vec<SocketAddr> {
+/// Owners of a server's permits, or of a team's usage, in the order in which they are asked: the same
+/// at all processes that know the same agents.
+pub fn owners(owned: &impl std::fmt::Display, mut agents: Vec<SocketAddr>) -> Vec<SocketAddr> {
     agents.sort_by_cached_key(|agent| {
-        let text = format!("{server} {agent}");
+        let text = format!("{owned} {agent}");
         (xxh3_64(text.as_bytes()), *agent)
     });
     agents.dedup();
--- a/crates/direct/src/app.rs
+++ b/crates/direct/src/app.rs
@@ -5,11 +5,11 @@
 use std::sync::Arc;
 
 use cuminlead_direct_core::shutdown::ShutdownSchedule;
-use cuminlead_direct_core::{RateLimiter, ServerKey, ServingState};
+use cuminlead_direct_core::{RateLimiter, ServerKey, ServingState, UsageView};
 use cuminlead_kernel::Clock;
 use cuminlead_places::ReservationClient;
 use cuminlead_telemetry::Tracing;
-use cuminlead_types::TimeUs;
+use cuminlead_types::{EntryId, TimeUs};
 use slog::Logger;
 use tokio::sync::watch;
 
@@ -45,6 +45,10 @@
     pub pool: RefCell<ConnectionPool>,
     /// Connections to the agents that reserve decode slots.
     pub reservation_client: RefCell<ReservationClient>,
+    /// Name of this process.
+    pub name: EntryId,
+    /// Usage of teams under their limits.
+    pub usage: RefCell<UsageView>,
     /// Permits that this process owns itself, in deployments without agents.
     pub local_limiter: RefCell<RateLimiter>,
     /// Port of these agents; without it, slots are reserved at the engines.
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -19,6 +19,7 @@
 //! | [`exchange`] | one request to one server, and its response |
 //! | [`engine_resources`] | reservation of decode slots, release of slots and KV caches |
 //! | `permits` | permits for requests to servers that have named a limit |
+//! | `team_usage` | admission of requests by the usage limits of their teams |
 //! | `crash_reports` | reports of crashed engines, as evidence against prompt parts |
 //! | [`drive`] | execution of a call's actions |
 //! | [`head_timer`] | timeout for the head of a caller's request |
@@ -47,3 +48,4 @@
 pub mod serve;
 pub mod shared_stream;
 pub mod status;
+mod team_usage;
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -109,6 +109,8 @@
         body_memory: BodyMemory::new(body_memory_max(settings)),
         pool: RefCell::new(ConnectionPool::default()),
         reservation_client: RefCell::new(ReservationClient::default()),
+        name: settings.name().clone(),
+        usage: RefCell::default(),
         local_limiter: RefCell::default(),
         place_port: settings
             .place_port()
--- a/crates/direct/src/serve.rs
+++ b/crates/direct/src/serve.rs
@@ -12,7 +12,7 @@
     RouteMatch, Team, UnknownKey,
 };
 use cuminlead_telemetry::HopSpan;
-use cuminlead_types::{Bytes, DurationUs, TimeUs, Tokens};
+use cuminlead_types::{Bytes, DurationUs, Revision, TimeUs, Tokens};
 use http::header::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HOST, RETRY_AFTER};
 use http::{HeaderValue, Request, Response, StatusCode};
 use http_body_util::BodyExt;
@@ -34,6 +34,7 @@
 use crate::exchange::{BufferedResponse, CallerExchange, TRACEPARENT};
 use crate::head_timer::{HeadTimer, TimedStream};
 use crate::relay::Relay;
+use crate::team_usage::{self, UsedUnits};
 
 /// Time after which a caller may retry at a process that has not read the configuration yet.
 const STARTING_RETRY_AFTER: DurationUs = DurationUs::from_ms(500);
@@ -155,6 +156,8 @@
     call: Call,
     route: String,
     config_version: u64,
+    /// Units that the request uses of its team's limit; `None` if it has none.
+    used_units: Option<UsedUnits>,
     /// Ends with the response or its first chunk.
     span: HopSpan,
 }
@@ -183,7 +186,9 @@
             "config_version" => operator_config.version().0);
         return Err(error_response(app, StatusCode::NOT_FOUND, "no route"));
     };
-    let team = identify(app, &operator_config, route, &caller)?;
+    let team = identify(app, &operator_config, route, &caller);
+    let team =
+        team.map_err(|UnknownKey| error_response(app, StatusCode::UNAUTHORIZED, "unknown key"))?;
     let body_max = operator_config.limits().body_max_bytes.0;
     let declared = parts.headers.get(CONTENT_LENGTH);
     let declared = declared.and_then(|length| length.to_str().ok()?.parse::<u64>().ok());
@@ -242,32 +247,57 @@
     };
     let call = new_call(app, &operator_config, route, &exchange);
     let call = call.ok_or_else(|| refusal_response(app, &starting_refusal()))?;
+    let used_units = admit_usage(app, &exchange, operator_config.version()).await?;
     Ok(Admitted {
         exchange,
         call,
         route: route.name.clone(),
         config_version: operator_config.version().0,
+        used_units,
         span,
     })
 }
 
-/// Team of a request by its key. Fails with the response to a request that needs a key and has no
-/// valid one.
+/// Admits a request by the limit of its team. Fails with the response to one that is over it.
+async fn admit_usage(
+    app: &Rc<App>,
+    exchange: &CallerExchange,
+    version: Revision,
+) -> Result<Option<UsedUnits>, Response<CallerBody>> {
+    let Some(team) = &exchange.team else {
+        return Ok(None);
+    };
+    let admitted = team_usage::admit(app, team, version, exchange.request.stated_tokens).await;
+    admitted.map_err(|retry_after| {
+        let refusal = Refusal {
+            is_not_run: true,
+            reason: RefusalReason::UsageLimit,
+            retry_after,
+        };
+        info!(app.log, "request refused"; "request" => &exchange.request.id,
+            "reason" => %refusal.reason, "not_run" => true, "team" => %team.name,
+            "retry_after_ms" => retry_after.as_ms());
+        refusal_response(app, &refusal)
+    })
+}
+
+/// Team of a request by its key. Fails for a request that needs a key and has no valid one.
 fn identify(
     app: &App,
     operator_config: &OperatorConfig,
     route: &Route,
     caller: &CallerRequest,
-) -> Result<Option<Arc<Team>>, Response<CallerBody>> {
+) -> Result<Option<Arc<Team>>, UnknownKey> {
     let Some(teams) = operator_config.teams() else {
         return Ok(None);
     };
-    teams.identify(route, caller.key).map_err(|UnknownKey| {
+    let team = teams.identify(route, caller.key);
+    if team.is_err() {
         app.metrics.unknown_keys.inc();
         info!(app.log, "request refused"; "request" => &caller.id, "reason" => "unknown_key",
             "has_key" => caller.key.is_some(), "config_version" => operator_config.version().0);
-        error_response(app, StatusCode::UNAUTHORIZED, "unknown key")
-    })
+    }
+    team
 }
 
 /// Whether a caller repeats a refused request. Each attempt states the rest of the caller's
@@ -347,6 +377,7 @@
         mut call,
         route,
         config_version,
+        used_units,
         mut span,
     } = admitted;
     let exchange = Rc::new(exchange);
@@ -372,6 +403,9 @@
         "took_ms" => elapsed.as_ms());
     if let CallResult::Refused(refusal) = &result {
         log_refusal(app, &call, &exchange, refusal);
+        if let Some(used_units) = used_units.filter(|_| refusal.is_not_run) {
+            team_usage::refund(app, used_units);
+        }
     }
     match result {
         CallResult::Answered(response) => buffered_response(response),
@@ -493,10 +527,11 @@
     }
 }
 
-/// Builds the response of a refusal. Status 503 promises that the request never runs; 502 and 504
-/// do not.
+/// Builds the response of a refusal. Statuses 503 and 429 promise that the request never runs; 502
+/// and 504 do not.
 fn refusal_response(app: &App, refusal: &Refusal) -> Response<CallerBody> {
     let status = match (refusal.is_not_run, refusal.reason) {
+        (true, RefusalReason::UsageLimit) => StatusCode::TOO_MANY_REQUESTS,
         (true, _) => StatusCode::SERVICE_UNAVAILABLE,
         (false, RefusalReason::TimedOut) => StatusCode::GATEWAY_TIMEOUT,
         (false, _) => StatusCode::BAD_GATEWAY,
--- a/crates/direct/src/status.rs
+++ b/crates/direct/src/status.rs
@@ -12,7 +12,7 @@
     Counters, Gauges, RouteLabels, RouteLatencies, RowCounters, start_at_zero,
 };
 use cuminlead_telemetry::{Label, Metrics};
-use cuminlead_types::{BackendServerId, DurationUs, EntryId, TimeUs, Tokens};
+use cuminlead_types::{BackendServerId, DurationUs, EntryId, TeamName, TimeUs, Tokens};
 use http::StatusCode;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::gauge::Gauge;
@@ -26,7 +26,9 @@
 /// How relayed streams end.
 const STREAM_ENDS: [&str; 4] = ["whole", "lost", "timed_out", "caller_gone"];
 /// Statuses of responses that this process generates itself.
-const STATUSES: [&str; 8] = ["400", "401", "404", "408", "413", "502", "503", "504"];
+const STATUSES: [&str; 9] = [
+    "400", "401", "404", "408", "413", "429", "502", "503", "504",
+];
 /// Steps that may fail at a server.
 const STEPS: [&str; 4] = ["reserve", "prefill", "run", "stream"];
 
@@ -36,10 +38,10 @@
 const DIRECTIONS: [&str; 2] = ["sent", "received"];
 /// Lifecycle states of servers.
 const LIFECYCLE_STATES: [&str; 4] = ["usable", "paused", "full", "leaving"];
-/// Most routes with histograms of their own. A configuration of the users has up to 400 routes.
-const ROUTE_LABELS_MAX_COUNT: usize = 1_000;
-/// Label of all further routes.
-const OTHER_ROUTES: &str = "other";
+/// Most routes, and most teams, with series of their own. A configuration of the users has up to 400 routes.
+const LABELS_MAX_COUNT: usize = 1_000;
+/// Label of all further ones.
+const OTHER_LABEL: &str = "other";
 
 fn failure_labels(step: &'static str, outcome: StepOutcome) -> [(&'static str, &'static str); 3] {
     [
@@ -49,6 +51,16 @@
     ]
 }
 
+/// Name as a label, or [`OTHER_LABEL`] if there are too many names.
+fn bounded_label(known: &Mutex<HashSet<String>>, name: &str) -> String {
+    let mut known = known.lock().unwrap_or_else(PoisonError::into_inner);
+    if known.len() < LABELS_MAX_COUNT || known.contains(name) {
+        known.insert(name.to_string());
+        return name.to_string();
+    }
+    OTHER_LABEL.to_string()
+}
+
 /// Metrics of an entry that calls backend servers directly.
 #[derive(Clone, Debug)]
 pub struct DirectMetrics {
@@ -72,6 +84,13 @@
     pub foreign_responses: Counter,
     /// Requests refused because their key is unknown or missing.
     pub unknown_keys: Counter,
+    usage_admitted_units: Counters,
+    usage_refused_units: Counters,
+    teams: Arc<Mutex<HashSet<String>>>,
+    /// Charges sent to the owners of teams' usage.
+    pub usage_charges: Counter,
+    /// Charges to which no owner replied.
+    pub usage_owners_unreachable: Counter,
     /// Callers' connections closed because the maximum number is open.
     pub connections_refused: Counter,
     /// Registry entries that were ignored as unusable.
@@ -150,6 +169,23 @@
                 "direct_unknown_keys",
                 "Requests refused because their key is unknown or missing",
             ),
+            usage_admitted_units: metrics.counters(
+                "direct_usage_admitted_units",
+                "Units of requests that their team's limit admitted",
+            ),
+            usage_refused_units: metrics.counters(
+                "direct_usage_refused_units",
+                "Units of requests that their team's limit refused",
+            ),
+            teams: Arc::default(),
+            usage_charges: metrics.counter(
+                "direct_usage_charges",
+                "Charges sent to the owners of teams' usage",
+            ),
+            usage_owners_unreachable: metrics.counter(
+                "direct_usage_owners_unreachable",
+                "Charges of teams' usage to which no owner replied",
+            ),
             connections_refused: metrics.counter(
                 "direct_connections_refused",
                 "Connections of callers closed because too many are open",
@@ -264,6 +300,17 @@
         self.observe(kind, route, outcome, took);
     }
 
+    /// Counts the units of a request that was admitted or refused by its team's limit.
+    pub fn count_usage(&self, team: &TeamName, units: u64, is_admitted: bool) {
+        let label = Label::new("team", bounded_label(&self.teams, team.as_str()));
+        let counters = if is_admitted {
+            &self.usage_admitted_units
+        } else {
+            &self.usage_refused_units
+        };
+        counters.get_or_create(&label).inc_by(units);
+    }
+
     /// Counts a relayed stream; `gap_max` is the longest time between two chunks.
     pub fn count_stream(
         &self,
@@ -289,22 +336,12 @@
         self.statuses.get_or_create(&label).inc();
     }
 
-    /// Label of a route; one common label for all routes beyond [`ROUTE_LABELS_MAX_COUNT`].
-    fn route_label(&self, route: &str) -> String {
-        let mut routes = self.routes.lock().unwrap_or_else(PoisonError::into_inner);
-        if routes.len() < ROUTE_LABELS_MAX_COUNT || routes.contains(route) {
-            routes.insert(route.to_string());
-            return route.to_string();
-        }
-        OTHER_ROUTES.to_string()
-    }
-
     #[allow(
         clippy::cast_precision_loss,
         reason = "durations are far below 2^52 us"
     )]
     fn observe(&self, kind: &'static str, route: &str, outcome: &'static str, took: DurationUs) {
-        let route = self.route_label(route);
+        let route = bounded_label(&self.routes, route);
         let labels = RouteLabels {
             kind,
             route,
--- a/crates/places/src/client.rs
+++ b/crates/places/src/client.rs
@@ -7,15 +7,17 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use cuminlead_direct_core::{PermitReply, ReservationReply, ReservationRequest};
+use cuminlead_direct_core::{
+    PermitReply, ReservationReply, ReservationRequest, UsageCharge, UsageReply,
+};
 use cuminlead_quarantine::{CrashReport, QuarantineState, QuarantinedPart};
 use cuminlead_types::{
     BackendServerId, DurationUs, MillirequestsPerSecond, PromptPartId, TimeUs, Tokens, UnixMs,
 };
 use cuminlead_wire::proto::places_client::PlacesClient;
 use cuminlead_wire::proto::{
-    self, CheckEngineRequest, GiveBackRequest, HoldRequest, ReportCrashRequest, ReportSoundRequest,
-    TakePermitsRequest,
+    self, ChargeUsageRequest, CheckEngineRequest, GiveBackRequest, HoldRequest, ReportCrashRequest,
+    ReportSoundRequest, TakePermitsRequest,
 };
 use tokio::time::timeout;
 use tonic::transport::{Channel, Endpoint};
@@ -165,6 +167,35 @@
     })
 }
 
+/// Charges a team at the agent that owns its usage.
+pub async fn charge_usage(
+    mut client: PlacesClient<Channel>,
+    charge: &UsageCharge,
+) -> Result<UsageReply, ReservationError> {
+    let message = ChargeUsageRequest {
+        team: charge.team.to_string(),
+        entry: charge.entry.to_string(),
+        version: charge.version.0,
+        rate_units_per_s: charge.limit.rate_units_per_s,
+        burst_units: charge.limit.burst_units,
+        admitted_units: charge.admitted_units,
+        asked_units: charge.asked_units,
+        known_entries_count: charge.known_entries_count,
+        is_substitute: charge.is_substitute,
+    };
+    let answered = timeout(REPLY_TIMEOUT, client.charge_usage(message)).await;
+    let reply = answered
+        .map_err(|_| ReservationError::NoReply)?
+        .map_err(|_| ReservationError::NoReply)?
+        .into_inner();
+    Ok(UsageReply {
+        is_granted: reply.is_granted,
+        level_units: reply.level_units,
+        retry_after: DurationUs(reply.retry_after_us),
+        entries_count: reply.entries_count,
+    })
+}
+
 /// Asks an agent whether its engine still is the incarnation that started at the given time.
 pub async fn has_engine_ended(
     mut client: PlacesClient<Channel>,
--- a/crates/places/src/rpc.rs
+++ b/crates/places/src/rpc.rs
@@ -2,17 +2,20 @@
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use cuminlead_direct_core::{RateLimiter, ReservationReply, ReservationRequest, ReservationTable};
+use cuminlead_direct_core::{
+    RateLimiter, ReservationReply, ReservationRequest, ReservationTable, UsageCharge, UsageLedger,
+    UsageLimit,
+};
 use cuminlead_kernel::Clock;
 use cuminlead_quarantine::{CrashReport, PromptQuarantine, QuarantineState};
 use cuminlead_types::{
-    DurationUs, MillirequestsPerSecond, PromptPartId, Slots, TimeUs, Tokens, UnixMs,
+    DurationUs, MillirequestsPerSecond, PromptPartId, Revision, Slots, TimeUs, Tokens, UnixMs,
 };
 use cuminlead_wire::proto::places_server::Places;
 use cuminlead_wire::proto::{
-    CheckEngineReply, CheckEngineRequest, GiveBackReply, GiveBackRequest, HoldReply, HoldRequest,
-    QuarantinedPart, ReportCrashReply, ReportCrashRequest, ReportSoundReply, ReportSoundRequest,
-    TakePermitsReply, TakePermitsRequest,
+    ChargeUsageReply, ChargeUsageRequest, CheckEngineReply, CheckEngineRequest, GiveBackReply,
+    GiveBackRequest, HoldReply, HoldRequest, QuarantinedPart, ReportCrashReply, ReportCrashRequest,
+    ReportSoundReply, ReportSoundRequest, TakePermitsReply, TakePermitsRequest,
 };
 use slog::{Logger, info};
 use tonic::{Request, Response, Status};
@@ -48,6 +51,7 @@
     table: SharedReservationTable,
     quarantine: Arc<Mutex<PromptQuarantine>>,
     limiter: Arc<Mutex<RateLimiter>>,
+    usage: Arc<Mutex<UsageLedger>>,
     clock: Clock,
     log: Logger,
     refusals: Arc<Mutex<Refusals>>,
@@ -60,6 +64,7 @@
             table,
             quarantine: Arc::default(),
             limiter: Arc::default(),
+            usage: Arc::default(),
             clock,
             log,
             refusals: Arc::default(),
@@ -262,6 +267,52 @@
         }))
     }
 
+    async fn charge_usage(
+        &self,
+        request: Request<ChargeUsageRequest>,
+    ) -> Result<Response<ChargeUsageReply>, Status> {
+        let message = request.into_inner();
+        let charge = UsageCharge {
+            team: message
+                .team
+                .parse()
+                .map_err(|_| Status::invalid_argument("team"))?,
+            entry: message
+                .entry
+                .parse()
+                .map_err(|_| Status::invalid_argument("entry"))?,
+            version: Revision(message.version),
+            limit: UsageLimit {
+                rate_units_per_s: message.rate_units_per_s,
+                burst_units: message.burst_units,
+                ..UsageLimit::default()
+            },
+            admitted_units: message.admitted_units,
+            asked_units: message.asked_units,
+            known_entries_count: message.known_entries_count,
+            is_substitute: message.is_substitute,
+        };
+        let now = self.clock.monotonic();
+        let usage = &self.usage;
+        // The ledger is consistent after each call, including one that panicked.
+        let reply = usage
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .charge(now, &charge);
+        if !reply.is_granted {
+            info!(self.log, "team has reached its limit"; "team" => %charge.team,
+                "entry" => %charge.entry, "level_units" => reply.level_units,
+                "rate_units_per_s" => charge.limit.rate_units_per_s,
+                "entries" => reply.entries_count, "retry_after_ms" => reply.retry_after.as_ms());
+        }
+        Ok(Response::new(ChargeUsageReply {
+            is_granted: reply.is_granted,
+            level_units: reply.level_units,
+            retry_after_us: reply.retry_after.0,
+            entries_count: reply.entries_count,
+        }))
+    }
+
     async fn report_sound(
         &self,
         request: Request<ReportSoundRequest>,
