--- a/crates/direct-core/src/usage_ledger.rs
+++ b/crates/direct-core/src/usage_ledger.rs
@@ -3,8 +3,8 @@
 //! Designed for teams that send several times their limit through many entries, each of which sees a
 //! part of it. One agent owns the token bucket of a team. Entries charge it in the background while
 //! it is far from empty and ask it first when it is not, so its level may fall below zero for a
-//! moment; the team then waits until what it used beyond its limit is paid back. `docs/design/`
-//! compares this with equal shares, with the exchange of counters and with leases.
+//! moment; the team then waits until what it used beyond its limit is paid back.
+//! `docs/design/usage-limits.md` compares this with equal shares, with the exchange of counters and with leases.
 //!
 //! A new owner does not know what the one before it has granted, so it begins with a part of the
 //! burst. While entries ask different owners, an owner that is not their first choice grants only
