--- a/crates/direct-core/src/usage_ledger.rs
+++ b/crates/direct-core/src/usage_ledger.rs
@@ -25,6 +25,10 @@
 const ENTRY_ACTIVE_TIME: DurationUs = DurationUs::from_ms(4_000);
 /// Time without charges after which a team is forgotten. Its bucket is full by then.
 const IDLE_RETENTION: DurationUs = DurationUs::from_ms(60_000);
+/// Part of a full bucket that is kept for requests that can still meet their latency target, in
+/// percent. A team over its limit would otherwise use it for requests that come back late, while
+/// those that come now are refused and become late themselves.
+const ON_TIME_RESERVE_PERCENT: i128 = 50;
 /// Longest time that a caller is told to wait. Callers wait for a third of their remaining time at
 /// most, and those that do not come back leave their turns to others.
 const TURN_MAX: DurationUs = DurationUs::from_ms(4_000);
@@ -46,6 +50,8 @@
     pub admitted_units: i64,
     /// Units of a request that waits for the reply; 0 if there is none.
     pub asked_units: u64,
+    /// Whether that request misses its latency target in any case.
+    pub is_late: bool,
     /// Number of entries that use the limit, as far as the entry knows; 0 if it does not.
     pub known_entries_count: u32,
     /// Whether the entry asks because earlier owners did not reply.
@@ -97,20 +103,22 @@
         self.level_microunits -= i128::from(units) * MICROUNITS;
     }
 
-    /// Takes the units of a request if anything is left. A request may be larger than the burst, so
-    /// it does not need its full size.
+    /// Takes the units of a request if anything is left for it. A request may be larger than the
+    /// burst, so it does not need its full size.
     pub(crate) fn take(
         &mut self,
         now: TimeUs,
         limit: &UsageLimit,
         units: u64,
+        is_late: bool,
     ) -> Result<(), DurationUs> {
         let rate = i128::from(limit.rate_units_per_s.max(1));
-        if self.level_microunits > 0 {
+        let missing = reserve(limit, is_late) - self.level_microunits;
+        if missing < 0 {
             self.charge(i64::try_from(units).unwrap_or(i64::MAX));
             return Ok(());
         }
-        let until_available = DurationUs(to_u64(-self.level_microunits / rate));
+        let until_available = DurationUs(to_u64(missing / rate));
         let turn = now + until_available.max(self.next_turn_at.since(now));
         let request_time = DurationUs(to_u64(i128::from(units) * US_PER_SECOND / rate));
         self.next_turn_at = turn + request_time;
@@ -133,6 +141,20 @@
     i128::from(rate_units_per_s) * i128::from(time.0)
 }
 
+/// Microunits that a request leaves to others.
+fn reserve(limit: &UsageLimit, is_late: bool) -> i128 {
+    if is_late {
+        capacity(limit) * ON_TIME_RESERVE_PERCENT / 100
+    } else {
+        0
+    }
+}
+
+/// Whether the owner of a bucket with the given level would grant a request.
+pub(crate) fn is_available(level_units: i64, limit: &UsageLimit, is_late: bool) -> bool {
+    i128::from(level_units) * MICROUNITS > reserve(limit, is_late)
+}
+
 fn capacity(limit: &UsageLimit) -> i128 {
     let burst = i128::from(limit.burst_units) * MICROUNITS;
     burst.max(units_in(limit.rate_units_per_s, BURST_TIME_MIN))
@@ -195,7 +217,7 @@
         usage.bucket.charge(charge.admitted_units);
         let taken = match charge.asked_units {
             0 => Ok(()),
-            units => usage.bucket.take(now, &limit, units),
+            units => usage.bucket.take(now, &limit, units, charge.is_late),
         };
         UsageReply {
             is_granted: taken.is_ok(),
--- a/crates/direct-core/src/usage_view.rs
+++ b/crates/direct-core/src/usage_view.rs
@@ -10,8 +10,8 @@
 
 use cuminlead_types::{DurationUs, TeamName, TimeUs};
 
-use crate::teams::{Team, UsageLimit};
-use crate::usage_ledger::{UsageBucket, UsageReply};
+use crate::teams::UsageLimit;
+use crate::usage_ledger::{UsageBucket, UsageReply, is_available};
 
 /// Time for which charges of a team are collected. Within it and a round trip a team that sends 7.5
 /// times its usual uses what its usual takes 1.2 s for.
@@ -66,12 +66,19 @@
     }
 
     /// Decides on a request that uses the given units.
-    pub fn admit(&mut self, now: TimeUs, team: &Team, units: u64) -> UsageDecision {
-        let view = self.team(now, &team.name);
+    pub fn admit(
+        &mut self,
+        now: TimeUs,
+        team: &TeamName,
+        limit: &UsageLimit,
+        units: u64,
+        is_late: bool,
+    ) -> UsageDecision {
+        let view = self.team(now, team);
         let is_recent = view
             .told_at
             .is_some_and(|told_at| now.since(told_at) < LEVEL_MAX_AGE);
-        if !is_recent || view.level_units <= 0 {
+        if !is_recent || !is_available(view.level_units, limit, is_late) {
             return UsageDecision::AskOwner;
         }
         UsageDecision::Admitted {
@@ -135,6 +142,7 @@
         team: &TeamName,
         limit: &UsageLimit,
         units: u64,
+        is_late: bool,
         servers_count: usize,
     ) -> Result<(), DurationUs> {
         let entries_count = u64::from(self.entries_count(now, team, servers_count));
@@ -148,7 +156,7 @@
             .share
             .get_or_insert_with(|| UsageBucket::new(now, &share));
         bucket.refill(now, &share);
-        bucket.take(now, &share, units)
+        bucket.take(now, &share, units, is_late)
     }
 }
 
--- a/crates/direct-core/tests/usage_support/mod.rs
+++ b/crates/direct-core/tests/usage_support/mod.rs
@@ -1,5 +1,12 @@
 //! Load of one team on virtual time, and the ways to hold it to its limit.
 
+#![allow(
+    clippy::cast_possible_truncation,
+    clippy::cast_precision_loss,
+    clippy::cast_sign_loss,
+    reason = "all numbers are far below 2^31"
+)]
+
 use std::collections::VecDeque;
 use std::fmt;
 
@@ -52,6 +59,7 @@
         limit,
         admitted_units,
         asked_units,
+        is_late: false,
         known_entries_count: 0,
         is_substitute: false,
     }
@@ -306,7 +314,7 @@
         let count = self.buckets.len();
         for (entry, bucket) in self.buckets.iter_mut().enumerate() {
             bucket.refill(STEP, moments(entry).limit);
-            if (self.ms + entry as u64 * 15) % 500 == 0 {
+            if (self.ms + entry as u64 * 15).is_multiple_of(500) {
                 let units = std::mem::take(&mut self.untold[entry]);
                 self.in_flight
                     .push_back((self.ms + ONE_WAY_MS, entry, units));
@@ -425,7 +433,7 @@
 
     fn admit(&mut self, moment: &Moment, entry: usize, units: u64) -> bool {
         let north = team("north");
-        match self.views[entry].admit(moment.now, &north, units) {
+        match self.views[entry].admit(moment.now, &north.name, &moment.limit, units, false) {
             UsageDecision::Admitted { starts_charge } => {
                 if starts_charge {
                     let interval = cuminlead_direct_core::usage_view::CHARGE_INTERVAL;
@@ -438,7 +446,7 @@
                 let servers_count = self.views.len() * 2;
                 let view = &mut self.views[entry];
                 let (now, limit) = (moment.now, &moment.limit);
-                view.admit_by_share(now, &north.name, limit, units, servers_count)
+                view.admit_by_share(now, &north.name, limit, units, false, servers_count)
                     .is_ok()
             }),
         }
--- a/crates/direct/src/serve.rs
+++ b/crates/direct/src/serve.rs
@@ -267,7 +267,8 @@
     let Some(team) = &exchange.team else {
         return Ok(None);
     };
-    let admitted = team_usage::admit(app, team, version, exchange.request.stated_tokens).await;
+    let (tokens, is_late) = (exchange.request.stated_tokens, exchange.is_caller_retry);
+    let admitted = team_usage::admit(app, team, version, tokens, is_late).await;
     admitted.map_err(|retry_after| {
         let refusal = Refusal {
             is_not_run: true,
--- a/crates/direct/src/team_usage.rs
+++ b/crates/direct/src/team_usage.rs
@@ -42,6 +42,7 @@
     team: &Team,
     version: Revision,
     stated_tokens: Option<Tokens>,
+    is_late: bool,
 ) -> Result<Option<UsedUnits>, DurationUs> {
     let Some(limit) = team.limit else {
         return Ok(None);
@@ -52,7 +53,10 @@
         limit,
         version,
     };
-    let decision = app.usage.borrow_mut().admit(app.now(), team, units);
+    let decision = app
+        .usage
+        .borrow_mut()
+        .admit(app.now(), &team.name, &limit, units, is_late);
     let admitted = match decision {
         UsageDecision::Admitted { starts_charge } => {
             if starts_charge {
@@ -60,7 +64,7 @@
             }
             Ok(())
         }
-        UsageDecision::AskOwner => ask(app, &charge, units).await,
+        UsageDecision::AskOwner => ask(app, &charge, units, is_late).await,
     };
     app.metrics.count_usage(&team.name, units, admitted.is_ok());
     admitted?;
@@ -79,8 +83,13 @@
     }
 }
 
-async fn ask(app: &Rc<App>, charge: &ChargeContext, units: u64) -> Result<(), DurationUs> {
-    let reply = send_charges(app, charge, units).await;
+async fn ask(
+    app: &Rc<App>,
+    charge: &ChargeContext,
+    units: u64,
+    is_late: bool,
+) -> Result<(), DurationUs> {
+    let reply = send_charges(app, charge, units, is_late).await;
     if let Some(reply) = reply {
         return if reply.is_granted {
             Ok(())
@@ -91,14 +100,14 @@
     let servers_count = app.serving.borrow().servers.iter().count();
     let (now, ChargeContext { team, limit, .. }) = (app.now(), charge);
     let mut usage = app.usage.borrow_mut();
-    usage.admit_by_share(now, team, limit, units, servers_count)
+    usage.admit_by_share(now, team, limit, units, is_late, servers_count)
 }
 
 fn charge_later(app: &Rc<App>, charge: ChargeContext) {
     let app = Rc::clone(app);
     tokio::task::spawn_local(async move {
         sleep(CHARGE_INTERVAL.into()).await;
-        send_charges(&app, &charge, 0).await;
+        send_charges(&app, &charge, 0, false).await;
     });
 }
 
@@ -108,6 +117,7 @@
     app: &Rc<App>,
     context: &ChargeContext,
     asked_units: u64,
+    is_late: bool,
 ) -> Option<UsageReply> {
     let (now, team) = (app.now(), &context.team);
     let admitted_units = app.usage.borrow_mut().take_uncharged(now, team);
@@ -131,6 +141,7 @@
             limit: context.limit,
             admitted_units,
             asked_units,
+            is_late,
             known_entries_count,
             is_substitute: rank > 0,
         };
--- a/crates/places/src/client.rs
+++ b/crates/places/src/client.rs
@@ -180,6 +180,7 @@
         burst_units: charge.limit.burst_units,
         admitted_units: charge.admitted_units,
         asked_units: charge.asked_units,
+        is_late: charge.is_late,
         known_entries_count: charge.known_entries_count,
         is_substitute: charge.is_substitute,
     };
--- a/crates/places/src/rpc.rs
+++ b/crates/places/src/rpc.rs
@@ -289,6 +289,7 @@
             },
             admitted_units: message.admitted_units,
             asked_units: message.asked_units,
+            is_late: message.is_late,
             known_entries_count: message.known_entries_count,
             is_substitute: message.is_substitute,
         };
