Let late requests wait while a plain service is overloaded

Change: `direct_core::overload`; with late_wait_max_ms above 0 a late request waits while servers reject requests that are on time.

--- a/crates/direct-core/src/call.rs
+++ b/crates/direct-core/src/call.rs
@@ -13,6 +13,7 @@
 use crate::action::{Action, CacheRef, CallSpec, Refusal, RefusalReason, Reservation};
 use crate::operator_config::RequestKind;
 use crate::outcome::{StepOutcome, proves_not_run, record_outcome, retry_evidence};
+use crate::overload::{LateRequest, WAIT_INTERVAL};
 use crate::placement::{PlacementError, PlacementRequest, choose, has_server, retry_after};
 use crate::preparation::{Prompt, SlotState};
 use crate::server::Stage;
@@ -141,6 +142,10 @@
             return self.finish(RefusalReason::Quarantined, quarantined.remaining);
         }
         self.prompt.discard_unusable_cache(now, &serving.servers);
+        if self.must_wait_for_others(now, serving) {
+            self.waits_count += 1;
+            return Action::Wait(WAIT_INTERVAL);
+        }
         let server = match self.choose_server(now, serving) {
             Ok(server) => server,
             // A slot becomes free sooner than a failing server recovers.
@@ -210,6 +215,22 @@
         chosen
     }
 
+    /// Whether a late request for a plain service leaves its servers to requests that are on time.
+    fn must_wait_for_others(&self, now: TimeUs, serving: &ServingState) -> bool {
+        let late = LateRequest {
+            arrived_at: self.spec.arrived_at,
+            deadline: self.spec.deadline,
+            latency_target: self.spec.latency_target,
+        };
+        let may_wait =
+            self.spec.is_caller_retry && self.spec.model.is_none() && self.sends_count == 0;
+        let wait_max = serving.config.late_wait_max;
+        may_wait
+            && serving
+                .overloaded
+                .must_wait(now, &self.spec.service, late, wait_max)
+    }
+
     /// Whether a server of the region has had no free slot since the last pause.
     fn has_full_server_in(&self, serving: &ServingState, region: Option<&RegionName>) -> bool {
         self.full_servers.iter().any(|key| {
@@ -510,6 +531,9 @@
         }
         if outcome == StepOutcome::Rejected {
             self.rejections_count += 1;
+            if self.spec.model.is_none() && !self.spec.is_caller_retry {
+                serving.overloaded.record_rejection(now, &self.spec.service);
+            }
         }
         self.prompt.restore_cache(outcome);
         self.has_failure_response |= outcome == StepOutcome::Failed;
--- a/crates/direct-core/src/serving.rs
+++ b/crates/direct-core/src/serving.rs
@@ -12,6 +12,7 @@
 use rand::rngs::SmallRng;
 
 use crate::operator_config::{OperatorConfig, Route};
+use crate::overload::OverloadedServices;
 use crate::placement::{ClientLocality, Distance, distance};
 use crate::registry::RegistryUpdate;
 use crate::servers::{
@@ -36,6 +37,8 @@
     pub requests_per_retry: u32,
     /// Retries that all processes together may make beyond that in the window of the budget.
     pub retries_extra_count: u32,
+    /// Longest time that a late request waits while a plain service is overloaded.
+    pub late_wait_max: DurationUs,
     /// Seed of random choices.
     pub seed: u64,
 }
@@ -72,6 +75,8 @@
     activated_at: TimeUs,
     /// All backend servers.
     pub servers: ServerTable,
+    /// Plain services that are overloaded, as far as this process sees.
+    pub overloaded: OverloadedServices,
     /// Prompt parts that crash engines, as far as this process knows.
     pub quarantine: PromptQuarantine,
     /// Crash reports that this process may send to agents.
@@ -92,6 +97,7 @@
             operator_config: None,
             activated_at: TimeUs::ZERO,
             servers: ServerTable::default(),
+            overloaded: OverloadedServices::default(),
             quarantine: PromptQuarantine::default(),
             crash_reports: ReportBudget::default(),
             budgets: HashMap::new(),
--- a/crates/direct-core/tests/support/mod.rs
+++ b/crates/direct-core/tests/support/mod.rs
@@ -67,6 +67,7 @@
         regions,
         requests_per_retry: 6,
         retries_extra_count: 54,
+        late_wait_max: DurationUs::ZERO,
         seed: 7,
     });
     serving.apply(
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -155,6 +155,7 @@
         regions,
         requests_per_retry: REQUESTS_PER_RETRY,
         retries_extra_count: settings.retries_extra_count().0,
+        late_wait_max: DurationUs::from_ms(settings.late_wait_max_ms().0),
         seed: rand::random(),
     }
 }
--- a/crates/settings/src/entry.rs
+++ b/crates/settings/src/entry.rs
@@ -71,6 +71,10 @@
         /// Retries in 10 s, in addition to a fifth of the requests, that all entries together may
         /// make for each service when backend servers are called directly.
         retries_extra_count: Count = Default("54") in 0..=1000000;
+        /// Longest time that a request that has missed its latency target waits while the servers of
+        /// its plain service reject requests that have not, when backend servers are called directly.
+        /// At 0, it is sent at once.
+        late_wait_max_ms: DurationMs = Default("0") in 0..=100000;
         /// Largest number of open connections of callers when backend servers are called directly.
         /// Each connection uses a file descriptor, and each in-flight request uses another.
         connections_max_count: Count = Default("2500") in 1..=65536;
