Revert the decisions for overloaded plain services

A retry is recognized by its remaining time, which after 500 ms of 4 s it mostly is not, so few requests wait.

--- a/crates/direct-core/src/action.rs
+++ b/crates/direct-core/src/action.rs
@@ -132,8 +132,6 @@
     Rejected,
     /// A part of the prompt is in quarantine because it crashes engines.
     Quarantined,
-    /// The plain service gets more requests than it can run in time.
-    Overloaded,
     /// The caller's team has reached its usage limit.
     UsageLimit,
     /// No memory is left for the body of the request.
--- a/crates/direct-core/src/call.rs
+++ b/crates/direct-core/src/call.rs
@@ -13,7 +13,6 @@
 use crate::action::{Action, CacheRef, CallSpec, Refusal, RefusalReason, Reservation};
 use crate::operator_config::RequestKind;
 use crate::outcome::{StepOutcome, proves_not_run, record_outcome, retry_evidence};
-use crate::overload::{OverloadDecision, PlainRequest, WAIT_INTERVAL};
 use crate::placement::{PlacementError, PlacementRequest, choose, has_server, retry_after};
 use crate::preparation::{Prompt, SlotState};
 use crate::server::Stage;
@@ -69,8 +68,6 @@
     /// Whether a server has responded with a failure that can be forwarded.
     has_failure_response: bool,
     final_action: Option<Action>,
-    /// When the last run was sent.
-    run_sent_at: Option<TimeUs>,
 }
 
 impl Call {
@@ -101,7 +98,6 @@
             chosen_server: None,
             has_failure_response: false,
             final_action: None,
-            run_sent_at: None,
         }
     }
 
@@ -145,9 +141,6 @@
             return self.finish(RefusalReason::Quarantined, quarantined.remaining);
         }
         self.prompt.discard_unusable_cache(now, &serving.servers);
-        if let Some(action) = self.hold_back_in_overload(now, serving) {
-            return action;
-        }
         let server = match self.choose_server(now, serving) {
             Ok(server) => server,
             // A slot becomes free sooner than a failing server recovers.
@@ -217,34 +210,6 @@
         chosen
     }
 
-    /// Action for a plain request that is not sent now because its service is overloaded.
-    fn hold_back_in_overload(&mut self, now: TimeUs, serving: &mut ServingState) -> Option<Action> {
-        if self.spec.model.is_some() || self.sends_count > 0 {
-            return None;
-        }
-        let request = PlainRequest {
-            arrived_at: self.spec.arrived_at,
-            deadline: self.spec.deadline,
-            latency_target: self.spec.latency_target,
-            is_late: self.spec.is_caller_retry,
-        };
-        let (service, config) = (&self.spec.service, serving.config.overload);
-        let decision = serving
-            .loads
-            .decide(now, service, request, config, &mut serving.rng);
-        match decision {
-            OverloadDecision::Send => None,
-            OverloadDecision::Wait => {
-                self.waits_count += 1;
-                Some(Action::Wait(WAIT_INTERVAL))
-            }
-            OverloadDecision::Refuse => {
-                let retry_after = spread(self.spec.latency_target, &mut serving.rng);
-                Some(self.finish(RefusalReason::Overloaded, retry_after))
-            }
-        }
-    }
-
     /// Whether a server of the region has had no free slot since the last pause.
     fn has_full_server_in(&self, serving: &ServingState, region: Option<&RegionName>) -> bool {
         self.full_servers.iter().any(|key| {
@@ -436,7 +401,6 @@
             return self.finish(RefusalReason::RetryBudget, DurationUs::from_ms(1_000));
         }
         self.sends_count += 1;
-        self.run_sent_at = Some(now);
         let cache = self.prompt.take_cache();
         let reservation = self.slot.take_reservation();
         Action::Run {
@@ -509,12 +473,6 @@
         if let Some(server) = serving.servers.get_mut(server) {
             server.health.record_success(now);
         }
-        if let (None, Some(sent_at)) = (self.spec.model, self.run_sent_at) {
-            let latency = now.since(sent_at);
-            serving
-                .loads
-                .record_response(now, &self.spec.service, latency);
-        }
         self.runs_count += 1;
     }
 
@@ -552,11 +510,6 @@
         }
         if outcome == StepOutcome::Rejected {
             self.rejections_count += 1;
-            if self.spec.model.is_none() && !self.spec.is_caller_retry {
-                let target = self.spec.latency_target;
-                let service = &self.spec.service;
-                serving.loads.record_rejection(now, service, target);
-            }
         }
         self.prompt.restore_cache(outcome);
         self.has_failure_response |= outcome == StepOutcome::Failed;
--- a/crates/direct-core/src/lib.rs
+++ b/crates/direct-core/src/lib.rs
@@ -10,7 +10,6 @@
 //! | [`servers`] | table of all backend servers |
 //! | [`health`] | locally observed failures, and the pause that follows them |
 //! | [`placement`] | choice of the server for a request |
-//! | [`overload`] | late requests that wait while a plain service is overloaded |
 //! | [`reservation`] | reservations of decode slots on one engine, by a forecast of its memory |
 //! | [`fair_share`] | order in which requests get the slots of an engine that has too few |
 //! | [`output_length`] | expected length of outputs |
@@ -36,7 +35,6 @@
 pub mod operator_config;
 pub mod outcome;
 pub mod output_length;
-pub mod overload;
 pub mod placement;
 mod preparation;
 pub mod rate_limit;
--- a/crates/direct-core/src/serving.rs
+++ b/crates/direct-core/src/serving.rs
@@ -12,7 +12,6 @@
 use rand::rngs::SmallRng;
 
 use crate::operator_config::{OperatorConfig, Route};
-use crate::overload::{OverloadConfig, ServiceLoads};
 use crate::placement::{ClientLocality, Distance, distance};
 use crate::registry::RegistryUpdate;
 use crate::servers::{
@@ -37,8 +36,6 @@
     pub requests_per_retry: u32,
     /// Retries that all processes together may make beyond that in the window of the budget.
     pub retries_extra_count: u32,
-    /// Decisions while a plain service is overloaded.
-    pub overload: OverloadConfig,
     /// Seed of random choices.
     pub seed: u64,
 }
@@ -75,8 +72,6 @@
     activated_at: TimeUs,
     /// All backend servers.
     pub servers: ServerTable,
-    /// Load of plain services, as far as this process sees.
-    pub loads: ServiceLoads,
     /// Prompt parts that crash engines, as far as this process knows.
     pub quarantine: PromptQuarantine,
     /// Crash reports that this process may send to agents.
@@ -97,7 +92,6 @@
             operator_config: None,
             activated_at: TimeUs::ZERO,
             servers: ServerTable::default(),
-            loads: ServiceLoads::default(),
             quarantine: PromptQuarantine::default(),
             crash_reports: ReportBudget::default(),
             budgets: HashMap::new(),
--- a/crates/direct-core/tests/support/mod.rs
+++ b/crates/direct-core/tests/support/mod.rs
@@ -10,7 +10,6 @@
 use std::sync::Arc;
 
 use cuminlead_direct_core::operator_config::EngineSpec;
-use cuminlead_direct_core::overload::OverloadConfig;
 use cuminlead_direct_core::placement::ClientLocality;
 use cuminlead_direct_core::serving::ServingConfig;
 use cuminlead_direct_core::{
@@ -68,7 +67,6 @@
         regions,
         requests_per_retry: 6,
         retries_extra_count: 54,
-        overload: OverloadConfig::default(),
         seed: 7,
     });
     serving.apply(
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -13,7 +13,6 @@
 use std::time::Duration;
 
 use cuminlead_direct_core::ServingState;
-use cuminlead_direct_core::overload::OverloadConfig;
 use cuminlead_direct_core::placement::ClientLocality;
 use cuminlead_direct_core::registry::RegistryUpdate;
 use cuminlead_direct_core::serving::ServingConfig;
@@ -156,10 +155,6 @@
         regions,
         requests_per_retry: REQUESTS_PER_RETRY,
         retries_extra_count: settings.retries_extra_count().0,
-        overload: OverloadConfig {
-            shed_at_percent: settings.shed_at_percent().0,
-            late_wait_max: DurationUs::from_ms(settings.late_wait_max_ms().0),
-        },
         seed: rand::random(),
     }
 }
--- a/crates/settings/src/entry.rs
+++ b/crates/settings/src/entry.rs
@@ -71,13 +71,6 @@
         /// Retries in 10 s, in addition to a fifth of the requests, that all entries together may
         /// make for each service when backend servers are called directly.
         retries_extra_count: Count = Default("54") in 0..=1000000;
-        /// Share of the latency target, in percent, at which the latency of a plain service is so high
-        /// that some of its requests are refused, when backend servers are called directly. At 0, none
-        /// are refused for this reason.
-        shed_at_percent: Count = Default("0") in 0..=100;
-        /// Longest time that a request that has missed its latency target waits while its plain
-        /// service is overloaded, when backend servers are called directly. At 0, it is sent at once.
-        late_wait_max_ms: DurationMs = Default("0") in 0..=100000;
         /// Largest number of open connections of callers when backend servers are called directly.
         /// Each connection uses a file descriptor, and each in-flight request uses another.
         connections_max_count: Count = Default("2500") in 1..=65536;
