Place requests by expected completion time, behind a setting

Cause: placement adds fixed costs that were measured with other engines. A prompt of 11,000 tokens counts as one of 200, a slow server as a fast one, and all entries that see the same idle server send to it.

Change: the policies are behind the trait PlacementPolicy. `placement = "fixed"` (default) decides as before, with the same use of the random generator. `expected` learns prefill rates, service times by route and server, and failures from complete responses, counts the work of this entry in progress at each server in ms, and draws among servers of nearly equal expected completion time. Metrics and log lines show what was learned.

--- a/crates/direct-core/src/action.rs
+++ b/crates/direct-core/src/action.rs
@@ -4,6 +4,8 @@
 use strum::{Display, EnumIter, IntoStaticStr};
 
 use crate::operator_config::RequestKind;
+use crate::placement::{Demand, RouteId, Work};
+use crate::server::Stage;
 use crate::servers::ServerKey;
 
 /// Requirements of a request, fixed at its arrival.
@@ -11,6 +13,8 @@
 pub struct CallSpec {
     /// Service that it is for.
     pub service: ServiceName,
+    /// Kind of request by which service times are learned.
+    pub route: RouteId,
     /// How it is answered, and whether it may run again.
     pub kind: RequestKind,
     /// Requirements of a model call; `None` for plain services.
@@ -29,6 +33,33 @@
     pub is_caller_retry: bool,
 }
 
+impl CallSpec {
+    /// What the request is likely to cost a server.
+    pub fn demand(&self) -> Demand {
+        let model = self.model.unwrap_or_default();
+        Demand {
+            route: self.route,
+            prompt_tokens: model.prompt_tokens,
+            output_tokens: model.answer_tokens,
+            is_repeatable: matches!(
+                self.kind,
+                RequestKind::Idempotent | RequestKind::Stream { resumable: true }
+            ),
+        }
+    }
+
+    /// Work of a prefill.
+    pub fn prefill_work(&self) -> Work {
+        self.demand().work(Some(Stage::Prefill), true)
+    }
+
+    /// Work of a run, with or without a KV cache to import.
+    pub fn run_work(&self, has_cache: bool) -> Work {
+        let stage = self.model.map(|_| Stage::Decode);
+        self.demand().work(stage, !has_cache)
+    }
+}
+
 /// What a model call requires of engines.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ModelRequirements {
--- a/crates/direct-core/src/call.rs
+++ b/crates/direct-core/src/call.rs
@@ -11,7 +11,7 @@
 use crate::action::{Action, CacheRef, CallSpec, Refusal, RefusalReason, Reservation};
 use crate::operator_config::RequestKind;
 use crate::outcome::{StepOutcome, proves_not_run, record_outcome, retry_evidence};
-use crate::placement::{PlacementError, PlacementRequest, choose, has_server, retry_after};
+use crate::placement::{PlacementError, PlacementRequest, has_server, retry_after};
 use crate::preparation::{Prompt, SlotState};
 use crate::server::Stage;
 use crate::servers::ServerKey;
@@ -192,8 +192,12 @@
             client_locality: &serving.config.locality,
             region: region.as_ref(),
             excluded: &unusable,
+            demand: self.spec.demand(),
         };
-        let mut chosen = choose(now, &serving.servers, placement, &mut serving.rng);
+        let mut chosen =
+            serving
+                .placement
+                .choose(now, &serving.servers, placement, &mut serving.rng);
         if chosen.is_err() && region.is_some() {
             if self.has_full_server_in(serving, region.as_ref()) {
                 // A slot becomes free there while the cache is retained.
@@ -202,7 +206,9 @@
             // A cache does not cross regions, so it is discarded.
             self.prompt.skip_prefill();
             placement.region = None;
-            chosen = choose(now, &serving.servers, placement, &mut serving.rng);
+            chosen = serving
+                .placement
+                .choose(now, &serving.servers, placement, &mut serving.rng);
         }
         self.chosen_server = chosen.ok();
         chosen
@@ -245,6 +251,7 @@
             client_locality: &serving.config.locality,
             region: server.region.as_ref(),
             excluded: &self.prompt.excluded,
+            demand: self.spec.demand(),
         };
         self.prompt.allows_prefill()
             && is_in_budget
@@ -362,8 +369,12 @@
             client_locality: &serving.config.locality,
             region: Some(&region),
             excluded: &self.prompt.excluded,
+            demand: self.spec.demand(),
         };
-        let server = choose(now, &serving.servers, placement, &mut serving.rng).ok()?;
+        let server = serving
+            .placement
+            .choose(now, &serving.servers, placement, &mut serving.rng)
+            .ok()?;
         self.prompt.count_prefill_attempt();
         Some(Action::Prefill {
             server,
--- a/crates/direct-core/src/lib.rs
+++ b/crates/direct-core/src/lib.rs
@@ -58,6 +58,7 @@
     ServiceSpec, WeightedService,
 };
 pub use outcome::StepOutcome;
+pub use placement::{Demand, ExpectedCost, FixedCost, PlacementPolicy, RouteId, Work, WorkId};
 pub use rate_limit::{PermitReply, RateLimiter};
 pub use registry::{Published, Query, Registry, RegistryError, RegistryUpdate, RegistryWatcher};
 pub use reservation::{
--- a/crates/direct-core/src/outcome.rs
+++ b/crates/direct-core/src/outcome.rs
@@ -46,6 +46,8 @@
         serving.servers.drop_server(key);
         return;
     }
+    let policy = &mut serving.placement;
+    policy.record_failure(now, &serving.servers, key, outcome);
     let Some(server) = serving.servers.get_mut(key) else {
         return;
     };
--- a/crates/direct-core/src/placement.rs
+++ b/crates/direct-core/src/placement.rs
@@ -1,18 +1,26 @@
 //! Choice of the server for a request.
 //!
-//! Designed for engines and services below half of their capacity, with short bursts, and for
-//! servers that fail. The cost of a server is the time that the request is expected to spend there
-//! beyond its own work: the network round trip, the delay by this process's in-flight requests at
-//! the server, and the time lost if the server fails. Load reports are not read: they lag by a
-//! second, whereas in-flight requests are known at once and decrease together with a burst.
+//! A [`PlacementPolicy`] chooses among the servers that may get the request. [`fixed`] adds fixed
+//! costs for what the process knows of a server; [`expected`] estimates when the request would be
+//! complete there, from what earlier requests took.
 
-use std::cmp::Ordering;
-use std::collections::HashMap;
+pub mod estimates;
+pub mod expected;
+pub mod fixed;
+pub mod work;
 
-use cuminlead_types::{AvailabilityZoneName, DurationUs, RegionName, ServiceName, TimeUs};
-use rand::{Rng, RngExt};
+use std::fmt;
+
+use cuminlead_types::{
+    AvailabilityZoneName, BackendServerId, DurationUs, RegionName, ServiceName, TimeUs,
+};
+use rand::Rng;
 use strum::{Display, EnumIter, IntoStaticStr};
 
+pub use self::expected::ExpectedCost;
+pub use self::fixed::{FixedCost, choose};
+pub use self::work::{Demand, RouteId, Work, WorkId};
+use crate::outcome::StepOutcome;
 use crate::server::Stage;
 use crate::servers::{Server, ServerKey, ServerLifecycle, ServerTable};
 
@@ -23,30 +31,6 @@
 /// Network round trip to a server in another region, with the transfer time of the request's bytes
 /// on the shared link.
 const OTHER_REGION_ROUND_TRIP_MS: f64 = 42.0;
-/// Time lost by a request that a server fails: the retry and the time until the failure is
-/// detected.
-const FAILURE_COST_MS: f64 = 400.0;
-/// Delay by one in-flight plain request at a server.
-const PLAIN_REQUEST_COST_MS: f64 = 12.0;
-/// Delay by one prompt that is being computed: 5,200 tokens at 55 tokens per ms.
-const PREFILL_COST_MS: f64 = 95.0;
-/// Delay by one output that is being generated, from the longer steps of a fuller batch.
-const DECODE_COST_MS: f64 = 12.0;
-/// Cost of a server that recently had no free slot; it is tried after the others.
-const FULL_COST_MS: f64 = 100.0;
-/// Time for which a server without a free slot is tried last.
-const FULL_COST_PERIOD: DurationUs = DurationUs::from_ms(300);
-/// Cost of an engine whose memory is full according to the forecast; lower use costs proportionally
-/// less.
-const MEMORY_COST_MS: f64 = 60.0;
-/// Age at which a report of free memory is stale, because outputs have begun and ended.
-const MEMORY_REPORT_MAX_AGE: DurationUs = DurationUs::from_ms(1_500);
-/// Cost of a region without a usable prefill server: a decode engine computes the prompt at half
-/// the speed and delays the outputs that it generates.
-const NO_PREFILL_COST_MS: f64 = 250.0;
-/// Costs closer than this count as equal, so that work is spread.
-const COST_TIE_MS: f64 = 0.5;
-
 /// Region and availability zone that a request's bytes come from.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ClientLocality {
@@ -69,6 +53,8 @@
     pub region: Option<&'a RegionName>,
     /// Servers that have rejected or failed this request.
     pub excluded: &'a [ServerKey],
+    /// What the request is likely to cost a server.
+    pub demand: Demand,
 }
 
 /// Why no server was chosen.
@@ -83,22 +69,50 @@
     None,
 }
 
-/// Chooses the server with the lowest cost, and one at random among equals. Fallback servers are
-/// used only if no ready server can be chosen.
-pub fn choose(
-    now: TimeUs,
-    servers: &ServerTable,
-    request: PlacementRequest<'_>,
-    rng: &mut dyn Rng,
-) -> Result<ServerKey, PlacementError> {
-    let is_fallback_now = |server: &Server| is_fallback(now, server);
-    let ready = cheapest(now, servers, request, rng, is_ready);
-    match ready {
-        Ok(key) => Ok(key),
-        Err(error) => cheapest(now, servers, request, rng, is_fallback_now).map_err(|_| error),
+/// Chooses servers, and may learn from the requests that this process sends.
+pub trait PlacementPolicy: fmt::Debug {
+    /// Chooses a server. Fallback servers are used only if no ready server can be chosen.
+    fn choose(
+        &self,
+        now: TimeUs,
+        servers: &ServerTable,
+        request: PlacementRequest<'_>,
+        rng: &mut dyn Rng,
+    ) -> Result<ServerKey, PlacementError>;
+
+    /// Records that work was sent to a server.
+    fn begin(&mut self, _: TimeUs, _: &ServerTable, _: ServerKey, _: Work) -> WorkId {
+        WorkId::default()
+    }
+
+    /// Records that work at a server has ended. `took` is the time until its response, or until the
+    /// first event of a stream; `None` if the response is incomplete or reports a failure.
+    fn end(&mut self, _: TimeUs, _: ServerKey, _: WorkId, _took: Option<DurationUs>) {}
+
+    /// Records that a step failed at a server.
+    fn record_failure(&mut self, _: TimeUs, _: &ServerTable, _: ServerKey, _: StepOutcome) {}
+
+    /// What the policy has learned about servers, for metrics and logs.
+    fn learned(&self, _: TimeUs, _: &ServerTable) -> Vec<LearnedServer> {
+        Vec::new()
     }
 }
 
+/// What a policy has learned about one server.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LearnedServer {
+    /// Server that the estimates are for.
+    pub server: BackendServerId,
+    /// Rate at which it computes prompts, in tokens per ms; `None` if it has computed none.
+    pub prefill_tokens_per_ms: Option<f64>,
+    /// Its time for a response relative to that of all servers; `None` if it has sent none.
+    pub slowness: Option<f64>,
+    /// Share of recent steps that failed.
+    pub failure_rate: f64,
+    /// Time that the work of this process at the server still takes, in ms.
+    pub work_in_progress_ms: f64,
+}
+
 /// Whether [`choose`] would find a server.
 pub fn has_server(now: TimeUs, servers: &ServerTable, request: PlacementRequest<'_>) -> bool {
     let mut of_service = servers.of_service(request.service);
@@ -122,90 +136,48 @@
     }
 }
 
-fn cheapest(
+/// Servers that may get a request now.
+struct Usable<'a> {
+    servers: Vec<(ServerKey, &'a Server)>,
+    /// When the first of those that may not gets its next request, and whether a limit holds it
+    /// back.
+    first_usable: Option<(TimeUs, bool)>,
+}
+
+impl Usable<'_> {
+    /// Why no server can be chosen, if there is none.
+    fn error(&self) -> PlacementError {
+        match self.first_usable {
+            Some((until, true)) => PlacementError::LimitedUntil(until),
+            Some((until, false)) => PlacementError::PausedUntil(until),
+            None => PlacementError::None,
+        }
+    }
+}
+
+fn usable<'a>(
     now: TimeUs,
-    servers: &ServerTable,
+    servers: &'a ServerTable,
     request: PlacementRequest<'_>,
-    rng: &mut dyn Rng,
     is_allowed: impl Fn(&Server) -> bool,
-) -> Result<ServerKey, PlacementError> {
-    let mut best: Option<(f64, ServerKey)> = None;
-    let mut ties = 1_u32;
-    let mut first_usable: Option<(TimeUs, bool)> = None;
-    let prefill_costs = prefill_costs(now, servers, request);
+) -> Usable<'a> {
+    let mut usable = Usable {
+        servers: Vec::new(),
+        first_usable: None,
+    };
     for (key, server) in servers.of_service(request.service) {
         if !is_allowed(server) || !is_eligible(server, request) || request.excluded.contains(&key) {
             continue;
         }
         if let Some(until) = server.held_back_until(now) {
-            let is_limited = until == server.limited_until;
-            let usable = (until, is_limited);
-            first_usable = Some(first_usable.map_or(usable, |first| first.min(usable)));
+            let held_back = (until, until == server.limited_until);
+            let first = usable.first_usable;
+            usable.first_usable = Some(first.map_or(held_back, |first| first.min(held_back)));
             continue;
         }
-        let cost = cost_ms(now, server, request) + prefill_cost_ms(&prefill_costs, server);
-        let order = best.map_or(Ordering::Less, |(least, _)| compare(cost, least));
-        match order {
-            Ordering::Less => {
-                best = Some((cost, key));
-                ties = 1;
-            }
-            Ordering::Equal => {
-                ties += 1;
-                if rng.random_range(0..ties) == 0 {
-                    best = Some((cost, key));
-                }
-            }
-            Ordering::Greater => {}
-        }
-    }
-    match (best, first_usable) {
-        (Some((_, key)), _) => Ok(key),
-        (None, Some((until, true))) => Err(PlacementError::LimitedUntil(until)),
-        (None, Some((until, false))) => Err(PlacementError::PausedUntil(until)),
-        (None, None) => Err(PlacementError::None),
+        usable.servers.push((key, server));
     }
-}
-
-/// Lowest cost of a prefill in each region, for requests that need a decode server; `None` for
-/// others. A KV cache does not cross regions, so the choice of the decode server determines where
-/// the prompt is computed.
-fn prefill_costs(
-    now: TimeUs,
-    servers: &ServerTable,
-    request: PlacementRequest<'_>,
-) -> Option<HashMap<RegionName, f64>> {
-    if request.stage != Some(Stage::Decode) {
-        return None;
-    }
-    let prefill = PlacementRequest {
-        stage: Some(Stage::Prefill),
-        region: None,
-        excluded: &[],
-        ..request
-    };
-    let mut costs = HashMap::new();
-    for (_, server) in servers.of_service(request.service) {
-        let is_usable =
-            server.lifecycle == ServerLifecycle::Ready && server.held_back_until(now).is_none();
-        let Some(region) = server.region.as_ref().filter(|_| is_usable) else {
-            continue;
-        };
-        if is_eligible(server, prefill) {
-            // The round trip is counted with the decode server, which is in the same region.
-            let cost =
-                cost_ms(now, server, prefill) - round_trip_ms(server, request.client_locality);
-            let least = costs.entry(region.clone()).or_insert(cost);
-            *least = cost.min(*least);
-        }
-    }
-    Some(costs)
-}
-
-fn prefill_cost_ms(costs: &Option<HashMap<RegionName, f64>>, server: &Server) -> f64 {
-    let Some(costs) = costs else { return 0.0 };
-    let cost = server.region.as_ref().and_then(|region| costs.get(region));
-    cost.copied().unwrap_or(NO_PREFILL_COST_MS)
+    usable
 }
 
 fn is_eligible(server: &Server, request: PlacementRequest<'_>) -> bool {
@@ -214,48 +186,6 @@
     is_stage && is_region
 }
 
-fn compare(cost: f64, least: f64) -> Ordering {
-    if (cost - least).abs() < COST_TIE_MS {
-        Ordering::Equal
-    } else {
-        cost.total_cmp(&least)
-    }
-}
-
-/// Expected time of a request at a server beyond its own work, in milliseconds.
-pub fn cost_ms(now: TimeUs, server: &Server, request: PlacementRequest<'_>) -> f64 {
-    let request_cost_ms = match request.stage {
-        Some(Stage::Prefill) => PREFILL_COST_MS,
-        Some(Stage::Decode) => DECODE_COST_MS,
-        None => PLAIN_REQUEST_COST_MS,
-    };
-    let is_full = server
-        .full_at
-        .is_some_and(|at| now.since(at) < FULL_COST_PERIOD);
-    let full_ms = if is_full { FULL_COST_MS } else { 0.0 };
-    round_trip_ms(server, request.client_locality)
-        + full_ms
-        + memory_ms(now, server)
-        + f64::from(server.in_flight_count) * request_cost_ms
-        + server.health.failure_rate(now) * FAILURE_COST_MS
-}
-
-/// Cost of the memory in use; engines without a recent report count as half full.
-#[allow(clippy::cast_precision_loss, reason = "token counts are small")]
-fn memory_ms(now: TimeUs, server: &Server) -> f64 {
-    let reported = server
-        .memory
-        .filter(|memory| now.since(memory.reported_at) < MEMORY_REPORT_MAX_AGE);
-    let used = reported.map_or(0.5, |memory| {
-        1.0 - memory.free_tokens.0 as f64 / memory.total_tokens.0.max(1) as f64
-    });
-    if server.record.stage == Some(Stage::Decode) {
-        used * MEMORY_COST_MS
-    } else {
-        0.0
-    }
-}
-
 /// Distance of a server from the process, by availability zone and region.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display, EnumIter, IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
--- a/crates/direct-core/src/serving.rs
+++ b/crates/direct-core/src/serving.rs
@@ -12,7 +12,10 @@
 use rand::rngs::SmallRng;
 
 use crate::operator_config::{OperatorConfig, Route};
-use crate::placement::{ClientLocality, Distance, distance};
+use crate::outcome::{StepOutcome, record_outcome};
+use crate::placement::{
+    ClientLocality, Distance, FixedCost, LearnedServer, PlacementPolicy, Work, WorkId, distance,
+};
 use crate::registry::RegistryUpdate;
 use crate::servers::{
     EXPIRED_RETENTION, REMOVED_RETENTION, Server, ServerKey, ServerLifecycle, ServerTable,
@@ -80,12 +83,18 @@
     is_synced: bool,
     /// When the registry responded again after an outage.
     registry_regained_at: Option<TimeUs>,
+    pub(crate) placement: Box<dyn PlacementPolicy>,
     pub(crate) rng: SmallRng,
 }
 
 impl ServingState {
-    /// Serving state before the first update.
+    /// Serving state before the first update, with placement by fixed costs.
     pub fn new(config: ServingConfig) -> Self {
+        Self::with_placement(config, Box::new(FixedCost))
+    }
+
+    /// Serving state before the first update.
+    pub fn with_placement(config: ServingConfig, placement: Box<dyn PlacementPolicy>) -> Self {
         let rng = SmallRng::seed_from_u64(config.seed);
         Self {
             config,
@@ -97,6 +106,7 @@
             budgets: HashMap::new(),
             is_synced: false,
             registry_regained_at: None,
+            placement,
             rng,
         }
     }
@@ -234,6 +244,27 @@
         }
     }
 
+    /// Records work that was sent to a server, for the placement of further requests.
+    pub fn begin_work(&mut self, now: TimeUs, key: ServerKey, work: Work) -> WorkId {
+        self.placement.begin(now, &self.servers, key, work)
+    }
+
+    /// Records that work at a server has ended. `took` is the time until its response, or until the
+    /// first event of a stream; `None` if the response is incomplete or reports a failure.
+    pub fn end_work(&mut self, now: TimeUs, key: ServerKey, id: WorkId, took: Option<DurationUs>) {
+        self.placement.end(now, key, id, took);
+    }
+
+    /// Records that a server sends nothing for too long.
+    pub fn record_unresponsive(&mut self, now: TimeUs, key: ServerKey) {
+        record_outcome(now, self, key, StepOutcome::TimedOut);
+    }
+
+    /// What the placement policy has learned about servers.
+    pub fn learned_servers(&self, now: TimeUs) -> Vec<LearnedServer> {
+        self.placement.learned(now, &self.servers)
+    }
+
     /// Counts an in-flight request at a server as ended.
     pub fn end_request(&mut self, key: ServerKey) {
         if let Some(server) = self.servers.get_mut(key) {
--- a/crates/direct-core/tests/placement.rs
+++ b/crates/direct-core/tests/placement.rs
@@ -4,7 +4,7 @@
 
 use cuminlead_direct_core::placement::{PlacementError, PlacementRequest, choose, retry_after};
 use cuminlead_direct_core::servers::{FreeMemory, REMOVED_RETENTION};
-use cuminlead_direct_core::{RegistryUpdate, ServerState, ServingState, Stage};
+use cuminlead_direct_core::{Demand, RegistryUpdate, ServerState, ServingState, Stage};
 use cuminlead_types::{DurationUs, TimeUs, Tokens, UnixMs};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -22,6 +22,7 @@
         client_locality: &client_locality,
         region: None,
         excluded: &[],
+        demand: Demand::default(),
     };
     match choose(
         now,
--- a/crates/direct-core/tests/support/mod.rs
+++ b/crates/direct-core/tests/support/mod.rs
@@ -14,8 +14,8 @@
 use cuminlead_direct_core::serving::ServingConfig;
 use cuminlead_direct_core::{
     CallSpec, CallerLimits, ModelRequirements, OperatorConfig, RegistryUpdate, RequestKind,
-    RequestPriority, Route, ServerKey, ServerRecord, ServerState, ServiceSpec, ServingState, Stage,
-    WeightedService,
+    RequestPriority, Route, RouteId, ServerKey, ServerRecord, ServerState, ServiceSpec,
+    ServingState, Stage, WeightedService,
 };
 use cuminlead_types::{DurationUs, Revision, Slots, TimeUs, Tokens, UnixMs};
 
@@ -138,6 +138,7 @@
 pub(crate) fn plain_spec(kind: RequestKind, attempts_max_count: u32) -> CallSpec {
     CallSpec {
         service: PLAIN.parse().expect("a valid fixture"),
+        route: RouteId::default(),
         kind,
         model: None,
         prompt_parts: Vec::new(),
@@ -152,6 +153,7 @@
 pub(crate) fn model_spec(kind: RequestKind, attempts_max_count: u32) -> CallSpec {
     CallSpec {
         service: ENGINES.parse().expect("a valid fixture"),
+        route: RouteId::default(),
         kind,
         model: Some(ModelRequirements {
             prompt_tokens: Tokens(5_000),
--- a/crates/direct/src/app.rs
+++ b/crates/direct/src/app.rs
@@ -5,11 +5,11 @@
 use std::sync::Arc;
 
 use cuminlead_direct_core::shutdown::ShutdownSchedule;
-use cuminlead_direct_core::{RateLimiter, ServerKey, ServingState, UsageView};
+use cuminlead_direct_core::{RateLimiter, ServerKey, ServingState, UsageView, Work, WorkId};
 use cuminlead_kernel::Clock;
 use cuminlead_places::ReservationClient;
 use cuminlead_telemetry::Tracing;
-use cuminlead_types::{EntryId, TimeUs};
+use cuminlead_types::{DurationUs, EntryId, TimeUs};
 use slog::Logger;
 use tokio::sync::watch;
 
@@ -85,20 +85,46 @@
 pub(crate) struct InFlight {
     app: Rc<App>,
     server: ServerKey,
+    work: WorkId,
+    sent_at: TimeUs,
+    /// Time until the response, or the first event of a stream, has arrived.
+    responded_in: Option<DurationUs>,
+    is_complete: bool,
 }
 
 impl InFlight {
-    pub(crate) fn begin(app: &Rc<App>, server: ServerKey) -> Self {
-        app.serving.borrow_mut().begin_request(server);
+    pub(crate) fn begin(app: &Rc<App>, server: ServerKey, work: Work) -> Self {
+        let sent_at = app.now();
+        let mut serving = app.serving.borrow_mut();
+        serving.begin_request(server);
         Self {
             app: Rc::clone(app),
             server,
+            work: serving.begin_work(sent_at, server, work),
+            sent_at,
+            responded_in: None,
+            is_complete: false,
         }
     }
+
+    /// Records the first event of a stream.
+    pub(crate) fn record_first_event(&mut self) {
+        self.responded_in = Some(self.app.now().since(self.sent_at));
+    }
+
+    /// Records that the response is complete and successful, so that its time counts.
+    pub(crate) fn record_complete(&mut self) {
+        let took = self.app.now().since(self.sent_at);
+        self.responded_in.get_or_insert(took);
+        self.is_complete = true;
+    }
 }
 
 impl Drop for InFlight {
     fn drop(&mut self) {
-        self.app.serving.borrow_mut().end_request(self.server);
+        let took = self.responded_in.filter(|_| self.is_complete);
+        let mut serving = self.app.serving.borrow_mut();
+        serving.end_request(self.server);
+        serving.end_work(self.app.now(), self.server, self.work, took);
     }
 }
--- a/crates/direct/src/drive.rs
+++ b/crates/direct/src/drive.rs
@@ -157,6 +157,7 @@
                 }
                 let cache_guard = cache_guard.as_mut().filter(|_| cache.is_some());
                 let input = RunInput {
+                    work: call.spec().run_work(cache.is_some()),
                     cache: cache_guard
                         .as_ref()
                         .map(|guard| (guard.address, guard.cache.handle.as_str())),
@@ -309,7 +310,7 @@
     let started_at = app.now();
     let prefill_result = match permits::acquire(app, server).await {
         Ok(()) => {
-            let prefill = exchange::prefill(app, exchange, server);
+            let prefill = exchange::prefill(app, exchange, server, call.spec().prefill_work());
             with_timeout(Some(step_timeout), prefill).await
         }
         Err(outcome) => Err(outcome),
--- a/crates/direct/src/engine_resources.rs
+++ b/crates/direct/src/engine_resources.rs
@@ -12,7 +12,7 @@
 use cuminlead_direct_core::servers::FreeMemory;
 use cuminlead_direct_core::{
     ModelRequirements, Reservation, ReservationReply, ReservationRequest, ServerKey, ServerRecord,
-    StepOutcome,
+    StepOutcome, Work,
 };
 use cuminlead_places::{ReservationError, client};
 use cuminlead_types::{DurationUs, Tokens};
@@ -228,7 +228,16 @@
     let exchange = async {
         // The lease is dropped without being finished, which closes the connection.
         let connection = ConnectionChoice::New;
-        let (lease, response) = send(app, None, server, address, request, connection).await?;
+        let (lease, response) = send(
+            app,
+            None,
+            server,
+            address,
+            request,
+            connection,
+            Work::Command,
+        )
+        .await?;
         let (parts, rest) = response.into_parts();
         match collect(&lease, rest, BUFFERED_MAX_BYTES).await? {
             Collected::Complete(body) => Ok((parts.status, body)),
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -13,7 +13,7 @@
 
 use bytes::{Bytes, BytesMut};
 use cuminlead_direct_core::placement::Distance;
-use cuminlead_direct_core::{Incarnation, RequestKind, ServerKey, StepOutcome, Team};
+use cuminlead_direct_core::{Incarnation, RequestKind, ServerKey, StepOutcome, Team, Work};
 use cuminlead_telemetry::HopSpan;
 use cuminlead_types::{BackendServerId, DurationUs, TimeUs};
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
@@ -168,7 +168,7 @@
     connection: Option<Connection>,
     pub(crate) idle_max: DurationUs,
     distance: Distance,
-    _in_flight: InFlight,
+    in_flight: InFlight,
 }
 
 impl ServerLease {
@@ -180,6 +180,12 @@
             .count_bytes(Direction::Received, self.distance, bytes_count);
     }
 
+    /// Records that the response is complete and successful, so that its time counts in the
+    /// placement of further requests.
+    pub(crate) fn record_complete(&mut self) {
+        self.in_flight.record_complete();
+    }
+
     /// Returns the connection to the pool; the response must have been read to its end.
     pub fn finish(mut self) {
         if let Some(connection) = self.connection.take() {
@@ -215,18 +221,21 @@
 pub(crate) fn mark_unresponsive(app: &App, server: ServerKey, silence: DurationUs) {
     let now = app.now();
     let mut serving = app.serving.borrow_mut();
-    let Some(known) = serving.servers.get_mut(server) else {
+    let Some(known) = serving.servers.get(server) else {
         return;
     };
-    known.health.record_unreachable(now);
+    let id = known.record.id.clone();
+    serving.record_unresponsive(now, server);
     info!(app.log, "server sent no data for too long; paused, and its idle connections closed";
-        "server" => %known.record.id, "silence_ms" => silence.as_ms());
+        "server" => %id, "silence_ms" => silence.as_ms());
     app.pool.borrow_mut().close_all(server);
 }
 
 /// Input of a run beside the request.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 pub struct RunInput<'a> {
+    /// Work of the run, for the placement of further requests.
+    pub work: Work,
     /// Address of the prefill server and name of the KV cache.
     pub cache: Option<(SocketAddr, &'a str)>,
     /// Name of the slot reservation at the engine.
@@ -271,7 +280,7 @@
     };
     let id = Some(exchange.request.id.as_str());
     let connection = exchange.connection_choice(server, reuse_idle_max);
-    let sent = send(app, id, server, address, request, connection).await;
+    let sent = send(app, id, server, address, request, connection, input.work).await;
     // If sending failed, the outcome records the failure.
     pending.is_answered = true;
     let (mut lease, response) = sent?;
@@ -298,6 +307,9 @@
     let buffered_max_bytes = if is_stream { 0 } else { BUFFERED_MAX_BYTES };
     match collect(&lease, rest, buffered_max_bytes).await? {
         Collected::Complete(body) => {
+            if !is_failure && parts.status.is_success() {
+                lease.record_complete();
+            }
             lease.finish();
             Ok(ServerResponse::Buffered(BufferedResponse {
                 status: parts.status,
@@ -306,13 +318,16 @@
                 is_failure,
             }))
         }
-        Collected::OverLimit(first, rest) => Ok(ServerResponse::Streaming(StreamingResponse {
-            status: parts.status,
-            headers,
-            first,
-            rest,
-            lease,
-        })),
+        Collected::OverLimit(first, rest) => {
+            lease.in_flight.record_first_event();
+            Ok(ServerResponse::Streaming(StreamingResponse {
+                status: parts.status,
+                headers,
+                first,
+                rest,
+                lease,
+            }))
+        }
     }
 }
 
@@ -321,6 +336,7 @@
     app: &Rc<App>,
     exchange: &CallerExchange,
     server: ServerKey,
+    work: Work,
 ) -> Result<String, StepOutcome> {
     let (server_id, address) = id_and_address(app, server).ok_or(StepOutcome::Unreachable)?;
     let mut headers = exchange.headers.clone();
@@ -338,7 +354,7 @@
     let request = exchange.request(headers).ok_or(StepOutcome::Unreachable)?;
     let id = Some(exchange.request.id.as_str());
     let connection = exchange.connection_choice(server, None);
-    let (mut lease, response) = send(app, id, server, address, request, connection).await?;
+    let (mut lease, response) = send(app, id, server, address, request, connection, work).await?;
     let (parts, rest) = response.into_parts();
     lease.idle_max = idle_max(&parts.headers);
     let class = app
@@ -357,10 +373,12 @@
     let Collected::Complete(body) = collect(&lease, rest, BUFFERED_MAX_BYTES).await? else {
         return Err(StepOutcome::Malformed);
     };
+    let handle = app.protocol_mapping.read_prefill(&body);
+    if handle.is_ok() {
+        lease.record_complete();
+    }
     lease.finish();
-    app.protocol_mapping
-        .read_prefill(&body)
-        .map_err(|_| StepOutcome::Malformed)
+    handle.map_err(|_| StepOutcome::Malformed)
 }
 
 fn distance_of(app: &App, server: ServerKey) -> Distance {
@@ -390,10 +408,11 @@
     address: SocketAddr,
     mut request: Request<Full<Bytes>>,
     choice: ConnectionChoice,
+    work: Work,
 ) -> Result<(ServerLease, Response<Incoming>), StepOutcome> {
     let incarnation = app.serving.borrow().servers.incarnation(server);
     let incarnation = incarnation.ok_or(StepOutcome::Unreachable)?;
-    let in_flight = InFlight::begin(app, server);
+    let in_flight = InFlight::begin(app, server, work);
     let distance = distance_of(app, server);
     let body_bytes = request.body().size_hint().exact().unwrap_or(0);
     app.metrics
@@ -428,7 +447,7 @@
                     connection: Some(connection),
                     idle_max: DurationUs::ZERO,
                     distance,
-                    _in_flight: in_flight,
+                    in_flight,
                 };
                 return Ok((lease, response));
             }
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -27,6 +27,7 @@
 //! | [`serve`] | callers' connections and requests |
 //! | [`control`] | thread that watches the registry |
 //! | [`status`] | metrics, readiness and the status page |
+//! | `slow_servers` | log lines for servers that are slower than others of their service |
 //! | [`process`] | start and shutdown |
 
 pub mod adapter;
@@ -47,5 +48,6 @@
 pub mod relay;
 pub mod serve;
 pub mod shared_stream;
+mod slow_servers;
 pub mod status;
 mod team_usage;
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -12,16 +12,16 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use cuminlead_direct_core::ServingState;
 use cuminlead_direct_core::placement::ClientLocality;
 use cuminlead_direct_core::registry::RegistryUpdate;
 use cuminlead_direct_core::serving::ServingConfig;
 use cuminlead_direct_core::shutdown::ShutdownSchedule;
+use cuminlead_direct_core::{ExpectedCost, FixedCost, PlacementPolicy, ServingState};
 use cuminlead_kernel::Clock;
 use cuminlead_places::ReservationClient;
 use cuminlead_process::signal::Signals;
 use cuminlead_process::{StartError, admin, start};
-use cuminlead_settings::EntrySettings;
+use cuminlead_settings::{EntrySettings, PlacementName};
 use cuminlead_telemetry::{Metrics, Tracing, log};
 use cuminlead_types::{Bytes, DurationUs, TimeUs};
 use error_stack::{Report, ResultExt};
@@ -38,6 +38,7 @@
 use crate::control;
 use crate::pool::ConnectionPool;
 use crate::serve::accept;
+use crate::slow_servers::SlowServers;
 use crate::status::{DirectAdmin, DirectMetrics, SharedStatus};
 
 /// One retry is allowed for this many requests, the share that the platform permits.
@@ -105,7 +106,7 @@
     let (stop_sender, stop) = watch::channel(StopPhase::Running);
     let app = Rc::new(App {
         clock,
-        serving: RefCell::new(ServingState::new(serving_config(settings))),
+        serving: RefCell::new(serving_state(settings)),
         body_memory: BodyMemory::new(body_memory_max(settings)),
         pool: RefCell::new(ConnectionPool::default()),
         reservation_client: RefCell::new(ReservationClient::default()),
@@ -127,7 +128,8 @@
     let callers_address = listener.local_addr().change_context(StartError::Bind)?;
     let connections_max_count = settings.connections_max_count().0;
     tokio::task::spawn_local(accept(Rc::clone(&app), listener, connections_max_count));
-    info!(log, "entry started"; "callers" => %callers_address, "admin" => %admin_address);
+    info!(log, "entry started"; "callers" => %callers_address, "admin" => %admin_address,
+        "placement" => %settings.placement());
     // Addresses and locations are fixed for an incarnation, so changed settings take effect at the
     // next start.
     signals
@@ -143,6 +145,15 @@
     Ok(())
 }
 
+fn serving_state(settings: &EntrySettings) -> ServingState {
+    let config = serving_config(settings);
+    let placement: Box<dyn PlacementPolicy> = match settings.placement() {
+        PlacementName::Fixed => Box::new(FixedCost),
+        PlacementName::Expected => Box::new(ExpectedCost::new(config.locality.clone())),
+    };
+    ServingState::with_placement(config, placement)
+}
+
 fn serving_config(settings: &EntrySettings) -> ServingConfig {
     let locality = ClientLocality {
         availability_zone: settings.availability_zone().clone(),
@@ -165,6 +176,7 @@
     mut updates: UnboundedReceiver<Vec<RegistryUpdate>>,
     status: Arc<SharedStatus>,
 ) {
+    let mut slow_servers = SlowServers::default();
     while let Some(changes) = updates.recv().await {
         let now = app.now();
         let mut serving = app.serving.borrow_mut();
@@ -180,6 +192,9 @@
             .map_or(0, |operator_config| operator_config.version().0);
         status.config_version.store(version, Ordering::Relaxed);
         app.metrics.update_gauges(now, &mut serving);
+        let learned = serving.learned_servers(now);
+        app.metrics.update_learned(&learned);
+        slow_servers.update(&app.log, &learned);
         let servers_count = u32::try_from(serving.servers.iter().count()).unwrap_or(u32::MAX);
         status.servers_count.store(servers_count, Ordering::Relaxed);
         status
--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -142,6 +142,9 @@
             let mut silent_response;
             match copied {
                 Ok(()) => {
+                    if response.status.is_success() {
+                        response.lease.record_complete();
+                    }
                     response.lease.finish();
                     if !output.is_sound {
                         let spec = self.call.spec();
--- a/crates/direct/src/serve.rs
+++ b/crates/direct/src/serve.rs
@@ -9,7 +9,7 @@
 use bytes::BytesMut;
 use cuminlead_direct_core::{
     Call, CallSpec, EngineSpec, ModelRequirements, OperatorConfig, Refusal, RefusalReason, Route,
-    RouteMatch, Team, UnknownKey,
+    RouteId, RouteMatch, Team, UnknownKey,
 };
 use cuminlead_telemetry::HopSpan;
 use cuminlead_types::{Bytes, DurationUs, Revision, TimeUs, Tokens};
@@ -347,7 +347,12 @@
     let engine = operator_config
         .service(&service)
         .and_then(|spec| spec.engine);
+    let kind_name = match engine {
+        Some(_) => service.as_str(),
+        None => &route.name,
+    };
     Some(Call::new(CallSpec {
+        route: RouteId::of(kind_name),
         service,
         kind: route.kind,
         model: engine.map(|engine| model_requirements(engine, exchange)),
--- a/crates/direct/src/status.rs
+++ b/crates/direct/src/status.rs
@@ -5,7 +5,7 @@
 
 use std::sync::{Arc, Mutex, PoisonError};
 
-use cuminlead_direct_core::placement::Distance;
+use cuminlead_direct_core::placement::{Distance, LearnedServer};
 use cuminlead_direct_core::{RefusalReason, ServingState, StepOutcome};
 use cuminlead_process::admin::AdminSource;
 use cuminlead_telemetry::metrics::{
@@ -75,6 +75,9 @@
     routes: Arc<Mutex<HashSet<String>>>,
     servers: Gauges,
     free_tokens: Gauges,
+    prefill_rates: Gauges,
+    slowness: Gauges,
+    work_in_progress_ms: Gauges,
     retries_left: Gauges,
     config_version: Gauge,
     config_age_ms: Gauge,
@@ -150,6 +153,18 @@
                 "direct_server_free_tokens",
                 "Free memory of an engine, as its agent said last",
             ),
+            prefill_rates: metrics.gauges(
+                "direct_server_prefill_tokens_per_s",
+                "Learned rate at which a server computes prompts",
+            ),
+            slowness: metrics.gauges(
+                "direct_server_slowness_percent",
+                "Learned service time of a server relative to all servers of its service",
+            ),
+            work_in_progress_ms: metrics.gauges(
+                "direct_server_work_in_progress_ms",
+                "Time that a server still needs for the work of this entry",
+            ),
             retries_left: metrics.gauges("direct_retries_left", "Repeats that a service has left"),
             config_version: metrics.gauge("direct_config_version", "Configuration in force"),
             config_age_ms: metrics.gauge(
@@ -267,6 +282,26 @@
             .set(to_i64(free_tokens.0));
     }
 
+    /// Sets the gauges of what the placement policy has learned about servers.
+    pub fn update_learned(&self, learned: &[LearnedServer]) {
+        self.prefill_rates.clear();
+        self.slowness.clear();
+        self.work_in_progress_ms.clear();
+        for server in learned.iter().take(LABELS_MAX_COUNT) {
+            let label = Label::new("server", server.server.to_string());
+            if let Some(rate) = server.prefill_tokens_per_ms {
+                let rate = rounded(rate * 1_000.0);
+                self.prefill_rates.get_or_create(&label).set(rate);
+            }
+            if let Some(slowness) = server.slowness {
+                let percent = rounded(slowness * 100.0);
+                self.slowness.get_or_create(&label).set(percent);
+            }
+            let work = rounded(server.work_in_progress_ms);
+            self.work_in_progress_ms.get_or_create(&label).set(work);
+        }
+    }
+
     /// Counts a repeated send; `outcome` is that of the previous one.
     pub fn count_retry(&self, outcome: StepOutcome) {
         let label = Label::new("outcome", <&'static str>::from(outcome));
@@ -356,6 +391,14 @@
     i64::try_from(value).unwrap_or(i64::MAX)
 }
 
+#[allow(
+    clippy::cast_possible_truncation,
+    reason = "bounded estimates, and the conversion saturates"
+)]
+fn rounded(value: f64) -> i64 {
+    value.round() as i64
+}
+
 fn byte_labels(direction: &'static str, distance: Distance) -> [(&'static str, &'static str); 3] {
     [
         ("direction", direction),
--- a/crates/settings/src/entry.rs
+++ b/crates/settings/src/entry.rs
@@ -7,7 +7,8 @@
 use crate::macros::settings;
 use crate::reader::Reader;
 use crate::value::{
-    AdapterName, Count, DurationMs, Fraction, LogLevel, RoutingPolicyName, Secret, ZoneRegions,
+    AdapterName, Count, DurationMs, Fraction, LogLevel, PlacementName, RoutingPolicyName, Secret,
+    ZoneRegions,
 };
 
 settings! {
@@ -65,6 +66,9 @@
         /// Region of each availability zone, used for the distance to backend servers that are
         /// called directly.
         zone_regions: ZoneRegions = Default("\"\"");
+        /// How backend servers that are called directly are chosen: by fixed costs, or by the time at
+        /// which the request is expected to be complete, from what earlier requests took.
+        placement: PlacementName = Default("\"fixed\"");
         /// Port, on the hosts of the engines, of the agents that reserve decode slots. Without it,
         /// slots are reserved at the engines themselves.
         place_port: Option<Count> = Optional("7660");
--- a/crates/settings/src/value.rs
+++ b/crates/settings/src/value.rs
@@ -313,6 +313,29 @@
     Service,
 }
 
+/// How an entry that calls backend servers directly chooses among them.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    Hash,
+    Display,
+    EnumString,
+    IntoStaticStr,
+    VariantNames,
+)]
+#[strum(serialize_all = "snake_case")]
+pub enum PlacementName {
+    /// By fixed costs.
+    #[default]
+    Fixed,
+    /// By the time at which the request is expected to be complete.
+    Expected,
+}
+
 fn read_text<'v>(value: &'v DeValue<'_>) -> Option<&'v str> {
     match value {
         DeValue::String(text) => Some(text),
@@ -403,4 +426,5 @@
     SocketAddr = "IP address and port";
     LogLevel = "trace, debug, info, warning or error";
     BackendKind = "engine or service";
+    PlacementName = "fixed or expected";
 );
