--- a/crates/direct-core/src/placement/estimates.rs
+++ b/crates/direct-core/src/placement/estimates.rs
@@ -13,7 +13,7 @@
 /// tried again after one to two of these; each trial makes one request slow.
 const HALF_LIFE: DurationUs = DurationUs::from_ms(15_000);
 /// Time in which the weight of a failure halves.
-const FAILURE_HALF_LIFE: DurationUs = DurationUs::from_ms(6_000);
+const FAILURE_HALF_LIFE: DurationUs = DurationUs::from_ms(10_000);
 
 /// Rate of prefills before the first observation, in tokens per ms: 5,200 tokens in 95 ms.
 pub(crate) const PREFILL_RATE_PRIOR: f64 = 55.0;
--- a/crates/direct-core/src/placement/expected.rs
+++ b/crates/direct-core/src/placement/expected.rs
@@ -31,6 +31,9 @@
 
 /// Time lost by a request that a server fails and that another one then serves.
 const FAILURE_COST_MS: f64 = 400.0;
+/// Time lost by a prefill that fails: most fail by their timeout, a latency target and more, and the
+/// decode server then computes the prompt at half the speed, which delays its other outputs.
+const PREFILL_FAILURE_COST_MS: f64 = 1_500.0;
 /// Cost of the failure of a request that may not be sent to another server.
 const FINAL_FAILURE_COST_MS: f64 = 2_000.0;
 /// Speed of a decode server that computes a prompt between the tokens of its outputs, relative to a
@@ -220,16 +223,20 @@
             ),
         };
         let prior = service.map_or(0.0, |service| service.failures.rate(now, 0.0));
-        let failure_ms = if demand.is_repeatable {
+        let failure_ms = if request.stage == Some(Stage::Prefill) {
+            PREFILL_FAILURE_COST_MS
+        } else if demand.is_repeatable {
             FAILURE_COST_MS + own_ms
         } else {
             FINAL_FAILURE_COST_MS
         };
+        let failure_rate = known.failures.rate(now, prior);
+        let failure_rate = failure_rate.max(server.health.failure_rate(now));
         Cost {
             total_ms: round_trip_ms(server, request.client_locality)
                 + delay_ms
                 + own_ms
-                + known.failures.rate(now, prior) * failure_ms,
+                + failure_rate * failure_ms,
             own_ms,
         }
     }
@@ -408,9 +415,13 @@
         key: ServerKey,
         outcome: StepOutcome,
     ) {
+        // A server that rejects requests is full for a moment; `Health` remembers that for as long.
         let is_failure = !matches!(
             outcome,
-            StepOutcome::Limited | StepOutcome::CacheUnavailable | StepOutcome::OtherIncarnation
+            StepOutcome::Limited
+                | StepOutcome::CacheUnavailable
+                | StepOutcome::OtherIncarnation
+                | StepOutcome::Rejected
         );
         let Some(server) = servers.get(key).filter(|_| is_failure) else {
             return;
--- a/crates/direct-core/tests/support/mod.rs
+++ b/crates/direct-core/tests/support/mod.rs
@@ -13,9 +13,9 @@
 use cuminlead_direct_core::placement::ClientLocality;
 use cuminlead_direct_core::serving::ServingConfig;
 use cuminlead_direct_core::{
-    CallSpec, CallerLimits, ModelRequirements, OperatorConfig, RegistryUpdate, RequestKind,
-    RequestPriority, Route, RouteId, ServerKey, ServerRecord, ServerState, ServiceSpec,
-    ServingState, Stage, WeightedService,
+    CallSpec, CallerLimits, FixedCost, ModelRequirements, OperatorConfig, PlacementPolicy,
+    RegistryUpdate, RequestKind, RequestPriority, Route, RouteId, ServerKey, ServerRecord,
+    ServerState, ServiceSpec, ServingState, Stage, WeightedService,
 };
 use cuminlead_types::{DurationUs, Revision, Slots, TimeUs, Tokens, UnixMs};
 
@@ -47,9 +47,23 @@
     }
 }
 
-/// Serving state in zone `a1` of region `a`, whose other zone is `a2`; zone `b1` is in region `b`.
+/// Serving state in zone `a1` of region `a`, whose other zones are `a2` and `a3`; zone `b1` is in
+/// region `b`.
 pub(crate) fn serving() -> ServingState {
-    let zones = [("a1", "a"), ("a2", "a"), ("b1", "b")];
+    let locality = ClientLocality {
+        availability_zone: "a1".parse().expect("a valid fixture"),
+        region: "a".parse().expect("a valid fixture"),
+    };
+    serving_with(locality, 7, Box::new(FixedCost))
+}
+
+/// Serving state of a process at the given locality.
+pub(crate) fn serving_with(
+    locality: ClientLocality,
+    seed: u64,
+    policy: Box<dyn PlacementPolicy>,
+) -> ServingState {
+    let zones = [("a1", "a"), ("a2", "a"), ("a3", "a"), ("b1", "b")];
     let regions: HashMap<_, _> = zones
         .iter()
         .map(|(zone, region)| {
@@ -59,16 +73,14 @@
             )
         })
         .collect();
-    let mut serving = ServingState::new(ServingConfig {
-        locality: ClientLocality {
-            availability_zone: "a1".parse().expect("a valid fixture"),
-            region: "a".parse().expect("a valid fixture"),
-        },
+    let config = ServingConfig {
+        locality,
         regions,
         requests_per_retry: 6,
         retries_extra_count: 54,
-        seed: 7,
-    });
+        seed,
+    };
+    let mut serving = ServingState::with_placement(config, policy);
     serving.apply(
         ms(0),
         RegistryUpdate::OperatorConfig(Arc::new(operator_config(1, &["/x/"]))),
--- a/crates/direct/src/status.rs
+++ b/crates/direct/src/status.rs
@@ -40,6 +40,8 @@
 const LIFECYCLE_STATES: [&str; 4] = ["usable", "paused", "full", "leaving"];
 /// Most routes, and most teams, with series of their own. A configuration of the users has up to 400 routes.
 const LABELS_MAX_COUNT: usize = 1_000;
+/// Label of the highest value of all servers.
+const HIGHEST_LABEL: &str = "highest";
 /// Label of all further ones.
 const OTHER_LABEL: &str = "other";
 
@@ -238,6 +240,7 @@
                 drop(self.bytes.get_or_create(&byte_labels(direction, distance)));
             }
         }
+        self.update_learned(&[]);
         for state in LIFECYCLE_STATES {
             drop(self.servers.get_or_create(&Label::new("standing", state)));
         }
@@ -284,22 +287,38 @@
 
     /// Sets the gauges of what the placement policy has learned about servers.
     pub fn update_learned(&self, learned: &[LearnedServer]) {
-        self.prefill_rates.clear();
-        self.slowness.clear();
-        self.work_in_progress_ms.clear();
+        for gauges in self.learned() {
+            gauges.clear();
+        }
+        let mut highest = [0, 0, 0];
         for server in learned.iter().take(LABELS_MAX_COUNT) {
-            let label = Label::new("server", server.server.to_string());
-            if let Some(rate) = server.prefill_tokens_per_ms {
-                let rate = rounded(rate * 1_000.0);
-                self.prefill_rates.get_or_create(&label).set(rate);
-            }
-            if let Some(slowness) = server.slowness {
-                let percent = rounded(slowness * 100.0);
-                self.slowness.get_or_create(&label).set(percent);
+            let values = [
+                server.prefill_tokens_per_ms.map(|rate| rate * 1_000.0),
+                server.slowness.map(|slowness| slowness * 100.0),
+                Some(server.work_in_progress_ms),
+            ];
+            for ((gauges, value), highest) in self.learned().zip(values).zip(&mut highest) {
+                if let Some(value) = value.map(rounded) {
+                    let label = Label::new("server", server.server.to_string());
+                    gauges.get_or_create(&label).set(value);
+                    *highest = value.max(*highest);
+                }
             }
-            let work = rounded(server.work_in_progress_ms);
-            self.work_in_progress_ms.get_or_create(&label).set(work);
         }
+        for (gauges, highest) in self.learned().zip(highest) {
+            let label = Label::new("server", HIGHEST_LABEL);
+            gauges.get_or_create(&label).set(highest);
+        }
+    }
+
+    /// Gauges of what the placement policy has learned.
+    fn learned(&self) -> impl Iterator<Item = &Gauges> {
+        let gauges = [
+            &self.prefill_rates,
+            &self.slowness,
+            &self.work_in_progress_ms,
+        ];
+        gauges.into_iter()
     }
 
     /// Counts a repeated send; `outcome` is that of the previous one.
