Wait longer for queued prompts with placement by expected cost

Cause: a prefill is abandoned one latency target after its own time. Many have begun by then: the prompt is computed without use and again by the decode server, and counts as a retry, for which the budget refuses the request. In groups of 30 calls these refusals were the 99th percentile.

Change: the policy says for how many latency targets a prompt may be queued: one with `fixed`, as before, two with `expected`. The runs of a service have a service time of their own also if a route has its name.

--- a/crates/direct-core/src/call.rs
+++ b/crates/direct-core/src/call.rs
@@ -154,7 +154,7 @@
             self.slot.discard_reservation();
         }
         if self.slot == SlotState::Needed
-            && let Some(action) = self.next_reserve(now, server, computes_prompt)
+            && let Some(action) = self.next_reserve(now, serving, server, computes_prompt)
         {
             return action;
         }
@@ -262,6 +262,7 @@
     fn next_reserve(
         &self,
         now: TimeUs,
+        serving: &ServingState,
         server: ServerKey,
         computes_prompt: bool,
     ) -> Option<Action> {
@@ -270,7 +271,7 @@
             server,
             model,
             ttl: self
-                .prefill_timeout(model.prompt_tokens)
+                .prefill_timeout(serving, model.prompt_tokens)
                 .min(model.reservation_max?)
                 .min(self.spec.deadline.since(now)),
             is_late: self.is_late(now),
@@ -379,7 +380,7 @@
         Some(Action::Prefill {
             server,
             timeout: self
-                .prefill_timeout(tokens)
+                .prefill_timeout(serving, tokens)
                 .min(self.spec.deadline.since(now)),
         })
     }
@@ -387,11 +388,13 @@
     /// Timeout of a prefill.
     ///
     /// A prompt that is queued behind others is worth waiting for until its response has missed the
-    /// latency target. Abandoning it wastes the work done, and the decode server then computes
+    /// latency target, or for as long as the placement policy says. Abandoning it wastes the work done, and the decode server then computes
     /// the prompt at half the speed between the tokens of its outputs, which makes all of them
     /// late.
-    fn prefill_timeout(&self, prompt: Tokens) -> DurationUs {
-        prefill_time(prompt).saturating_add(self.spec.latency_target)
+    fn prefill_timeout(&self, serving: &ServingState, prompt: Tokens) -> DurationUs {
+        let targets = serving.placement.prefill_wait_targets();
+        let wait = self.spec.latency_target.0.saturating_mul(targets);
+        prefill_time(prompt).saturating_add(DurationUs(wait))
     }
 
     fn next_run(&mut self, now: TimeUs, serving: &mut ServingState, server: ServerKey) -> Action {
--- a/crates/direct-core/src/placement.rs
+++ b/crates/direct-core/src/placement.rs
@@ -92,6 +92,12 @@
     /// Records that a step failed at a server.
     fn record_failure(&mut self, _: TimeUs, _: &ServerTable, _: ServerKey, _: StepOutcome) {}
 
+    /// Latency targets for which a prompt may be queued behind others before its prefill is
+    /// abandoned.
+    fn prefill_wait_targets(&self) -> u64 {
+        1
+    }
+
     /// What the policy has learned about servers, for metrics and logs.
     fn learned(&self, _: TimeUs, _: &ServerTable) -> Vec<LearnedServer> {
         Vec::new()
--- a/crates/direct-core/src/placement/expected.rs
+++ b/crates/direct-core/src/placement/expected.rs
@@ -41,6 +41,10 @@
 const DECODE_PREFILL_SPEED: f64 = 0.5;
 /// Cost of one output in progress, as a multiple of that of an output of typical length.
 const OUTPUT_WEIGHT_RANGE: (f64, f64) = (0.25, 4.0);
+/// Latency targets for which a prompt may be queued behind others. A prefill that is abandoned after
+/// one target has often begun: it is computed for nothing, computed again by the decode server, and
+/// counts as a retry, for which the budget may refuse the request. Callers wait four targets.
+const PREFILL_WAIT_TARGETS: u64 = 2;
 /// Difference of costs at which a server is drawn e times less often, as a share of the request's own
 /// work.
 const DRAW_SCALE_SHARE: f64 = 0.15;
@@ -438,6 +442,10 @@
         }
     }
 
+    fn prefill_wait_targets(&self) -> u64 {
+        PREFILL_WAIT_TARGETS
+    }
+
     fn learned(&self, now: TimeUs, servers: &ServerTable) -> Vec<LearnedServer> {
         let mut learned = Vec::new();
         for (key, server) in servers.iter() {
--- a/crates/direct-core/src/placement/work.rs
+++ b/crates/direct-core/src/placement/work.rs
@@ -14,6 +14,11 @@
     pub fn of(name: &str) -> Self {
         Self(xxhash_rust::xxh3::xxh3_64(name.as_bytes()))
     }
+
+    /// Id of the runs of a service's model calls. It differs from that of a route of the same name.
+    pub fn of_runs(service: &ServiceName) -> Self {
+        Self(!Self::of(service.as_str()).0)
+    }
 }
 
 /// What a request is likely to cost, from what is known at its arrival.
--- a/crates/direct-core/tests/placement_load.rs
+++ b/crates/direct-core/tests/placement_load.rs
@@ -140,19 +140,18 @@
 }
 
 /// Guards against a policy that wastes prompts or misses latency targets as fixed costs do. The goal
-/// is half of the wasted tokens, and a 99th percentile below 3 s. Where a server becomes slow, each of
-/// the 22 entries sends it at least one prompt before it knows; there three quarters are required.
+/// is half of the wasted tokens, and a 99th percentile below 3 s.
 #[parameterized(
-    three_speeds = { "three speeds", MODEL, 50 },
-    one_becomes_slow = { "one 5 times slower", with_fault(fault("p1", 0.2), MODEL), 75 },
-    one_fails_fast = { "one fails fast", with_fault(fault("p1", 0.0), MODEL), 50 },
+    three_speeds = { "three speeds", MODEL },
+    one_becomes_slow = { "one 5 times slower", with_fault(fault("p1", 0.2), MODEL) },
+    one_fails_fast = { "one fails fast", with_fault(fault("p1", 0.0), MODEL) },
     wrong_costs = {
-        "cost wrong by 4", Load { estimate_factors: &[0.25, 1.0, 4.0], ..MODEL }, 50
+        "cost wrong by 4", Load { estimate_factors: &[0.25, 1.0, 4.0], ..MODEL }
     },
-    stale_reports = { "stale reports", Load { report_age_ms: Some(5_000), ..MODEL }, 50 },
-    missing_reports = { "no reports", Load { report_age_ms: None, ..MODEL }, 50 },
+    stale_reports = { "stale reports", Load { report_age_ms: Some(5_000), ..MODEL } },
+    missing_reports = { "no reports", Load { report_age_ms: None, ..MODEL } },
 )]
-fn model_calls_waste_fewer_prompts(name: &str, load: Load, wasted_max_percent: u64) {
+fn model_calls_waste_fewer_prompts(name: &str, load: Load) {
     let [fixed, _, expected, _] = compare(name, &load);
     assert!(expected.p99_ms < 3_000, "{expected}");
     assert!(expected.p99_ms <= fixed.p99_ms, "{expected} after {fixed}");
@@ -161,7 +160,7 @@
         "{expected} after {fixed}"
     );
     assert!(
-        expected.wasted_tokens * 100 <= fixed.wasted_tokens * wasted_max_percent,
+        expected.wasted_tokens * 2 <= fixed.wasted_tokens,
         "{expected} after {fixed}"
     );
 }
@@ -176,7 +175,7 @@
         "{expected} after {fixed}"
     );
     assert!(
-        expected.wasted_tokens * 10 <= fixed.wasted_tokens * 11,
+        expected.wasted_tokens * 2 <= fixed.wasted_tokens,
         "{expected} after {fixed}"
     );
 }
--- a/crates/direct/src/serve.rs
+++ b/crates/direct/src/serve.rs
@@ -347,12 +347,12 @@
     let engine = operator_config
         .service(&service)
         .and_then(|spec| spec.engine);
-    let kind_name = match engine {
-        Some(_) => service.as_str(),
-        None => &route.name,
+    let route_id = match engine {
+        Some(_) => RouteId::of_runs(&service),
+        None => RouteId::of(&route.name),
     };
     Some(Call::new(CallSpec {
-        route: RouteId::of(kind_name),
+        route: route_id,
         service,
         kind: route.kind,
         model: engine.map(|engine| model_requirements(engine, exchange)),
