--- a/crates/direct-core/src/call.rs
+++ b/crates/direct-core/src/call.rs
@@ -13,7 +13,7 @@
 use crate::action::{Action, CacheRef, CallSpec, Refusal, RefusalReason, Reservation};
 use crate::operator_config::RequestKind;
 use crate::outcome::{StepOutcome, proves_not_run, record_outcome, retry_evidence};
-use crate::placement::{PlacementError, PlacementRequest, choose, has_server, retry_after};
+use crate::placement::{PlacementError, PlacementRequest, has_server, retry_after};
 use crate::preparation::{Prompt, SlotState};
 use crate::server::Stage;
 use crate::servers::ServerKey;
@@ -156,7 +156,7 @@
             self.slot.discard_reservation();
         }
         if self.slot == SlotState::Needed
-            && let Some(action) = self.next_reserve(now, server, computes_prompt)
+            && let Some(action) = self.next_reserve(now, serving, server, computes_prompt)
         {
             return action;
         }
@@ -194,8 +194,12 @@
             client_locality: &serving.config.locality,
             region: region.as_ref(),
             excluded: &unusable,
+            demand: self.spec.demand(),
         };
-        let mut chosen = choose(now, &serving.servers, placement, &mut serving.rng);
+        let mut chosen =
+            serving
+                .placement
+                .choose(now, &serving.servers, placement, &mut serving.rng);
         if chosen.is_err() && region.is_some() {
             if self.has_full_server_in(serving, region.as_ref()) {
                 // A slot becomes free there while the cache is retained.
@@ -204,7 +208,9 @@
             // A cache does not cross regions, so it is discarded.
             self.prompt.skip_prefill();
             placement.region = None;
-            chosen = choose(now, &serving.servers, placement, &mut serving.rng);
+            chosen = serving
+                .placement
+                .choose(now, &serving.servers, placement, &mut serving.rng);
         }
         self.chosen_server = chosen.ok();
         chosen
@@ -247,6 +253,7 @@
             client_locality: &serving.config.locality,
             region: server.region.as_ref(),
             excluded: &self.prompt.excluded,
+            demand: self.spec.demand(),
         };
         self.prompt.allows_prefill()
             && is_in_budget
@@ -257,6 +264,7 @@
     fn next_reserve(
         &self,
         now: TimeUs,
+        serving: &ServingState,
         server: ServerKey,
         computes_prompt: bool,
     ) -> Option<Action> {
@@ -265,7 +273,7 @@
             server,
             model,
             ttl: self
-                .prefill_timeout(model.prompt_tokens)
+                .prefill_timeout(serving, model.prompt_tokens)
                 .min(model.reservation_max?)
                 .min(self.spec.deadline.since(now)),
             is_late: self.is_late(now),
@@ -369,13 +377,17 @@
             client_locality: &serving.config.locality,
             region: Some(&region),
             excluded: &self.prompt.excluded,
+            demand: self.spec.demand(),
         };
-        let server = choose(now, &serving.servers, placement, &mut serving.rng).ok()?;
+        let server = serving
+            .placement
+            .choose(now, &serving.servers, placement, &mut serving.rng)
+            .ok()?;
         self.prompt.count_prefill_attempt();
         Some(Action::Prefill {
             server,
             timeout: self
-                .prefill_timeout(tokens)
+                .prefill_timeout(serving, tokens)
                 .min(self.spec.deadline.since(now)),
         })
     }
@@ -383,11 +395,13 @@
     /// Timeout of a prefill.
     ///
     /// A prompt that is queued behind others is worth waiting for until its response has missed the
-    /// latency target. Abandoning it wastes the work done, and the decode server then computes
+    /// latency target, or for as long as the placement policy says. Abandoning it wastes the work done, and the decode server then computes
     /// the prompt at half the speed between the tokens of its outputs, which makes all of them
     /// late.
-    fn prefill_timeout(&self, prompt: Tokens) -> DurationUs {
-        prefill_time(prompt).saturating_add(self.spec.latency_target)
+    fn prefill_timeout(&self, serving: &ServingState, prompt: Tokens) -> DurationUs {
+        let targets = serving.placement.prefill_wait_targets();
+        let wait = self.spec.latency_target.0.saturating_mul(targets);
+        prefill_time(prompt).saturating_add(DurationUs(wait))
     }
 
     fn next_run(&mut self, now: TimeUs, serving: &mut ServingState, server: ServerKey) -> Action {
--- a/crates/direct/src/serve.rs
+++ b/crates/direct/src/serve.rs
@@ -9,7 +9,7 @@
 use bytes::BytesMut;
 use cuminlead_direct_core::{
     Call, CallSpec, EngineSpec, ModelRequirements, OperatorConfig, Refusal, RefusalReason, Route,
-    RouteMatch, Team, UnknownKey,
+    RouteId, RouteMatch, Team, UnknownKey,
 };
 use cuminlead_telemetry::HopSpan;
 use cuminlead_types::{Bytes, DurationUs, Revision, TimeUs, Tokens};
@@ -352,7 +352,12 @@
     let engine = operator_config
         .service(&service)
         .and_then(|spec| spec.engine);
+    let route_id = match engine {
+        Some(_) => RouteId::of_runs(&service),
+        None => RouteId::of(&route.name),
+    };
     Some(Call::new(CallSpec {
+        route: route_id,
         service,
         kind: route.kind,
         model: engine.map(|engine| model_requirements(engine, exchange)),
--- a/crates/direct/src/status.rs
+++ b/crates/direct/src/status.rs
@@ -5,7 +5,7 @@
 
 use std::sync::{Arc, Mutex, PoisonError};
 
-use cuminlead_direct_core::placement::Distance;
+use cuminlead_direct_core::placement::{Distance, LearnedServer};
 use cuminlead_direct_core::{RefusalReason, ServingState, StepOutcome};
 use cuminlead_process::admin::AdminSource;
 use cuminlead_telemetry::metrics::{
@@ -40,6 +40,8 @@
 const LIFECYCLE_STATES: [&str; 4] = ["usable", "paused", "full", "leaving"];
 /// Most routes, and most teams, with series of their own. A configuration of the users has up to 400 routes.
 const LABELS_MAX_COUNT: usize = 1_000;
+/// Label of the highest value of all servers.
+const HIGHEST_LABEL: &str = "highest";
 /// Label of all further ones.
 const OTHER_LABEL: &str = "other";
 
@@ -75,6 +77,9 @@
     routes: Arc<Mutex<HashSet<String>>>,
     servers: Gauges,
     free_tokens: Gauges,
+    prefill_rates: Gauges,
+    slowness: Gauges,
+    work_in_progress_ms: Gauges,
     retries_left: Gauges,
     config_version: Gauge,
     config_age_ms: Gauge,
@@ -150,6 +155,18 @@
                 "direct_server_free_tokens",
                 "Free memory of an engine, as its agent said last",
             ),
+            prefill_rates: metrics.gauges(
+                "direct_server_prefill_tokens_per_s",
+                "Learned rate at which a server computes prompts",
+            ),
+            slowness: metrics.gauges(
+                "direct_server_slowness_percent",
+                "Learned service time of a server relative to all servers of its service",
+            ),
+            work_in_progress_ms: metrics.gauges(
+                "direct_server_work_in_progress_ms",
+                "Time that a server still needs for the work of this entry",
+            ),
             retries_left: metrics.gauges("direct_retries_left", "Repeats that a service has left"),
             config_version: metrics.gauge("direct_config_version", "Configuration in force"),
             config_age_ms: metrics.gauge(
@@ -223,6 +240,7 @@
                 drop(self.bytes.get_or_create(&byte_labels(direction, distance)));
             }
         }
+        self.update_learned(&[]);
         for state in LIFECYCLE_STATES {
             drop(self.servers.get_or_create(&Label::new("standing", state)));
         }
@@ -267,6 +285,42 @@
             .set(to_i64(free_tokens.0));
     }
 
+    /// Sets the gauges of what the placement policy has learned about servers.
+    pub fn update_learned(&self, learned: &[LearnedServer]) {
+        for gauges in self.learned() {
+            gauges.clear();
+        }
+        let mut highest = [0, 0, 0];
+        for server in learned.iter().take(LABELS_MAX_COUNT) {
+            let values = [
+                server.prefill_tokens_per_ms.map(|rate| rate * 1_000.0),
+                server.slowness.map(|slowness| slowness * 100.0),
+                Some(server.work_in_progress_ms),
+            ];
+            for ((gauges, value), highest) in self.learned().zip(values).zip(&mut highest) {
+                if let Some(value) = value.map(rounded) {
+                    let label = Label::new("server", server.server.to_string());
+                    gauges.get_or_create(&label).set(value);
+                    *highest = value.max(*highest);
+                }
+            }
+        }
+        for (gauges, highest) in self.learned().zip(highest) {
+            let label = Label::new("server", HIGHEST_LABEL);
+            gauges.get_or_create(&label).set(highest);
+        }
+    }
+
+    /// Gauges of what the placement policy has learned.
+    fn learned(&self) -> impl Iterator<Item = &Gauges> {
+        let gauges = [
+            &self.prefill_rates,
+            &self.slowness,
+            &self.work_in_progress_ms,
+        ];
+        gauges.into_iter()
+    }
+
     /// Counts a repeated send; `outcome` is that of the previous one.
     pub fn count_retry(&self, outcome: StepOutcome) {
         let label = Label::new("outcome", <&'static str>::from(outcome));
@@ -356,6 +410,14 @@
     i64::try_from(value).unwrap_or(i64::MAX)
 }
 
+#[allow(
+    clippy::cast_possible_truncation,
+    reason = "bounded estimates, and the conversion saturates"
+)]
+fn rounded(value: f64) -> i64 {
+    value.round() as i64
+}
+
 fn byte_labels(direction: &'static str, distance: Distance) -> [(&'static str, &'static str); 3] {
     [
         ("direction", direction),
