Forward no response that is invalid or broke off as a complete one

Cause: the HTTP libraries take a response without a length for complete when its connection ends, also while the request is still being written (direct path: a server that closes its sending direction before it resets; agents' path: any reset, which ureq takes as the end). They also return 101 and 700 as final responses, drop the body of a 204, and ignore informational heads of other requests.

Change: cuminlead_process::response_head checks heads for entries and agents. In an entry all responses are read through direct::response_validity::ResponseBody: a response without a length is complete only if the request was written in full and the connection ended without an error. Agents use a transport of their own in place of ureq's. Bytes that the system holds unsent for a server are bounded by 16 KiB, so that "written" means sent. Metric direct_invalid_responses, log line "server sent an invalid response".

--- a/crates/agent/src/backend/engine.rs
+++ b/crates/agent/src/backend/engine.rs
@@ -14,12 +14,13 @@
 
 use cuminlead_kernel::{PluginInfo, PluginPoint, WorkerPool};
 use cuminlead_process::http_client;
+use cuminlead_process::response_head::check;
 use cuminlead_protocol::{
     EngineCommand, EngineEvent, EngineOrder, KvHandle, ModelTarget, ServiceCommand,
 };
 use cuminlead_types::{FencingNumber, Priority, Tokens};
 use serde::Serialize;
-use ureq::http::Response;
+use ureq::http::{Method, Response};
 use ureq::{Agent, Body};
 
 use super::engine_wire::{
@@ -79,7 +80,7 @@
         let client = EngineClient {
             base: format!("http://{}", context.address),
             address: context.address,
-            http: http_client::agent(config),
+            http: http_client::backend_agent(config),
             events: context.events,
             sequences: SequenceCommands::default(),
         };
@@ -361,7 +362,10 @@
 
 fn exchange(result: Result<Response<Body>, ureq::Error>) -> Exchange {
     match result {
-        Ok(response) => Exchange::Responded(response),
+        Ok(response) => match check(&Method::POST, response.status(), response.headers()) {
+            Ok(_) => Exchange::Responded(response),
+            Err(_) => Exchange::Lost,
+        },
         Err(error) if is_connect_failure(&error) => Exchange::ConnectFailed,
         Err(_) => Exchange::Lost,
     }
--- a/crates/agent/src/backend/service.rs
+++ b/crates/agent/src/backend/service.rs
@@ -8,6 +8,7 @@
 
 use cuminlead_kernel::{PluginInfo, PluginPoint, WorkerPool};
 use cuminlead_process::http_client;
+use cuminlead_process::response_head::check;
 use cuminlead_protocol::{
     EngineCommand, HttpResponse, ServiceCallRef, ServiceCommand, ServiceEvent,
 };
@@ -53,7 +54,7 @@
             .build();
         let client = ServiceClient {
             base: format!("http://{}", context.address),
-            http: http_client::agent(config),
+            http: http_client::backend_agent(config),
             events: context.events,
         };
         Box::new(Self {
@@ -105,7 +106,9 @@
         let request = request
             .body(http.body.clone())
             .map_err(|_| Failure::NotSent)?;
+        let method = request.method().clone();
         let mut response = self.http.run(request).map_err(Failure::from)?;
+        check(&method, response.status(), response.headers()).map_err(|_| Failure::Lost)?;
         let content_type = response.headers().get(header::CONTENT_TYPE);
         let content_type = content_type
             .and_then(|value| value.to_str().ok())
--- a/crates/direct/src/connection.rs
+++ b/crates/direct/src/connection.rs
@@ -7,15 +7,17 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use cuminlead_process::response_head::UNSENT_MAX_BYTES;
 use http::{Request, Response};
-use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
+use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
+use crate::response_validity::RequestBody;
 use crate::shared_stream::SharedStream;
 
 /// Timeout for establishing a connection. Covers the round trip to another region and a slow
@@ -29,7 +31,7 @@
 #[derive(Debug)]
 pub enum SendError {
     /// The request was not sent and can be sent on another connection.
-    NotSent(Box<Request<Full<Bytes>>>),
+    NotSent(Box<Request<Bytes>>),
     /// The request may have been sent.
     Lost(hyper::Error),
 }
@@ -38,7 +40,7 @@
 #[derive(Debug)]
 pub struct Connection {
     stream: SharedStream,
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<RequestBody>,
     task: AbortHandle,
 }
 
@@ -56,6 +58,8 @@
         // With Nagle's algorithm, a request would wait for the acknowledgement of the one before
         // it.
         let _ = stream.set_nodelay(true);
+        // Without the option, a connection that breaks off is noticed later.
+        let _ = SockRef::from(&stream).set_tcp_notsent_lowat(UNSENT_MAX_BYTES);
         let stream = SharedStream::new(stream);
         let handshake = Builder::new().handshake(TokioIo::new(stream.clone())).await;
         let (sender, connection) = handshake.ok()?;
@@ -81,19 +85,22 @@
         matches!(ready, Ok(Ok(()))) && self.stream.is_quiet()
     }
 
+    /// Stream of the connection.
+    pub(crate) fn stream(&self) -> SharedStream {
+        self.stream.clone()
+    }
+
     /// Whether the connection has ended.
     pub fn is_closed(&self) -> bool {
         self.sender.is_closed()
     }
 
     /// Sends a request and waits for the head of the response.
-    pub async fn send(
-        &mut self,
-        request: Request<Full<Bytes>>,
-    ) -> Result<Response<Incoming>, SendError> {
+    pub async fn send(&mut self, request: Request<Bytes>) -> Result<Response<Incoming>, SendError> {
+        let request = request.map(|bytes| RequestBody::new(bytes, self.stream.progress()));
         let sent = self.sender.try_send_request(request).await;
         sent.map_err(|mut error| match error.take_message() {
-            Some(request) => SendError::NotSent(Box::new(request)),
+            Some(request) => SendError::NotSent(Box::new(request.map(RequestBody::into_bytes))),
             None => SendError::Lost(error.into_error()),
         })
     }
--- a/crates/direct/src/drive.rs
+++ b/crates/direct/src/drive.rs
@@ -246,7 +246,7 @@
         }
         Ok(ServerResponse::Streaming(response)) => {
             log_step(app, exchange, &serving, server, "run", started_at);
-            RunEnd::Finished(CallResult::Streaming(Box::new(response)))
+            RunEnd::Finished(CallResult::Streaming(response))
         }
         Err(outcome) => {
             log_failure(app, exchange, &serving, server, "run", outcome);
--- a/crates/direct/src/engine_resources.rs
+++ b/crates/direct/src/engine_resources.rs
@@ -17,7 +17,6 @@
 use cuminlead_places::{ReservationError, client};
 use cuminlead_types::{DurationUs, Tokens};
 use http::{Method, Request, StatusCode};
-use http_body_util::Full;
 use tokio::time::timeout;
 
 use crate::app::App;
@@ -223,7 +222,7 @@
         .uri(path)
         .header(http::header::HOST, address.to_string())
         .header(http::header::CONTENT_TYPE, "application/json")
-        .body(Full::new(body))
+        .body(body)
         .map_err(|_| StepOutcome::Unreachable)?;
     let exchange = async {
         // The lease is dropped without being finished, which closes the connection.
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -1,7 +1,8 @@
 //! Sends one request to one server and reads the head of its response.
 //!
 //! All responses of servers pass through [`send`], which discards those that do not belong to the
-//! request; see [`crate::correlation`].
+//! request ([`crate::correlation`]) and those that are invalid or not complete
+//! ([`crate::response_validity`]).
 //!
 //! A short response is buffered until it is complete. This way a truncated response is never
 //! forwarded as if it were complete, and the request can be retried at another server where that is
@@ -14,11 +15,11 @@
 use bytes::{Bytes, BytesMut};
 use cuminlead_direct_core::placement::Distance;
 use cuminlead_direct_core::{Incarnation, RequestKind, ServerKey, StepOutcome, Team};
+use cuminlead_process::response_head::InvalidResponse;
 use cuminlead_telemetry::HopSpan;
 use cuminlead_types::{BackendServerId, DurationUs, TimeUs};
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full};
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
 use slog::info;
 
 use crate::adapter::{CallerRequest, ResponseClass, RunHeaders};
@@ -27,6 +28,7 @@
 use crate::connection::{Connection, SendError};
 use crate::correlation::{SentTo, is_response_to};
 use crate::pool::{IDLE_MAX_NOT_REPEATABLE, idle_max};
+use crate::response_validity::{Answered, InformationalHeads, Reporter, ResponseBody};
 use crate::status::Direction;
 
 /// Longest response that is buffered until it is complete. Responses of plain services are a few
@@ -72,11 +74,11 @@
 }
 
 impl CallerExchange {
-    fn request(&self, headers: HeaderMap) -> Option<Request<Full<Bytes>>> {
+    fn request(&self, headers: HeaderMap) -> Option<Request<Bytes>> {
         let mut request = Request::builder()
             .method(self.method.clone())
             .uri(self.path.as_str())
-            .body(Full::new(self.body.clone()))
+            .body(self.body.clone())
             .ok()?;
         *request.headers_mut() = headers;
         Some(request)
@@ -129,7 +131,7 @@
     /// Response that has arrived in full.
     Buffered(BufferedResponse),
     /// Response that is still arriving.
-    Streaming(StreamingResponse),
+    Streaming(Box<StreamingResponse>),
 }
 
 /// Complete response in memory.
@@ -154,7 +156,7 @@
     /// Bytes that have arrived.
     pub first: Bytes,
     /// Body after `first`, read from the connection.
-    pub rest: Incoming,
+    pub rest: ResponseBody,
     /// Connection that the body arrives on.
     pub lease: ServerLease,
 }
@@ -306,13 +308,15 @@
                 is_failure,
             }))
         }
-        Collected::OverLimit(first, rest) => Ok(ServerResponse::Streaming(StreamingResponse {
-            status: parts.status,
-            headers,
-            first,
-            rest,
-            lease,
-        })),
+        Collected::OverLimit(first, rest) => {
+            Ok(ServerResponse::Streaming(Box::new(StreamingResponse {
+                status: parts.status,
+                headers,
+                first,
+                rest,
+                lease,
+            })))
+        }
     }
 }
 
@@ -388,16 +392,22 @@
     request_id: Option<&str>,
     server: ServerKey,
     address: SocketAddr,
-    mut request: Request<Full<Bytes>>,
+    mut request: Request<Bytes>,
     choice: ConnectionChoice,
-) -> Result<(ServerLease, Response<Incoming>), StepOutcome> {
+) -> Result<(ServerLease, Response<ResponseBody>), StepOutcome> {
     let incarnation = app.serving.borrow().servers.incarnation(server);
     let incarnation = incarnation.ok_or(StepOutcome::Unreachable)?;
     let in_flight = InFlight::begin(app, server);
     let distance = distance_of(app, server);
-    let body_bytes = request.body().size_hint().exact().unwrap_or(0);
+    let (method, body_bytes) = (request.method().clone(), request.body().len());
+    let body_bytes_count = u64::try_from(body_bytes).unwrap_or(u64::MAX);
     app.metrics
-        .count_bytes(Direction::Sent, distance, body_bytes);
+        .count_bytes(Direction::Sent, distance, body_bytes_count);
+    let reporter = Reporter {
+        app: Rc::clone(app),
+        server: incarnation.id.clone(),
+        request: request_id.map(ToString::to_string),
+    };
     loop {
         let reused = match choice {
             ConnectionChoice::Pooled { idle_max } => take_usable(app, server, idle_max).await,
@@ -414,13 +424,28 @@
             }
         };
         let sent_at = app.now();
-        match connection.send(request).await {
+        let informational =
+            InformationalHeads::observe(&mut request, request_id, &app.protocol_mapping);
+        let sent = tokio::select! {
+            sent = connection.send(request) => sent,
+            reason = informational.wait_until_invalid() => return Err(reporter.report(reason)),
+        };
+        match sent {
             Ok(response) => {
                 let response_id = app.protocol_mapping.response_id(response.headers());
                 if !is_response_to(request_id, response_id, !is_reused) {
                     log_foreign_response(app, &incarnation, request_id, response_id, &response);
                     return Err(StepOutcome::Malformed);
                 }
+                let answered = Answered {
+                    method: &method,
+                    body_bytes,
+                    informational: &informational,
+                };
+                let stream = connection.stream();
+                let response =
+                    ResponseBody::check_head(&answered, response, stream, reporter.clone())
+                        .map_err(|reason| reporter.report(reason))?;
                 apply_notice(app, &incarnation, sent_at, &response);
                 let lease = ServerLease {
                     app: Rc::clone(app),
@@ -434,6 +459,9 @@
             }
             Err(SendError::NotSent(unsent)) if is_reused => request = *unsent,
             Err(SendError::NotSent(_)) => return Err(StepOutcome::Unreachable),
+            Err(SendError::Lost(error)) if error.is_parse() => {
+                return Err(reporter.report(InvalidResponse::Head));
+            }
             Err(SendError::Lost(_)) => return Err(StepOutcome::Lost),
         }
     }
@@ -457,7 +485,7 @@
     app: &App,
     incarnation: &Incarnation,
     sent_at: TimeUs,
-    response: &Response<Incoming>,
+    response: &Response<ResponseBody>,
 ) {
     let notice = app
         .protocol_mapping
@@ -495,7 +523,7 @@
 }
 
 /// Reads a short response to its end, so that its connection can be reused.
-async fn drain(lease: ServerLease, rest: Incoming) {
+async fn drain(lease: ServerLease, rest: ResponseBody) {
     if let Ok(Collected::Complete(_)) = collect(&lease, rest, BUFFERED_MAX_BYTES).await {
         lease.finish();
     }
@@ -504,24 +532,20 @@
 pub(crate) enum Collected {
     Complete(Bytes),
     /// The bytes read so far, and the rest of a body that exceeds the limit.
-    OverLimit(Bytes, Incoming),
+    OverLimit(Bytes, ResponseBody),
 }
 
 /// Reads a body until it is complete or exceeds `buffered_max_bytes`.
 pub(crate) async fn collect(
     lease: &ServerLease,
-    mut rest: Incoming,
+    mut rest: ResponseBody,
     buffered_max_bytes: usize,
 ) -> Result<Collected, StepOutcome> {
     let mut buffered = BytesMut::new();
     loop {
-        let Some(frame) = rest.frame().await else {
+        let Some(data) = rest.next().await? else {
             return Ok(Collected::Complete(buffered.freeze()));
         };
-        let frame = frame.map_err(|_| StepOutcome::Lost)?;
-        let Ok(data) = frame.into_data() else {
-            continue;
-        };
         lease.count_received(data.len());
         buffered.extend_from_slice(&data);
         if buffered.len() > buffered_max_bytes {
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -14,6 +14,7 @@
 //! | [`body`] | body of a response to a caller |
 //! | [`connection`] | one connection to a backend server |
 //! | [`correlation`] | whether a response belongs to a request |
+//! | [`response_validity`] | whether a response is valid and complete |
 //! | [`shared_stream`] | TCP stream that can be inspected while hyper owns it |
 //! | [`pool`] | idle connections to backend servers |
 //! | [`exchange`] | one request to one server, and its response |
@@ -45,6 +46,7 @@
 pub mod pool;
 pub mod process;
 pub mod relay;
+pub mod response_validity;
 pub mod serve;
 pub mod shared_stream;
 pub mod status;
--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -18,7 +18,6 @@
 use cuminlead_quarantine::SOUND_AFTER;
 use cuminlead_types::{DurationUs, TimeUs};
 use http::header::CONTENT_TYPE;
-use http_body_util::BodyExt;
 use slog::info;
 use tokio::sync::mpsc::{Receiver, Sender, channel};
 use tokio::time::{Instant, sleep_until, timeout};
@@ -279,16 +278,11 @@
 }
 
 async fn next_data(response: &mut StreamingResponse) -> Result<Option<Bytes>, StepOutcome> {
-    while let Some(frame) = response.rest.frame().await {
-        let frame = frame.map_err(|_| StepOutcome::Lost)?;
-        if let Ok(data) = frame.into_data()
-            && !data.is_empty()
-        {
-            response.lease.count_received(data.len());
-            return Ok(Some(data));
-        }
+    let next = response.rest.next().await?;
+    if let Some(data) = &next {
+        response.lease.count_received(data.len());
     }
-    Ok(None)
+    Ok(next)
 }
 
 /// Progress of the output of one run.
--- a/crates/direct/src/shared_stream.rs
+++ b/crates/direct/src/shared_stream.rs
@@ -15,20 +15,42 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+use crate::response_validity::SendProgress;
+
 /// Handle of a TCP stream; all clones refer to the same socket.
 #[derive(Clone, Debug)]
-pub struct SharedStream(Rc<TcpStream>);
+pub struct SharedStream {
+    stream: Rc<TcpStream>,
+    progress: Rc<SendProgress>,
+}
 
 impl SharedStream {
     /// Shares a connected stream.
     pub fn new(stream: TcpStream) -> Self {
-        Self(Rc::new(stream))
+        Self {
+            stream: Rc::new(stream),
+            progress: Rc::default(),
+        }
+    }
+
+    /// Progress of the request that is being sent.
+    pub(crate) fn progress(&self) -> &Rc<SendProgress> {
+        &self.progress
+    }
+
+    /// Whether the stream has failed. The system reports an error of a socket once, to whichever
+    /// call comes first, so it is recorded.
+    pub(crate) fn has_failed(&self) -> bool {
+        if !matches!(self.stream.take_error(), Ok(None)) {
+            self.progress.record_failure();
+        }
+        self.progress.is_failed()
     }
 
     /// Whether nothing is left to read: no byte has arrived, and the peer has not closed the stream.
     pub fn is_quiet(&self) -> bool {
         let mut byte = [MaybeUninit::uninit()];
-        let peeked = SockRef::from(&*self.0).peek(&mut byte);
+        let peeked = SockRef::from(&*self.stream).peek(&mut byte);
         peeked.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
     }
 
@@ -37,11 +59,17 @@
         cx: &mut Context<'_>,
         write: impl Fn(&TcpStream) -> io::Result<usize>,
     ) -> Poll<io::Result<usize>> {
+        self.progress.record_write();
         loop {
-            ready!(self.0.poll_write_ready(cx))?;
-            match write(&self.0) {
+            ready!(self.stream.poll_write_ready(cx))?;
+            match write(&self.stream) {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                written => return Poll::Ready(written),
+                written => {
+                    if written.is_err() {
+                        self.progress.record_failure();
+                    }
+                    return Poll::Ready(written);
+                }
             }
         }
     }
@@ -54,14 +82,20 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         loop {
-            ready!(self.0.poll_read_ready(cx))?;
-            match self.0.try_read(buffer.initialize_unfilled()) {
+            ready!(self.stream.poll_read_ready(cx))?;
+            match self.stream.try_read(buffer.initialize_unfilled()) {
+                Ok(0) if self.has_failed() => {
+                    return Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()));
+                }
                 Ok(read_bytes) => {
                     buffer.advance(read_bytes);
                     return Poll::Ready(Ok(()));
                 }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                Err(error) => return Poll::Ready(Err(error)),
+                Err(error) => {
+                    self.progress.record_failure();
+                    return Poll::Ready(Err(error));
+                }
             }
         }
     }
@@ -89,10 +123,11 @@
     }
 
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.progress.record_flush();
         Poll::Ready(Ok(()))
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(SockRef::from(&*self.0).shutdown(Shutdown::Write))
+        Poll::Ready(SockRef::from(&*self.stream).shutdown(Shutdown::Write))
     }
 }
--- a/crates/direct/src/status.rs
+++ b/crates/direct/src/status.rs
@@ -8,6 +8,7 @@
 use cuminlead_direct_core::placement::Distance;
 use cuminlead_direct_core::{RefusalReason, ServingState, StepOutcome};
 use cuminlead_process::admin::AdminSource;
+use cuminlead_process::response_head::InvalidResponse;
 use cuminlead_telemetry::metrics::{
     Counters, Gauges, RouteLabels, RouteLatencies, RowCounters, start_at_zero,
 };
@@ -82,6 +83,7 @@
     pub connections_opened: Counter,
     /// Responses of backend servers that did not belong to the request.
     pub foreign_responses: Counter,
+    invalid_responses: Counters,
     /// Requests refused because their key is unknown or missing.
     pub unknown_keys: Counter,
     usage_admitted_units: Counters,
@@ -165,6 +167,10 @@
                 "direct_foreign_responses",
                 "Responses of backend servers that did not belong to the request",
             ),
+            invalid_responses: metrics.counters(
+                "direct_invalid_responses",
+                "Responses of backend servers that are invalid or not complete, by reason",
+            ),
             unknown_keys: metrics.counter(
                 "direct_unknown_keys",
                 "Requests refused because their key is unknown or missing",
@@ -205,6 +211,8 @@
         let reasons: Vec<&'static str> = RefusalReason::iter().map(Into::into).collect();
         start_at_zero(&self.requests, "outcome", &reasons);
         start_at_zero(&self.streams, "end", &STREAM_ENDS);
+        let invalid: Vec<&'static str> = InvalidResponse::iter().map(Into::into).collect();
+        start_at_zero(&self.invalid_responses, "reason", &invalid);
         start_at_zero(&self.statuses, "status", &STATUSES);
         for step in STEPS {
             for outcome in StepOutcome::iter() {
@@ -324,6 +332,12 @@
         self.observe("gap", route, end, gap_max);
     }
 
+    /// Counts a response that is invalid or not complete.
+    pub fn count_invalid_response(&self, reason: InvalidResponse) {
+        let label = Label::new("reason", <&'static str>::from(reason));
+        self.invalid_responses.get_or_create(&label).inc();
+    }
+
     /// Counts a failed step at a server.
     pub fn count_step_failure(&self, step: &'static str, outcome: StepOutcome) {
         let row = failure_labels(step, outcome);
--- a/crates/direct/tests/connection.rs
+++ b/crates/direct/tests/connection.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use cuminlead_direct::connection::Connection;
 use http::Request;
-use http_body_util::{BodyExt, Full};
+use http_body_util::BodyExt;
 
 const RESPONSE: &str = "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nanswer";
 
@@ -91,7 +91,7 @@
             let mut connection = Connection::connect(server.address)
                 .await
                 .expect("the server listens");
-            let request = Request::get("/").body(Full::new(Bytes::new()));
+            let request = Request::get("/").body(Bytes::new());
             let response = connection.send(request.expect("a valid request")).await;
             let body = response.expect("a response").into_body().collect().await;
             assert_eq!(body.expect("a whole body").to_bytes(), "answer");
--- a/crates/process/src/http_client.rs
+++ b/crates/process/src/http_client.rs
@@ -12,12 +12,20 @@
 use ureq::unversioned::transport::{DefaultConnector, NextTimeout};
 use ureq::{Agent, Error};
 
+use crate::backend_transport::BackendConnector;
+
 /// Creates a client. Requests to a host name, or to an address without a port, fail with
 /// [`Error::HostNotFound`].
 pub fn agent(config: Config) -> Agent {
     Agent::with_parts(config, DefaultConnector::default(), IpResolver)
 }
 
+/// Creates a client for backend servers, which opens a connection for each request and takes no
+/// response that broke off for complete. Addresses are as for [`agent`].
+pub fn backend_agent(config: Config) -> Agent {
+    Agent::with_parts(config, BackendConnector, IpResolver)
+}
+
 /// Takes the socket address from the URL without name resolution.
 #[derive(Clone, Copy, Debug)]
 struct IpResolver;
