Close callers that read so slowly that their server's response stays unread

Cause: a relayed response was bounded by 16 chunks of up to 400 KB, and by the buffers of the system, some MB. When these were full, the entry stopped reading and waited without a limit of its own: the engine's slot stayed occupied until the engine aborted the response, or until the route's timeout. The connection of such a caller did not ask for further chunks, so closing the channel did not end it, and the engine could be taken for unresponsive.

Change: 64 KiB and one chunk are held for each response, chunks have at most 64 KiB, and the system holds at most 16 KiB unsent for a caller. While that is full the server's response is not read. A caller that takes less than 16 KiB in slow_caller_ms (default 1500, at most 1900) while data of the server wait is closed: first the connection to the server, which releases the slot, then the caller's. The decision is direct_core::slow_caller, without a clock. Streams end as caller_slow; the gauge direct_held_bytes counts what is held for callers and servers.

--- a/crates/direct-core/src/lib.rs
+++ b/crates/direct-core/src/lib.rs
@@ -20,6 +20,7 @@
 //! | [`serving`] | operator configuration, servers and retry budgets |
 //! | [`registry`] | watcher of the registry |
 //! | [`shutdown`] | admission of requests while a process shuts down |
+//! | [`slow_caller`] | whether a caller reads too slowly for the server of its response |
 //! | [`stages`] | which engines compute prompts |
 //! | [`teams`] | teams of callers, their keys, priorities and usage limits |
 //! | [`usage_ledger`] | usage of teams under their limits, at its owner |
@@ -43,6 +44,7 @@
 pub mod servers;
 pub mod serving;
 pub mod shutdown;
+pub mod slow_caller;
 pub mod stages;
 pub mod teams;
 pub mod usage_ledger;
--- a/crates/direct/src/app.rs
+++ b/crates/direct/src/app.rs
@@ -9,7 +9,7 @@
 use cuminlead_kernel::Clock;
 use cuminlead_places::ReservationClient;
 use cuminlead_telemetry::Tracing;
-use cuminlead_types::{EntryId, TimeUs};
+use cuminlead_types::{DurationUs, EntryId, TimeUs};
 use slog::Logger;
 use tokio::sync::watch;
 
@@ -41,6 +41,8 @@
     pub serving: RefCell<ServingState>,
     /// Memory for the bodies of callers' requests.
     pub body_memory: Rc<BodyMemory>,
+    /// Time for which a caller may keep data of its server waiting.
+    pub slow_caller_limit: DurationUs,
     /// Idle connections to backend servers.
     pub pool: RefCell<ConnectionPool>,
     /// Connections to the agents that reserve decode slots.
--- a/crates/direct/src/body.rs
+++ b/crates/direct/src/body.rs
@@ -10,13 +10,15 @@
 
 use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
-use tokio::sync::mpsc::Receiver;
+use tokio::sync::mpsc::UnboundedReceiver;
+
+use crate::caller_buffer::HeldBytes;
 
 /// Item of a relayed response.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Debug)]
 pub enum Chunk {
     /// Bytes of the body.
-    Data(Bytes),
+    Data(HeldBytes),
     /// End of a complete body.
     End,
 }
@@ -39,7 +41,7 @@
     /// Complete body in memory.
     Buffered(Option<Bytes>),
     /// Body that is forwarded as it arrives.
-    Relayed(Receiver<Chunk>),
+    Relayed(UnboundedReceiver<Chunk>),
 }
 
 impl CallerBody {
@@ -66,7 +68,7 @@
         match &mut *self {
             Self::Buffered(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
             Self::Relayed(chunks) => match ready!(chunks.poll_recv(context)) {
-                Some(Chunk::Data(bytes)) => Poll::Ready(Some(Ok(Frame::data(bytes)))),
+                Some(Chunk::Data(held)) => Poll::Ready(Some(Ok(Frame::data(held.take())))),
                 Some(Chunk::End) => Poll::Ready(None),
                 None => Poll::Ready(Some(Err(IncompleteResponse))),
             },
--- a/crates/direct/src/connection.rs
+++ b/crates/direct/src/connection.rs
@@ -24,6 +24,9 @@
 /// accept. A lost first packet is retransmitted only after a second; another server is the better
 /// choice by then.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Largest read buffer of a connection, and so the largest head and chunk of a response. hyper's
+/// default is 400 KB, of which a relay could hold several for a caller that reads slowly.
+const READ_BUFFER_MAX_BYTES: usize = 64 * 1024;
 /// Timeout for an idle connection to report whether it is usable, which takes one poll of its task.
 const READY_TIMEOUT: Duration = Duration::from_millis(20);
 
@@ -61,7 +64,10 @@
         // Without the option, a connection that breaks off is noticed later.
         let _ = SockRef::from(&stream).set_tcp_notsent_lowat(UNSENT_MAX_BYTES);
         let stream = SharedStream::new(stream);
-        let handshake = Builder::new().handshake(TokioIo::new(stream.clone())).await;
+        let handshake = Builder::new()
+            .max_buf_size(READ_BUFFER_MAX_BYTES)
+            .handshake(TokioIo::new(stream.clone()))
+            .await;
         let (sender, connection) = handshake.ok()?;
         let task = tokio::task::spawn_local(async move {
             // An error is also returned to the in-flight request; without one, nothing waits for
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -29,7 +29,7 @@
 use crate::correlation::{SentTo, is_response_to};
 use crate::pool::{IDLE_MAX_NOT_REPEATABLE, idle_max};
 use crate::response_validity::{Answered, InformationalHeads, Reporter, ResponseBody};
-use crate::status::Direction;
+use crate::status::{Direction, HeldCount};
 
 /// Longest response that is buffered until it is complete. Responses of plain services are a few
 /// KB; a longer one is streamed.
@@ -426,6 +426,8 @@
         let sent_at = app.now();
         let informational =
             InformationalHeads::observe(&mut request, request_id, &app.protocol_mapping);
+        let held = HeldCount::server(&app.metrics, body_bytes);
+        connection.stream().progress().hold(held);
         let sent = tokio::select! {
             sent = connection.send(request) => sent,
             reason = informational.wait_until_invalid() => return Err(reporter.report(reason)),
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -12,6 +12,7 @@
 //! | [`app`] | state shared by all requests of the traffic thread |
 //! | [`body_memory`] | bound on the memory of callers' request bodies |
 //! | [`body`] | body of a response to a caller |
+//! | [`caller_buffer`] | bytes of a relayed response that its caller has not taken |
 //! | [`connection`] | one connection to a backend server |
 //! | [`correlation`] | whether a response belongs to a request |
 //! | [`response_validity`] | whether a response is valid and complete |
@@ -34,6 +35,7 @@
 pub mod app;
 pub mod body;
 pub mod body_memory;
+pub mod caller_buffer;
 pub mod connection;
 pub mod control;
 pub mod correlation;
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -107,6 +107,7 @@
         clock,
         serving: RefCell::new(ServingState::new(serving_config(settings))),
         body_memory: BodyMemory::new(body_memory_max(settings)),
+        slow_caller_limit: DurationUs::from_ms(settings.slow_caller_ms().0),
         pool: RefCell::new(ConnectionPool::default()),
         reservation_client: RefCell::new(ReservationClient::default()),
         name: settings.name().clone(),
--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -19,11 +19,12 @@
 use cuminlead_types::{DurationUs, TimeUs};
 use http::header::CONTENT_TYPE;
 use slog::info;
-use tokio::sync::mpsc::{Receiver, Sender, channel};
+use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::time::{Instant, sleep_until, timeout};
 
 use crate::app::App;
 use crate::body::Chunk;
+use crate::caller_buffer::{CallerBuffer, CallerConnection, NotTaken};
 use crate::crash_reports::{record_sound, report_if_crashed};
 use crate::drive::{CallResult, InterruptedStream, drive, log_failure};
 use crate::exchange::{
@@ -32,13 +33,13 @@
 
 /// Content type of a stream of server-sent events.
 const EVENT_STREAM: &[u8] = b"text/event-stream";
-/// Chunks that are buffered for a caller that reads slowly.
-const CHUNKS_MAX_COUNT: usize = 16;
 
 /// Stream of a call, from its first chunk on.
 pub struct Relay {
     /// State of the traffic thread.
     pub app: Rc<App>,
+    /// Connection of the caller.
+    pub connection: CallerConnection,
     /// Request of the caller.
     pub exchange: Rc<CallerExchange>,
     /// State of the call.
@@ -60,6 +61,7 @@
 enum RelayEnd {
     Complete,
     CallerDisconnected,
+    CallerTooSlow,
     TimedOut,
     Lost,
 }
@@ -69,6 +71,7 @@
         match self {
             Self::Complete => "whole",
             Self::CallerDisconnected => "caller_gone",
+            Self::CallerTooSlow => "caller_slow",
             Self::TimedOut => "timed_out",
             Self::Lost => "lost",
         }
@@ -77,26 +80,33 @@
 
 impl Relay {
     /// Forwards the response in a task of its own; returns the receiver of its chunks.
-    pub fn start(self, response: StreamingResponse) -> Receiver<Chunk> {
-        let (chunks, receiver) = channel(CHUNKS_MAX_COUNT);
-        tokio::task::spawn_local(self.run(response, chunks));
+    pub fn start(self, response: StreamingResponse) -> UnboundedReceiver<Chunk> {
+        let (buffer, receiver) = CallerBuffer::new(&self.app);
+        tokio::task::spawn_local(self.run(response, buffer));
         receiver
     }
 
-    async fn run(mut self, response: StreamingResponse, chunks: Sender<Chunk>) {
+    async fn run(mut self, response: StreamingResponse, mut buffer: CallerBuffer) {
+        let chunks = buffer.chunks();
         let deadline = Instant::from_std(self.app.clock.instant(self.exchange.deadline));
         let end = tokio::select! {
-            end = self.forward(response, &chunks) => end,
+            end = self.forward(response, &mut buffer) => end,
             () = chunks.closed() => RelayEnd::CallerDisconnected,
             () = sleep_until(deadline) => RelayEnd::TimedOut,
         };
         if end == RelayEnd::Complete {
             // Sending fails only if the caller has disconnected.
-            let _ = chunks.send(Chunk::End).await;
+            let _ = chunks.send(Chunk::End);
         }
-        if matches!(end, RelayEnd::CallerDisconnected | RelayEnd::TimedOut) {
+        // While data of the server wait for the caller, the server is not the silent one.
+        if matches!(end, RelayEnd::CallerDisconnected | RelayEnd::TimedOut) && !buffer.is_blocked {
             self.mark_unresponsive();
         }
+        if end == RelayEnd::CallerTooSlow || (end == RelayEnd::TimedOut && buffer.is_blocked) {
+            // The connection does not ask for further chunks, so closing the channel does not end
+            // it.
+            self.connection.close();
+        }
         let total = self.app.now().since(self.arrived_at);
         self.app
             .metrics
@@ -109,7 +119,7 @@
     async fn forward(
         &mut self,
         mut response: StreamingResponse,
-        chunks: &Sender<Chunk>,
+        buffer: &mut CallerBuffer,
     ) -> RelayEnd {
         let is_resumable = self.exchange.kind == RequestKind::Stream { resumable: true };
         let mut scanner = EventScanner::new();
@@ -127,7 +137,8 @@
                 app: &self.app,
                 spec: self.call.spec(),
                 output: &mut output,
-                chunks,
+                buffer,
+                is_too_slow: false,
                 bytes_count: &mut self.bytes_count,
                 last_chunk: &mut self.last_chunk,
                 gap_max: &mut self.gap_max,
@@ -137,6 +148,7 @@
             } else {
                 copy_bytes(&mut response, &mut sink).await
             };
+            let is_too_slow = sink.is_too_slow;
             let now = self.app.now();
             let mut silent_response;
             match copied {
@@ -150,6 +162,7 @@
                     self.call.run_answered(now, &mut serving, server);
                     return RelayEnd::Complete;
                 }
+                Err(StepOutcome::Unreachable) if is_too_slow => return RelayEnd::CallerTooSlow,
                 Err(StepOutcome::Unreachable) => return RelayEnd::CallerDisconnected,
                 Err(outcome) => {
                     // The response of a silent server is kept for now. Any other connection is
@@ -237,7 +250,7 @@
     while let Some(data) = next {
         boundary.push(&data);
         sink.send(data).await?;
-        next = next_data(response).await?;
+        next = next_data(response, sink).await?;
     }
     if has_events && !boundary.is_at_boundary() {
         return Err(StepOutcome::Lost);
@@ -260,10 +273,10 @@
             sink.send(Bytes::from(events)).await?;
         }
         let next = match chunk_timeout {
-            Some(chunk_timeout) => timeout(chunk_timeout, next_data(response))
+            Some(chunk_timeout) => timeout(chunk_timeout, next_data(response, sink))
                 .await
                 .unwrap_or(Err(StepOutcome::TimedOut)),
-            None => next_data(response).await,
+            None => next_data(response, sink).await,
         };
         match next? {
             Some(next) => data = next,
@@ -277,8 +290,14 @@
     }
 }
 
-async fn next_data(response: &mut StreamingResponse) -> Result<Option<Bytes>, StepOutcome> {
+async fn next_data(
+    response: &mut StreamingResponse,
+    sink: &mut Sink<'_>,
+) -> Result<Option<Bytes>, StepOutcome> {
+    let asked_at = sink.app.now();
     let next = response.rest.next().await?;
+    sink.buffer
+        .waited_for_server(sink.app.now().since(asked_at));
     if let Some(data) = &next {
         response.lease.count_received(data.len());
     }
@@ -298,7 +317,8 @@
     app: &'a Rc<App>,
     spec: &'a CallSpec,
     output: &'a mut OutputProgress,
-    chunks: &'a Sender<Chunk>,
+    buffer: &'a mut CallerBuffer,
+    is_too_slow: bool,
     bytes_count: &'a mut u64,
     last_chunk: &'a mut Option<(ServerKey, TimeUs)>,
     gap_max: &'a mut DurationUs,
@@ -306,7 +326,7 @@
 
 impl Sink<'_> {
     /// Sends a chunk to the caller; returns [`StepOutcome::Unreachable`] if the caller has
-    /// disconnected.
+    /// disconnected or reads too slowly.
     async fn send(&mut self, data: Bytes) -> Result<(), StepOutcome> {
         *self.bytes_count += data.len() as u64;
         let now = self.app.now();
@@ -318,7 +338,10 @@
             *self.gap_max = now.since(*last_at).max(*self.gap_max);
             *last_at = now;
         }
-        let sent = self.chunks.send(Chunk::Data(data)).await;
-        sent.map_err(|_| StepOutcome::Unreachable)
+        let sent = self.buffer.send(data).await;
+        sent.map_err(|not_taken| {
+            self.is_too_slow = not_taken == NotTaken::TooSlow;
+            StepOutcome::Unreachable
+        })
     }
 }
--- a/crates/direct/src/response_validity.rs
+++ b/crates/direct/src/response_validity.rs
@@ -10,7 +10,7 @@
 //! a long request the end of the connection is therefore confirmed by [`SETTLE_TIME`] without an
 //! error.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -36,6 +36,7 @@
 use crate::adapter::ProtocolMapping;
 use crate::app::App;
 use crate::shared_stream::SharedStream;
+use crate::status::HeldCount;
 
 /// Most informational heads before a response. Servers send one or two.
 const INFORMATIONAL_MAX_COUNT: u32 = 16;
@@ -46,6 +47,8 @@
     is_body_taken: Cell<bool>,
     is_written: Cell<bool>,
     is_failed: Cell<bool>,
+    /// Counts the body of the request as held for the server.
+    held: RefCell<Option<HeldCount>>,
 }
 
 impl SendProgress {
@@ -62,6 +65,14 @@
     /// Records that the HTTP library has written all bytes that it has.
     pub(crate) fn record_flush(&self) {
         self.is_written.set(self.is_body_taken.get());
+        if self.is_written.get() {
+            drop(self.held.borrow_mut().take());
+        }
+    }
+
+    /// Counts the body of the next request as held until it is written.
+    pub(crate) fn hold(&self, held: HeldCount) {
+        *self.held.borrow_mut() = Some(held);
     }
 
     /// Records that reading or writing failed.
--- a/crates/direct/src/serve.rs
+++ b/crates/direct/src/serve.rs
@@ -11,6 +11,7 @@
     Call, CallSpec, EngineSpec, ModelRequirements, OperatorConfig, Refusal, RefusalReason, Route,
     RouteMatch, Team, UnknownKey,
 };
+use cuminlead_process::response_head::UNSENT_MAX_BYTES;
 use cuminlead_telemetry::HopSpan;
 use cuminlead_types::{Bytes, DurationUs, Revision, TimeUs, Tokens};
 use http::header::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HOST, RETRY_AFTER};
@@ -21,6 +22,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioTimer;
 use slog::{debug, info};
+use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::time::{Instant, timeout_at};
@@ -29,6 +31,7 @@
 use crate::app::{App, StopPhase};
 use crate::body::CallerBody;
 use crate::body_memory::{BodyLease, NoBodyMemory};
+use crate::caller_buffer::CallerConnection;
 use crate::correlation::SentTo;
 use crate::drive::{CallResult, drive};
 use crate::exchange::{BufferedResponse, CallerExchange, TRACEPARENT};
@@ -97,14 +100,17 @@
     // The balancer had no other process to choose, so this connection gets its response before it
     // is closed.
     let is_accepted_while_closing = *stop.borrow() >= StopPhase::Closing;
+    // Bounds what the system holds for a caller that does not read.
+    let _ = SockRef::from(&stream).set_tcp_notsent_lowat(UNSENT_MAX_BYTES);
     let timer = HeadTimer::default();
+    let caller = CallerConnection::default();
     let service = {
-        let (app, timer) = (Rc::clone(&app), timer.clone());
+        let (app, timer, caller) = (Rc::clone(&app), timer.clone(), caller.clone());
         service_fn(move |request| {
-            let (app, timer) = (Rc::clone(&app), timer.clone());
+            let (app, timer, caller) = (Rc::clone(&app), timer.clone(), caller.clone());
             timer.complete();
             async move {
-                let response = handle_request(app, request).await;
+                let response = handle_request(app, caller, request).await;
                 timer.reset();
                 Ok::<_, Infallible>(response)
             }
@@ -123,6 +129,10 @@
             debug!(app.log, "caller did not send the request head in time; connection closed");
             return;
         }
+        () = caller.closing() => {
+            info!(app.log, "caller reads too slowly; connection closed");
+            return;
+        }
         _ = stop.wait_for(|phase| *phase >= StopPhase::Closing),
             if !is_accepted_while_closing => None,
     };
@@ -130,7 +140,10 @@
         Some(ended) => ended,
         None => {
             connection.as_mut().graceful_shutdown();
-            connection.await
+            tokio::select! {
+                ended = connection => ended,
+                () = caller.closing() => return,
+            }
         }
     };
     if let Err(error) = ended {
@@ -138,10 +151,14 @@
     }
 }
 
-async fn handle_request(app: Rc<App>, request: Request<Incoming>) -> Response<CallerBody> {
+async fn handle_request(
+    app: Rc<App>,
+    caller: CallerConnection,
+    request: Request<Incoming>,
+) -> Response<CallerBody> {
     let arrived_at = app.now();
     let mut response = match admit(&app, request, arrived_at).await {
-        Ok(admitted) => run(&app, admitted, arrived_at).await,
+        Ok(admitted) => run(&app, caller, admitted, arrived_at).await,
         Err(response) => response,
     };
     if app.is_stopping() {
@@ -371,7 +388,12 @@
     }
 }
 
-async fn run(app: &Rc<App>, admitted: Admitted, arrived_at: TimeUs) -> Response<CallerBody> {
+async fn run(
+    app: &Rc<App>,
+    connection: CallerConnection,
+    admitted: Admitted,
+    arrived_at: TimeUs,
+) -> Response<CallerBody> {
     let Admitted {
         exchange,
         mut call,
@@ -414,6 +436,7 @@
             let (status, headers) = (streaming.status, streaming.headers.clone());
             let relay = Relay {
                 app: Rc::clone(app),
+                connection,
                 exchange,
                 call,
                 route,
--- a/crates/direct/src/status.rs
+++ b/crates/direct/src/status.rs
@@ -25,7 +25,7 @@
 /// Outcomes of requests, besides the reasons of refusals.
 const ANSWERED_OUTCOMES: [&str; 3] = ["answered", "failed", "streaming"];
 /// How relayed streams end.
-const STREAM_ENDS: [&str; 4] = ["whole", "lost", "timed_out", "caller_gone"];
+const STREAM_ENDS: [&str; 5] = ["whole", "lost", "timed_out", "caller_gone", "caller_slow"];
 /// Statuses of responses that this process generates itself.
 const STATUSES: [&str; 9] = [
     "400", "401", "404", "408", "413", "429", "502", "503", "504",
@@ -37,6 +37,8 @@
 const DISCARD_CAUSES: [&str; 2] = ["lapsed", "unused"];
 /// Directions of bytes between this process and servers.
 const DIRECTIONS: [&str; 2] = ["sent", "received"];
+/// Peers for which bytes are held.
+const PEERS: [&str; 2] = ["caller", "server"];
 /// Lifecycle states of servers.
 const LIFECYCLE_STATES: [&str; 4] = ["usable", "paused", "full", "leaving"];
 /// Most routes, and most teams, with series of their own. A configuration of the users has up to 400 routes.
@@ -79,6 +81,7 @@
     retries_left: Gauges,
     config_version: Gauge,
     config_age_ms: Gauge,
+    held_bytes: Gauges,
     /// Connections opened to backend servers.
     pub connections_opened: Counter,
     /// Responses of backend servers that did not belong to the request.
@@ -119,6 +122,41 @@
     }
 }
 
+/// Bytes that count as held for a peer until dropped.
+#[derive(Debug)]
+pub struct HeldCount {
+    gauge: Gauge,
+    bytes_count: i64,
+}
+
+impl HeldCount {
+    fn new(metrics: &DirectMetrics, peer: &'static str, bytes_count: usize) -> Self {
+        let gauge = metrics
+            .held_bytes
+            .get_or_create(&Label::new("peer", peer))
+            .clone();
+        let bytes_count = i64::try_from(bytes_count).unwrap_or(i64::MAX);
+        gauge.inc_by(bytes_count);
+        Self { gauge, bytes_count }
+    }
+
+    /// Bytes of a response that its caller has not taken.
+    pub(crate) fn caller(metrics: &DirectMetrics, bytes_count: usize) -> Self {
+        Self::new(metrics, PEERS[0], bytes_count)
+    }
+
+    /// Bytes of a request that were not written to its server in full.
+    pub(crate) fn server(metrics: &DirectMetrics, bytes_count: usize) -> Self {
+        Self::new(metrics, PEERS[1], bytes_count)
+    }
+}
+
+impl Drop for HeldCount {
+    fn drop(&mut self) {
+        self.gauge.dec_by(self.bytes_count);
+    }
+}
+
 impl DirectMetrics {
     /// Registers the metrics.
     pub fn new(metrics: &mut Metrics) -> Self {
@@ -158,6 +196,10 @@
                 "direct_config_age_ms",
                 "Time since the configuration was put in force",
             ),
+            held_bytes: metrics.gauges(
+                "direct_held_bytes",
+                "Bytes of bodies held until the peer takes them",
+            ),
             registry_calls: metrics.counter("direct_registry_calls", "Questions to the registry"),
             connections_opened: metrics.counter(
                 "direct_channels_opened",
@@ -231,6 +273,9 @@
                 drop(self.bytes.get_or_create(&byte_labels(direction, distance)));
             }
         }
+        for peer in PEERS {
+            drop(self.held_bytes.get_or_create(&Label::new("peer", peer)));
+        }
         for state in LIFECYCLE_STATES {
             drop(self.servers.get_or_create(&Label::new("standing", state)));
         }
--- a/crates/settings/src/entry.rs
+++ b/crates/settings/src/entry.rs
@@ -74,6 +74,10 @@
         /// Largest number of open connections of callers when backend servers are called directly.
         /// Each connection uses a file descriptor, and each in-flight request uses another.
         connections_max_count: Count = Default("2500") in 1..=65536;
+        /// Time without progress of a caller while data of its backend server wait for it, after which
+        /// the connection to the caller is closed. Backend servers that are called directly abort a
+        /// response that remains unread for a few seconds.
+        slow_caller_ms: DurationMs = Default("1500") in 100..=1900;
         /// Memory that the process may use, in millions of bytes. Two fifths of it are for the
         /// bodies of requests when backend servers are called directly.
         memory_max_mb: Count = Default("256") in 16..=1000000;
