--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -12,8 +12,10 @@
 //! | [`app`] | state shared by all requests of the traffic thread |
 //! | [`body_memory`] | bound on the memory of callers' request bodies |
 //! | [`body`] | body of a response to a caller |
+//! | [`caller_buffer`] | bytes of a relayed response that its caller has not taken |
 //! | [`connection`] | one connection to a backend server |
 //! | [`correlation`] | whether a response belongs to a request |
+//! | [`response_validity`] | whether a response is valid and complete |
 //! | [`shared_stream`] | TCP stream that can be inspected while hyper owns it |
 //! | [`pool`] | idle connections to backend servers |
 //! | [`exchange`] | one request to one server, and its response |
@@ -34,6 +36,7 @@
 pub mod app;
 pub mod body;
 pub mod body_memory;
+pub mod caller_buffer;
 pub mod connection;
 pub mod control;
 pub mod correlation;
@@ -46,6 +49,7 @@
 pub mod pool;
 pub mod process;
 pub mod relay;
+pub mod response_validity;
 pub mod serve;
 pub mod shared_stream;
 mod slow_servers;
