Satisfy clippy in the usage limits of teams

The reference is now a temporary of one statement, the casts are allowed with their reason, and the remainder uses is_multiple_of. Behaviour is unchanged; clippy passes.

--- a/crates/direct-core/tests/usage_support/mod.rs
+++ b/crates/direct-core/tests/usage_support/mod.rs
@@ -1,5 +1,10 @@
 //! Load of one team on virtual time, and the ways to hold it to its limit.
 
+#![allow(
+    clippy::cast_possible_truncation,
+    reason = "numbers of entries and milliseconds of a run fit into 32 bits"
+)]
+
 use std::collections::VecDeque;
 use std::fmt;
 
@@ -306,7 +311,7 @@
         let count = self.buckets.len();
         for (entry, bucket) in self.buckets.iter_mut().enumerate() {
             bucket.refill(STEP, moments(entry).limit);
-            if (self.ms + entry as u64 * 15) % 500 == 0 {
+            if (self.ms + entry as u64 * 15).is_multiple_of(500) {
                 let units = std::mem::take(&mut self.untold[entry]);
                 self.in_flight
                     .push_back((self.ms + ONE_WAY_MS, entry, units));
--- a/crates/direct/src/team_usage.rs
+++ b/crates/direct/src/team_usage.rs
@@ -115,9 +115,10 @@
         return None;
     }
     let servers_count = app.serving.borrow().servers.iter().count();
-    let mut usage = app.usage.borrow_mut();
-    let known_entries_count = usage.entries_count(now, team, servers_count);
-    drop(usage);
+    let known_entries_count = app
+        .usage
+        .borrow_mut()
+        .entries_count(now, team, servers_count);
     for (rank, owner) in owners_of(app, team).into_iter().enumerate() {
         let connection = app
             .reservation_client
