Follow a store that is restored from an older copy

Cause: after a restore, revisions go back and are given out again. The watcher compared them with those that it knew, so what was written again was ignored until revisions had caught up; a watch from a revision of the earlier era missed changes; servers that only the copy held were used again; servers that were not yet written again became fallback servers; a late response of the earlier era replaced newer state.

The watcher lists again in a newer era, ignores pages of an earlier one, and decides on records that may be from the copy by what it knew before (direct_core::registry_view). Metrics and log lines for each change of era and each server held back.

--- a/crates/direct-core/src/lib.rs
+++ b/crates/direct-core/src/lib.rs
@@ -19,6 +19,7 @@
 //! | [`call`] | state machine of one request |
 //! | [`serving`] | operator configuration, servers and retry budgets |
 //! | [`registry`] | watcher of the registry |
+//! | [`registry_view`] | servers that a watcher knows, across restores of the registry |
 //! | [`shutdown`] | admission of requests while a process shuts down |
 //! | [`stages`] | which engines compute prompts |
 //! | [`teams`] | teams of callers, their keys, priorities and usage limits |
@@ -37,6 +38,7 @@
 mod preparation;
 pub mod rate_limit;
 pub mod registry;
+pub mod registry_view;
 pub mod reservation;
 pub mod server;
 pub mod server_notices;
--- a/crates/direct-core/src/registry.rs
+++ b/crates/direct-core/src/registry.rs
@@ -7,15 +7,20 @@
 //! be larger than a response may be, while a listing has only the newest one. A server's entry is
 //! applied only if its revision is newer, and a configuration only if its version is newer, so
 //! neither a late response nor a second listing reverts anything.
+//!
+//! A registry may be restored from an older copy, which begins a new era. The watcher then lists
+//! again, keeps what it knows until the servers have written their records again, and ignores
+//! responses of an earlier era; see `registry_view`.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashSet;
 use std::fmt;
 use std::sync::Arc;
 
-use cuminlead_types::{BackendServerId, DurationUs, Revision, TimeUs};
+use cuminlead_types::{BackendServerId, DurationUs, Era, Revision, TimeUs};
 use strum::Display;
 
 use crate::operator_config::OperatorConfig;
+use crate::registry_view::{RegistryView, Verdict};
 use crate::server::ServerRecord;
 
 /// Longest wait of one watch. An unresponsive connection is noticed when its watch is overdue, so
@@ -103,6 +108,8 @@
     pub next: Option<String>,
     /// Revision of the registry at the time of the response.
     pub revision: Revision,
+    /// Era of the registry; `None` if it has no eras.
+    pub era: Option<Era>,
 }
 
 /// Why a query has no usable response.
@@ -114,6 +121,11 @@
     Incomplete(String),
     /// No usable response, with the reason.
     Unavailable(String),
+    /// The response is of an earlier era than one before.
+    EarlierEra {
+        /// Era of the response; `None` if it states none.
+        era: Option<Era>,
+    },
 }
 
 impl fmt::Display for RegistryError {
@@ -128,6 +140,12 @@
             Self::Unavailable(reason) => {
                 write!(f, "no usable response from the registry: {reason}")
             }
+            Self::EarlierEra { era: Some(era) } => {
+                write!(f, "response of an earlier era of the registry: {era}")
+            }
+            Self::EarlierEra { era: None } => {
+                f.write_str("response of the registry without an era, after one with an era")
+            }
         }
     }
 }
@@ -162,6 +180,18 @@
     Lost(RegistryError),
     /// The registry responds again.
     Regained,
+    /// The registry was restored from an older copy; what it lost is being written again.
+    EraChanged {
+        /// Earlier era; `None` if the registry had none.
+        from: Option<Era>,
+        /// Era from now on.
+        to: Option<Era>,
+    },
+    /// The record of an unknown server is not used, because only the restored copy may hold it.
+    HeldBack(BackendServerId),
+    /// What a restored registry lost had time to be written again; servers that are missing now were
+    /// removed.
+    EraRecovered,
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -171,6 +201,8 @@
         after: Option<String>,
         /// Revision of the first page, where the watch begins.
         start: Option<Revision>,
+        /// When the listing began.
+        began_at: TimeUs,
         seen: HashSet<BackendServerId>,
     },
     Watching {
@@ -179,11 +211,12 @@
 }
 
 impl Phase {
-    fn start_listing() -> Self {
+    fn start_listing(now: TimeUs, collection: Collection) -> Self {
         Self::Listing {
-            collection: Collection::Configuration,
+            collection,
             after: None,
             start: None,
+            began_at: now,
             seen: HashSet::new(),
         }
     }
@@ -194,19 +227,29 @@
 pub struct RegistryWatcher {
     phase: Phase,
     version: Option<Revision>,
-    server_revisions: HashMap<BackendServerId, Revision>,
+    view: RegistryView,
+    era: Option<Era>,
+    /// Whether all entries have been read once.
+    is_synced: bool,
+    /// Whether only servers are listed, by responses that may be some seconds old.
+    lists_stale_servers: bool,
     failures_count: u32,
     paused_until: TimeUs,
+    handled_at: TimeUs,
 }
 
 impl Default for RegistryWatcher {
     fn default() -> Self {
         Self {
-            phase: Phase::start_listing(),
+            phase: Phase::start_listing(TimeUs::ZERO, Collection::Configuration),
             version: None,
-            server_revisions: HashMap::new(),
+            view: RegistryView::default(),
+            era: None,
+            is_synced: false,
+            lists_stale_servers: false,
             failures_count: 0,
             paused_until: TimeUs::ZERO,
+            handled_at: TimeUs::ZERO,
         }
     }
 }
@@ -217,6 +260,36 @@
         Self::default()
     }
 
+    /// Watcher that lists only the servers, by responses that may be some seconds old.
+    pub fn for_stale_listings() -> Self {
+        Self {
+            phase: Phase::start_listing(TimeUs::ZERO, Collection::Servers),
+            lists_stale_servers: true,
+            ..Self::default()
+        }
+    }
+
+    /// Begins a listing. The next queries list until an update [`RegistryUpdate::Synced`].
+    pub fn start_listing(&mut self, now: TimeUs) {
+        let collection = if self.lists_stale_servers {
+            Collection::Servers
+        } else {
+            Collection::Configuration
+        };
+        self.phase = Phase::start_listing(now, collection);
+    }
+
+    /// Era of the registry; `None` if it has no eras.
+    pub fn era(&self) -> Option<Era> {
+        self.era
+    }
+
+    /// Whether the registry was restored so recently that its servers may not all be published
+    /// again.
+    pub fn is_recovering(&self, now: TimeUs) -> bool {
+        self.view.is_recovering(now)
+    }
+
     /// Time before which no query is to be sent.
     pub fn paused_until(&self) -> TimeUs {
         self.paused_until
@@ -230,45 +303,87 @@
             } => Query::List {
                 collection: *collection,
                 after: after.clone(),
-                is_stale_allowed: false,
+                is_stale_allowed: self.lists_stale_servers,
             },
             Phase::Watching { after } => Query::Watch {
                 after: *after,
-                wait: if self.failures_count > 0 {
-                    OUTAGE_WATCH_WAIT_MAX
-                } else {
-                    WATCH_WAIT_MAX
-                },
+                wait: self.watch_wait(),
             },
         }
     }
 
+    /// Wait of the next watch. It ends when the next listing is due.
+    fn watch_wait(&self) -> DurationUs {
+        if self.failures_count > 0 {
+            return OUTAGE_WATCH_WAIT_MAX;
+        }
+        let sent_at = self.handled_at.max(self.paused_until);
+        let lists_at = self.view.lists_at();
+        lists_at.map_or(WATCH_WAIT_MAX, |at| {
+            at.since(sent_at)
+                .max(DurationUs::from_ms(1))
+                .min(WATCH_WAIT_MAX)
+        })
+    }
+
     /// Processes the response to [`Self::query`] and returns the resulting updates.
     pub fn handle(
         &mut self,
         now: TimeUs,
         response: Result<Page, RegistryError>,
     ) -> Vec<RegistryUpdate> {
-        match response {
+        self.handled_at = now;
+        let updates = match response {
+            Ok(page) if page.era < self.era => {
+                self.handle_error(now, RegistryError::EarlierEra { era: page.era })
+            }
+            Ok(page) if page.era > self.era && self.has_state() => self.begin_era(now, &page),
             Ok(page) => {
+                self.era = page.era;
                 if matches!(self.phase, Phase::Watching { .. }) && !page.entries.is_empty() {
                     self.paused_until = now + CHANGE_BATCH_PAUSE;
                 }
-                self.handle_page(page)
+                self.handle_page(now, page)
             }
             Err(error) => self.handle_error(now, error),
+        };
+        let is_watching = matches!(self.phase, Phase::Watching { .. });
+        if is_watching && self.view.lists_at().is_some_and(|at| now >= at) {
+            self.start_listing(now);
         }
+        updates
+    }
+
+    /// Whether anything of the registry has been read. A page of the first listing may have been
+    /// empty.
+    fn has_state(&self) -> bool {
+        let is_first = matches!(&self.phase, Phase::Listing { start: None, .. });
+        self.is_synced || self.version.is_some() || !is_first || !self.view.is_unused()
+    }
+
+    /// Begins a new era with a listing. The page that shows it is not used: a watch from a revision
+    /// of the earlier era misses changes, and the pages of a listing must be of one era.
+    fn begin_era(&mut self, now: TimeUs, page: &Page) -> Vec<RegistryUpdate> {
+        let mut updates = Vec::new();
+        if std::mem::take(&mut self.failures_count) > 0 {
+            updates.push(RegistryUpdate::Regained);
+        }
+        let from = std::mem::replace(&mut self.era, page.era);
+        self.view.begin_era(now, page.revision, self.is_synced);
+        self.start_listing(now);
+        updates.push(RegistryUpdate::EraChanged { from, to: page.era });
+        updates
     }
 
     fn handle_error(&mut self, now: TimeUs, error: RegistryError) -> Vec<RegistryUpdate> {
         if error == RegistryError::HistoryGone {
-            self.phase = Phase::start_listing();
+            self.start_listing(now);
             return Vec::new();
         }
         let is_watching = matches!(self.phase, Phase::Watching { .. });
         if is_watching && matches!(error, RegistryError::Incomplete(_)) {
             // The same watch would have the same response and more.
-            self.phase = Phase::start_listing();
+            self.start_listing(now);
         }
         let factor = 1_u64 << self.failures_count.min(8);
         let pause = DurationUs(PAUSE_INITIAL.0 * factor).min(PAUSE_MAX);
@@ -281,21 +396,22 @@
         }
     }
 
-    fn handle_page(&mut self, page: Page) -> Vec<RegistryUpdate> {
+    fn handle_page(&mut self, now: TimeUs, page: Page) -> Vec<RegistryUpdate> {
         let mut updates = Vec::new();
         if std::mem::take(&mut self.failures_count) > 0 {
             updates.push(RegistryUpdate::Regained);
         }
         let listed: Vec<_> = page.entries.iter().filter_map(listed_server).collect();
         for entry in page.entries {
-            self.apply_entry(entry, &mut updates);
+            self.apply_entry(now, entry, &mut updates);
         }
-        self.advance(page.next, page.revision, listed, &mut updates);
+        self.advance(now, page.next, page.revision, listed, &mut updates);
         updates
     }
 
     fn advance(
         &mut self,
+        now: TimeUs,
         next: Option<String>,
         revision: Revision,
         listed: Vec<BackendServerId>,
@@ -307,6 +423,7 @@
                 collection,
                 after,
                 start,
+                began_at,
                 seen,
             } => {
                 let first = *start.get_or_insert(revision);
@@ -317,47 +434,53 @@
                     *collection = Collection::Servers;
                     *after = None;
                 } else {
-                    let seen = std::mem::take(seen);
+                    let (began_at, seen) = (*began_at, std::mem::take(seen));
                     self.phase = Phase::Watching { after: first };
-                    self.remove_unlisted(&seen, updates);
+                    self.end_listing(now, began_at, &seen, updates);
+                    self.is_synced = true;
                     updates.push(RegistryUpdate::Synced(first));
                 }
             }
         }
     }
 
-    fn remove_unlisted(
+    fn end_listing(
         &mut self,
+        now: TimeUs,
+        began_at: TimeUs,
         seen: &HashSet<BackendServerId>,
         updates: &mut Vec<RegistryUpdate>,
     ) {
-        let unlisted: Vec<_> = self
-            .server_revisions
-            .keys()
-            .filter(|id| !seen.contains(*id))
-            .cloned()
-            .collect();
-        for id in unlisted {
-            self.server_revisions.remove(&id);
-            updates.push(RegistryUpdate::ServerRemoved(id));
+        let ended = self.view.end_listing(now, began_at, seen);
+        if ended.ends_recovery {
+            updates.push(RegistryUpdate::EraRecovered);
         }
+        updates.extend(
+            ended
+                .unlisted
+                .into_iter()
+                .map(RegistryUpdate::ServerRemoved),
+        );
     }
 
-    fn apply_entry(&mut self, entry: RegistryEntry, updates: &mut Vec<RegistryUpdate>) {
+    fn apply_entry(
+        &mut self,
+        now: TimeUs,
+        entry: RegistryEntry,
+        updates: &mut Vec<RegistryUpdate>,
+    ) {
+        let revision = entry.revision;
         match entry.published {
             Published::OperatorConfig(operator_config) => {
                 self.apply_operator_config(*operator_config, updates)
             }
-            Published::Server(record) => {
-                if self.is_newer(&record.id, entry.revision) {
-                    self.server_revisions
-                        .insert(record.id.clone(), entry.revision);
-                    updates.push(RegistryUpdate::Server(record));
-                }
-            }
+            Published::Server(record) => match self.view.publish(now, &record, revision) {
+                Verdict::Apply => updates.push(RegistryUpdate::Server(record)),
+                Verdict::Ignore => {}
+                Verdict::HoldBack => updates.push(RegistryUpdate::HeldBack(record.id)),
+            },
             Published::ServerRemoved(id) => {
-                if self.is_newer(&id, entry.revision) && self.server_revisions.remove(&id).is_some()
-                {
+                if self.view.remove(now, &id, revision) {
                     updates.push(RegistryUpdate::ServerRemoved(id));
                 }
             }
@@ -368,7 +491,7 @@
             } => {
                 // The entry no longer describes the server that published it before.
                 if let Some(id) = server
-                    && self.server_revisions.remove(&id).is_some()
+                    && self.view.remove_unusable(now, &id, revision)
                 {
                     updates.push(RegistryUpdate::ServerRemoved(id));
                 }
@@ -391,12 +514,6 @@
         self.version = Some(operator_config.version());
         updates.push(RegistryUpdate::OperatorConfig(Arc::new(operator_config)));
     }
-
-    fn is_newer(&self, id: &BackendServerId, revision: Revision) -> bool {
-        self.server_revisions
-            .get(id)
-            .is_none_or(|known| revision > *known)
-    }
 }
 
 fn listed_server(entry: &RegistryEntry) -> Option<BackendServerId> {
--- a/crates/direct-core/src/serving.rs
+++ b/crates/direct-core/src/serving.rs
@@ -130,8 +130,15 @@
                 self.servers.remove(now + retention, &id);
             }
             RegistryUpdate::Synced(_) => self.is_synced = true,
-            RegistryUpdate::Regained => self.registry_regained_at = Some(now),
-            RegistryUpdate::Unusable { .. } | RegistryUpdate::Lost(_) => {}
+            // Records may have expired while the registry was being restored.
+            RegistryUpdate::Regained | RegistryUpdate::EraChanged { .. } => {
+                self.registry_regained_at = Some(now);
+            }
+            // Servers that are missing after the recovery had their time to be published again.
+            RegistryUpdate::EraRecovered => self.registry_regained_at = None,
+            RegistryUpdate::Unusable { .. }
+            | RegistryUpdate::Lost(_)
+            | RegistryUpdate::HeldBack(_) => {}
         }
     }
 
--- a/crates/direct-core/tests/registry.rs
+++ b/crates/direct-core/tests/registry.rs
@@ -33,6 +33,7 @@
         entries,
         next: None,
         revision: Revision(revision),
+        era: None,
     })
 }
 
@@ -47,6 +48,9 @@
         RegistryUpdate::Synced(revision) => format!("synced {revision}"),
         RegistryUpdate::Lost(_) => "lost".to_string(),
         RegistryUpdate::Regained => "regained".to_string(),
+        RegistryUpdate::EraChanged { .. }
+        | RegistryUpdate::HeldBack(_)
+        | RegistryUpdate::EraRecovered => "era".to_string(),
     };
     updates.iter().map(text).collect()
 }
@@ -79,6 +83,7 @@
         entries: vec![server("s1", 7)],
         next: Some("k1".to_string()),
         revision: Revision(11),
+        era: None,
     };
     watcher.handle(ms(0), Ok(more));
     let expected = Query::List {
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -210,6 +210,16 @@
             warn!(log, "registry unreachable; last known state stays in effect"; "error" => %error)
         }
         RegistryUpdate::Regained => info!(log, "registry reachable again"),
+        RegistryUpdate::EraChanged { from, to } => {
+            app.metrics.era_changes.inc();
+            warn!(log, "registry era changed; it was restored from an older copy";
+                "from" => from.map(|era| era.0), "to" => to.map(|era| era.0));
+        }
+        RegistryUpdate::HeldBack(id) => {
+            app.metrics.held_back_entries.inc();
+            info!(log, "server not used until it is published again"; "server" => %id);
+        }
+        RegistryUpdate::EraRecovered => info!(log, "registry recovered in its new era"),
     }
 }
 
--- a/crates/direct/src/status.rs
+++ b/crates/direct/src/status.rs
@@ -97,6 +97,10 @@
     pub unusable_entries: Counter,
     /// Queries to the registry.
     pub registry_calls: Counter,
+    /// Restores of the registry from an older copy.
+    pub era_changes: Counter,
+    /// Records of servers that were not used because only the restored copy may hold them.
+    pub held_back_entries: Counter,
 }
 
 /// Direction of bytes between this process and a server.
@@ -157,6 +161,14 @@
                 "Time since the configuration was put in force",
             ),
             registry_calls: metrics.counter("direct_registry_calls", "Questions to the registry"),
+            era_changes: metrics.counter(
+                "direct_registry_era_changes",
+                "Restores of the registry from an older copy",
+            ),
+            held_back_entries: metrics.counter(
+                "direct_held_back_entries",
+                "Entries of the registry that only a restored copy may hold",
+            ),
             connections_opened: metrics.counter(
                 "direct_channels_opened",
                 "Connections opened to backend servers",
--- a/crates/places/src/agent.rs
+++ b/crates/places/src/agent.rs
@@ -4,13 +4,14 @@
 //! share the reservation table, which each of them locks for one decision at a time. The agent has
 //! no state that must outlive it, so it ends at once when a shutdown is requested.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 use std::time::Duration;
 
 use cuminlead_direct_core::stages::PrefillShare;
-use cuminlead_direct_core::{MemoryUse, ReservationTable};
+use cuminlead_direct_core::{MemoryUse, RegistryWatcher, ReservationTable};
 use cuminlead_kernel::Clock;
 use cuminlead_process::StartError;
 use cuminlead_process::admin::{self, AdminSource};
@@ -65,6 +66,10 @@
     let mut metrics = Metrics::new("cuminlead_agent");
     let reports = metrics.counters("place_reports", "Reports of the engine by result");
     let memory = MemoryGauges::new(&mut metrics);
+    let era_changes = metrics.counter(
+        "place_registry_era_changes",
+        "Restores of the registry from an older copy",
+    );
     let reservations = SharedReservationTable::new(ReservationTable::new());
     let is_reporting = Arc::new(AtomicBool::new(false));
     let address = *settings.peer_address();
@@ -100,6 +105,9 @@
             zone_regions: settings.zone_regions().clone(),
             share: PrefillShare { percent: percent.0 },
             log: log.clone(),
+            era_changes,
+            watcher: RegistryWatcher::for_stale_listings(),
+            engines: BTreeMap::new(),
         };
         thread::Builder::new()
             .name("stages".to_string())
--- a/crates/places/src/stage_control.rs
+++ b/crates/places/src/stage_control.rs
@@ -4,18 +4,24 @@
 //! makes the query cheap. The thread acts on a decision only if two polls in a row agree on it.
 //! This agent is the only sender of orders to its engine, so an order needs no agreement with other
 //! agents.
+//!
+//! The listings of a registry with eras go through a watcher, so that a stale response of an earlier
+//! era and what only a restored copy holds are not acted on. Until the engines had time to publish
+//! themselves again, no change is ordered.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::thread;
 use std::time::Duration;
 
-use cuminlead_direct_core::registry::{Collection, Published};
 use cuminlead_direct_core::stages::{PrefillShare, StagedEngine, target_stage};
-use cuminlead_direct_core::{Query, Registry, RegistryError, ServerRecord, ServerState, Stage};
+use cuminlead_direct_core::{
+    Registry, RegistryError, RegistryUpdate, RegistryWatcher, ServerRecord, ServerState, Stage,
+};
 use cuminlead_kernel::Clock;
 use cuminlead_settings::{AgentName, ZoneRegions};
 use cuminlead_types::{AvailabilityZoneName, BackendServerId, RegionName};
+use prometheus_client::metrics::counter::Counter;
 use slog::{Logger, info, warn};
 
 use crate::monitor::{EngineOrders, StageOrder};
@@ -53,6 +59,12 @@
     pub share: PrefillShare,
     /// Structured logger.
     pub log: Logger,
+    /// Counts the restores of the registry.
+    pub era_changes: Counter,
+    /// Watcher that makes the listings.
+    pub watcher: RegistryWatcher,
+    /// Published engines and other servers, as listed last.
+    pub engines: BTreeMap<BackendServerId, ServerRecord>,
 }
 
 /// Stage change that a poll requires.
@@ -115,15 +127,16 @@
 
     /// Lists the published engines; returns the change that they require of this engine, if any.
     fn required_change(&mut self) -> Option<StageChange> {
-        let engines = match self.list_engines() {
-            Ok(engines) => engines,
-            Err(error) => {
-                warn!(self.log, "listing the published engines failed"; "error" => %error);
-                return None;
-            }
-        };
+        if let Err(error) = self.list_engines() {
+            warn!(self.log, "listing the published engines failed"; "error" => %error);
+            return None;
+        }
+        if self.watcher.is_recovering(self.clock.monotonic()) {
+            return None;
+        }
+        let engines = &self.engines;
         let own = engines
-            .iter()
+            .values()
             .find(|engine| engine.address == self.engine_address)?;
         let regions: HashMap<&AvailabilityZoneName, &RegionName> = self
             .zone_regions
@@ -132,7 +145,7 @@
             .collect();
         let own_region = regions.get(&own.availability_zone)?;
         let staged_engines: Vec<_> = engines
-            .iter()
+            .values()
             .filter(|engine| engine.service == own.service)
             .filter(|engine| engine.state == ServerState::Ready)
             .filter(|engine| regions.get(&engine.availability_zone) == Some(own_region))
@@ -146,27 +159,48 @@
         Some(StageChange { server, stage })
     }
 
-    fn list_engines(&mut self) -> Result<Vec<ServerRecord>, RegistryError> {
-        let mut records = Vec::new();
-        let mut after = None;
+    fn list_engines(&mut self) -> Result<(), RegistryError> {
+        if self.watcher.era().is_none() {
+            // Without eras, nothing tells whether the registry went back, so each listing stands alone.
+            self.watcher = RegistryWatcher::for_stale_listings();
+            self.engines.clear();
+        }
+        self.watcher.start_listing(self.clock.monotonic());
         loop {
-            let page = self.registry.query(&Query::List {
-                collection: Collection::Servers,
-                after,
-                is_stale_allowed: true,
-            })?;
-            records.extend(
-                page.entries
-                    .into_iter()
-                    .filter_map(|entry| match entry.published {
-                        Published::Server(record) => Some(record),
-                        _ => None,
-                    }),
-            );
-            after = page.next;
-            if after.is_none() {
-                return Ok(records);
+            let response = self.registry.query(&self.watcher.query());
+            let error = match &response {
+                Ok(page) if page.era >= self.watcher.era() => None,
+                Ok(page) => Some(RegistryError::EarlierEra { era: page.era }),
+                Err(error) => Some(error.clone()),
+            };
+            let updates = self.watcher.handle(self.clock.monotonic(), response);
+            if let Some(error) = error {
+                return Err(error);
+            }
+            let is_complete = matches!(updates.last(), Some(RegistryUpdate::Synced(_)));
+            for update in updates {
+                self.apply(update);
+            }
+            if is_complete {
+                return Ok(());
+            }
+        }
+    }
+
+    fn apply(&mut self, update: RegistryUpdate) {
+        match update {
+            RegistryUpdate::Server(record) => {
+                self.engines.insert(record.id.clone(), record);
+            }
+            RegistryUpdate::ServerRemoved(id) => {
+                self.engines.remove(&id);
+            }
+            RegistryUpdate::EraChanged { from, to } => {
+                self.era_changes.inc();
+                info!(self.log, "registry era changed"; "from" => from.map(|era| era.0),
+                    "to" => to.map(|era| era.0));
             }
+            _ => {}
         }
     }
 }
--- a/crates/types/src/ids.rs
+++ b/crates/types/src/ids.rs
@@ -112,6 +112,11 @@
     /// Revision of the lists or of the host list, as numbered by the platform.
     Revision(u64)
 );
+number_type!(
+    /// Era of the platform's registry. A newer one begins when the registry is restored from an older
+    /// copy; revisions of two eras cannot be compared.
+    Era(u64)
+);
 number_type!(
     /// Position of a chunk in the output of a request, from 0.
     SequenceNumber(u64)
