--- a/crates/direct-core/src/lib.rs
+++ b/crates/direct-core/src/lib.rs
@@ -20,6 +20,8 @@
 //! | [`call`] | state machine of one request |
 //! | [`serving`] | operator configuration, servers and retry budgets |
 //! | [`registry`] | watcher of the registry |
+//! | [`registry_view`] | servers that a watcher knows, across restores of the registry |
+//! | [`registry_silence`] | when an entry asks agents for the configuration |
 //! | [`shutdown`] | admission of requests while a process shuts down |
 //! | [`slow_caller`] | whether a caller reads too slowly for the server of its response |
 //! | [`stages`] | which engines compute prompts |
@@ -40,6 +42,8 @@
 mod preparation;
 pub mod rate_limit;
 pub mod registry;
+pub mod registry_silence;
+pub mod registry_view;
 pub mod reservation;
 pub mod server;
 pub mod server_notices;
@@ -65,7 +69,11 @@
 pub use outcome::StepOutcome;
 pub use placement::{Demand, ExpectedCost, FixedCost, PlacementPolicy, RouteId, Work, WorkId};
 pub use rate_limit::{PermitReply, RateLimiter};
-pub use registry::{Published, Query, Registry, RegistryError, RegistryUpdate, RegistryWatcher};
+pub use registry::{
+    ConfigurationSource, Published, PublishedConfiguration, Query, Registry, RegistryError,
+    RegistryUpdate, RegistryWatcher,
+};
+pub use registry_silence::RegistrySilence;
 pub use reservation::{
     EngineReport, MemoryUse, OutputReport, ReservationReply, ReservationRequest, ReservationTable,
 };
--- a/crates/direct-core/src/serving.rs
+++ b/crates/direct-core/src/serving.rs
@@ -114,13 +114,9 @@
     /// Applies an update of the registry's contents.
     pub fn apply(&mut self, now: TimeUs, update: RegistryUpdate) {
         match update {
-            RegistryUpdate::OperatorConfig(operator_config) => {
-                let is_newer = self
-                    .operator_config
-                    .as_ref()
-                    .is_none_or(|known| operator_config.version() > known.version());
-                if is_newer {
-                    self.operator_config = Some(operator_config);
+            RegistryUpdate::OperatorConfig(ref operator_config) => {
+                if !self.is_outdated(&update) {
+                    self.operator_config = Some(Arc::clone(operator_config));
                     self.activated_at = now;
                 }
             }
@@ -140,11 +136,28 @@
                 self.servers.remove(now + retention, &id);
             }
             RegistryUpdate::Synced(_) => self.is_synced = true,
-            RegistryUpdate::Regained => self.registry_regained_at = Some(now),
-            RegistryUpdate::Unusable { .. } | RegistryUpdate::Lost(_) => {}
+            // Records may have expired while the registry was being restored.
+            RegistryUpdate::Regained | RegistryUpdate::EraChanged { .. } => {
+                self.registry_regained_at = Some(now);
+            }
+            // Servers that are missing after the recovery had their time to be published again.
+            RegistryUpdate::EraRecovered => self.registry_regained_at = None,
+            RegistryUpdate::Unusable { .. }
+            | RegistryUpdate::Lost(_)
+            | RegistryUpdate::HeldBack(_) => {}
         }
     }
 
+    /// Whether an update is a configuration that is not newer than the active one, which may have come
+    /// another way.
+    pub fn is_outdated(&self, update: &RegistryUpdate) -> bool {
+        let RegistryUpdate::OperatorConfig(operator_config) = update else {
+            return false;
+        };
+        let known = self.operator_config.as_ref();
+        known.is_some_and(|known| operator_config.version() <= known.version())
+    }
+
     /// Active configuration; `None` before the first one arrives.
     pub fn operator_config(&self) -> Option<&Arc<OperatorConfig>> {
         self.operator_config.as_ref()
--- a/crates/direct/src/app.rs
+++ b/crates/direct/src/app.rs
@@ -16,6 +16,7 @@
 use crate::adapter::ProtocolMapping;
 use crate::body_memory::BodyMemory;
 use crate::pool::ConnectionPool;
+use crate::slow_servers::SlowServers;
 use crate::status::{DirectMetrics, SharedStatus};
 
 /// Phase of a shutdown; phases only advance.
@@ -51,6 +52,8 @@
     pub name: EntryId,
     /// Usage of teams under their limits.
     pub usage: RefCell<UsageView>,
+    /// Servers that were logged as slow.
+    pub(crate) slow_servers: RefCell<SlowServers>,
     /// Permits that this process owns itself, in deployments without agents.
     pub local_limiter: RefCell<RateLimiter>,
     /// Port of these agents; without it, slots are reserved at the engines.
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -33,12 +33,12 @@
 use tokio::time::sleep;
 
 use crate::adapter::{self, Adapter};
+use crate::agent_configuration::{self, SharedSilence};
 use crate::app::{App, StopPhase};
 use crate::body_memory::BodyMemory;
 use crate::control;
 use crate::pool::ConnectionPool;
 use crate::serve::accept;
-use crate::slow_servers::SlowServers;
 use crate::status::{DirectAdmin, DirectMetrics, SharedStatus};
 
 /// One retry is allowed for this many requests, the share that the platform permits.
@@ -102,7 +102,14 @@
     let admin_address = admin::serve(*settings.admin_address(), Arc::new(source))?;
     let (updates_sender, updates) = unbounded_channel();
     let calls = direct_metrics.registry_calls.clone();
-    control::spawn(clock, adapter.registry, calls, updates_sender)?;
+    let silence = SharedSilence::default();
+    control::spawn(
+        clock,
+        adapter.registry,
+        calls,
+        updates_sender,
+        silence.clone(),
+    )?;
     let (stop_sender, stop) = watch::channel(StopPhase::Running);
     let app = Rc::new(App {
         clock,
@@ -113,6 +120,7 @@
         reservation_client: RefCell::new(ReservationClient::default()),
         name: settings.name().clone(),
         usage: RefCell::default(),
+        slow_servers: RefCell::default(),
         local_limiter: RefCell::default(),
         place_port: settings
             .place_port()
@@ -125,7 +133,13 @@
         shutdown: Cell::new(None),
         status: Arc::clone(&status),
     });
-    tokio::task::spawn_local(apply_updates(Rc::clone(&app), updates, Arc::clone(&status)));
+    tokio::task::spawn_local(apply_updates(Rc::clone(&app), updates));
+    let decode = adapter.decode_configuration;
+    tokio::task::spawn_local(agent_configuration::ask_while_silent(
+        Rc::clone(&app),
+        silence,
+        decode,
+    ));
     let callers_address = listener.local_addr().change_context(StartError::Bind)?;
     let connections_max_count = settings.connections_max_count().0;
     tokio::task::spawn_local(accept(Rc::clone(&app), listener, connections_max_count));
@@ -172,36 +186,39 @@
 }
 
 /// Applies the updates that the control thread sends.
-async fn apply_updates(
-    app: Rc<App>,
-    mut updates: UnboundedReceiver<Vec<RegistryUpdate>>,
-    status: Arc<SharedStatus>,
-) {
-    let mut slow_servers = SlowServers::default();
+async fn apply_updates(app: Rc<App>, mut updates: UnboundedReceiver<Vec<RegistryUpdate>>) {
     while let Some(changes) = updates.recv().await {
-        let now = app.now();
-        let mut serving = app.serving.borrow_mut();
-        for update in changes {
-            log_update(&app, &update);
+        apply_changes(&app, changes);
+    }
+}
+
+/// Applies changes of the registry's contents, which may be none, and updates what depends on them.
+pub(crate) fn apply_changes(app: &App, changes: Vec<RegistryUpdate>) {
+    let now = app.now();
+    let status = &app.status;
+    let mut serving = app.serving.borrow_mut();
+    for update in changes {
+        if !serving.is_outdated(&update) {
+            log_update(app, &update);
             serving.apply(now, update);
         }
-        serving.servers.expire(now);
-        let mut pool = app.pool.borrow_mut();
-        pool.evict(now, |key| serving.servers.get(key).is_some());
-        let version = serving
-            .operator_config()
-            .map_or(0, |operator_config| operator_config.version().0);
-        status.config_version.store(version, Ordering::Relaxed);
-        app.metrics.update_gauges(now, &mut serving);
-        let learned = serving.learned_servers(now);
-        app.metrics.update_learned(&learned);
-        slow_servers.update(&app.log, &learned);
-        let servers_count = u32::try_from(serving.servers.iter().count()).unwrap_or(u32::MAX);
-        status.servers_count.store(servers_count, Ordering::Relaxed);
-        status
-            .is_synced
-            .store(serving.is_ready(), Ordering::Relaxed);
     }
+    serving.servers.expire(now);
+    let mut pool = app.pool.borrow_mut();
+    pool.evict(now, |key| serving.servers.get(key).is_some());
+    let version = serving
+        .operator_config()
+        .map_or(0, |operator_config| operator_config.version().0);
+    status.config_version.store(version, Ordering::Relaxed);
+    app.metrics.update_gauges(now, &mut serving);
+    let learned = serving.learned_servers(now);
+    app.metrics.update_learned(&learned);
+    app.slow_servers.borrow_mut().update(&app.log, &learned);
+    let servers_count = u32::try_from(serving.servers.iter().count()).unwrap_or(u32::MAX);
+    status.servers_count.store(servers_count, Ordering::Relaxed);
+    status
+        .is_synced
+        .store(serving.is_ready(), Ordering::Relaxed);
 }
 
 fn log_update(app: &App, update: &RegistryUpdate) {
@@ -226,6 +243,16 @@
             warn!(log, "registry unreachable; last known state stays in effect"; "error" => %error)
         }
         RegistryUpdate::Regained => info!(log, "registry reachable again"),
+        RegistryUpdate::EraChanged { from, to } => {
+            app.metrics.era_changes.inc();
+            warn!(log, "registry era changed; it was restored from an older copy";
+                "from" => from.map(|era| era.0), "to" => to.map(|era| era.0));
+        }
+        RegistryUpdate::HeldBack(id) => {
+            app.metrics.held_back_entries.inc();
+            info!(log, "server not used until it is published again"; "server" => %id);
+        }
+        RegistryUpdate::EraRecovered => info!(log, "registry recovered in its new era"),
     }
 }
 
--- a/crates/direct/src/status.rs
+++ b/crates/direct/src/status.rs
@@ -107,6 +107,14 @@
     pub unusable_entries: Counter,
     /// Queries to the registry.
     pub registry_calls: Counter,
+    /// Restores of the registry from an older copy.
+    pub era_changes: Counter,
+    /// Records of servers that were not used because only the restored copy may hold them.
+    pub held_back_entries: Counter,
+    /// Questions to agents for the configuration.
+    pub agent_configuration_queries: Counter,
+    /// Configurations that came through an agent and were newer.
+    pub agent_configurations: Counter,
 }
 
 /// Direction of bytes between this process and a server.
@@ -218,6 +226,22 @@
                 "Bytes of bodies held until the peer takes them",
             ),
             registry_calls: metrics.counter("direct_registry_calls", "Questions to the registry"),
+            era_changes: metrics.counter(
+                "direct_registry_era_changes",
+                "Restores of the registry from an older copy",
+            ),
+            held_back_entries: metrics.counter(
+                "direct_held_back_entries",
+                "Entries of the registry that only a restored copy may hold",
+            ),
+            agent_configuration_queries: metrics.counter(
+                "direct_agent_configuration_queries",
+                "Questions to agents for the configuration",
+            ),
+            agent_configurations: metrics.counter(
+                "direct_agent_configurations",
+                "Newer configurations that came through an agent",
+            ),
             connections_opened: metrics.counter(
                 "direct_channels_opened",
                 "Connections opened to backend servers",
