--- a/crates/direct/src/status.rs
+++ b/crates/direct/src/status.rs
@@ -297,6 +297,8 @@
         let invalid: Vec<&'static str> = InvalidResponse::iter().map(Into::into).collect();
         start_at_zero(&self.invalid_responses, "reason", &invalid);
         start_at_zero(&self.statuses, "status", &STATUSES);
+        start_at_zero(&self.usage_admitted_units, "team", &[OTHER_LABEL]);
+        start_at_zero(&self.usage_refused_units, "team", &[OTHER_LABEL]);
         for step in STEPS {
             for outcome in StepOutcome::iter() {
                 drop(
