Pass the configuration through agents to entries without the store

Cause: the store may refuse an entry, or not answer it, while it serves others. A key that was withdrawn meanwhile stayed valid on that entry for as long as that lasted.

Change: an entry without an answer for 1 s (direct_core::registry_silence) asks agents once a second with the new RPC ReadConfiguration and applies a higher version. The agent reads the store through the trait ConfigurationSource, which the adapter implements, at most once a second; requests that arrive before the next read is due wait for it, so nothing is kept. Without agents nothing is asked.

--- a/crates/direct-core/src/lib.rs
+++ b/crates/direct-core/src/lib.rs
@@ -20,6 +20,7 @@
 //! | [`serving`] | operator configuration, servers and retry budgets |
 //! | [`registry`] | watcher of the registry |
 //! | [`registry_view`] | servers that a watcher knows, across restores of the registry |
+//! | [`registry_silence`] | when an entry asks agents for the configuration |
 //! | [`shutdown`] | admission of requests while a process shuts down |
 //! | [`stages`] | which engines compute prompts |
 //! | [`teams`] | teams of callers, their keys, priorities and usage limits |
@@ -38,6 +39,7 @@
 mod preparation;
 pub mod rate_limit;
 pub mod registry;
+pub mod registry_silence;
 pub mod registry_view;
 pub mod reservation;
 pub mod server;
@@ -61,7 +63,11 @@
 };
 pub use outcome::StepOutcome;
 pub use rate_limit::{PermitReply, RateLimiter};
-pub use registry::{Published, Query, Registry, RegistryError, RegistryUpdate, RegistryWatcher};
+pub use registry::{
+    ConfigurationSource, Published, PublishedConfiguration, Query, Registry, RegistryError,
+    RegistryUpdate, RegistryWatcher,
+};
+pub use registry_silence::RegistrySilence;
 pub use reservation::{
     EngineReport, MemoryUse, OutputReport, ReservationReply, ReservationRequest, ReservationTable,
 };
--- a/crates/direct-core/src/registry.rs
+++ b/crates/direct-core/src/registry.rs
@@ -158,6 +158,21 @@
     fn query(&mut self, query: &Query) -> Result<Page, RegistryError>;
 }
 
+/// Configuration as the registry publishes it. Has no debug form, as it contains keys.
+#[derive(Clone, PartialEq, Eq)]
+pub struct PublishedConfiguration {
+    /// Version number that the operator assigned.
+    pub version: Revision,
+    /// Published bytes.
+    pub bytes: Vec<u8>,
+}
+
+/// Source of the published configuration in its encoded form, for agents that pass it on.
+pub trait ConfigurationSource: Send {
+    /// Reads the newest configuration and blocks until it has a result; `None` if there is none.
+    fn read_configuration(&mut self) -> Result<Option<PublishedConfiguration>, RegistryError>;
+}
+
 /// Change of the local view of the registry.
 #[derive(Clone, Debug, PartialEq)]
 pub enum RegistryUpdate {
--- a/crates/direct-core/src/serving.rs
+++ b/crates/direct-core/src/serving.rs
@@ -104,13 +104,9 @@
     /// Applies an update of the registry's contents.
     pub fn apply(&mut self, now: TimeUs, update: RegistryUpdate) {
         match update {
-            RegistryUpdate::OperatorConfig(operator_config) => {
-                let is_newer = self
-                    .operator_config
-                    .as_ref()
-                    .is_none_or(|known| operator_config.version() > known.version());
-                if is_newer {
-                    self.operator_config = Some(operator_config);
+            RegistryUpdate::OperatorConfig(ref operator_config) => {
+                if !self.is_outdated(&update) {
+                    self.operator_config = Some(Arc::clone(operator_config));
                     self.activated_at = now;
                 }
             }
@@ -142,6 +138,16 @@
         }
     }
 
+    /// Whether an update is a configuration that is not newer than the active one, which may have come
+    /// another way.
+    pub fn is_outdated(&self, update: &RegistryUpdate) -> bool {
+        let RegistryUpdate::OperatorConfig(operator_config) = update else {
+            return false;
+        };
+        let known = self.operator_config.as_ref();
+        known.is_some_and(|known| operator_config.version() <= known.version())
+    }
+
     /// Active configuration; `None` before the first one arrives.
     pub fn operator_config(&self) -> Option<&Arc<OperatorConfig>> {
         self.operator_config.as_ref()
--- a/crates/direct-core/tests/registry_era.rs
+++ b/crates/direct-core/tests/registry_era.rs
@@ -1,12 +1,12 @@
-//! Registry that is restored from an older copy.
+//! Registry that is restored from an older copy, and an entry that it does not answer.
 
 mod support;
 
 use cuminlead_direct_core::registry::{Page, RegistryEntry};
 use cuminlead_direct_core::{
-    Published, Query, RegistryError, RegistryUpdate, RegistryWatcher, ServerState,
+    Published, Query, RegistryError, RegistrySilence, RegistryUpdate, RegistryWatcher, ServerState,
 };
-use cuminlead_types::{Era, Revision, TimeUs, UnixMs};
+use cuminlead_types::{DurationUs, Era, Revision, TimeUs, UnixMs};
 use support::{PLAIN, ms, operator_config, record};
 
 /// Entry of a server, as `id`, `id draining` or `id @started_at_ms`; `-id` is a removal, and
@@ -263,3 +263,28 @@
     assert_eq!(texts(&updates), ["held back e3", "synced"]);
     assert!(watcher.is_recovering(ms(3_000)));
 }
+
+/// Guards against an entry that keeps a withdrawn key because it never asks agents, and against
+/// questions while the registry answers.
+#[test]
+fn agents_are_asked_after_a_second_of_silence() {
+    let mut silence = RegistrySilence::default();
+    silence.record_result(ms(1_000), true);
+    silence.record_query(ms(1_000), DurationUs::from_ms(2_500));
+    assert!(
+        !silence.asks_agents(ms(4_400)),
+        "the watch may still be waiting"
+    );
+    assert!(silence.asks_agents(ms(4_500)));
+    assert!(!silence.asks_agents(ms(5_400)), "one round a second");
+    assert!(silence.asks_agents(ms(5_500)));
+    silence.record_result(ms(5_600), true);
+    silence.record_query(ms(5_600), DurationUs::ZERO);
+    silence.record_result(ms(5_700), false);
+    silence.record_query(ms(5_800), DurationUs::from_ms(100));
+    assert!(!silence.asks_agents(ms(6_550)));
+    assert!(
+        silence.asks_agents(ms(6_600)),
+        "the last answer was at 5,600 ms"
+    );
+}
--- a/crates/direct/src/adapter.rs
+++ b/crates/direct/src/adapter.rs
@@ -7,7 +7,7 @@
 
 use std::sync::Arc;
 
-use cuminlead_direct_core::{KeyDigest, Registry, RequestPriority, ServerNotice};
+use cuminlead_direct_core::{KeyDigest, OperatorConfig, Registry, RequestPriority, ServerNotice};
 use cuminlead_settings::EntrySettings;
 use cuminlead_types::{BackendServerId, DurationUs, PromptPartId, TeamName, Tokens};
 use http::{HeaderMap, Method, StatusCode};
@@ -124,6 +124,9 @@
 pub struct Adapter {
     /// Source of the configuration and of the backend servers.
     pub registry: Box<dyn Registry>,
+    /// Decodes a published configuration that came through an agent. The error is the reason why it
+    /// cannot be used.
+    pub decode_configuration: fn(&[u8]) -> Result<OperatorConfig, String>,
     /// Protocol mapping of the platform.
     pub protocol_mapping: Arc<dyn ProtocolMapping>,
 }
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -25,11 +25,13 @@
 //! | [`head_timer`] | timeout for the head of a caller's request |
 //! | [`relay`] | forwarding of streams |
 //! | [`serve`] | callers' connections and requests |
+//! | [`agent_configuration`] | configuration through an agent |
 //! | [`control`] | thread that watches the registry |
 //! | [`status`] | metrics, readiness and the status page |
 //! | [`process`] | start and shutdown |
 
 pub mod adapter;
+pub mod agent_configuration;
 pub mod app;
 pub mod body;
 pub mod body_memory;
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -33,6 +33,7 @@
 use tokio::time::sleep;
 
 use crate::adapter::{self, Adapter};
+use crate::agent_configuration::{self, SharedSilence};
 use crate::app::{App, StopPhase};
 use crate::body_memory::BodyMemory;
 use crate::control;
@@ -101,7 +102,14 @@
     let admin_address = admin::serve(*settings.admin_address(), Arc::new(source))?;
     let (updates_sender, updates) = unbounded_channel();
     let calls = direct_metrics.registry_calls.clone();
-    control::spawn(clock, adapter.registry, calls, updates_sender)?;
+    let silence = SharedSilence::default();
+    control::spawn(
+        clock,
+        adapter.registry,
+        calls,
+        updates_sender,
+        silence.clone(),
+    )?;
     let (stop_sender, stop) = watch::channel(StopPhase::Running);
     let app = Rc::new(App {
         clock,
@@ -123,7 +131,13 @@
         shutdown: Cell::new(None),
         status: Arc::clone(&status),
     });
-    tokio::task::spawn_local(apply_updates(Rc::clone(&app), updates, Arc::clone(&status)));
+    tokio::task::spawn_local(apply_updates(Rc::clone(&app), updates));
+    let decode = adapter.decode_configuration;
+    tokio::task::spawn_local(agent_configuration::ask_while_silent(
+        Rc::clone(&app),
+        silence,
+        decode,
+    ));
     let callers_address = listener.local_addr().change_context(StartError::Bind)?;
     let connections_max_count = settings.connections_max_count().0;
     tokio::task::spawn_local(accept(Rc::clone(&app), listener, connections_max_count));
@@ -160,32 +174,36 @@
 }
 
 /// Applies the updates that the control thread sends.
-async fn apply_updates(
-    app: Rc<App>,
-    mut updates: UnboundedReceiver<Vec<RegistryUpdate>>,
-    status: Arc<SharedStatus>,
-) {
+async fn apply_updates(app: Rc<App>, mut updates: UnboundedReceiver<Vec<RegistryUpdate>>) {
     while let Some(changes) = updates.recv().await {
-        let now = app.now();
-        let mut serving = app.serving.borrow_mut();
-        for update in changes {
-            log_update(&app, &update);
+        apply_changes(&app, changes);
+    }
+}
+
+/// Applies changes of the registry's contents, which may be none, and updates what depends on them.
+pub(crate) fn apply_changes(app: &App, changes: Vec<RegistryUpdate>) {
+    let now = app.now();
+    let status = &app.status;
+    let mut serving = app.serving.borrow_mut();
+    for update in changes {
+        if !serving.is_outdated(&update) {
+            log_update(app, &update);
             serving.apply(now, update);
         }
-        serving.servers.expire(now);
-        let mut pool = app.pool.borrow_mut();
-        pool.evict(now, |key| serving.servers.get(key).is_some());
-        let version = serving
-            .operator_config()
-            .map_or(0, |operator_config| operator_config.version().0);
-        status.config_version.store(version, Ordering::Relaxed);
-        app.metrics.update_gauges(now, &mut serving);
-        let servers_count = u32::try_from(serving.servers.iter().count()).unwrap_or(u32::MAX);
-        status.servers_count.store(servers_count, Ordering::Relaxed);
-        status
-            .is_synced
-            .store(serving.is_ready(), Ordering::Relaxed);
     }
+    serving.servers.expire(now);
+    let mut pool = app.pool.borrow_mut();
+    pool.evict(now, |key| serving.servers.get(key).is_some());
+    let version = serving
+        .operator_config()
+        .map_or(0, |operator_config| operator_config.version().0);
+    status.config_version.store(version, Ordering::Relaxed);
+    app.metrics.update_gauges(now, &mut serving);
+    let servers_count = u32::try_from(serving.servers.iter().count()).unwrap_or(u32::MAX);
+    status.servers_count.store(servers_count, Ordering::Relaxed);
+    status
+        .is_synced
+        .store(serving.is_ready(), Ordering::Relaxed);
 }
 
 fn log_update(app: &App, update: &RegistryUpdate) {
--- a/crates/direct/src/status.rs
+++ b/crates/direct/src/status.rs
@@ -101,6 +101,10 @@
     pub era_changes: Counter,
     /// Records of servers that were not used because only the restored copy may hold them.
     pub held_back_entries: Counter,
+    /// Questions to agents for the configuration.
+    pub agent_configuration_queries: Counter,
+    /// Configurations that came through an agent and were newer.
+    pub agent_configurations: Counter,
 }
 
 /// Direction of bytes between this process and a server.
@@ -169,6 +173,14 @@
                 "direct_held_back_entries",
                 "Entries of the registry that only a restored copy may hold",
             ),
+            agent_configuration_queries: metrics.counter(
+                "direct_agent_configuration_queries",
+                "Questions to agents for the configuration",
+            ),
+            agent_configurations: metrics.counter(
+                "direct_agent_configurations",
+                "Newer configurations that came through an agent",
+            ),
             connections_opened: metrics.counter(
                 "direct_channels_opened",
                 "Connections opened to backend servers",
--- a/crates/places/src/agent.rs
+++ b/crates/places/src/agent.rs
@@ -27,6 +27,7 @@
 use tonic::transport::Server;
 use tonic::transport::server::TcpIncoming;
 
+use crate::configuration::ConfigurationReader;
 use crate::monitor::{self, AgentPlatform, EngineMonitor};
 use crate::rpc::{ReservationRpc, SharedReservationTable};
 use crate::stage_control::StageControl;
@@ -66,6 +67,10 @@
     let mut metrics = Metrics::new("cuminlead_agent");
     let reports = metrics.counters("place_reports", "Reports of the engine by result");
     let memory = MemoryGauges::new(&mut metrics);
+    let configuration_reads = metrics.counters(
+        "place_configuration_reads",
+        "Reads of the configuration for entries by result",
+    );
     let era_changes = metrics.counter(
         "place_registry_era_changes",
         "Restores of the registry from an older copy",
@@ -114,7 +119,14 @@
             .spawn(move || control.run())
             .change_context(StartError::Thread)?;
     }
-    let service = PlacesServer::new(ReservationRpc::new(reservations, clock, log.clone()));
+    let configuration = ConfigurationReader::spawn(
+        clock,
+        platform.configuration,
+        configuration_reads,
+        log.clone(),
+    )?;
+    let rpc = ReservationRpc::new(reservations, configuration, clock, log.clone());
+    let service = PlacesServer::new(rpc);
     let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
     info!(log, "agent started"; "address" => %address, "engine" => %settings.backend_address());
     let serving = Server::builder()
--- a/crates/places/src/client.rs
+++ b/crates/places/src/client.rs
@@ -12,12 +12,13 @@
 };
 use cuminlead_quarantine::{CrashReport, QuarantineState, QuarantinedPart};
 use cuminlead_types::{
-    BackendServerId, DurationUs, MillirequestsPerSecond, PromptPartId, TimeUs, Tokens, UnixMs,
+    BackendServerId, DurationUs, MillirequestsPerSecond, PromptPartId, Revision, TimeUs, Tokens,
+    UnixMs,
 };
 use cuminlead_wire::proto::places_client::PlacesClient;
 use cuminlead_wire::proto::{
-    self, ChargeUsageRequest, CheckEngineRequest, GiveBackRequest, HoldRequest, ReportCrashRequest,
-    ReportSoundRequest, TakePermitsRequest,
+    self, ChargeUsageRequest, CheckEngineRequest, GiveBackRequest, HoldRequest,
+    ReadConfigurationRequest, ReportCrashRequest, ReportSoundRequest, TakePermitsRequest,
 };
 use tokio::time::timeout;
 use tonic::transport::{Channel, Endpoint};
@@ -25,6 +26,9 @@
 /// Timeout for the reply of an agent. Covers the round trip to another region, a new connection,
 /// and a slow turn of an agent that has a fifth of a core.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(200);
+/// Timeout for a configuration, which the agent first reads from the registry. A slow registry takes
+/// several hundred milliseconds to respond.
+const CONFIGURATION_TIMEOUT: Duration = Duration::from_millis(700);
 /// Time for which an agent that did not reply is not queried.
 const PAUSE_AFTER_NO_REPLY: DurationUs = DurationUs::from_ms(1_000);
 
@@ -196,6 +200,22 @@
     })
 }
 
+/// Asks an agent for the published configuration; `None` if it is not newer than the known version.
+pub async fn read_configuration(
+    mut client: PlacesClient<Channel>,
+    known_version: Revision,
+) -> Result<Option<Vec<u8>>, ReservationError> {
+    let message = ReadConfigurationRequest {
+        known_version: known_version.0,
+    };
+    let answered = timeout(CONFIGURATION_TIMEOUT, client.read_configuration(message)).await;
+    let reply = answered
+        .map_err(|_| ReservationError::NoReply)?
+        .map_err(|_| ReservationError::NoReply)?
+        .into_inner();
+    Ok(Some(reply.published).filter(|_| reply.version > known_version.0))
+}
+
 /// Asks an agent whether its engine still is the incarnation that started at the given time.
 pub async fn has_engine_ended(
     mut client: PlacesClient<Channel>,
--- a/crates/places/src/lib.rs
+++ b/crates/places/src/lib.rs
@@ -10,11 +10,13 @@
 //! | [`monitor`] | interfaces by which a platform reads an engine's report and sends it orders |
 //! | [`stage_control`] | thread that controls the engine's stage |
 //! | [`agent`] | start and shutdown of the agent |
+//! | [`configuration`] | thread that reads the configuration for entries |
 //! | [`rpc`] | gRPC service of the agent |
 //! | [`client`] | client of the service, used by entries |
 
 pub mod agent;
 pub mod client;
+pub mod configuration;
 pub mod monitor;
 pub mod rpc;
 pub mod stage_control;
--- a/crates/places/src/monitor.rs
+++ b/crates/places/src/monitor.rs
@@ -1,6 +1,6 @@
 //! Interfaces by which a platform reads an engine's report and sends it orders.
 
-use cuminlead_direct_core::{EngineReport, Registry, Stage};
+use cuminlead_direct_core::{ConfigurationSource, EngineReport, Registry, Stage};
 use cuminlead_settings::{AgentName, AgentSettings};
 use cuminlead_types::BackendServerId;
 use strum::Display;
@@ -53,6 +53,8 @@
     pub orders: Box<dyn EngineOrders>,
     /// Source of the published engines.
     pub registry: Box<dyn Registry>,
+    /// Source of the configuration for entries that the registry does not answer.
+    pub configuration: Box<dyn ConfigurationSource>,
 }
 
 /// Registration of a platform for agents.
--- a/crates/places/src/rpc.rs
+++ b/crates/places/src/rpc.rs
@@ -14,12 +14,15 @@
 use cuminlead_wire::proto::places_server::Places;
 use cuminlead_wire::proto::{
     ChargeUsageReply, ChargeUsageRequest, CheckEngineReply, CheckEngineRequest, GiveBackReply,
-    GiveBackRequest, HoldReply, HoldRequest, QuarantinedPart, ReportCrashReply, ReportCrashRequest,
-    ReportSoundReply, ReportSoundRequest, TakePermitsReply, TakePermitsRequest,
+    GiveBackRequest, HoldReply, HoldRequest, QuarantinedPart, ReadConfigurationReply,
+    ReadConfigurationRequest, ReportCrashReply, ReportCrashRequest, ReportSoundReply,
+    ReportSoundRequest, TakePermitsReply, TakePermitsRequest,
 };
 use slog::{Logger, info};
 use tonic::{Request, Response, Status};
 
+use crate::configuration::{ConfigurationReader, ReadError};
+
 /// Longest lifetime of an unused reservation, whatever an entry requests: covers the prefill of the
 /// largest prompt and its transfer.
 const TTL_MAX: DurationUs = DurationUs::from_ms(3_000);
@@ -52,6 +55,7 @@
     quarantine: Arc<Mutex<PromptQuarantine>>,
     limiter: Arc<Mutex<RateLimiter>>,
     usage: Arc<Mutex<UsageLedger>>,
+    configuration: ConfigurationReader,
     clock: Clock,
     log: Logger,
     refusals: Arc<Mutex<Refusals>>,
@@ -59,12 +63,18 @@
 
 impl ReservationRpc {
     /// Creates a service that decides by the given table.
-    pub fn new(table: SharedReservationTable, clock: Clock, log: Logger) -> Self {
+    pub fn new(
+        table: SharedReservationTable,
+        configuration: ConfigurationReader,
+        clock: Clock,
+        log: Logger,
+    ) -> Self {
         Self {
             table,
             quarantine: Arc::default(),
             limiter: Arc::default(),
             usage: Arc::default(),
+            configuration,
             clock,
             log,
             refusals: Arc::default(),
@@ -313,6 +323,31 @@
         }))
     }
 
+    async fn read_configuration(
+        &self,
+        request: Request<ReadConfigurationRequest>,
+    ) -> Result<Response<ReadConfigurationReply>, Status> {
+        let known_version = request.into_inner().known_version;
+        let published = match self.configuration.read().await {
+            Ok(published) => published,
+            Err(ReadError::Busy) => return Err(Status::resource_exhausted("requests")),
+            Err(ReadError::Unavailable) => return Err(Status::unavailable("registry")),
+        };
+        let Some(published) = published else {
+            return Ok(Response::new(ReadConfigurationReply::default()));
+        };
+        let mut reply = ReadConfigurationReply {
+            version: published.version.0,
+            published: Vec::new(),
+        };
+        if reply.version > known_version {
+            info!(self.log, "configuration passed on to an entry"; "config_version" => reply.version,
+                "known_version" => known_version);
+            reply.published.clone_from(&published.bytes);
+        }
+        Ok(Response::new(reply))
+    }
+
     async fn report_sound(
         &self,
         request: Request<ReportSoundRequest>,
