--- a/crates/agent/tests/engine.rs
+++ b/crates/agent/tests/engine.rs
@@ -3,13 +3,15 @@
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::thread;
+use std::time::Duration;
 
-use crossbeam::channel::unbounded;
-use cuminlead_agent::backend::{self, BackendContext, BackendEvent};
+use crossbeam::channel::{Receiver, unbounded};
+use cuminlead_agent::backend::{self, Backend, BackendContext, BackendEvent};
 use cuminlead_kernel::WorkerPool;
 use cuminlead_protocol::{EngineCommand, EngineEvent, ModelTarget};
 use cuminlead_types::{Attempt, AttemptId, Priority, RequestId};
 use serde_json::{Value, json};
+use socket2::SockRef;
 
 /// Engine that answers prefills with a handle named after their sequence, and sends each response a
 /// second time when the next request arrives on its connection.
@@ -71,18 +73,23 @@
     format!("kv-{id}")
 }
 
-/// Guards against a decode from the KV cache of another sequence: responses of engines name no
-/// sequence, and the second copy of one is taken as the response to the next command on the
-/// connection.
-#[test]
-fn prefill_does_not_take_the_handle_of_another_sequence() {
+fn start_driver(address: SocketAddr) -> (Box<dyn Backend>, Receiver<BackendEvent>) {
     let (events, reported) = unbounded();
     let context = BackendContext {
-        address: start_repeating_engine().to_string(),
+        address: address.to_string(),
         pool: WorkerPool::new("backend", 1),
         events: Box::new(move |event| events.send(event).expect("receiver")),
     };
     let driver = backend::build("engine", context).expect("driver");
+    (driver, reported)
+}
+
+/// Guards against a decode from the KV cache of another sequence: responses of engines name no
+/// sequence, and the second copy of one is taken as the response to the next command on the
+/// connection.
+#[test]
+fn prefill_does_not_take_the_handle_of_another_sequence() {
+    let (driver, reported) = start_driver(start_repeating_engine());
     for number in 1..=4 {
         let id = AttemptId {
             request: RequestId(number),
@@ -102,3 +109,55 @@
         );
     }
 }
+
+/// Guards against a KV cache that is used although the response which names it broke off or has no
+/// valid head.
+#[test]
+fn broken_response_to_a_prefill_names_no_cache() {
+    const BODY: &str = "{\"handle\": \"h\", \"prompt_tokens\": 1, \"cached_tokens\": 0}";
+    let cases = [
+        ("regular end", "HTTP/1.1 200 OK\r\n\r\n", false, true),
+        (
+            "HTTP/1.0, regular end",
+            "HTTP/1.0 200 OK\r\n\r\n",
+            false,
+            true,
+        ),
+        ("reset", "HTTP/1.1 200 OK\r\n\r\n", true, false),
+        ("HTTP/1.0, reset", "HTTP/1.0 200 OK\r\n\r\n", true, false),
+        ("status 000", "HTTP/1.1 000 X\r\n\r\n", false, false),
+        ("protocol switch", "HTTP/1.1 101 X\r\n\r\n", false, false),
+    ];
+    for (name, head, is_reset, is_done) in cases {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("listener");
+        let (driver, reported) = start_driver(listener.local_addr().expect("address"));
+        driver.command_engine(EngineCommand::Prefill {
+            id: AttemptId {
+                request: RequestId(1),
+                attempt: Attempt(1),
+            },
+            target: ModelTarget::default(),
+            priority: Priority(0),
+            prompt: "prompt".to_string(),
+        });
+        let (mut connection, _) = listener.accept().expect("connection");
+        read_request(&mut BufReader::new(&connection)).expect("request");
+        connection
+            .write_all(format!("{head}{BODY}").as_bytes())
+            .expect("response");
+        if is_reset {
+            // Lets the response arrive before the reset.
+            thread::sleep(Duration::from_millis(30));
+            let linger = SockRef::from(&connection).set_linger(Some(Duration::ZERO));
+            linger.expect("option");
+        }
+        drop(connection);
+        let event = reported.recv().expect("event");
+        let is_expected = match &event {
+            BackendEvent::Engine(EngineEvent::PrefillDone { .. }) => is_done,
+            BackendEvent::Engine(EngineEvent::SequenceFailed { .. }) => !is_done,
+            _ => false,
+        };
+        assert!(is_expected, "{name}: {event:?}");
+    }
+}
