Decide on the memory of callers' connections in one place

Cause: of what connections hold only bodies have a bound. Heads, requests in progress, unread responses and the connections themselves have none, or bounds whose product exceeds the memory of a host.

Change: `direct_core::connection_budget` keeps one table of connections with what each waits for and is charged. It says which to close when memory, bodies or descriptors run low (stalled messages, then idle connections, never one whose request is at a server), and which callers are too slow.

--- a/crates/direct-core/src/lib.rs
+++ b/crates/direct-core/src/lib.rs
@@ -18,6 +18,7 @@
 //! | `preparation` | slot reservation and KV cache of a model call before its run |
 //! | [`call`] | state machine of one request |
 //! | [`serving`] | operator configuration, servers and retry budgets |
+//! | [`connection_budget`] | memory and descriptors of callers' connections, and the order in which they are closed |
 //! | [`registry`] | watcher of the registry |
 //! | [`shutdown`] | admission of requests while a process shuts down |
 //! | [`stages`] | which engines compute prompts |
@@ -28,6 +29,7 @@
 
 pub mod action;
 pub mod call;
+pub mod connection_budget;
 pub mod events;
 pub mod health;
 pub mod operator_config;
