Bound what connections hold on all ports of both processes

Cause: an idle connection of a caller held 20 KB, a stopped head 16 KB more, an unread response up to 256 KB twice, and a connection to a server a buffer that grows to 400 KB, none of it bounded together. The admin port bounded neither connections nor time, the agent's port no connections. Connections could use up all descriptors.

The budget is derived from memory_max_mb (what exceeds 24 MB for the process, four fifths of it) and from the descriptors. A request without room gets 503 as not run. The state of a request is allocated when it begins, large responses are buffered few at a time, and a connection ends after 16 pipelined requests.

Not covered: chunks of relayed streams that wait for a slow caller, the callers' port of crates/entry and the request path of crates/agent.

--- a/crates/agent/src/process.rs
+++ b/crates/agent/src/process.rs
@@ -11,11 +11,12 @@
 use cuminlead_distribution::Identity;
 use cuminlead_distribution::limits::CONFIRM_INTERVAL;
 use cuminlead_kernel::{Clock, WorkerPool, spawn_control};
+use cuminlead_process::admin::AdminLimits;
 use cuminlead_process::feed::{Feed, FeedParts, FeedSender};
 use cuminlead_process::peer::{PeerClient, PeerRpc};
 use cuminlead_process::platform::PlatformClient;
 use cuminlead_process::secret::PeerSecret;
-use cuminlead_process::{StartError, admin, signal, start};
+use cuminlead_process::{StartError, admin, descriptors, signal, start};
 use cuminlead_settings::AgentSettings;
 use cuminlead_telemetry::{Metrics, Tracing, log};
 use cuminlead_types::{DurationUs, Incarnation};
@@ -79,6 +80,12 @@
     let incarnation = Incarnation(clock.now().unix_ms.0);
     let (control, events) = unbounded();
     let mut metrics = Metrics::new("cuminlead_agent");
+    let descriptors_max_count = descriptors::max_count(settings.descriptors_max_count().0);
+    let admin_limits = AdminLimits::new(
+        &mut metrics,
+        settings.admin_connections_max_count().0,
+        descriptors_max_count,
+    );
     let agent_metrics = AgentMetrics::new(&mut metrics);
     let flags = Arc::new(AgentFlags::default());
     let secret = PeerSecret::new(
@@ -114,7 +121,7 @@
         drain_max_us: (*settings.drain_max_ms()).into(),
         log: log.clone(),
     };
-    let admin_address = admin::serve(*settings.admin_address(), Arc::new(source))?;
+    let admin_address = admin::serve(*settings.admin_address(), Arc::new(source), admin_limits)?;
     let peer_address = listener.local_addr().change_context(StartError::Bind)?;
     let peer_rpc = PeerRpc::new(sender, secret.clone());
     let rpc = AgentRpc::new(control.clone(), secret, tracing.clone());
--- a/crates/direct/src/app.rs
+++ b/crates/direct/src/app.rs
@@ -11,10 +11,10 @@
 use cuminlead_telemetry::Tracing;
 use cuminlead_types::{EntryId, TimeUs};
 use slog::Logger;
-use tokio::sync::watch;
+use tokio::sync::{Semaphore, watch};
 
 use crate::adapter::ProtocolMapping;
-use crate::body_memory::BodyMemory;
+use crate::connections::Connections;
 use crate::pool::ConnectionPool;
 use crate::status::{DirectMetrics, SharedStatus};
 
@@ -39,8 +39,11 @@
     pub clock: Clock,
     /// Operator configuration, servers and retry budgets.
     pub serving: RefCell<ServingState>,
-    /// Memory for the bodies of callers' requests.
-    pub body_memory: Rc<BodyMemory>,
+    /// Connections of callers and what they hold.
+    pub connections: Rc<Connections>,
+    /// Permits to buffer large responses of servers, which are charged to their caller's connection
+    /// once they are complete.
+    pub large_responses: Semaphore,
     /// Idle connections to backend servers.
     pub pool: RefCell<ConnectionPool>,
     /// Connections to the agents that reserve decode slots.
--- a/crates/direct/src/body.rs
+++ b/crates/direct/src/body.rs
@@ -6,12 +6,15 @@
 use std::convert::Infallible;
 use std::fmt;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::{Context, Poll, ready};
 
 use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
 use tokio::sync::mpsc::Receiver;
 
+use crate::connections::ConnectionLease;
+
 /// Item of a relayed response.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Chunk {
@@ -49,6 +52,57 @@
     }
 }
 
+impl CallerBody {
+    /// Size of a body that is complete in memory; 0 for one that is forwarded as it arrives.
+    pub fn buffered_size(&self) -> cuminlead_types::Bytes {
+        match self {
+            Self::Buffered(bytes) => {
+                cuminlead_types::Bytes(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
+            }
+            Self::Relayed(_) => cuminlead_types::Bytes(0),
+        }
+    }
+}
+
+/// Body of a response that tells its connection's lease when hyper has taken all of it.
+pub struct TrackedBody {
+    body: CallerBody,
+    lease: Rc<ConnectionLease>,
+}
+
+impl TrackedBody {
+    /// Wraps the body of a response on the connection of the lease.
+    pub fn new(body: CallerBody, lease: Rc<ConnectionLease>) -> Self {
+        Self { body, lease }
+    }
+}
+
+impl Drop for TrackedBody {
+    fn drop(&mut self) {
+        self.lease.end_response();
+    }
+}
+
+impl Body for TrackedBody {
+    type Data = Bytes;
+    type Error = IncompleteResponse;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, IncompleteResponse>>> {
+        Pin::new(&mut self.body).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
 impl From<Infallible> for IncompleteResponse {
     fn from(never: Infallible) -> Self {
         match never {}
--- a/crates/direct/src/connection.rs
+++ b/crates/direct/src/connection.rs
@@ -18,6 +18,9 @@
 
 use crate::shared_stream::SharedStream;
 
+/// Largest buffer for the head of a response and for the bytes of its body that were not read yet.
+/// It is part of what a request is charged.
+const BUFFER_MAX_BYTES: usize = 32 * 1024;
 /// Timeout for establishing a connection. Covers the round trip to another region and a slow
 /// accept. A lost first packet is retransmitted only after a second; another server is the better
 /// choice by then.
@@ -57,7 +60,10 @@
         // it.
         let _ = stream.set_nodelay(true);
         let stream = SharedStream::new(stream);
-        let handshake = Builder::new().handshake(TokioIo::new(stream.clone())).await;
+        let handshake = Builder::new()
+            .max_buf_size(BUFFER_MAX_BYTES)
+            .handshake(TokioIo::new(stream.clone()))
+            .await;
         let (sender, connection) = handshake.ok()?;
         let task = tokio::task::spawn_local(async move {
             // An error is also returned to the in-flight request; without one, nothing waits for
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -23,12 +23,14 @@
 
 use crate::adapter::{CallerRequest, ResponseClass, RunHeaders};
 use crate::app::{App, InFlight};
-use crate::body_memory::BodyLease;
 use crate::connection::{Connection, SendError};
+use crate::connections::BodyLease;
 use crate::correlation::{SentTo, is_response_to};
 use crate::pool::{IDLE_MAX_NOT_REPEATABLE, idle_max};
 use crate::status::Direction;
 
+/// Size beyond which a response is read to its end only while few others are.
+const LARGE_RESPONSE_BYTES: usize = 16 * 1024;
 /// Longest response that is buffered until it is complete. Responses of plain services are a few
 /// KB; a longer one is streamed.
 pub(crate) const BUFFERED_MAX_BYTES: usize = 256 * 1024;
@@ -514,7 +516,13 @@
     buffered_max_bytes: usize,
 ) -> Result<Collected, StepOutcome> {
     let mut buffered = BytesMut::new();
+    let mut permit = None;
     loop {
+        if buffered.len() > LARGE_RESPONSE_BYTES && permit.is_none() {
+            permit = lease.app.large_responses.acquire().await.ok();
+            let rest_bytes = usize::try_from(rest.size_hint().lower()).unwrap_or(usize::MAX);
+            buffered.reserve(rest_bytes.min(buffered_max_bytes));
+        }
         let Some(frame) = rest.frame().await else {
             return Ok(Collected::Complete(buffered.freeze()));
         };
--- a/crates/direct/src/head_timer.rs
+++ b/crates/direct/src/head_timer.rs
@@ -10,11 +10,14 @@
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
+use cuminlead_types::Bytes;
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::time::{Instant, sleep_until};
 
+use crate::connections::ConnectionLease;
+
 /// State of the head that a connection receives, shared with its [`TimedStream`].
 #[derive(Clone, Debug, Default)]
 pub struct HeadTimer(Rc<Cell<HeadState>>);
@@ -31,9 +34,10 @@
 }
 
 impl HeadTimer {
-    /// Records that a head is complete and its request is being served.
-    pub fn complete(&self) {
-        self.0.set(HeadState::Complete);
+    /// Records that a head is complete and its request is being served. True if the head arrived
+    /// before the response to the request before it was ready.
+    pub fn complete(&self) -> bool {
+        matches!(self.0.replace(HeadState::Complete), HeadState::Idle)
     }
 
     /// Records that the response is ready; the next byte received starts a new head.
@@ -41,10 +45,13 @@
         self.0.set(HeadState::Idle);
     }
 
-    fn record_bytes(&self) {
-        if matches!(self.0.get(), HeadState::Idle) {
+    /// Records that bytes arrived; true if they begin a head.
+    fn record_bytes(&self) -> bool {
+        let is_head = matches!(self.0.get(), HeadState::Idle);
+        if is_head {
             self.0.set(HeadState::Receiving(Instant::now()));
         }
+        is_head
     }
 
     /// Completes once a head has taken longer than `timeout`.
@@ -64,19 +71,35 @@
     }
 }
 
-/// Connection of a caller that records when bytes arrive.
-#[derive(Debug)]
+/// Connection of a caller that records when bytes arrive and are taken.
 pub struct TimedStream {
     stream: TokioIo<TcpStream>,
     timer: HeadTimer,
+    lease: Rc<ConnectionLease>,
+    head_max: Bytes,
 }
 
 impl TimedStream {
     /// Wraps an accepted connection.
-    pub fn new(stream: TcpStream, timer: HeadTimer) -> Self {
+    pub fn new(
+        stream: TcpStream,
+        timer: HeadTimer,
+        lease: Rc<ConnectionLease>,
+        head_max: Bytes,
+    ) -> Self {
         Self {
             stream: TokioIo::new(stream),
             timer,
+            lease,
+            head_max,
+        }
+    }
+
+    fn record_write(&self, polled: &Poll<std::io::Result<usize>>) {
+        match polled {
+            Poll::Ready(Ok(count)) => self.lease.record_progress(Bytes(*count as u64)),
+            Poll::Ready(Err(_)) => {}
+            Poll::Pending => self.lease.block_sending(),
         }
     }
 
@@ -92,7 +115,11 @@
         buffer: ReadBufCursor<'_>,
     ) -> Poll<std::io::Result<()>> {
         ready!(Read::poll_read(self.inner(), context, buffer))?;
-        self.timer.record_bytes();
+        if self.timer.record_bytes() {
+            self.lease.begin_head(self.head_max);
+        } else {
+            self.lease.record_progress(Bytes(0));
+        }
         Poll::Ready(Ok(()))
     }
 }
@@ -103,14 +130,19 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<std::io::Result<usize>> {
-        Write::poll_write(self.inner(), context, bytes)
+        let polled = Write::poll_write(self.inner(), context, bytes);
+        self.record_write(&polled);
+        polled
     }
 
     fn poll_flush(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<std::io::Result<()>> {
-        Write::poll_flush(self.inner(), context)
+        // hyper flushes the connection once it has written all that it holds.
+        ready!(Write::poll_flush(self.inner(), context))?;
+        self.lease.sent();
+        Poll::Ready(Ok(()))
     }
 
     fn poll_shutdown(
@@ -129,6 +161,8 @@
         context: &mut Context<'_>,
         parts: &[std::io::IoSlice<'_>],
     ) -> Poll<std::io::Result<usize>> {
-        Write::poll_write_vectored(self.inner(), context, parts)
+        let polled = Write::poll_write_vectored(self.inner(), context, parts);
+        self.record_write(&polled);
+        polled
     }
 }
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -10,7 +10,8 @@
 //! |---|---|
 //! | [`adapter`] | interfaces that a platform implements |
 //! | [`app`] | state shared by all requests of the traffic thread |
-//! | [`body_memory`] | bound on the memory of callers' request bodies |
+//! | [`connections`] | callers' connections under the budget of the process |
+//! | `request_body` | reads the bodies of callers' requests |
 //! | [`body`] | body of a response to a caller |
 //! | [`connection`] | one connection to a backend server |
 //! | [`correlation`] | whether a response belongs to a request |
@@ -32,8 +33,8 @@
 pub mod adapter;
 pub mod app;
 pub mod body;
-pub mod body_memory;
 pub mod connection;
+pub mod connections;
 pub mod control;
 pub mod correlation;
 mod crash_reports;
@@ -45,6 +46,7 @@
 pub mod pool;
 pub mod process;
 pub mod relay;
+mod request_body;
 pub mod serve;
 pub mod shared_stream;
 pub mod status;
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -19,22 +19,23 @@
 use cuminlead_direct_core::shutdown::ShutdownSchedule;
 use cuminlead_kernel::Clock;
 use cuminlead_places::ReservationClient;
+use cuminlead_process::admin::AdminLimits;
 use cuminlead_process::signal::Signals;
-use cuminlead_process::{StartError, admin, start};
+use cuminlead_process::{StartError, admin, descriptors, start};
 use cuminlead_settings::EntrySettings;
 use cuminlead_telemetry::{Metrics, Tracing, log};
-use cuminlead_types::{Bytes, DurationUs, TimeUs};
+use cuminlead_types::{DurationUs, TimeUs};
 use error_stack::{Report, ResultExt};
 use slog::{Logger, info, warn};
 use tokio::net::TcpListener;
 use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
-use tokio::sync::watch;
+use tokio::sync::{Semaphore, watch};
 use tokio::task::LocalSet;
 use tokio::time::sleep;
 
 use crate::adapter::{self, Adapter};
 use crate::app::{App, StopPhase};
-use crate::body_memory::BodyMemory;
+use crate::connections::{self, Connections};
 use crate::control;
 use crate::pool::ConnectionPool;
 use crate::serve::accept;
@@ -42,17 +43,9 @@
 
 /// One retry is allowed for this many requests, the share that the platform permits.
 const REQUESTS_PER_RETRY: u32 = 5;
-/// Share of the process's memory for bodies of requests, in percent. As much again may be in the
-/// buffers of connections while bodies arrive and are sent on.
-const BODY_MEMORY_PERCENT: u64 = 40;
 /// Interval between checks for open connections during shutdown.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
-fn body_memory_max(settings: &EntrySettings) -> Bytes {
-    let memory_bytes = u64::from(settings.memory_max_mb().0) * 1_000_000;
-    Bytes(memory_bytes / 100 * BODY_MEMORY_PERCENT)
-}
-
 /// Runs the entry until a shutdown is requested and the open requests are answered. Fails if the
 /// adapter is unknown, an address can't be bound or a thread can't be started.
 pub fn run(settings: &EntrySettings, adapter_name: &str) -> Result<(), Report<StartError>> {
@@ -86,6 +79,12 @@
 ) -> Result<(), Report<StartError>> {
     let clock = Clock::start();
     let mut metrics = Metrics::new("cuminlead_entry");
+    let descriptors_max_count = descriptors::max_count(settings.descriptors_max_count().0);
+    let admin_limits = AdminLimits::new(
+        &mut metrics,
+        settings.admin_connections_max_count().0,
+        descriptors_max_count,
+    );
     let direct_metrics = DirectMetrics::new(&mut metrics);
     let status = Arc::new(SharedStatus::default());
     let signals = Signals::new().change_context(StartError::Thread)?;
@@ -98,15 +97,24 @@
         metrics,
         status: Arc::clone(&status),
     };
-    let admin_address = admin::serve(*settings.admin_address(), Arc::new(source))?;
+    let admin_address = admin::serve(*settings.admin_address(), Arc::new(source), admin_limits)?;
     let (updates_sender, updates) = unbounded_channel();
     let calls = direct_metrics.registry_calls.clone();
     control::spawn(clock, adapter.registry, calls, updates_sender)?;
     let (stop_sender, stop) = watch::channel(StopPhase::Running);
+    let connections = Connections::new(
+        settings,
+        descriptors_max_count,
+        clock,
+        direct_metrics.clone(),
+        log.clone(),
+    );
+    tokio::task::spawn_local(Rc::clone(&connections).close_overdue());
     let app = Rc::new(App {
         clock,
         serving: RefCell::new(ServingState::new(serving_config(settings))),
-        body_memory: BodyMemory::new(body_memory_max(settings)),
+        connections: Rc::clone(&connections),
+        large_responses: Semaphore::new(connections::large_responses_max_count(settings)),
         pool: RefCell::new(ConnectionPool::default()),
         reservation_client: RefCell::new(ReservationClient::default()),
         name: settings.name().clone(),
@@ -125,8 +133,7 @@
     });
     tokio::task::spawn_local(apply_updates(Rc::clone(&app), updates, Arc::clone(&status)));
     let callers_address = listener.local_addr().change_context(StartError::Bind)?;
-    let connections_max_count = settings.connections_max_count().0;
-    tokio::task::spawn_local(accept(Rc::clone(&app), listener, connections_max_count));
+    tokio::task::spawn_local(accept(Rc::clone(&app), listener));
     info!(log, "entry started"; "callers" => %callers_address, "admin" => %admin_address);
     // Addresses and locations are fixed for an incarnation, so changed settings take effect at the
     // next start.
--- a/crates/direct/src/serve.rs
+++ b/crates/direct/src/serve.rs
@@ -6,7 +6,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use bytes::BytesMut;
+use cuminlead_direct_core::connection_budget::NoRoom;
 use cuminlead_direct_core::{
     Call, CallSpec, EngineSpec, ModelRequirements, OperatorConfig, Refusal, RefusalReason, Route,
     RouteMatch, Team, UnknownKey,
@@ -15,8 +15,7 @@
 use cuminlead_types::{Bytes, DurationUs, Revision, TimeUs, Tokens};
 use http::header::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HOST, RETRY_AFTER};
 use http::{HeaderValue, Request, Response, StatusCode};
-use http_body_util::BodyExt;
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioTimer;
@@ -27,13 +26,14 @@
 
 use crate::adapter::{CallerRequest, Identity};
 use crate::app::{App, StopPhase};
-use crate::body::CallerBody;
-use crate::body_memory::{BodyLease, NoBodyMemory};
+use crate::body::{CallerBody, TrackedBody};
+use crate::connections::{BodyLease, ConnectionLease};
 use crate::correlation::SentTo;
 use crate::drive::{CallResult, drive};
 use crate::exchange::{BufferedResponse, CallerExchange, TRACEPARENT};
 use crate::head_timer::{HeadTimer, TimedStream};
 use crate::relay::Relay;
+use crate::request_body::{BodyError, read_body};
 use crate::team_usage::{self, UsedUnits};
 
 /// Time after which a caller may retry at a process that has not read the configuration yet.
@@ -52,17 +52,17 @@
 const BUFFER_MIN_BYTES: usize = 8_192;
 
 /// Accepts connections until the process ends.
-pub async fn accept(app: Rc<App>, listener: TcpListener, connections_max_count: u32) {
+pub async fn accept(app: Rc<App>, listener: TcpListener) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             tokio::time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
-        if app.status.connections_count.load(Ordering::Relaxed) >= connections_max_count {
+        let Ok(lease) = app.connections.open() else {
             app.metrics.connections_refused.inc();
             continue;
-        }
-        tokio::task::spawn_local(serve_connection(Rc::clone(&app), stream));
+        };
+        tokio::task::spawn_local(serve_connection(Rc::clone(&app), stream, lease));
     }
 }
 
@@ -82,7 +82,7 @@
     }
 }
 
-async fn serve_connection(app: Rc<App>, stream: TcpStream) {
+async fn serve_connection(app: Rc<App>, stream: TcpStream, lease: Rc<ConnectionLease>) {
     let _count = ConnectionCount::new(&app);
     // Send each event of a stream at once. If the option can't be set, events are only delayed.
     let _ = stream.set_nodelay(true);
@@ -99,23 +99,38 @@
     let is_accepted_while_closing = *stop.borrow() >= StopPhase::Closing;
     let timer = HeadTimer::default();
     let service = {
-        let (app, timer) = (Rc::clone(&app), timer.clone());
+        let (app, timer, lease) = (Rc::clone(&app), timer.clone(), Rc::clone(&lease));
         service_fn(move |request| {
-            let (app, timer) = (Rc::clone(&app), timer.clone());
-            timer.complete();
-            async move {
-                let response = handle_request(app, request).await;
+            let (app, timer, lease) = (Rc::clone(&app), timer.clone(), Rc::clone(&lease));
+            let is_last = timer.complete() && lease.count_pipelined();
+            lease.begin_body();
+            // An idle connection does not hold the memory of a request's state.
+            Box::pin(async move {
+                let mut response =
+                    handle_request(app, request, &lease, limits.head_max_bytes).await;
+                if is_last {
+                    close_after(&mut response);
+                }
                 timer.reset();
-                Ok::<_, Infallible>(response)
-            }
+                Ok::<_, Infallible>(response.map(|body| {
+                    lease.begin_response(body.buffered_size(), limits.head_max_bytes);
+                    TrackedBody::new(body, lease)
+                }))
+            })
         })
     };
+    let stream = TimedStream::new(
+        stream,
+        timer.clone(),
+        Rc::clone(&lease),
+        limits.head_max_bytes,
+    );
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         // hyper counts the idle time before a request as part of reading its head.
         .header_read_timeout(Duration::from(limits.idle_timeout))
         .max_buf_size(head_max.max(BUFFER_MIN_BYTES))
-        .serve_connection(TimedStream::new(stream, timer.clone()), service);
+        .serve_connection(stream, service);
     tokio::pin!(connection);
     let ended = tokio::select! {
         ended = connection.as_mut() => Some(ended),
@@ -123,6 +138,9 @@
             debug!(app.log, "caller did not send the request head in time; connection closed");
             return;
         }
+        () = lease.closing() => {
+            return;
+        }
         _ = stop.wait_for(|phase| *phase >= StopPhase::Closing),
             if !is_accepted_while_closing => None,
     };
@@ -130,7 +148,10 @@
         Some(ended) => ended,
         None => {
             connection.as_mut().graceful_shutdown();
-            connection.await
+            tokio::select! {
+                ended = connection => ended,
+                () = lease.closing() => return,
+            }
         }
     };
     if let Err(error) = ended {
@@ -138,19 +159,28 @@
     }
 }
 
-async fn handle_request(app: Rc<App>, request: Request<Incoming>) -> Response<CallerBody> {
+async fn handle_request(
+    app: Rc<App>,
+    request: Request<Incoming>,
+    lease: &Rc<ConnectionLease>,
+    head_max: Bytes,
+) -> Response<CallerBody> {
     let arrived_at = app.now();
-    let mut response = match admit(&app, request, arrived_at).await {
+    let mut response = match admit(&app, request, arrived_at, lease, head_max).await {
         Ok(admitted) => run(&app, admitted, arrived_at).await,
         Err(response) => response,
     };
     if app.is_stopping() {
-        let close = HeaderValue::from_static("close");
-        response.headers_mut().insert(CONNECTION, close);
+        close_after(&mut response);
     }
     response
 }
 
+fn close_after(response: &mut Response<CallerBody>) {
+    let close = HeaderValue::from_static("close");
+    response.headers_mut().insert(CONNECTION, close);
+}
+
 struct Admitted {
     exchange: CallerExchange,
     call: Call,
@@ -167,6 +197,8 @@
     app: &Rc<App>,
     request: Request<Incoming>,
     arrived_at: TimeUs,
+    lease: &Rc<ConnectionLease>,
+    head_max: Bytes,
 ) -> Result<Admitted, Response<CallerBody>> {
     let (parts, body) = request.into_parts();
     let caller = app.protocol_mapping.read_request(&parts.headers);
@@ -200,10 +232,16 @@
         ));
     }
     let body_deadline = Instant::from_std(app.clock.instant(arrived_at + route.timeout));
-    let mut body_lease = app.body_memory.lease();
-    let body = read_body(body, Bytes(body_max), &mut body_lease);
+    let body_lease = BodyLease::new(Rc::clone(lease));
+    let body = read_body(body, Bytes(body_max), &body_lease);
     let body = timeout_at(body_deadline, body).await;
     let body = body.unwrap_or(Err(BodyError::TimedOut));
+    let body = body.and_then(|body| {
+        let admitted = lease.begin_serving(head_max);
+        admitted
+            .map(|()| body)
+            .map_err(|NoRoom| BodyError::NoMemory)
+    });
     let body = body.map_err(|error| body_error_response(app, &caller.id, error))?;
     let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
     let caller_timeout = caller
@@ -451,15 +489,6 @@
     }
 }
 
-/// Why the body of a caller's request was not read.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum BodyError {
-    Malformed,
-    TooLarge,
-    TimedOut,
-    NoMemory,
-}
-
 fn body_error_response(app: &App, request: &str, error: BodyError) -> Response<CallerBody> {
     let status = match error {
         BodyError::Malformed => StatusCode::BAD_REQUEST,
@@ -472,46 +501,13 @@
                 retry_after: NO_MEMORY_RETRY_AFTER,
             };
             info!(app.log, "request refused"; "request" => request, "reason" => %refusal.reason,
-                "body_memory_used_bytes" => app.body_memory.used().0);
+                "body_memory_used_bytes" => app.connections.used_by_bodies().0);
             return refusal_response(app, &refusal);
         }
     };
     error_response(app, status, "body cannot be read")
 }
 
-/// Reads a body into memory of the lease.
-async fn read_body(
-    mut body: Incoming,
-    max: Bytes,
-    lease: &mut BodyLease,
-) -> Result<bytes::Bytes, BodyError> {
-    if body.is_end_stream() {
-        return Ok(bytes::Bytes::new());
-    }
-    let mut read = BytesMut::new();
-    if let Some(size) = body.size_hint().exact() {
-        lease
-            .extend_to(Bytes(size))
-            .map_err(|NoBodyMemory| BodyError::NoMemory)?;
-        read.reserve(usize::try_from(size).unwrap_or(0));
-    }
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|_| BodyError::Malformed)?;
-        let Ok(data) = frame.into_data() else {
-            continue;
-        };
-        let size = Bytes(read.len() as u64 + data.len() as u64);
-        if size > max {
-            return Err(BodyError::TooLarge);
-        }
-        lease
-            .extend_to(size)
-            .map_err(|NoBodyMemory| BodyError::NoMemory)?;
-        read.extend_from_slice(&data);
-    }
-    Ok(read.freeze())
-}
-
 fn buffered_response(buffered: BufferedResponse) -> Response<CallerBody> {
     let mut response = Response::new(CallerBody::buffered(buffered.body));
     *response.status_mut() = buffered.status;
--- a/crates/direct/src/status.rs
+++ b/crates/direct/src/status.rs
@@ -12,7 +12,7 @@
     Counters, Gauges, RouteLabels, RouteLatencies, RowCounters, start_at_zero,
 };
 use cuminlead_telemetry::{Label, Metrics};
-use cuminlead_types::{BackendServerId, DurationUs, EntryId, TeamName, TimeUs, Tokens};
+use cuminlead_types::{BackendServerId, Bytes, DurationUs, EntryId, TeamName, TimeUs, Tokens};
 use http::StatusCode;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::gauge::Gauge;
@@ -93,6 +93,8 @@
     pub usage_owners_unreachable: Counter,
     /// Callers' connections closed because the maximum number is open.
     pub connections_refused: Counter,
+    connections_closed: Counters,
+    connection_memory_bytes: Gauge,
     /// Registry entries that were ignored as unusable.
     pub unusable_entries: Counter,
     /// Queries to the registry.
@@ -190,6 +192,14 @@
                 "direct_connections_refused",
                 "Connections of callers closed because too many are open",
             ),
+            connections_closed: metrics.counters(
+                "direct_connections_closed",
+                "Connections of callers closed to make room or because they are slow",
+            ),
+            connection_memory_bytes: metrics.gauge(
+                "direct_connection_memory_bytes",
+                "Memory that connections of callers are charged",
+            ),
             unusable_entries: metrics.counter(
                 "direct_unusable_entries",
                 "Entries of the registry that were left out",
@@ -206,6 +216,11 @@
         start_at_zero(&self.requests, "outcome", &reasons);
         start_at_zero(&self.streams, "end", &STREAM_ENDS);
         start_at_zero(&self.statuses, "status", &STATUSES);
+        start_at_zero(
+            &self.connections_closed,
+            "cause",
+            &["room", "slow", "pipelined"],
+        );
         for step in STEPS {
             for outcome in StepOutcome::iter() {
                 drop(
@@ -330,6 +345,18 @@
         self.step_failures.get_or_create(&row).inc();
     }
 
+    /// Counts a caller's connection that was closed to make `room`, because it is `slow`, or after
+    /// too many `pipelined` requests.
+    pub fn count_connection_closed(&self, cause: &'static str) {
+        let label = Label::new("cause", cause);
+        self.connections_closed.get_or_create(&label).inc();
+    }
+
+    /// Sets the memory that callers' connections are charged.
+    pub fn set_connection_memory(&self, used: Bytes) {
+        self.connection_memory_bytes.set(to_i64(used.0));
+    }
+
     /// Counts a response that this process generated itself.
     pub fn count_status(&self, status: StatusCode) {
         let label = Label::new("status", status.as_str());
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -12,11 +12,12 @@
 use cuminlead_distribution::limits::CONFIRM_INTERVAL;
 use cuminlead_entry_core::CallConfig;
 use cuminlead_kernel::{Clock, spawn_control};
+use cuminlead_process::admin::AdminLimits;
 use cuminlead_process::feed::{Feed, FeedParts, FeedSender};
 use cuminlead_process::peer::{PeerClient, PeerRpc};
 use cuminlead_process::platform::PlatformClient;
 use cuminlead_process::secret::PeerSecret;
-use cuminlead_process::{StartError, admin, signal, start};
+use cuminlead_process::{StartError, admin, descriptors, signal, start};
 use cuminlead_routing::{Router, RoutingConfig};
 use cuminlead_settings::EntrySettings;
 use cuminlead_telemetry::{Metrics, Tracing, log};
@@ -61,6 +62,12 @@
     let clock = Clock::start();
     let (control, events) = unbounded();
     let mut metrics = Metrics::new("cuminlead_entry");
+    let descriptors_max_count = descriptors::max_count(settings.descriptors_max_count().0);
+    let admin_limits = AdminLimits::new(
+        &mut metrics,
+        settings.admin_connections_max_count().0,
+        descriptors_max_count,
+    );
     let entry_metrics = EntryMetrics::new(&mut metrics);
     let flags = Arc::new(EntryFlags::default());
     let secret = PeerSecret::new(
@@ -123,7 +130,7 @@
         drain_max_us: (*settings.drain_max_ms()).into(),
         log: log.clone(),
     };
-    let admin_address = admin::serve(*settings.admin_address(), Arc::new(source))?;
+    let admin_address = admin::serve(*settings.admin_address(), Arc::new(source), admin_limits)?;
     let peer_address = serve_peers(settings, runtime, PeerRpc::new(sender, secret))?;
     let callers_address = serve_callers(settings, runtime, http)?;
     runtime.spawn(signal::on_stop(move || {
--- a/crates/places/src/agent.rs
+++ b/crates/places/src/agent.rs
@@ -13,7 +13,8 @@
 use cuminlead_direct_core::{MemoryUse, ReservationTable};
 use cuminlead_kernel::Clock;
 use cuminlead_process::StartError;
-use cuminlead_process::admin::{self, AdminSource};
+use cuminlead_process::admin::{self, AdminLimits, AdminSource};
+use cuminlead_process::descriptors;
 use cuminlead_process::signal::Signals;
 use cuminlead_settings::AgentSettings;
 use cuminlead_telemetry::metrics::{Counters, Gauges};
@@ -24,8 +25,8 @@
 use slog::{Logger, info, warn};
 use tokio::net::TcpListener;
 use tonic::transport::Server;
-use tonic::transport::server::TcpIncoming;
 
+use crate::incoming::BoundedIncoming;
 use crate::monitor::{self, AgentPlatform, EngineMonitor};
 use crate::rpc::{ReservationRpc, SharedReservationTable};
 use crate::stage_control::StageControl;
@@ -37,6 +38,19 @@
 /// Interval between reports of an idle engine.
 const IDLE_REPORT_INTERVAL: Duration = Duration::from_millis(400);
 
+/// Longest message of an entry. The longest is a report of a crash, with up to 16 ids of prompt
+/// parts.
+const MESSAGE_MAX_BYTES: usize = 8 * 1024;
+/// Concurrent calls of one entry. Together with the other bounds, 400 connections hold at most
+/// 0.35 MB each, 140 MB of the 192 MB of an agent's host.
+const STREAMS_MAX_COUNT: u32 = 32;
+/// Bytes that an entry may send before they are read; the smallest initial window of HTTP/2.
+const WINDOW_BYTES: u32 = 65_535;
+/// Longest headers of a call.
+const HEADERS_MAX_BYTES: u32 = 4 * 1024;
+/// Longest time of a call, its message included. Entries wait 0.2 s for a reply.
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Runs the agent until a shutdown is requested. Fails if the adapter is unknown, an address can't
 /// be bound or a thread can't be started.
 pub fn run(settings: &AgentSettings, adapter_name: &str) -> Result<(), Report<StartError>> {
@@ -63,8 +77,18 @@
     let clock = Clock::start();
     let signals = Signals::new().change_context(StartError::Thread)?;
     let mut metrics = Metrics::new("cuminlead_agent");
+    let descriptors_max_count = descriptors::max_count(settings.descriptors_max_count().0);
+    let admin_limits = AdminLimits::new(
+        &mut metrics,
+        settings.admin_connections_max_count().0,
+        descriptors_max_count,
+    );
     let reports = metrics.counters("place_reports", "Reports of the engine by result");
     let memory = MemoryGauges::new(&mut metrics);
+    let connections_closed = metrics.counter(
+        "place_connections_closed",
+        "Connections of entries closed for newer ones",
+    );
     let reservations = SharedReservationTable::new(ReservationTable::new());
     let is_reporting = Arc::new(AtomicBool::new(false));
     let address = *settings.peer_address();
@@ -76,7 +100,7 @@
         metrics,
         is_reporting: Arc::clone(&is_reporting),
     };
-    admin::serve(*settings.admin_address(), Arc::new(source))?;
+    admin::serve(*settings.admin_address(), Arc::new(source), admin_limits)?;
     let reader = ReportReader {
         clock,
         monitor: platform.monitor,
@@ -106,10 +130,22 @@
             .spawn(move || control.run())
             .change_context(StartError::Thread)?;
     }
-    let service = PlacesServer::new(ReservationRpc::new(reservations, clock, log.clone()));
-    let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
+    let service = PlacesServer::new(ReservationRpc::new(reservations, clock, log.clone()))
+        .max_decoding_message_size(MESSAGE_MAX_BYTES);
+    let entries_max_count = settings.entry_connections_max_count().0;
+    let entries_max_count = entries_max_count.min(descriptors_max_count / 5 * 3);
+    let incoming = BoundedIncoming::new(
+        listener,
+        usize::try_from(entries_max_count).unwrap_or(usize::MAX),
+        connections_closed,
+    );
     info!(log, "agent started"; "address" => %address, "engine" => %settings.backend_address());
     let serving = Server::builder()
+        .max_concurrent_streams(STREAMS_MAX_COUNT)
+        .initial_stream_window_size(WINDOW_BYTES)
+        .initial_connection_window_size(WINDOW_BYTES)
+        .http2_max_header_list_size(HEADERS_MAX_BYTES)
+        .timeout(CALL_TIMEOUT)
         .add_service(service)
         .serve_with_incoming(incoming);
     tokio::select! {
--- a/crates/places/src/lib.rs
+++ b/crates/places/src/lib.rs
@@ -12,9 +12,11 @@
 //! | [`agent`] | start and shutdown of the agent |
 //! | [`rpc`] | gRPC service of the agent |
 //! | [`client`] | client of the service, used by entries |
+//! | [`incoming`] | bounded connections of entries to the service |
 
 pub mod agent;
 pub mod client;
+pub mod incoming;
 pub mod monitor;
 pub mod rpc;
 pub mod stage_control;
--- a/crates/process/src/lib.rs
+++ b/crates/process/src/lib.rs
@@ -4,6 +4,7 @@
 //! |---|---|
 //! | [`admin`] | HTTP endpoint for metrics, health and status |
 //! | [`cli`] | command line of both binaries |
+//! | [`descriptors`] | number of descriptors that the process may open |
 //! | [`error`] | errors that prevent a process from starting |
 //! | [`feed`] | lists and host list of this process, kept current from the platform and peers |
 //! | [`http_client`] | HTTP client for back ends and the platform |
@@ -15,6 +16,7 @@
 
 pub mod admin;
 pub mod cli;
+pub mod descriptors;
 pub mod error;
 pub mod feed;
 pub mod http_client;
--- a/crates/settings/src/agent.rs
+++ b/crates/settings/src/agent.rs
@@ -83,6 +83,15 @@
         /// Percentage of a region's engines that run prefill. Agents change the stages of engines
         /// beyond it. Without it, agents change no stages.
         prefill_share_percent: Option<Count> = Optional("22") in 1..=99;
+        /// Descriptors that the process may open, if the system allows so many. Three fifths are for
+        /// connections of entries when these call backend servers directly.
+        descriptors_max_count: Count = Default("4096") in 64..=1048576;
+        /// Largest number of open connections of entries that call backend servers directly. One
+        /// beyond it replaces the connection that has been silent for the longest time.
+        entry_connections_max_count: Count = Default("400") in 2..=65536;
+        /// Largest number of open connections to the admin address. One beyond it replaces the
+        /// connection that has been without a request for the longest time.
+        admin_connections_max_count: Count = Default("64") in 2..=4096;
         /// Least severe level of log lines that are written.
         log_level: LogLevel = Default("\"info\"");
         /// Shared secret that entries must present, the same for all processes. Without it, all
--- a/crates/settings/src/entry.rs
+++ b/crates/settings/src/entry.rs
@@ -74,9 +74,29 @@
         /// Largest number of open connections of callers when backend servers are called directly.
         /// Each connection uses a file descriptor, and each in-flight request uses another.
         connections_max_count: Count = Default("2500") in 1..=65536;
-        /// Memory that the process may use, in millions of bytes. Two fifths of it are for the
-        /// bodies of requests when backend servers are called directly.
+        /// Memory that the process may use, in millions of bytes. When backend servers are called
+        /// directly, four fifths of what is beyond 24 are for callers' connections with all that
+        /// they hold, and at most two fifths of the whole for the bodies of their requests.
         memory_max_mb: Count = Default("256") in 16..=1000000;
+        /// Descriptors that the process may open, if the system allows so many. When backend
+        /// servers are called directly, three fifths are for callers' connections and three tenths
+        /// for requests that are being served.
+        descriptors_max_count: Count = Default("4096") in 64..=1048576;
+        /// Time without a byte after which a head, body or response that is under way may be
+        /// closed when memory or descriptors run low.
+        stalled_ms: DurationMs = Default("1000") in 100..=60000;
+        /// Least bytes per second of a body, and of the reading of a response, after rate_grace_ms.
+        min_bytes_per_s: Count = Default("1024") in 1..=1000000000;
+        /// Time after which min_bytes_per_s applies.
+        rate_grace_ms: DurationMs = Default("15000") in 100..=600000;
+        /// Longest time for which a response may continuously wait for its caller to read.
+        response_read_max_ms: DurationMs = Default("60000") in 100..=3600000;
+        /// Requests on one connection of a caller that may arrive before the response to the one
+        /// before is ready. The connection ends with the response to the last of them.
+        pipelined_max_count: Count = Default("16") in 1..=1000000;
+        /// Largest number of open connections to the admin address. One beyond it replaces the
+        /// connection that has been without a request for the longest time.
+        admin_connections_max_count: Count = Default("64") in 2..=4096;
         /// Least severe level of log lines that are written.
         log_level: LogLevel = Default("\"info\"");
         /// Shared secret that entries present to agents, the same for all processes. Agents without
