--- a/crates/direct-core/src/lib.rs
+++ b/crates/direct-core/src/lib.rs
@@ -19,6 +19,7 @@
 //! | `preparation` | slot reservation and KV cache of a model call before its run |
 //! | [`call`] | state machine of one request |
 //! | [`serving`] | operator configuration, servers and retry budgets |
+//! | [`connection_budget`] | memory and descriptors of callers' connections, and the order in which they are closed |
 //! | [`registry`] | watcher of the registry |
 //! | [`registry_view`] | servers that a watcher knows, across restores of the registry |
 //! | [`registry_silence`] | when an entry asks agents for the configuration |
@@ -32,6 +33,7 @@
 
 pub mod action;
 pub mod call;
+pub mod connection_budget;
 pub mod events;
 pub mod fair_share;
 pub mod health;
--- a/crates/direct/src/connection.rs
+++ b/crates/direct/src/connection.rs
@@ -20,13 +20,14 @@
 use crate::response_validity::RequestBody;
 use crate::shared_stream::SharedStream;
 
+/// Largest buffer for the head of a response and for the bytes of its body that were not read yet.
+/// It is part of what a request is charged. hyper's default is 400 KB, of which a relay could hold
+/// several for a caller that reads slowly.
+const BUFFER_MAX_BYTES: usize = 32 * 1024;
 /// Timeout for establishing a connection. Covers the round trip to another region and a slow
 /// accept. A lost first packet is retransmitted only after a second; another server is the better
 /// choice by then.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-/// Largest read buffer of a connection, and so the largest head and chunk of a response. hyper's
-/// default is 400 KB, of which a relay could hold several for a caller that reads slowly.
-const READ_BUFFER_MAX_BYTES: usize = 64 * 1024;
 /// Timeout for an idle connection to report whether it is usable, which takes one poll of its task.
 const READY_TIMEOUT: Duration = Duration::from_millis(20);
 
@@ -65,7 +66,7 @@
         let _ = SockRef::from(&stream).set_tcp_notsent_lowat(UNSENT_MAX_BYTES);
         let stream = SharedStream::new(stream);
         let handshake = Builder::new()
-            .max_buf_size(READ_BUFFER_MAX_BYTES)
+            .max_buf_size(BUFFER_MAX_BYTES)
             .handshake(TokioIo::new(stream.clone()))
             .await;
         let (sender, connection) = handshake.ok()?;
--- a/crates/direct/src/response_validity.rs
+++ b/crates/direct/src/response_validity.rs
@@ -246,6 +246,11 @@
         }))
     }
 
+    /// Least size of what was not read yet, as far as it is stated.
+    pub fn least_size(&self) -> u64 {
+        self.rest.size_hint().lower()
+    }
+
     /// Next bytes of the body; `None` at the end of a complete one. Fails with
     /// [`StepOutcome::Lost`] for a body that is not complete.
     pub async fn next(&mut self) -> Result<Option<Bytes>, StepOutcome> {
--- a/crates/places/src/lib.rs
+++ b/crates/places/src/lib.rs
@@ -13,10 +13,12 @@
 //! | [`configuration`] | thread that reads the configuration for entries |
 //! | [`rpc`] | gRPC service of the agent |
 //! | [`client`] | client of the service, used by entries |
+//! | [`incoming`] | bounded connections of entries to the service |
 
 pub mod agent;
 pub mod client;
 pub mod configuration;
+pub mod incoming;
 pub mod monitor;
 pub mod rpc;
 pub mod stage_control;
