--- a/crates/direct-core/src/call.rs
+++ b/crates/direct-core/src/call.rs
@@ -14,14 +14,11 @@
 use crate::operator_config::RequestKind;
 use crate::outcome::{StepOutcome, proves_not_run, record_outcome, retry_evidence};
 use crate::placement::{PlacementError, PlacementRequest, has_server, retry_after};
-use crate::preparation::{Prompt, SlotState};
+use crate::preparation::{Prompt, SlotState, prefill_time};
 use crate::server::Stage;
 use crate::servers::ServerKey;
 use crate::serving::ServingState;
 
-/// Rate at which a loaded engine computes prompts, in tokens per millisecond; half of that of an
-/// idle one.
-const PREFILL_TOKENS_PER_MS: u64 = 25;
 /// Share of the remaining time that one attempt of several may take, in percent.
 const ATTEMPT_TIMEOUT_PERCENT: u64 = 45;
 /// Time until the first event that one attempt of a resumable stream may take, in latency targets.
@@ -597,8 +594,3 @@
     let third_us = time.0 / 3;
     DurationUs(rng.random_range(2 * third_us..=4 * third_us))
 }
-
-/// Duration of a prefill at a loaded engine.
-fn prefill_time(prompt: Tokens) -> DurationUs {
-    DurationUs::from_ms(prompt.0 / PREFILL_TOKENS_PER_MS)
-}
--- a/crates/direct-core/src/preparation.rs
+++ b/crates/direct-core/src/preparation.rs
@@ -1,6 +1,6 @@
 //! Preparation of a model call: the reservation of its decode slot and the KV cache of its prompt.
 
-use cuminlead_types::{RegionName, TimeUs};
+use cuminlead_types::{DurationUs, RegionName, TimeUs, Tokens};
 
 use crate::action::{CacheRef, Reservation};
 use crate::outcome::{StepOutcome, retains_cache};
@@ -9,6 +9,10 @@
 /// Most prefill calls for one request; each one after the first repeats work.
 const PREFILL_ATTEMPTS_MAX: u32 = 2;
 
+/// Rate at which a loaded engine computes prompts, in tokens per millisecond; half of that of an
+/// idle one.
+const PREFILL_TOKENS_PER_MS: u64 = 25;
+
 /// Decode slot of a call.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum SlotState {
@@ -165,3 +169,8 @@
         }
     }
 }
+
+/// Duration of a prefill at a loaded engine.
+pub(crate) fn prefill_time(prompt: Tokens) -> DurationUs {
+    DurationUs::from_ms(prompt.0 / PREFILL_TOKENS_PER_MS)
+}
