--- /dev/null
+++ b/review/stand-ins-2/two_owners.rs
@@ -0,0 +1,189 @@
+//! A runner names a limit while the store turns one entry away and an engine is taken out of service.
+//!
+//! Three entries get the same load, which is more than the limit allows. The engine that leaves stands
+//! beside the agent that owns the permits; its entry is removed while the store turns one entry away.
+//! The runner counts what arrives.
+
+use std::io::{BufReader, Write};
+use std::net::{IpAddr, SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use crate::proxy::Proxy;
+use crate::runner::{Capacity, Runner, write_head};
+use crate::store::Store;
+use crate::system::{Process, free_port};
+use crate::{Context, Record, Verdict, http, plain_config, plain_request};
+
+/// Requests a second that the runner takes from all machines together.
+const LIMIT_PER_S: usize = 20;
+/// Requests a second to each entry.
+const LOAD_PER_S: u32 = 40;
+const DEADLINE_MS: u64 = 2_000;
+/// `stable_ms` of the site.
+const STABLE: Duration = Duration::from_secs(5);
+const BEFORE: Duration = Duration::from_secs(12);
+/// Time for which the store turns one entry away, the longest of the site file.
+const TURNED_AWAY: Duration = Duration::from_secs(9);
+/// `drain_ms` of the site.
+const DRAIN: Duration = Duration::from_secs(4);
+/// Engines; one of them is less than the share that the site file takes out of service.
+const ENGINES_COUNT: u8 = 8;
+const WINDOW: Duration = Duration::from_secs(4);
+/// One and a half times what the limit allows in the window, and five.
+const ARRIVALS_MAX_COUNT: usize = LIMIT_PER_S * 4 * 3 / 2 + 5;
+/// Time after which an entry that passed on an answer with the limit counts.
+const TOLD_AFTER: Duration = Duration::from_millis(500);
+
+/// Arrivals at the runner: the entry, by the first letter of the request's id, and the time.
+type Arrivals = Arc<Mutex<Vec<(char, Instant)>>>;
+
+pub fn run(context: &Context) -> Verdict {
+    let store = Store::start();
+    store.put("op/config", &plain_config("safe", DEADLINE_MS));
+    let arrivals: Arrivals = Arc::default();
+    let plain = plain_runner(context, &arrivals);
+    store.put(&plain.key(), &plain.entry("ready"));
+    let ports = [0; 2].map(|_: u16| free_port(IpAddr::from([127, 0, 0, 2])));
+    let (mut agents, mut engines, mut paths) = (Vec::new(), Vec::new(), Vec::new());
+    for number in 0..ENGINES_COUNT {
+        let ip = IpAddr::from([127, 0, 0, 2 + number]);
+        let capacity = Capacity { slots: 12, queue: 2 };
+        let idle = Arc::new(|_: &Runner, _: &http::Message, _: &mut TcpStream| false);
+        let id = format!("e-{number}");
+        let stage = if number < 2 { "prefill" } else { "decode" };
+        let engine = Runner::start(ip, &id, "note-summariser", Some(stage), capacity, &context.record, idle);
+        store.put(&engine.key(), &engine.entry("ready"));
+        agents.push(Process::agent(&context.directory, store.address, engine.address, ports[0]));
+        paths.push(Proxy::start(SocketAddr::new(ip, ports[1]), SocketAddr::new(ip, ports[0])));
+        engines.push(engine);
+    }
+    let turns_away: Arc<AtomicBool> = Arc::default();
+    let gate = store.at_gate(&turns_away);
+    let entries: Vec<_> = [('a', gate.address), ('b', store.address), ('c', store.address)]
+        .into_iter()
+        .map(|(letter, store)| {
+            let name = format!("front-pa-{letter}-1");
+            (letter, Process::entry(&context.directory, &name, store, ports[1]))
+        })
+        .collect();
+    let all = agents.iter().chain(entries.iter().map(|(_, entry)| entry));
+    if !all.into_iter().all(|process| process.wait_until_ready(Duration::from_secs(15))) {
+        return Verdict::NotRun;
+    }
+    let began = Instant::now();
+    let ends_at = began + BEFORE + TURNED_AWAY;
+    let told: Vec<_> = entries
+        .iter()
+        .map(|(letter, entry)| {
+            let (letter, address, record) = (*letter, entry.address, context.record.clone());
+            thread::spawn(move || send(letter, address, ends_at, &record))
+        })
+        .collect();
+    thread::sleep(BEFORE - DRAIN);
+    // The agent that is asked for permits has had nearly all traffic.
+    let before: Vec<_> = paths.iter().map(Proxy::bytes_count).collect();
+    let owner = (0..paths.len()).max_by_key(|index| before[*index]).unwrap_or(0);
+    context.record.say(&format!("bytes between the entries and the agents: {before:?}"));
+    let leaving = &engines[owner];
+    context.record.say(&format!("planned work: engine {} reports that it is draining", leaving.id));
+    store.put(&leaving.key(), &leaving.entry("draining"));
+    thread::sleep(DRAIN);
+    if context.has_trouble {
+        context.record.say("the store turns entry a away");
+        turns_away.store(true, Ordering::SeqCst);
+        thread::sleep(Duration::from_millis(200));
+    }
+    context.record.say(&format!("engine {} has left; its entry is removed", leaving.id));
+    store.remove(&leaving.key());
+    let told: Vec<Option<Instant>> = told.into_iter().map(|told| told.join().unwrap_or(None)).collect();
+    let after: Vec<_> = paths.iter().map(Proxy::bytes_count).zip(&before).map(|(after, before)| after - before).collect();
+    context.record.say(&format!("bytes from then on: {after:?}"));
+    judge(context, &arrivals, began, &told)
+}
+
+fn plain_runner(context: &Context, arrivals: &Arrivals) -> Runner {
+    let ip = IpAddr::from([127, 0, 0, 1]);
+    let arrivals = Arc::clone(arrivals);
+    let run = Arc::new(move |_: &Runner, request: &http::Message, writer: &mut TcpStream| {
+        let id = request.header("request-id").unwrap_or_default();
+        let letter = id.chars().next().unwrap_or('?');
+        arrivals.lock().expect("an intact lock").push((letter, Instant::now()));
+        thread::sleep(Duration::from_millis(15));
+        let limit = LIMIT_PER_S.to_string();
+        let headers = [
+            ("Request-Id", id),
+            ("Response-Signature", "3e1b.07.5a2.600.0.c9f2a4d1"),
+            ("Server-Limit", limit.as_str()),
+            ("Content-Length", "4"),
+        ];
+        write_head(writer, "200 OK", &headers) && writer.write_all(b"done").is_ok()
+    });
+    let capacity = Capacity { slots: 6, queue: 24 };
+    Runner::start(ip, "i-1", "roster-app", None, capacity, &context.record, run)
+}
+
+/// Counts the arrivals of each window from [`STABLE`] after the first answer with the limit.
+fn judge(context: &Context, arrivals: &Arrivals, began: Instant, told: &[Option<Instant>]) -> Verdict {
+    let first = told.iter().flatten().min().copied();
+    let Some(first) = first else { return Verdict::NotRun };
+    let told_at = |letter: char| told[usize::from(u8::try_from(letter).unwrap_or(b'a') - b'a')];
+    let arrivals = arrivals.lock().expect("an intact lock");
+    let counted: Vec<_> = arrivals
+        .iter()
+        .filter(|(letter, at)| told_at(*letter).is_some_and(|told| *at >= told + TOLD_AFTER))
+        .map(|(_, at)| *at)
+        .filter(|at| *at >= first + STABLE)
+        .collect();
+    let counts = counted.iter().enumerate().map(|(index, start)| {
+        let count = counted[index..].iter().take_while(|at| **at < *start + WINDOW).count();
+        (count, *start)
+    });
+    let (most, start) = counts.max().unwrap_or((0, began));
+    context.record.say(&format!(
+        "arrivals: {}; most in 4 s: {most}, from {:.1} s on; allowed: {ARRIVALS_MAX_COUNT}",
+        arrivals.len(), (start - began).as_secs_f64()
+    ));
+    if most > ARRIVALS_MAX_COUNT { Verdict::Broken } else { Verdict::Held }
+}
+
+/// Sends requests at a steady rate; returns when the entry first passed on an answer with the limit.
+fn send(letter: char, address: SocketAddr, ends_at: Instant, record: &Record) -> Option<Instant> {
+    let told: Arc<Mutex<Option<Instant>>> = Arc::default();
+    let began = Instant::now();
+    let mut requesters = Vec::new();
+    for number in 0.. {
+        let due = began + Duration::from_secs(1) * number / LOAD_PER_S;
+        if due >= ends_at {
+            break;
+        }
+        thread::sleep(due.saturating_duration_since(Instant::now()));
+        let (record, told, id) = (record.clone(), Arc::clone(&told), format!("{letter}{number:07x}"));
+        requesters.push(thread::spawn(move || {
+            record.line(&format!("requester sends {id}"));
+            let (status, names_limit) = request(address, &id);
+            record.line(&format!("requester of {id}: {status}"));
+            if names_limit {
+                told.lock().expect("an intact lock").get_or_insert(Instant::now());
+            }
+        }));
+    }
+    for requester in requesters {
+        let _ = requester.join();
+    }
+    let told = *told.lock().expect("an intact lock");
+    told
+}
+
+fn request(address: SocketAddr, id: &str) -> (u16, bool) {
+    let Ok(mut stream) = TcpStream::connect(address) else { return (0, false) };
+    let _ = stream.set_read_timeout(Some(Duration::from_millis(DEADLINE_MS)));
+    let _ = stream.write_all(plain_request("GET", id, DEADLINE_MS, "").as_bytes());
+    let mut reader = BufReader::new(stream);
+    match http::read_head(&mut reader) {
+        Ok(Some(answer)) => (answer.status(), answer.header("server-limit").is_some()),
+        _ => (0, false),
+    }
+}
