--- a/review/stand-ins-2/http.rs
+++ b/review/stand-ins-2/http.rs
@@ -114,8 +114,13 @@
 
 /// Writes a JSON response.
 pub fn write_json(stream: &mut TcpStream, status: u16, body: &str) -> io::Result<()> {
+    write_json_with(stream, status, "", body)
+}
+
+/// Writes a JSON response with further header lines, each of which ends with CR and LF.
+pub fn write_json_with(stream: &mut TcpStream, status: u16, lines: &str, body: &str) -> io::Result<()> {
     let head = format!(
-        "HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
+        "HTTP/1.1 {status} X\r\nContent-Type: application/json\r\n{lines}Content-Length: {}\r\n\r\n",
         body.len()
     );
     stream.write_all(head.as_bytes())?;
--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -7,6 +7,7 @@
 mod foreign_entries;
 mod http;
 mod proxy;
+mod restored_store;
 mod runner;
 mod slow_readers;
 mod store;
@@ -18,7 +19,7 @@
 use std::panic;
 use std::path::{Path, PathBuf};
 use std::sync::{Arc, Mutex};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// What was sent, answered and run, with the time since the start.
 #[derive(Clone)]
@@ -36,6 +37,11 @@
         let _ = writeln!(file, "{:7}.{:03} s  {text}", ms / 1_000, ms % 1_000);
     }
 
+    /// Time since the start.
+    pub fn elapsed(&self) -> Duration {
+        self.1.elapsed()
+    }
+
     /// A line that is also printed.
     pub fn say(&self, text: &str) {
         self.line(text);
@@ -73,7 +79,9 @@
     context.record.say(&format!("case {name}, disruption: {has_trouble}"));
     let case = match name.as_str() {
         "slow-readers" => slow_readers::run as fn(&Context) -> Verdict,
-        "two-owners" => two_owners::run,
+        "two-owners" => two_owners::run_limit,
+        "two-owners-quota" => two_owners::run_quota,
+        "restored-store" => restored_store::run,
         "foreign-entries" => foreign_entries::run,
         _ => not_run,
     };
@@ -101,6 +109,11 @@
 
 /// Configuration of a plain service with one route and one tenant.
 pub fn plain_config(kind: &str, timeout_ms: u64) -> String {
+    tenant_config(kind, timeout_ms, 0)
+}
+
+/// The same with a limit of the tenant, in tokens a second and at once; 0 for none.
+pub fn tenant_config(kind: &str, timeout_ms: u64, tokens: usize) -> String {
     format!(
         "{{\"version\":7,\"routes\":[{{\"name\":\"r-1\",\"host\":\"roster.example\",\"prefix\":\"/app/\",\
          \"kind\":\"{kind}\",\"timeout_ms\":{timeout_ms},\"target_latency_ms\":200,\"priority\":1,\
@@ -110,7 +123,8 @@
          {{\"name\":\"note-summariser\",\"health_path\":\"/health\",\"max_connections\":244,\
          \"protocol\":\"h1\",\"tls\":false,\"engine\":{{\"slots\":12,\"kv_capacity\":72189,\"kv_token_bytes\":96256,\
          \"kv_hold_s\":0.5,\"stage_switch_s\":6.0,\"hold_ms\":2000.0,\"models\":[{{\"name\":\"m\"}}]}}}}],\
-         \"tenants\":[{{\"name\":\"t-1\",\"api_keys\":[\"{API_KEY}\"]}}],\
+         \"tenants\":[{{\"name\":\"t-1\",\"api_keys\":[\"{API_KEY}\"],\"unit\":\"tokens\",\
+         \"plain_tokens\":200,\"rate_per_s\":{tokens},\"burst\":{tokens}}}],\
          \"limits\":{{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,\
          \"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}}}"
     )
@@ -127,3 +141,9 @@
          Deadline-Ms: {deadline_ms}\r\n{length}\r\n{body}"
     )
 }
+
+/// Request without a body that states its tokens.
+pub fn tokens_request(id: &str, deadline_ms: u64, tokens: usize) -> String {
+    let counts = format!("Token-Counts: {},80\r\nDeadline-Ms", tokens - 80);
+    plain_request("GET", id, deadline_ms, "").replacen("Deadline-Ms", &counts, 1)
+}
--- a/review/stand-ins-2/store.rs
+++ b/review/stand-ins-2/store.rs
@@ -18,12 +18,20 @@
 
 #[derive(Default)]
 struct State {
+    /// Number of times that the store came back from an older copy.
+    era: u64,
     revision: u64,
     items: BTreeMap<String, Item>,
     /// All changes; a removal has no value.
     changes: Vec<(u64, String, Option<String>)>,
 }
 
+/// Copy of the store's content.
+pub struct Copy {
+    revision: u64,
+    items: BTreeMap<String, Item>,
+}
+
 /// Store on a free loopback port.
 #[derive(Clone)]
 pub struct Store {
@@ -65,6 +73,23 @@
         self.change(key, Some(value));
     }
 
+    /// Copies the present content.
+    pub fn copy(&self) -> Copy {
+        let state = self.shared.0.lock().expect("an intact lock");
+        Copy { revision: state.revision, items: state.items.clone() }
+    }
+
+    /// Comes back from an older copy: what was written since is gone, and revisions go back.
+    pub fn restore(&self, copy: &Copy) {
+        let (state, changed) = &*self.shared;
+        let mut state = state.lock().expect("an intact lock");
+        state.era += 1;
+        state.revision = copy.revision;
+        state.items.clone_from(&copy.items);
+        state.changes.clear();
+        changed.notify_all();
+    }
+
     /// Removes an item.
     pub fn remove(&self, key: &str) {
         self.change(key, None);
@@ -110,20 +135,22 @@
                 found.map(|(_, value)| value.replace("%2F", "/")).unwrap_or_default()
             };
             let answer = match path {
-                "/kv-range" => self.range(&parameter("prefix"), &parameter("after")),
+                "/kv-range" => Some(self.range(&parameter("prefix"), &parameter("after"))),
                 "/kv-watch" => {
                     let wait_ms = parameter("wait_ms").parse().unwrap_or(0);
                     let after = parameter("after").parse().unwrap_or(0);
                     self.watch(&parameter("prefix"), after, Duration::from_millis(wait_ms))
                 }
-                _ => "{}".to_string(),
+                _ => Some("{}".to_string()),
             };
-            let (status, answer) = if turns_away.load(Ordering::SeqCst) {
-                (503, "{}".to_string())
-            } else {
-                (200, answer)
+            let (status, answer) = match answer {
+                _ if turns_away.load(Ordering::SeqCst) => (503, "{}".to_string()),
+                Some(answer) => (200, answer),
+                None => (410, "{}".to_string()),
             };
-            if http::write_json(&mut writer, status, &answer).is_err() {
+            let era = self.shared.0.lock().expect("an intact lock").era;
+            let line = format!("Store-Era: {era}\r\n");
+            if http::write_json_with(&mut writer, status, &line, &answer).is_err() {
                 return;
             }
         }
@@ -136,16 +163,22 @@
         format!("{{\"items\":[{}],\"has_more\":false,\"current_rev\":{}}}", items.join(","), state.revision)
     }
 
-    fn watch(&self, prefix: &str, after: u64, wait: Duration) -> String {
+    /// Changes after a revision; `None` if the store doesn't have that revision.
+    fn watch(&self, prefix: &str, after: u64, wait: Duration) -> Option<String> {
         let until = Instant::now() + wait;
         let (state, changed) = &*self.shared;
         let mut state = state.lock().expect("an intact lock");
+        let era = state.era;
         loop {
+            if after > state.revision || state.era != era {
+                return None;
+            }
             let new = state.changes.iter().filter(|(revision, key, _)| *revision > after && key.starts_with(prefix));
             let events: Vec<_> = new.map(|(revision, key, value)| item_json(key, *revision, value.as_deref())).collect();
             let left = until.saturating_duration_since(Instant::now());
             if !events.is_empty() || left.is_zero() {
-                return format!("{{\"events\":[{}],\"current_rev\":{}}}", events.join(","), state.revision);
+                let events = events.join(",");
+                return Some(format!("{{\"events\":[{events}],\"current_rev\":{}}}", state.revision));
             }
             state = changed.wait_timeout(state, left).expect("an intact lock").0;
         }
--- a/review/stand-ins-2/two_owners.rs
+++ b/review/stand-ins-2/two_owners.rs
@@ -1,8 +1,9 @@
-//! A runner names a limit while the store turns one entry away and an engine is taken out of service.
+//! The store turns one entry away while an engine is taken out of service.
 //!
-//! Three entries get the same load, which is more than the limit allows. The engine that leaves stands
-//! beside the agent that owns the permits; its entry is removed while the store turns one entry away.
-//! The runner counts what arrives.
+//! Three entries get the same load, which is more than a limit allows: that of a runner which names
+//! one, or that of a tenant. The engine that leaves stands beside the agent that owns the permits or
+//! the tenant's usage; its entry is removed while the store turns one entry away. The runner counts
+//! what arrives.
 
 use std::io::{BufReader, Write};
 use std::net::{IpAddr, SocketAddr, TcpStream};
@@ -15,12 +16,8 @@
 use crate::runner::{Capacity, Runner, write_head};
 use crate::store::Store;
 use crate::system::{Process, free_port};
-use crate::{Context, Record, Verdict, http, plain_config, plain_request};
+use crate::{Context, Record, Verdict, http, tenant_config, tokens_request};
 
-/// Requests a second that the runner takes from all machines together.
-const LIMIT_PER_S: usize = 20;
-/// Requests a second to each entry.
-const LOAD_PER_S: u32 = 40;
 const DEADLINE_MS: u64 = 2_000;
 /// `stable_ms` of the site.
 const STABLE: Duration = Duration::from_secs(5);
@@ -31,20 +28,58 @@
 const DRAIN: Duration = Duration::from_secs(4);
 /// Engines; one of them is less than the share that the site file takes out of service.
 const ENGINES_COUNT: u8 = 8;
-const WINDOW: Duration = Duration::from_secs(4);
-/// One and a half times what the limit allows in the window, and five.
-const ARRIVALS_MAX_COUNT: usize = LIMIT_PER_S * 4 * 3 / 2 + 5;
 /// Time after which an entry that passed on an answer with the limit counts.
 const TOLD_AFTER: Duration = Duration::from_millis(500);
 
+/// The limit that is exceeded, and how it is judged.
+#[derive(Clone, Copy)]
+struct Plan {
+    /// Requests a second that the runner says it takes from all machines together.
+    server_limit_per_s: Option<usize>,
+    /// Rate and burst of the tenant in tokens; 0 for no limit.
+    tenant_tokens: usize,
+    /// Requests a second to each entry.
+    load_per_s: u32,
+    window: Duration,
+    arrivals_max_count: usize,
+}
+
+/// Tokens of each request.
+const TOKENS: usize = 5_080;
+
+/// Limit of a runner: one and a half times what it allows in 4 s, and five.
+pub fn run_limit(context: &Context) -> Verdict {
+    let limit_per_s = 20;
+    run(context, Plan {
+        server_limit_per_s: Some(limit_per_s),
+        tenant_tokens: 0,
+        load_per_s: 40,
+        window: Duration::from_secs(4),
+        arrivals_max_count: limit_per_s * 4 * 3 / 2 + 5,
+    })
+}
+
+/// Limit of a tenant: `quota_window_s` 8, `quota_over` 0.25 and `quota_slack` 73,000 of the site.
+pub fn run_quota(context: &Context) -> Verdict {
+    let tenant_tokens = 50_000;
+    let allowed_tokens = (tenant_tokens * 8 + tenant_tokens) * 5 / 4 + 73_000;
+    run(context, Plan {
+        server_limit_per_s: None,
+        tenant_tokens,
+        load_per_s: 20,
+        window: Duration::from_secs(8),
+        arrivals_max_count: allowed_tokens / TOKENS,
+    })
+}
+
 /// Arrivals at the runner: the entry, by the first letter of the request's id, and the time.
 type Arrivals = Arc<Mutex<Vec<(char, Instant)>>>;
 
-pub fn run(context: &Context) -> Verdict {
+fn run(context: &Context, plan: Plan) -> Verdict {
     let store = Store::start();
-    store.put("op/config", &plain_config("safe", DEADLINE_MS));
+    store.put("op/config", &tenant_config("safe", DEADLINE_MS, plan.tenant_tokens));
     let arrivals: Arrivals = Arc::default();
-    let plain = plain_runner(context, &arrivals);
+    let plain = plain_runner(context, plan, &arrivals);
     store.put(&plain.key(), &plain.entry("ready"));
     let ports = [0; 2].map(|_: u16| free_port(IpAddr::from([127, 0, 0, 2])));
     let (mut agents, mut engines, mut paths) = (Vec::new(), Vec::new(), Vec::new());
@@ -79,7 +114,7 @@
         .iter()
         .map(|(letter, entry)| {
             let (letter, address, record) = (*letter, entry.address, context.record.clone());
-            thread::spawn(move || send(letter, address, ends_at, &record))
+            thread::spawn(move || send(letter, address, plan.load_per_s, ends_at, &record))
         })
         .collect();
     thread::sleep(BEFORE - DRAIN);
@@ -101,10 +136,10 @@
     let told: Vec<Option<Instant>> = told.into_iter().map(|told| told.join().unwrap_or(None)).collect();
     let after: Vec<_> = paths.iter().map(Proxy::bytes_count).zip(&before).map(|(after, before)| after - before).collect();
     context.record.say(&format!("bytes from then on: {after:?}"));
-    judge(context, &arrivals, began, &told)
+    judge(context, plan, &arrivals, began, &told)
 }
 
-fn plain_runner(context: &Context, arrivals: &Arrivals) -> Runner {
+fn plain_runner(context: &Context, plan: Plan, arrivals: &Arrivals) -> Runner {
     let ip = IpAddr::from([127, 0, 0, 1]);
     let arrivals = Arc::clone(arrivals);
     let run = Arc::new(move |_: &Runner, request: &http::Message, writer: &mut TcpStream| {
@@ -112,50 +147,56 @@
         let letter = id.chars().next().unwrap_or('?');
         arrivals.lock().expect("an intact lock").push((letter, Instant::now()));
         thread::sleep(Duration::from_millis(15));
-        let limit = LIMIT_PER_S.to_string();
-        let headers = [
+        let limit = plan.server_limit_per_s.map(|limit| limit.to_string());
+        let mut headers = vec![
             ("Request-Id", id),
             ("Response-Signature", "3e1b.07.5a2.600.0.c9f2a4d1"),
-            ("Server-Limit", limit.as_str()),
             ("Content-Length", "4"),
         ];
+        headers.extend(limit.iter().map(|limit| ("Server-Limit", limit.as_str())));
         write_head(writer, "200 OK", &headers) && writer.write_all(b"done").is_ok()
     });
     let capacity = Capacity { slots: 6, queue: 24 };
     Runner::start(ip, "i-1", "roster-app", None, capacity, &context.record, run)
 }
 
-/// Counts the arrivals of each window from [`STABLE`] after the first answer with the limit.
-fn judge(context: &Context, arrivals: &Arrivals, began: Instant, told: &[Option<Instant>]) -> Verdict {
+/// Counts the arrivals of each window. Under a runner's limit, from [`STABLE`] after the first answer
+/// with it, and from entries that have passed on such an answer.
+fn judge(context: &Context, plan: Plan, arrivals: &Arrivals, began: Instant, told: &[Option<Instant>]) -> Verdict {
     let first = told.iter().flatten().min().copied();
-    let Some(first) = first else { return Verdict::NotRun };
+    if plan.server_limit_per_s.is_some() && first.is_none() {
+        return Verdict::NotRun;
+    }
     let told_at = |letter: char| told[usize::from(u8::try_from(letter).unwrap_or(b'a') - b'a')];
     let arrivals = arrivals.lock().expect("an intact lock");
     let counted: Vec<_> = arrivals
         .iter()
-        .filter(|(letter, at)| told_at(*letter).is_some_and(|told| *at >= told + TOLD_AFTER))
+        .filter(|(letter, at)| {
+            let is_told = told_at(*letter).is_some_and(|told| *at >= told + TOLD_AFTER);
+            plan.server_limit_per_s.is_none() || is_told
+        })
         .map(|(_, at)| *at)
-        .filter(|at| *at >= first + STABLE)
+        .filter(|at| first.is_none_or(|first| *at >= first + STABLE))
         .collect();
     let counts = counted.iter().enumerate().map(|(index, start)| {
-        let count = counted[index..].iter().take_while(|at| **at < *start + WINDOW).count();
+        let count = counted[index..].iter().take_while(|at| **at < *start + plan.window).count();
         (count, *start)
     });
     let (most, start) = counts.max().unwrap_or((0, began));
     context.record.say(&format!(
-        "arrivals: {}; most in 4 s: {most}, from {:.1} s on; allowed: {ARRIVALS_MAX_COUNT}",
-        arrivals.len(), (start - began).as_secs_f64()
+        "arrivals: {}; most in {:?}: {most}, from {:.1} s on; allowed: {}",
+        arrivals.len(), plan.window, (start - began).as_secs_f64(), plan.arrivals_max_count
     ));
-    if most > ARRIVALS_MAX_COUNT { Verdict::Broken } else { Verdict::Held }
+    if most > plan.arrivals_max_count { Verdict::Broken } else { Verdict::Held }
 }
 
 /// Sends requests at a steady rate; returns when the entry first passed on an answer with the limit.
-fn send(letter: char, address: SocketAddr, ends_at: Instant, record: &Record) -> Option<Instant> {
+fn send(letter: char, address: SocketAddr, load_per_s: u32, ends_at: Instant, record: &Record) -> Option<Instant> {
     let told: Arc<Mutex<Option<Instant>>> = Arc::default();
     let began = Instant::now();
     let mut requesters = Vec::new();
     for number in 0.. {
-        let due = began + Duration::from_secs(1) * number / LOAD_PER_S;
+        let due = began + Duration::from_secs(1) * number / load_per_s;
         if due >= ends_at {
             break;
         }
@@ -180,7 +221,7 @@
 fn request(address: SocketAddr, id: &str) -> (u16, bool) {
     let Ok(mut stream) = TcpStream::connect(address) else { return (0, false) };
     let _ = stream.set_read_timeout(Some(Duration::from_millis(DEADLINE_MS)));
-    let _ = stream.write_all(plain_request("GET", id, DEADLINE_MS, "").as_bytes());
+    let _ = stream.write_all(tokens_request(id, DEADLINE_MS, TOKENS).as_bytes());
     let mut reader = BufReader::new(stream);
     match http::read_head(&mut reader) {
         Ok(Some(answer)) => (answer.status(), answer.header("server-limit").is_some()),
