--- a/review/stand-ins-2/foreign_entries.rs
+++ b/review/stand-ins-2/foreign_entries.rs
@@ -49,7 +49,7 @@
             }
         });
     }
-    let ports = [0; 3].map(|_: u16| free_port(ip));
+    let ports = [0; 3].map(|_: u16| free_port());
     let start = || Process::entry_at(&context.directory, "front-pa-a-1", store.address, ports[0], ports);
     let mut entry = start();
     if !entry.wait_until_ready(Duration::from_secs(15)) {
--- a/review/stand-ins-2/restored_store.rs
+++ b/review/stand-ins-2/restored_store.rs
@@ -37,7 +37,7 @@
     let capacity = Capacity { slots: 6, queue: 24 };
     let runner = Runner::start(ip, "i-1", "roster-app", None, capacity, &context.record, run);
     store.put(&runner.key(), &runner.entry("ready"));
-    let first = Process::entry(&context.directory, "front-pa-a-1", store.address, free_port(ip));
+    let first = Process::entry(&context.directory, "front-pa-a-1", store.address, free_port());
     if !first.wait_until_ready(Duration::from_secs(15)) {
         return Verdict::NotRun;
     }
@@ -55,7 +55,7 @@
         context.record.say("the store is back from a copy of version 7");
     }
     let restored_at = Instant::now();
-    let second = Process::entry(&context.directory, "front-pa-a-2", store.address, free_port(ip));
+    let second = Process::entry(&context.directory, "front-pa-a-2", store.address, free_port());
     context.record.say("planned work: a machine is added");
     if !second.wait_until_ready(REWRITE) {
         return Verdict::NotRun;
--- a/review/stand-ins-2/slow_readers.rs
+++ b/review/stand-ins-2/slow_readers.rs
@@ -109,7 +109,7 @@
 impl Machine {
     fn start(context: &Context, name: &str, store: SocketAddr) -> Self {
         let ip = IpAddr::from([127, 0, 0, 1]);
-        let (ports, agent_port) = ([0; 3].map(|_: u16| free_port(ip)), free_port(ip));
+        let (ports, agent_port) = ([0; 3].map(|_: u16| free_port()), free_port());
         let (directory, name, record) = (context.directory.clone(), name.to_string(), context.record.clone());
         let (ends, peak_bytes): (Arc<AtomicUsize>, Arc<Mutex<u64>>) = Default::default();
         let is_stopped: Arc<AtomicBool> = Arc::default();
--- a/review/stand-ins-2/system.rs
+++ b/review/stand-ins-2/system.rs
@@ -4,7 +4,8 @@
 use std::net::{IpAddr, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::time::{Duration, Instant};
+use std::sync::Mutex;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use std::{io::Write, thread};
 
 use crate::http;
@@ -25,10 +26,20 @@
     }
 }
 
-/// Free port of a loopback address.
-pub fn free_port(ip: IpAddr) -> u16 {
-    let listener = TcpListener::bind((ip, 0)).expect("a free port");
-    listener.local_addr().expect("a bound listener").port()
+static GIVEN_PORTS: Mutex<Vec<u16>> = Mutex::new(Vec::new());
+
+/// Port that is free on all loopback addresses, below those that the system gives to connections.
+pub fn free_port() -> u16 {
+    loop {
+        let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let drawn = now.subsec_nanos() / 64 + std::process::id() * 7_919;
+        let port = 20_000 + u16::try_from(drawn % 10_000).unwrap_or(0);
+        let mut given = GIVEN_PORTS.lock().expect("an intact lock");
+        if !given.contains(&port) && TcpListener::bind(("0.0.0.0", port)).is_ok() {
+            given.push(port);
+            return port;
+        }
+    }
 }
 
 fn fill(template: &str, values: &[(&str, String)]) -> String {
@@ -45,8 +56,7 @@
 impl Process {
     /// Starts an entry with the settings of the deploy file's template, at free ports.
     pub fn entry(directory: &PathBuf, name: &str, store: SocketAddr, agent_port: u16) -> Self {
-        let ip = IpAddr::from([127, 0, 0, 1]);
-        let ports = [0; 3].map(|_: u16| free_port(ip));
+        let ports = [0; 3].map(|_: u16| free_port());
         Self::entry_at(directory, name, store, agent_port, ports)
     }
 
@@ -72,7 +82,7 @@
 
     /// Starts the agent beside an engine.
     pub fn agent(directory: &PathBuf, store: SocketAddr, engine: SocketAddr, agent_port: u16) -> Self {
-        let ready = free_port(engine.ip());
+        let ready = free_port();
         let name = format!("side-{}", engine.ip());
         let values = [
             ("node", name.clone()),
--- a/review/stand-ins-2/two_owners.rs
+++ b/review/stand-ins-2/two_owners.rs
@@ -81,7 +81,7 @@
     let arrivals: Arrivals = Arc::default();
     let plain = plain_runner(context, plan, &arrivals);
     store.put(&plain.key(), &plain.entry("ready"));
-    let ports = [0; 2].map(|_: u16| free_port(IpAddr::from([127, 0, 0, 2])));
+    let ports = [0; 2].map(|_: u16| free_port());
     let (mut agents, mut engines, mut paths) = (Vec::new(), Vec::new(), Vec::new());
     for number in 0..ENGINES_COUNT {
         let ip = IpAddr::from([127, 0, 0, 2 + number]);
