--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -1,6 +1,6 @@
 //! Cases of the second review, each against the project's own processes on loopback addresses.
 //!
-//! `cases NAME FOLDER` writes `record.txt` into the folder. It exits with 1 if the rule was broken,
+//! `cases NAME RECORD` writes what happened into the file RECORD. It exits with 1 if the rule was broken,
 //! with 0 if it held and with 2 if the case could not run. With `TROUBLE=0` in the environment, the
 //! disruption is left out.
 
@@ -67,14 +67,14 @@
 
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
-    let [_, name, folder] = arguments.as_slice() else {
-        eprintln!("usage: cases NAME FOLDER");
+    let [_, name, path] = arguments.as_slice() else {
+        eprintln!("usage: cases NAME RECORD");
         std::process::exit(2);
     };
     let directory = std::env::temp_dir().join(format!("cuminlead-review-{}", std::process::id()));
     fs::create_dir_all(&directory).expect("a writable temporary folder");
     let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
-    let record = Record::create(&Path::new(folder).join("record.txt"));
+    let record = Record::create(Path::new(path));
     let context = Context { record, has_trouble, directory: directory.clone() };
     context.record.say(&format!("case {name}, disruption: {has_trouble}"));
     let case = match name.as_str() {
--- a/review/stand-ins-2/system.rs
+++ b/review/stand-ins-2/system.rs
@@ -2,6 +2,7 @@
 
 use std::fs;
 use std::net::{IpAddr, SocketAddr, TcpListener, TcpStream};
+use std::os::unix::process::CommandExt;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::Mutex;
@@ -26,6 +27,19 @@
     }
 }
 
+unsafe extern "C" {
+    fn prctl(option: i32, argument: u64, ...) -> i32;
+}
+
+/// Has the system kill this process when the one that starts it ends.
+fn end_with_parent() -> std::io::Result<()> {
+    const PR_SET_PDEATHSIG: i32 = 1;
+    const SIGKILL: u64 = 9;
+    // Without the option, only a script that is stopped early leaves processes behind.
+    let _ = unsafe { prctl(PR_SET_PDEATHSIG, SIGKILL) };
+    Ok(())
+}
+
 static GIVEN_PORTS: Mutex<Vec<u16>> = Mutex::new(Vec::new());
 
 /// Port that is free on all loopback addresses, below those that the system gives to connections.
@@ -104,7 +118,10 @@
         let path = directory.join(format!("{role}-{port}.conf"));
         fs::write(&path, settings).expect("a writable folder");
         let log = fs::File::create(directory.join(format!("{role}-{port}.log"))).expect("a writable folder");
-        let child = Command::new(format!("target/release/cuminlead-{role}"))
+        let mut command = Command::new(format!("target/release/cuminlead-{role}"));
+        // A script that is stopped early leaves no process behind.
+        unsafe { command.pre_exec(end_with_parent) };
+        let child = command
             .arg("--settings")
             .arg(&path)
             .arg("run")
--- a/review/stand-ins-2/two_owners.rs
+++ b/review/stand-ins-2/two_owners.rs
@@ -5,6 +5,7 @@
 //! the tenant's usage; its entry is removed while the store turns one entry away. The runner counts
 //! what arrives.
 
+use std::collections::HashMap;
 use std::io::{BufReader, Write};
 use std::net::{IpAddr, SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -72,13 +73,16 @@
     })
 }
 
-/// Arrivals at the runner: the entry, by the first letter of the request's id, and the time.
-type Arrivals = Arc<Mutex<Vec<(char, Instant)>>>;
+/// Arrivals at the runner: the request's id, whose first letter names the entry, and the time.
+type Arrivals = Arc<Mutex<Vec<(String, Instant)>>>;
+/// When each request was sent, by its id.
+type Sent = Arc<Mutex<HashMap<String, Instant>>>;
 
 fn run(context: &Context, plan: Plan) -> Verdict {
     let store = Store::start();
     store.put("op/config", &tenant_config("safe", DEADLINE_MS, plan.tenant_tokens));
     let arrivals: Arrivals = Arc::default();
+    let sent: Sent = Arc::default();
     let plain = plain_runner(context, plan, &arrivals);
     store.put(&plain.key(), &plain.entry("ready"));
     let ports = [0; 2].map(|_: u16| free_port());
@@ -113,8 +117,9 @@
     let told: Vec<_> = entries
         .iter()
         .map(|(letter, entry)| {
-            let (letter, address, record) = (*letter, entry.address, context.record.clone());
-            thread::spawn(move || send(letter, address, plan.load_per_s, ends_at, &record))
+            let (letter, address) = (*letter, entry.address);
+            let (record, sent) = (context.record.clone(), Arc::clone(&sent));
+            thread::spawn(move || send(letter, address, plan.load_per_s, ends_at, &record, &sent))
         })
         .collect();
     thread::sleep(BEFORE - DRAIN);
@@ -136,7 +141,7 @@
     let told: Vec<Option<Instant>> = told.into_iter().map(|told| told.join().unwrap_or(None)).collect();
     let after: Vec<_> = paths.iter().map(Proxy::bytes_count).zip(&before).map(|(after, before)| after - before).collect();
     context.record.say(&format!("bytes from then on: {after:?}"));
-    judge(context, plan, &arrivals, began, &told)
+    judge(context, plan, &arrivals, &sent, began, &told)
 }
 
 fn plain_runner(context: &Context, plan: Plan, arrivals: &Arrivals) -> Runner {
@@ -144,8 +149,7 @@
     let arrivals = Arc::clone(arrivals);
     let run = Arc::new(move |_: &Runner, request: &http::Message, writer: &mut TcpStream| {
         let id = request.header("request-id").unwrap_or_default();
-        let letter = id.chars().next().unwrap_or('?');
-        arrivals.lock().expect("an intact lock").push((letter, Instant::now()));
+        arrivals.lock().expect("an intact lock").push((id.to_string(), Instant::now()));
         thread::sleep(Duration::from_millis(15));
         let limit = plan.server_limit_per_s.map(|limit| limit.to_string());
         let mut headers = vec![
@@ -162,25 +166,32 @@
 
 /// Counts the arrivals of each window. Under a runner's limit, from [`STABLE`] after the first answer
 /// with it, and from entries that have passed on such an answer.
-fn judge(context: &Context, plan: Plan, arrivals: &Arrivals, began: Instant, told: &[Option<Instant>]) -> Verdict {
+fn judge(context: &Context, plan: Plan, arrivals: &Arrivals, sent: &Sent, began: Instant, told: &[Option<Instant>]) -> Verdict {
     let first = told.iter().flatten().min().copied();
     if plan.server_limit_per_s.is_some() && first.is_none() {
         return Verdict::NotRun;
     }
     let told_at = |letter: char| told[usize::from(u8::try_from(letter).unwrap_or(b'a') - b'a')];
     let arrivals = arrivals.lock().expect("an intact lock");
+    let sent = sent.lock().expect("an intact lock");
+    let is_told = |id: &str, at: Instant| {
+        let letter = id.chars().next().unwrap_or('a');
+        told_at(letter).is_some_and(|told| at >= told + TOLD_AFTER)
+    };
+    // The rule of tenants counts what is both sent and run in the window.
+    let from = |id: &str, at: Instant| match plan.server_limit_per_s {
+        Some(_) => at,
+        None => sent.get(id).copied().unwrap_or(at),
+    };
     let counted: Vec<_> = arrivals
         .iter()
-        .filter(|(letter, at)| {
-            let is_told = told_at(*letter).is_some_and(|told| *at >= told + TOLD_AFTER);
-            plan.server_limit_per_s.is_none() || is_told
-        })
-        .map(|(_, at)| *at)
-        .filter(|at| first.is_none_or(|first| *at >= first + STABLE))
+        .filter(|(id, at)| plan.server_limit_per_s.is_none() || is_told(id, *at))
+        .map(|(id, at)| (from(id, *at), *at))
+        .filter(|(_, at)| plan.server_limit_per_s.is_none() || first.is_some_and(|first| *at >= first + STABLE))
         .collect();
-    let counts = counted.iter().enumerate().map(|(index, start)| {
-        let count = counted[index..].iter().take_while(|at| **at < *start + plan.window).count();
-        (count, *start)
+    let counts = counted.iter().map(|(start, _)| {
+        let is_within = |(from, at): &&(Instant, Instant)| *from >= *start && *at < *start + plan.window;
+        (counted.iter().filter(is_within).count(), *start)
     });
     let (most, start) = counts.max().unwrap_or((0, began));
     context.record.say(&format!(
@@ -191,7 +202,7 @@
 }
 
 /// Sends requests at a steady rate; returns when the entry first passed on an answer with the limit.
-fn send(letter: char, address: SocketAddr, load_per_s: u32, ends_at: Instant, record: &Record) -> Option<Instant> {
+fn send(letter: char, address: SocketAddr, load_per_s: u32, ends_at: Instant, record: &Record, sent: &Sent) -> Option<Instant> {
     let told: Arc<Mutex<Option<Instant>>> = Arc::default();
     let began = Instant::now();
     let mut requesters = Vec::new();
@@ -202,6 +213,7 @@
         }
         thread::sleep(due.saturating_duration_since(Instant::now()));
         let (record, told, id) = (record.clone(), Arc::clone(&told), format!("{letter}{number:07x}"));
+        sent.lock().expect("an intact lock").insert(id.clone(), Instant::now());
         requesters.push(thread::spawn(move || {
             record.line(&format!("requester sends {id}"));
             let (status, names_limit) = request(address, &id);
