Log servers that a later record at their address displaces

Cause: the log showed that a record was published, not that it took another server out of use, so a service without servers looked the same whether its records were removed, unusable or displaced.

Change: one line for each server that is dropped because a later one is published at its address, and the start of the incarnation with each published record.

--- a/crates/direct-core/src/servers.rs
+++ b/crates/direct-core/src/servers.rs
@@ -205,7 +205,7 @@
         self.by_id.get(id).copied()
     }
 
-    /// Applies a published entry and returns the key of its server.
+    /// Applies a published entry; returns the server that it displaced from its address, if any.
     ///
     /// An entry under a known id with another address, service or start time belongs to another
     /// incarnation: the state of the earlier one is dropped.
@@ -214,7 +214,7 @@
         now: TimeUs,
         record: ServerRecord,
         region: Option<RegionName>,
-    ) -> ServerKey {
+    ) -> Option<BackendServerId> {
         let notices = self.notices.find(&record.id, record.started_at_ms).copied();
         let leaving_since = notices.and_then(|notices| notices.leaving_since);
         let lifecycle = match (leaving_since, record.state) {
@@ -233,11 +233,11 @@
                 if !was_draining || lifecycle == ServerLifecycle::Ready {
                     server.lifecycle = lifecycle;
                 }
-                return key;
+                return None;
             }
             self.drop_server(key);
         }
-        self.drop_predecessor(&record);
+        let displaced = self.drop_predecessor(&record);
         let (id, service, address) = (record.id.clone(), record.service.clone(), record.address);
         let key = self.servers.insert(Server {
             record,
@@ -255,20 +255,21 @@
         self.by_id.insert(id, key);
         self.by_service.entry(service).or_default().push(key);
         self.by_address.insert(address, key);
-        key
+        displaced
     }
 
     /// Drops an earlier server at the address of a new one. Entries of servers that have ended stay
     /// published for seconds, and each request to one of them is rejected by the server that now
     /// has its address.
-    fn drop_predecessor(&mut self, record: &ServerRecord) {
-        let Some(key) = self.by_address.get(&record.address).copied() else {
-            return;
-        };
-        let is_earlier = |server: &Server| server.record.started_at_ms <= record.started_at_ms;
-        if self.servers.get(key).is_some_and(is_earlier) {
-            self.drop_server(key);
+    fn drop_predecessor(&mut self, record: &ServerRecord) -> Option<BackendServerId> {
+        let key = self.by_address.get(&record.address).copied()?;
+        let known = &self.servers.get(key)?.record;
+        if known.started_at_ms > record.started_at_ms {
+            return None;
         }
+        let id = known.id.clone();
+        self.drop_server(key);
+        Some(id)
     }
 
     /// Applies the removal of an entry: a ready server becomes a fallback server until the given
--- a/crates/direct-core/src/serving.rs
+++ b/crates/direct-core/src/serving.rs
@@ -6,7 +6,7 @@
 use cuminlead_quarantine::{PromptQuarantine, ReportBudget};
 use cuminlead_retry::{RetryBudget, RetryLimits};
 use cuminlead_types::{
-    AvailabilityZoneName, DurationUs, RegionName, Revision, ServiceName, TimeUs,
+    AvailabilityZoneName, BackendServerId, DurationUs, RegionName, Revision, ServiceName, TimeUs,
 };
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -67,6 +67,13 @@
     pub at: TimeUs,
 }
 
+/// Effect of a registry update on servers other than the one that it names.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct UpdateEffect {
+    /// Server that is no longer used, because a later one is published at its address.
+    pub displaced: Option<BackendServerId>,
+}
+
 /// State on which requests are decided; owned by the traffic thread.
 #[derive(Debug)]
 pub struct ServingState {
@@ -112,7 +119,8 @@
     }
 
     /// Applies an update of the registry's contents.
-    pub fn apply(&mut self, now: TimeUs, update: RegistryUpdate) {
+    pub fn apply(&mut self, now: TimeUs, update: RegistryUpdate) -> UpdateEffect {
+        let mut effect = UpdateEffect::default();
         match update {
             RegistryUpdate::OperatorConfig(ref operator_config) => {
                 if !self.is_outdated(&update) {
@@ -122,7 +130,7 @@
             }
             RegistryUpdate::Server(record) => {
                 let region = self.config.regions.get(&record.availability_zone).cloned();
-                self.servers.publish(now, record, region);
+                effect.displaced = self.servers.publish(now, record, region);
             }
             RegistryUpdate::ServerRemoved(id) => {
                 let is_after_outage = self
@@ -146,6 +154,7 @@
             | RegistryUpdate::Lost(_)
             | RegistryUpdate::HeldBack(_) => {}
         }
+        effect
     }
 
     /// Whether an update is a configuration that is not newer than the active one, which may have come
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -207,7 +207,11 @@
     for update in changes {
         if !serving.is_outdated(&update) {
             log_update(app, &update);
-            serving.apply(now, update);
+            let effect = serving.apply(now, update);
+            if let Some(server) = effect.displaced {
+                info!(app.log, "server dropped; a later one is published at its address";
+                    "server" => %server);
+            }
         }
     }
     serving.servers.expire(now);
@@ -236,7 +240,8 @@
         RegistryUpdate::Server(record) => {
             info!(log, "server published"; "server" => %record.id,
             "service" => %record.service, "address" => %record.address, "state" => %record.state,
-            "stage" => record.stage.map(|stage| stage.to_string()))
+            "stage" => record.stage.map(|stage| stage.to_string()),
+            "started_at_ms" => record.started_at_ms.0)
         }
         RegistryUpdate::ServerRemoved(id) => info!(log, "server removed"; "server" => %id),
         RegistryUpdate::Unusable { key, reason } => {
