Use only records of services that the configuration names

Cause: a published record dropped the server of its address if it started no later, whatever its service. The registry's view still knew the dropped server's record, so it was ignored in each later listing and the server never came back.

Change: the serving state keeps all published records, and those of services that the configuration does not name are not used. The choice is derived again with each record and each configuration, so a withdrawn record undoes itself. One under the id of a server in use removes that server as if its record had been removed. New log line and metric direct_unconfigured_entries.

--- a/crates/direct-core/src/serving.rs
+++ b/crates/direct-core/src/serving.rs
@@ -1,6 +1,6 @@
 //! Operator configuration, servers and retry budgets: the state on which requests are decided.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
 use cuminlead_quarantine::{PromptQuarantine, ReportBudget};
@@ -17,6 +17,7 @@
     ClientLocality, Distance, FixedCost, LearnedServer, PlacementPolicy, Work, WorkId, distance,
 };
 use crate::registry::RegistryUpdate;
+use crate::server::ServerRecord;
 use crate::servers::{
     EXPIRED_RETENTION, REMOVED_RETENTION, Server, ServerKey, ServerLifecycle, ServerTable,
 };
@@ -67,9 +68,11 @@
     pub at: TimeUs,
 }
 
-/// Effect of a registry update on servers other than the one that it names.
+/// Effect of a registry update that the update itself does not show.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct UpdateEffect {
+    /// Server that is not used, because the configuration does not name its service.
+    pub unconfigured: Option<BackendServerId>,
     /// Server that is no longer used, because a later one is published at its address.
     pub displaced: Option<BackendServerId>,
 }
@@ -80,7 +83,9 @@
     pub(crate) config: ServingConfig,
     operator_config: Option<Arc<OperatorConfig>>,
     activated_at: TimeUs,
-    /// All backend servers.
+    /// All published records, also those of services that the configuration does not name.
+    published: BTreeMap<BackendServerId, ServerRecord>,
+    /// Backend servers in use.
     pub servers: ServerTable,
     /// Prompt parts that crash engines, as far as this process knows.
     pub quarantine: PromptQuarantine,
@@ -107,6 +112,7 @@
             config,
             operator_config: None,
             activated_at: TimeUs::ZERO,
+            published: BTreeMap::new(),
             servers: ServerTable::default(),
             quarantine: PromptQuarantine::default(),
             crash_reports: ReportBudget::default(),
@@ -126,22 +132,21 @@
                 if !self.is_outdated(&update) {
                     self.operator_config = Some(Arc::clone(operator_config));
                     self.activated_at = now;
+                    self.use_configured_servers(now);
                 }
             }
             RegistryUpdate::Server(record) => {
-                let region = self.config.regions.get(&record.availability_zone).cloned();
-                effect.displaced = self.servers.publish(now, record, region);
+                self.published.insert(record.id.clone(), record.clone());
+                if self.is_in_use(&record) {
+                    effect.displaced = self.publish(now, record);
+                } else {
+                    self.remove_server(now, &record.id);
+                    effect.unconfigured = Some(record.id);
+                }
             }
             RegistryUpdate::ServerRemoved(id) => {
-                let is_after_outage = self
-                    .registry_regained_at
-                    .is_some_and(|at| now.since(at) < OUTAGE_RECOVERY_PERIOD);
-                let retention = if is_after_outage {
-                    EXPIRED_RETENTION
-                } else {
-                    REMOVED_RETENTION
-                };
-                self.servers.remove(now + retention, &id);
+                self.published.remove(&id);
+                self.remove_server(now, &id);
             }
             RegistryUpdate::Synced(_) => self.is_synced = true,
             // Records may have expired while the registry was being restored.
@@ -157,6 +162,53 @@
         effect
     }
 
+    /// Whether a published record is of a server in use.
+    ///
+    /// A record of a service that the configuration does not name may come from another writer, and
+    /// must not affect the server whose id or address it has. Servers of a service that is dropped
+    /// from the configuration stay in use for the requests of the earlier version.
+    fn is_in_use(&self, record: &ServerRecord) -> bool {
+        let known = self.servers.key_of(&record.id);
+        let known = known.and_then(|key| self.servers.get(key));
+        let is_known = known.is_some_and(|server| server.record.service == record.service);
+        let operator_config = self.operator_config.as_ref();
+        is_known || operator_config.is_some_and(|known| known.service(&record.service).is_some())
+    }
+
+    /// Publishes the servers that a new configuration brings into use.
+    fn use_configured_servers(&mut self, now: TimeUs) {
+        let is_published = |record: &ServerRecord| {
+            let known = self.servers.key_of(&record.id);
+            let known = known.and_then(|key| self.servers.get(key));
+            known.is_some_and(|server| server.record == *record)
+        };
+        let records = self.published.values();
+        let records: Vec<_> = records
+            .filter(|record| !is_published(record) && self.is_in_use(record))
+            .cloned()
+            .collect();
+        for record in records {
+            self.publish(now, record);
+        }
+    }
+
+    fn publish(&mut self, now: TimeUs, record: ServerRecord) -> Option<BackendServerId> {
+        let region = self.config.regions.get(&record.availability_zone).cloned();
+        self.servers.publish(now, record, region)
+    }
+
+    fn remove_server(&mut self, now: TimeUs, id: &BackendServerId) {
+        let is_after_outage = self
+            .registry_regained_at
+            .is_some_and(|at| now.since(at) < OUTAGE_RECOVERY_PERIOD);
+        let retention = if is_after_outage {
+            EXPIRED_RETENTION
+        } else {
+            REMOVED_RETENTION
+        };
+        self.servers.remove(now + retention, id);
+    }
+
     /// Whether an update is a configuration that is not newer than the active one, which may have come
     /// another way.
     pub fn is_outdated(&self, update: &RegistryUpdate) -> bool {
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -14,7 +14,7 @@
 
 use cuminlead_direct_core::placement::ClientLocality;
 use cuminlead_direct_core::registry::RegistryUpdate;
-use cuminlead_direct_core::serving::ServingConfig;
+use cuminlead_direct_core::serving::{ServingConfig, UpdateEffect};
 use cuminlead_direct_core::shutdown::ShutdownSchedule;
 use cuminlead_direct_core::{ExpectedCost, FixedCost, PlacementPolicy, ServingState};
 use cuminlead_kernel::Clock;
@@ -208,10 +208,7 @@
         if !serving.is_outdated(&update) {
             log_update(app, &update);
             let effect = serving.apply(now, update);
-            if let Some(server) = effect.displaced {
-                info!(app.log, "server dropped; a later one is published at its address";
-                    "server" => %server);
-            }
+            log_effect(app, &effect);
         }
     }
     serving.servers.expire(now);
@@ -268,6 +265,17 @@
     }
 }
 
+fn log_effect(app: &App, effect: &UpdateEffect) {
+    let log = &app.log;
+    if let Some(server) = &effect.unconfigured {
+        app.metrics.unconfigured_entries.inc();
+        info!(log, "server not used; the configuration does not name its service"; "server" => %server);
+    }
+    if let Some(server) = &effect.displaced {
+        info!(log, "server dropped; a later one is published at its address"; "server" => %server);
+    }
+}
+
 /// Waits until all callers' connections are closed, but no later than `latest`.
 async fn wait_for_callers(app: &App, latest: TimeUs) {
     while app.status.connections_count.load(Ordering::Relaxed) > 0 {
--- a/crates/direct/src/status.rs
+++ b/crates/direct/src/status.rs
@@ -107,6 +107,8 @@
     connection_memory_bytes: Gauge,
     /// Registry entries that were ignored as unusable.
     pub unusable_entries: Counter,
+    /// Records of servers that were not used because the configuration does not name their service.
+    pub unconfigured_entries: Counter,
     /// Queries to the registry.
     pub registry_calls: Counter,
     /// Restores of the registry from an older copy.
@@ -293,6 +295,10 @@
                 "direct_unusable_entries",
                 "Entries of the registry that were left out",
             ),
+            unconfigured_entries: metrics.counter(
+                "direct_unconfigured_entries",
+                "Entries of servers whose service the configuration does not name",
+            ),
         };
         direct.start_at_zero();
         direct
