Tell servers that share an address apart by evidence

Callers of a service could get 503 for good although its servers were sound: any record with a later start removed the server of its address, and a server that rejected one request as another incarnation was removed too, for instance an engine that rejected a prefill sent before its change of stage was read.

Cause: the table dropped a server on evidence about another record, and a drop was final, because the registry's view ignores a record that it knows. Whether a server is published had two answers.

Change: nothing but a server's own record removes it. Of several servers at an address the earlier ones get no requests for 5 s, while records of ended servers expire; a response of the later one makes that final, and a rejection, a removal or a changed record ends it. A rejection as another incarnation keeps a server out for 5 s, doubled up to 60 s. A server that is believed to have lost its address gets no commands, and its caches are not used, as if it had been dropped. Retry budgets and shares count addresses instead of servers.

--- a/crates/direct-core/src/call.rs
+++ b/crates/direct-core/src/call.rs
@@ -439,6 +439,7 @@
 
     /// Records a prefill that returned a cache.
     pub fn prefill_done(&mut self, now: TimeUs, serving: &mut ServingState, cache: CacheRef) {
+        serving.servers.record_response(now, cache.server);
         if let Some(server) = serving.servers.get_mut(cache.server) {
             server.health.record_success(now);
         }
@@ -481,6 +482,7 @@
 
     /// Records a run with a usable response.
     pub fn run_answered(&mut self, now: TimeUs, serving: &mut ServingState, server: ServerKey) {
+        serving.servers.record_response(now, server);
         if let Some(server) = serving.servers.get_mut(server) {
             server.health.record_success(now);
         }
--- a/crates/direct-core/src/lib.rs
+++ b/crates/direct-core/src/lib.rs
@@ -32,6 +32,7 @@
 //! | [`events`] | event boundaries in a stream |
 
 pub mod action;
+mod address_claim;
 pub mod call;
 pub mod connection_budget;
 pub mod events;
--- a/crates/direct-core/src/outcome.rs
+++ b/crates/direct-core/src/outcome.rs
@@ -43,7 +43,7 @@
     outcome: StepOutcome,
 ) {
     if outcome == StepOutcome::OtherIncarnation {
-        serving.servers.drop_server(key);
+        serving.servers.record_other_incarnation(now, key);
         return;
     }
     let policy = &mut serving.placement;
--- a/crates/direct-core/src/placement.rs
+++ b/crates/direct-core/src/placement.rs
@@ -123,21 +123,22 @@
 pub fn has_server(now: TimeUs, servers: &ServerTable, request: PlacementRequest<'_>) -> bool {
     let mut of_service = servers.of_service(request.service);
     of_service.any(|(key, server)| {
-        (is_ready(server) || is_fallback(now, server))
+        (is_ready(now, server) || is_fallback(now, server))
             && is_eligible(server, request)
             && !request.excluded.contains(&key)
             && server.held_back_until(now).is_none()
     })
 }
 
-fn is_ready(server: &Server) -> bool {
-    server.lifecycle == ServerLifecycle::Ready
+/// Whether a server is published as ready and believed to have its address.
+fn is_ready(now: TimeUs, server: &Server) -> bool {
+    server.lifecycle == ServerLifecycle::Ready && !server.is_displaced(now)
 }
 
 /// Whether a server's entry was removed recently, so that it is used if there is no other.
 fn is_fallback(now: TimeUs, server: &Server) -> bool {
     match server.lifecycle {
-        ServerLifecycle::Removed { until } => now < until,
+        ServerLifecycle::Removed { until } => now < until && !server.is_displaced(now),
         ServerLifecycle::Ready | ServerLifecycle::Draining(_) => false,
     }
 }
--- a/crates/direct-core/src/placement/expected.rs
+++ b/crates/direct-core/src/placement/expected.rs
@@ -27,7 +27,7 @@
 use crate::outcome::StepOutcome;
 use crate::output_length::OutputLengthEstimator;
 use crate::server::Stage;
-use crate::servers::{Server, ServerKey, ServerLifecycle, ServerTable};
+use crate::servers::{Server, ServerKey, ServerTable};
 
 /// Time lost by a request that a server fails and that another one then serves.
 const FAILURE_COST_MS: f64 = 400.0;
@@ -183,7 +183,7 @@
             excluded: &[],
             ..request
         };
-        let is_usable = |server: &Server| server.lifecycle == ServerLifecycle::Ready;
+        let is_usable = |server: &Server| is_ready(now, server);
         let mut costs = HashMap::new();
         for (key, server) in usable(now, servers, prefill, is_usable).servers {
             let Some(region) = server.region.clone() else {
@@ -335,8 +335,9 @@
         request: PlacementRequest<'_>,
         rng: &mut dyn Rng,
     ) -> Result<ServerKey, PlacementError> {
+        let is_ready_now = |server: &Server| is_ready(now, server);
         let is_fallback_now = |server: &Server| is_fallback(now, server);
-        match self.draw(now, servers, request, rng, is_ready) {
+        match self.draw(now, servers, request, rng, is_ready_now) {
             Ok(key) => Ok(key),
             Err(error) => self
                 .draw(now, servers, request, rng, is_fallback_now)
--- a/crates/direct-core/src/placement/fixed.rs
+++ b/crates/direct-core/src/placement/fixed.rs
@@ -17,7 +17,7 @@
     round_trip_ms, usable,
 };
 use crate::server::Stage;
-use crate::servers::{Server, ServerKey, ServerLifecycle, ServerTable};
+use crate::servers::{Server, ServerKey, ServerTable};
 
 /// Time lost by a request that a server fails: the retry and the time until the failure is
 /// detected.
@@ -67,8 +67,9 @@
     request: PlacementRequest<'_>,
     rng: &mut dyn Rng,
 ) -> Result<ServerKey, PlacementError> {
+    let is_ready_now = |server: &Server| is_ready(now, server);
     let is_fallback_now = |server: &Server| is_fallback(now, server);
-    let ready = cheapest(now, servers, request, rng, is_ready);
+    let ready = cheapest(now, servers, request, rng, is_ready_now);
     match ready {
         Ok(key) => Ok(key),
         Err(error) => cheapest(now, servers, request, rng, is_fallback_now).map_err(|_| error),
@@ -125,8 +126,7 @@
     };
     let mut costs = HashMap::new();
     for (_, server) in servers.of_service(request.service) {
-        let is_usable =
-            server.lifecycle == ServerLifecycle::Ready && server.held_back_until(now).is_none();
+        let is_usable = is_ready(now, server) && server.held_back_until(now).is_none();
         let Some(region) = server.region.as_ref().filter(|_| is_usable) else {
             continue;
         };
--- a/crates/direct-core/src/preparation.rs
+++ b/crates/direct-core/src/preparation.rs
@@ -140,7 +140,8 @@
             return;
         };
         let is_expired = self.cache_expires_at.is_some_and(|until| now >= until);
-        if is_expired || servers.get(cache.server).is_none() {
+        let server = servers.get(cache.server);
+        if is_expired || server.is_none_or(|server| server.is_displaced(now)) {
             self.skip_prefill();
         }
     }
--- a/crates/direct-core/src/servers.rs
+++ b/crates/direct-core/src/servers.rs
@@ -12,6 +12,7 @@
 };
 use slotmap::{SlotMap, new_key_type};
 
+use crate::address_claim::AddressClaim;
 use crate::health::Health;
 use crate::server::{ServerRecord, ServerState};
 use crate::server_notices::{
@@ -97,6 +98,8 @@
     pub region: Option<RegionName>,
     /// Lifecycle state according to the published entry.
     pub lifecycle: ServerLifecycle,
+    /// What speaks for and against the server at its address.
+    address_claim: AddressClaim,
     /// Failures that this process observed.
     pub health: Health,
     /// In-flight requests of this process at the server.
@@ -158,8 +161,16 @@
         (now < until).then_some(until)
     }
 
+    /// Whether another server is believed to have its address.
+    pub fn is_displaced(&self, now: TimeUs) -> bool {
+        self.address_claim.is_doubted(now)
+    }
+
     /// Whether a request that was prepared for this server may still run here.
     pub fn accepts_prepared(&self, now: TimeUs) -> bool {
+        if self.is_displaced(now) {
+            return false;
+        }
         match self.lifecycle {
             ServerLifecycle::Ready => true,
             ServerLifecycle::Removed { until } => now < until,
@@ -174,7 +185,7 @@
     servers: SlotMap<ServerKey, Server>,
     by_id: HashMap<BackendServerId, ServerKey>,
     by_service: HashMap<ServiceName, Vec<ServerKey>>,
-    by_address: HashMap<SocketAddr, ServerKey>,
+    by_address: HashMap<SocketAddr, Vec<ServerKey>>,
     notices: NoticeStore,
 }
 
@@ -200,12 +211,17 @@
         self.servers.iter()
     }
 
+    /// Number of addresses at which servers are published.
+    pub fn addresses_count(&self) -> usize {
+        self.by_address.len()
+    }
+
     /// Key of the server with an id.
     pub fn key_of(&self, id: &BackendServerId) -> Option<ServerKey> {
         self.by_id.get(id).copied()
     }
 
-    /// Applies a published entry; returns the server that it displaced from its address, if any.
+    /// Applies a published entry; returns the servers that are displaced by it.
     ///
     /// An entry under a known id with another address, service or start time belongs to another
     /// incarnation: the state of the earlier one is dropped.
@@ -214,7 +230,7 @@
         now: TimeUs,
         record: ServerRecord,
         region: Option<RegionName>,
-    ) -> Option<BackendServerId> {
+    ) -> Vec<BackendServerId> {
         let notices = self.notices.find(&record.id, record.started_at_ms).copied();
         let leaving_since = notices.and_then(|notices| notices.leaving_since);
         let lifecycle = match (leaving_since, record.state) {
@@ -223,26 +239,29 @@
             (None, ServerState::Ready) => ServerLifecycle::Ready,
             (None, ServerState::Draining) => ServerLifecycle::Draining(now),
         };
-        if let Some(key) = self.key_of(&record.id) {
+        let (id, service, address) = (record.id.clone(), record.service.clone(), record.address);
+        if let Some(key) = self.key_of(&id) {
             if let Some(server) = self.servers.get_mut(key)
                 && is_same_incarnation(&server.record, &record)
             {
+                if server.record != record {
+                    server.address_claim.forget_rejections();
+                }
                 server.record = record;
                 server.region = region;
                 let was_draining = matches!(server.lifecycle, ServerLifecycle::Draining(_));
                 if !was_draining || lifecycle == ServerLifecycle::Ready {
                     server.lifecycle = lifecycle;
                 }
-                return None;
+                return self.weigh_claims(now, address);
             }
-            self.drop_server(key);
+            self.drop_server(now, key);
         }
-        let displaced = self.drop_predecessor(&record);
-        let (id, service, address) = (record.id.clone(), record.service.clone(), record.address);
         let key = self.servers.insert(Server {
             record,
             region,
             lifecycle,
+            address_claim: AddressClaim::default(),
             health: Health::default(),
             in_flight_count: 0,
             full_at: None,
@@ -254,35 +273,77 @@
         });
         self.by_id.insert(id, key);
         self.by_service.entry(service).or_default().push(key);
-        self.by_address.insert(address, key);
+        self.by_address.entry(address).or_default().push(key);
+        self.weigh_claims(now, address)
+    }
+
+    /// Weighs the claims of the servers at an address again; returns those that are displaced since
+    /// now.
+    fn weigh_claims(&mut self, now: TimeUs, address: SocketAddr) -> Vec<BackendServerId> {
+        let keys = self.by_address.get(&address).cloned().unwrap_or_default();
+        let is_published =
+            |server: &Server| !matches!(server.lifecycle, ServerLifecycle::Removed { .. });
+        let published: Vec<_> = keys
+            .iter()
+            .filter_map(|key| self.servers.get(*key))
+            .filter(|server| is_published(server))
+            .map(|server| (server.record.started_at_ms, server.address_claim))
+            .collect();
+        let mut displaced = Vec::new();
+        for key in keys {
+            let Some(server) = self.servers.get_mut(key) else {
+                continue;
+            };
+            let started_at_ms = server.record.started_at_ms;
+            let later: Vec<_> = published
+                .iter()
+                .filter(|(other_ms, _)| *other_ms > started_at_ms)
+                .map(|(_, claim)| *claim)
+                .collect();
+            if server.address_claim.weigh(now, &later) {
+                displaced.push(server.record.id.clone());
+            }
+        }
         displaced
     }
 
-    /// Drops an earlier server at the address of a new one. Entries of servers that have ended stay
-    /// published for seconds, and each request to one of them is rejected by the server that now
-    /// has its address.
-    fn drop_predecessor(&mut self, record: &ServerRecord) -> Option<BackendServerId> {
-        let key = self.by_address.get(&record.address).copied()?;
-        let known = &self.servers.get(key)?.record;
-        if known.started_at_ms > record.started_at_ms {
-            return None;
+    /// Records a response of a server to a request that names its incarnation.
+    pub fn record_response(&mut self, now: TimeUs, key: ServerKey) {
+        let Some(server) = self.servers.get_mut(key) else {
+            return;
+        };
+        if server.address_claim.record_response() {
+            let address = server.record.address;
+            self.weigh_claims(now, address);
         }
-        let id = known.id.clone();
-        self.drop_server(key);
-        Some(id)
     }
 
-    /// Applies the removal of an entry: a ready server becomes a fallback server until the given
-    /// time, and a draining one is dropped.
-    pub fn remove(&mut self, until: TimeUs, id: &BackendServerId) {
+    /// Records that another incarnation has responded at the address of a server.
+    pub fn record_other_incarnation(&mut self, now: TimeUs, key: ServerKey) {
+        let Some(server) = self.servers.get_mut(key) else {
+            return;
+        };
+        server.address_claim.record_rejection(now);
+        let address = server.record.address;
+        self.weigh_claims(now, address);
+    }
+
+    /// Applies the removal of an entry: a ready server becomes a fallback server for the given time,
+    /// and a draining one is dropped.
+    pub fn remove(&mut self, now: TimeUs, retention: DurationUs, id: &BackendServerId) {
         let Some(key) = self.key_of(id) else { return };
         let Some(server) = self.servers.get_mut(key) else {
             return;
         };
         match server.lifecycle {
-            ServerLifecycle::Ready => server.lifecycle = ServerLifecycle::Removed { until },
+            ServerLifecycle::Ready => {
+                let until = now + retention;
+                server.lifecycle = ServerLifecycle::Removed { until };
+                let address = server.record.address;
+                self.weigh_claims(now, address);
+            }
             ServerLifecycle::Removed { .. } => {}
-            ServerLifecycle::Draining(_) => self.drop_server(key),
+            ServerLifecycle::Draining(_) => self.drop_server(now, key),
         }
     }
 
@@ -334,9 +395,8 @@
         }
     }
 
-    /// Drops a server that is known to have ended, such as one at whose address another server
-    /// responds.
-    pub fn drop_server(&mut self, key: ServerKey) {
+    /// Drops a server that is known to have ended.
+    pub fn drop_server(&mut self, now: TimeUs, key: ServerKey) {
         let Some(server) = self.servers.remove(key) else {
             return;
         };
@@ -344,12 +404,17 @@
         if self.by_id.get(&server.record.id) == Some(&key) {
             self.by_id.remove(&server.record.id);
         }
-        if self.by_address.get(&server.record.address) == Some(&key) {
-            self.by_address.remove(&server.record.address);
-        }
         if let Some(keys) = self.by_service.get_mut(&server.record.service) {
             keys.retain(|other| *other != key);
         }
+        let address = server.record.address;
+        if let Some(keys) = self.by_address.get_mut(&address) {
+            keys.retain(|other| *other != key);
+            if keys.is_empty() {
+                self.by_address.remove(&address);
+            }
+        }
+        self.weigh_claims(now, address);
     }
 
     /// Drops removed servers whose time as fallback servers is over, and forgets what servers said
@@ -367,7 +432,7 @@
             .map(|(key, _)| key)
             .collect();
         for key in keys {
-            self.drop_server(key);
+            self.drop_server(now, key);
         }
     }
 }
--- a/crates/direct-core/src/serving.rs
+++ b/crates/direct-core/src/serving.rs
@@ -51,7 +51,7 @@
     pub usable_count: u32,
     /// Excluded after failures.
     pub paused_count: u32,
-    /// Draining, or with a removed entry.
+    /// Draining, with a removed entry, or with an address that another server is believed to have.
     pub draining_count: u32,
     /// Without a permit under the limit that they named.
     pub limited_count: u32,
@@ -73,8 +73,8 @@
 pub struct UpdateEffect {
     /// Server that is not used, because the configuration does not name its service.
     pub unconfigured: Option<BackendServerId>,
-    /// Server that is no longer used, because a later one is published at its address.
-    pub displaced: Option<BackendServerId>,
+    /// Servers that get no requests, because a later one is published at their address.
+    pub displaced: Vec<BackendServerId>,
 }
 
 /// State on which requests are decided; owned by the traffic thread.
@@ -132,7 +132,7 @@
                 if !self.is_outdated(&update) {
                     self.operator_config = Some(Arc::clone(operator_config));
                     self.activated_at = now;
-                    self.use_configured_servers(now);
+                    effect.displaced = self.use_configured_servers(now);
                 }
             }
             RegistryUpdate::Server(record) => {
@@ -175,8 +175,9 @@
         is_known || operator_config.is_some_and(|known| known.service(&record.service).is_some())
     }
 
-    /// Publishes the servers that a new configuration brings into use.
-    fn use_configured_servers(&mut self, now: TimeUs) {
+    /// Publishes the servers that a new configuration brings into use; returns those that are
+    /// displaced by them.
+    fn use_configured_servers(&mut self, now: TimeUs) -> Vec<BackendServerId> {
         let is_published = |record: &ServerRecord| {
             let known = self.servers.key_of(&record.id);
             let known = known.and_then(|key| self.servers.get(key));
@@ -187,12 +188,13 @@
             .filter(|record| !is_published(record) && self.is_in_use(record))
             .cloned()
             .collect();
-        for record in records {
-            self.publish(now, record);
-        }
+        let records = records.into_iter();
+        records
+            .flat_map(|record| self.publish(now, record))
+            .collect()
     }
 
-    fn publish(&mut self, now: TimeUs, record: ServerRecord) -> Option<BackendServerId> {
+    fn publish(&mut self, now: TimeUs, record: ServerRecord) -> Vec<BackendServerId> {
         let region = self.config.regions.get(&record.availability_zone).cloned();
         self.servers.publish(now, record, region)
     }
@@ -206,7 +208,7 @@
         } else {
             REMOVED_RETENTION
         };
-        self.servers.remove(now + retention, id);
+        self.servers.remove(now, retention, id);
     }
 
     /// Whether an update is a configuration that is not newer than the active one, which may have come
@@ -277,7 +279,7 @@
     /// processes: there are fewer processes than backend servers, and each process takes half of
     /// one server's share.
     fn retry_limits(&self) -> RetryLimits {
-        let servers_count = u32::try_from(self.servers.iter().count()).unwrap_or(u32::MAX);
+        let servers_count = u32::try_from(self.servers.addresses_count()).unwrap_or(u32::MAX);
         RetryLimits {
             requests_per_retry: self.config.requests_per_retry,
             retries_min_count: self.config.retries_extra_count / servers_count.max(1) / 2,
@@ -288,7 +290,7 @@
     pub fn server_counts(&self, now: TimeUs, service: &ServiceName) -> ServerCounts {
         let mut counts = ServerCounts::default();
         for (_, server) in self.servers.of_service(service) {
-            if server.lifecycle != ServerLifecycle::Ready {
+            if server.lifecycle != ServerLifecycle::Ready || server.is_displaced(now) {
                 counts.draining_count += 1;
             } else if server.is_paused(now) {
                 counts.paused_count += 1;
--- a/crates/direct/src/engine_resources.rs
+++ b/crates/direct/src/engine_resources.rs
@@ -198,11 +198,12 @@
     }
 }
 
-/// Whether a server has asked for a pause that is not over. What would be released there expires.
-fn wants_no_requests(app: &App, server: ServerKey) -> bool {
+/// Whether a server gets no command: it has asked for a pause, or another one is believed to have its
+/// address and may have given the same name to a cache of its own. What would be released expires.
+fn gets_no_commands(app: &App, server: ServerKey) -> bool {
     let (now, serving) = (app.now(), app.serving.borrow());
     let server = serving.servers.get(server);
-    server.is_some_and(|server| now < server.pause_until)
+    server.is_some_and(|server| now < server.pause_until || server.is_displaced(now))
 }
 
 /// Sends a request of this process to a server, on a connection of its own, and reads the complete
@@ -215,7 +216,7 @@
     body: Bytes,
 ) -> Result<(StatusCode, Bytes), StepOutcome> {
     let (_, address) = id_and_address(app, server).ok_or(StepOutcome::Unreachable)?;
-    if wants_no_requests(app, server) {
+    if gets_no_commands(app, server) {
         return Err(StepOutcome::Limited);
     }
     let request = Request::builder()
--- a/crates/direct/src/permits.rs
+++ b/crates/direct/src/permits.rs
@@ -135,7 +135,7 @@
 /// are fewer processes than backend servers, so a share for each server bounds what all of them
 /// take.
 fn take_local(app: &App, id: &BackendServerId, rate: MillirequestsPerSecond) -> PermitReply {
-    let servers_count = app.serving.borrow().servers.iter().count().max(1) as u64;
+    let servers_count = app.serving.borrow().servers.addresses_count().max(1) as u64;
     let share = MillirequestsPerSecond(rate.0 / servers_count);
     let now = app.now();
     app.local_limiter.borrow_mut().take(now, id, share, 1)
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -222,7 +222,7 @@
     let learned = serving.learned_servers(now);
     app.metrics.update_learned(&learned);
     app.slow_servers.borrow_mut().update(&app.log, &learned);
-    let servers_count = u32::try_from(serving.servers.iter().count()).unwrap_or(u32::MAX);
+    let servers_count = u32::try_from(serving.servers.addresses_count()).unwrap_or(u32::MAX);
     status.servers_count.store(servers_count, Ordering::Relaxed);
     status
         .is_synced
@@ -271,8 +271,8 @@
         app.metrics.unconfigured_entries.inc();
         info!(log, "server not used; the configuration does not name its service"; "server" => %server);
     }
-    if let Some(server) = &effect.displaced {
-        info!(log, "server dropped; a later one is published at its address"; "server" => %server);
+    for server in &effect.displaced {
+        info!(log, "server gets no requests; a later one is published at its address"; "server" => %server);
     }
 }
 
--- a/crates/direct/src/team_usage.rs
+++ b/crates/direct/src/team_usage.rs
@@ -97,7 +97,7 @@
             Err(reply.retry_after)
         };
     }
-    let servers_count = app.serving.borrow().servers.iter().count();
+    let servers_count = app.serving.borrow().servers.addresses_count();
     let (now, ChargeContext { team, limit, .. }) = (app.now(), charge);
     let mut usage = app.usage.borrow_mut();
     usage.admit_by_share(now, team, limit, units, is_late, servers_count)
@@ -124,7 +124,7 @@
     if admitted_units == 0 && asked_units == 0 {
         return None;
     }
-    let servers_count = app.serving.borrow().servers.iter().count();
+    let servers_count = app.serving.borrow().servers.addresses_count();
     let known_entries_count = app
         .usage
         .borrow_mut()
