Find an agent's engine by the start that it reports

With a record of another writer at the address of its engine, an agent never ordered the engine to the stage that the region needs, or sent orders that name another engine, which the engine refuses.

Cause: the agent took the first record at the address, by id, for that of its engine.

Change: among the engines published at the address, the agent takes the one with the start that its engine reports. A record that has not caught up with a restart leads to no order instead of a refused one. A start that is unknown on either side contradicts none, as before.

--- a/crates/direct-core/src/reservation.rs
+++ b/crates/direct-core/src/reservation.rs
@@ -398,6 +398,11 @@
         self.waiting.must_yield(now, room, holdings)
     }
 
+    /// Start of the engine as it reported last; `None` if it has sent no report.
+    pub fn engine_started_at_ms(&self) -> Option<UnixMs> {
+        self.report.as_ref().map(|report| report.started_at_ms)
+    }
+
     /// Whether the engine reports a later start. An entry may know of a restart before the agent, so
     /// an earlier start in the report proves nothing.
     fn has_restarted_since(&self, started_at_ms: UnixMs) -> bool {
--- a/crates/direct-core/src/stages.rs
+++ b/crates/direct-core/src/stages.rs
@@ -8,9 +8,11 @@
 //! agents apply the same rule to the same published list, so they agree without coordination. While
 //! their lists differ for a short time, one engine too many or too few changes its stage.
 
-use cuminlead_types::BackendServerId;
+use std::net::SocketAddr;
 
-use crate::server::Stage;
+use cuminlead_types::{BackendServerId, UnixMs};
+
+use crate::server::{ServerRecord, Stage};
 
 /// Published engine of one service and region.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -21,6 +23,26 @@
     pub stage: Stage,
 }
 
+/// Record of the engine at an address that reports the given start; `None` if there is none. A start
+/// of zero is unknown: it contradicts no other, but an equal one is preferred.
+///
+/// A record at the address may be of an engine that has ended or come from another writer. Only what
+/// the engine reports of itself tells which record is its own.
+pub fn own_engine<'a>(
+    records: impl IntoIterator<Item = &'a ServerRecord>,
+    address: SocketAddr,
+    started_at_ms: UnixMs,
+) -> Option<&'a ServerRecord> {
+    let has_its_start = |record: &ServerRecord| record.started_at_ms == started_at_ms;
+    let may_have_its_start = |record: &ServerRecord| {
+        has_its_start(record) || [record.started_at_ms, started_at_ms].contains(&UnixMs(0))
+    };
+    let records = records.into_iter().filter(|record| {
+        record.address == address && record.stage.is_some() && may_have_its_start(record)
+    });
+    records.max_by_key(|record| has_its_start(record))
+}
+
 /// Share of a region's engines that compute prompts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PrefillShare {
--- a/crates/direct-core/tests/stages.rs
+++ b/crates/direct-core/tests/stages.rs
@@ -1,7 +1,11 @@
 //! Stages of engines: which compute prompts.
 
-use cuminlead_direct_core::Stage;
-use cuminlead_direct_core::stages::{PrefillShare, StagedEngine, target_stage};
+mod support;
+
+use cuminlead_direct_core::stages::{PrefillShare, StagedEngine, own_engine, target_stage};
+use cuminlead_direct_core::{ServerRecord, Stage};
+use cuminlead_types::UnixMs;
+use support::{ENGINES, record};
 use yare::parameterized;
 
 /// Engines as `id:stage` with `p` for prefill and `d` for decode.
@@ -79,3 +83,67 @@
         None
     );
 }
+
+/// Guards against an agent that takes another record at the address of its engine for its own, and
+/// then gives no orders, or orders for another engine.
+#[test]
+fn own_engine_is_told_by_its_reported_start() {
+    struct Case {
+        name: &'static str,
+        /// Changes a copy of the engine's record; the copy comes first.
+        other: fn(&mut ServerRecord),
+        reported_ms: u64,
+        expected: Option<&'static str>,
+    }
+    let case = |name, other, reported_ms, expected| Case {
+        name,
+        other,
+        reported_ms,
+        expected,
+    };
+    let cases = [
+        case(
+            "elsewhere",
+            |other| other.address.set_port(1),
+            5,
+            Some("own"),
+        ),
+        case("no engine", |other| other.stage = None, 5, Some("own")),
+        case(
+            "ended",
+            |other| other.started_at_ms = UnixMs(4),
+            5,
+            Some("own"),
+        ),
+        case(
+            "of another writer",
+            |other| other.started_at_ms = UnixMs(9),
+            5,
+            Some("own"),
+        ),
+        case("not published yet", |_| {}, 9, None),
+        case("no start in the report", |_| {}, 0, Some("own")),
+        case(
+            "another without a start",
+            |other| other.started_at_ms = UnixMs(0),
+            5,
+            Some("own"),
+        ),
+        case(
+            "no start in the record",
+            |other| other.started_at_ms = UnixMs(0),
+            9,
+            Some("another"),
+        ),
+    ];
+    for case in cases {
+        let mut own = record("own", ENGINES, "a1", Some(Stage::Prefill));
+        own.started_at_ms = UnixMs(5);
+        let mut other = own.clone();
+        other.id = "another".parse().expect("a valid fixture");
+        (case.other)(&mut other);
+        let found = own_engine([&other, &own], own.address, UnixMs(case.reported_ms));
+        let found = found.map(|engine| engine.id.to_string());
+        assert_eq!(found.as_deref(), case.expected, "{}", case.name);
+    }
+}
--- a/crates/places/src/agent.rs
+++ b/crates/places/src/agent.rs
@@ -131,6 +131,7 @@
             orders: platform.orders,
             holder: settings.name().clone(),
             engine_address: *settings.backend_address(),
+            reservations: reservations.clone(),
             zone_regions: settings.zone_regions().clone(),
             share: PrefillShare { percent: percent.0 },
             log: log.clone(),
--- a/crates/places/src/stage_control.rs
+++ b/crates/places/src/stage_control.rs
@@ -14,7 +14,7 @@
 use std::thread;
 use std::time::Duration;
 
-use cuminlead_direct_core::stages::{PrefillShare, StagedEngine, target_stage};
+use cuminlead_direct_core::stages::{PrefillShare, StagedEngine, own_engine, target_stage};
 use cuminlead_direct_core::{
     Registry, RegistryError, RegistryUpdate, RegistryWatcher, ServerRecord, ServerState, Stage,
 };
@@ -25,6 +25,7 @@
 use slog::{Logger, info, warn};
 
 use crate::monitor::{EngineOrders, StageOrder};
+use crate::rpc::SharedReservationTable;
 
 /// Time from the start of the agent to the first poll. Engines that start together are published
 /// within it.
@@ -53,6 +54,8 @@
     pub holder: AgentName,
     /// Address of the engine.
     pub engine_address: SocketAddr,
+    /// Has the engine's last report.
+    pub reservations: SharedReservationTable,
     /// Region of each availability zone.
     pub zone_regions: ZoneRegions,
     /// Share of the engines that prefill.
@@ -135,9 +138,8 @@
             return None;
         }
         let engines = &self.engines;
-        let own = engines
-            .values()
-            .find(|engine| engine.address == self.engine_address)?;
+        let started_at_ms = self.reservations.lock().engine_started_at_ms()?;
+        let own = own_engine(engines.values(), self.engine_address, started_at_ms)?;
         let regions: HashMap<&AvailabilityZoneName, &RegionName> = self
             .zone_regions
             .iter()
