Wait for room before the first part of a large response is read

Cause: only a few large responses are read at the same time, but each of the others read its first part of up to 64 KB before it waited, and held it uncharged.

Change: a response that states a large size waits before any part of its body is read.

Responses of unknown size still hold their first part.

--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -577,9 +577,12 @@
     let mut buffered = BytesMut::new();
     let mut permit = None;
     loop {
-        if buffered.len() > LARGE_RESPONSE_BYTES && permit.is_none() {
+        // A response that states a large size waits before its first part is read, which would
+        // otherwise be held uncharged while it waits.
+        let rest_bytes = usize::try_from(rest.least_size()).unwrap_or(usize::MAX);
+        let size = (buffered.len().saturating_add(rest_bytes)).min(buffered_max_bytes);
+        if size > LARGE_RESPONSE_BYTES && permit.is_none() {
             permit = lease.app.large_responses.acquire().await.ok();
-            let rest_bytes = usize::try_from(rest.least_size()).unwrap_or(usize::MAX);
             buffered.reserve(rest_bytes.min(buffered_max_bytes));
         }
         let Some(data) = rest.next().await? else {
