Let entries with different views find the same owner of a count

Cause: the owner of a team's usage, or of a server's permits, follows from the engines that an entry knows. An entry that did not know that an engine had left, started or crashed kept another owner than the rest, and each granted the whole limit. Owners that followed each other quickly added a second's units each.

Change: one rule for both counts in direct_core::owned_counts. An agent owns no counts while its engine reports that it is leaving or does not respond, nor for an entry that knows an earlier start of it; it says so, and the entry asks the next one. A charge has the level that the entry was told last, and an owner that nobody asked for 4 s begins with no more.

The fields of EngineReport in three tests got one more.

Not mended: engines whose records are removed without a notice.

--- a/crates/direct-core/src/lib.rs
+++ b/crates/direct-core/src/lib.rs
@@ -41,6 +41,7 @@
 pub mod operator_config;
 pub mod outcome;
 pub mod output_length;
+pub mod owned_counts;
 pub mod placement;
 mod preparation;
 pub mod rate_limit;
@@ -70,6 +71,7 @@
     ServiceSpec, WeightedService,
 };
 pub use outcome::StepOutcome;
+pub use owned_counts::OwnedCounts;
 pub use placement::{Demand, ExpectedCost, FixedCost, PlacementPolicy, RouteId, Work, WorkId};
 pub use rate_limit::{PermitReply, RateLimiter};
 pub use registry::{
--- a/crates/direct-core/src/reservation.rs
+++ b/crates/direct-core/src/reservation.rs
@@ -64,6 +64,8 @@
     pub waiting_count: u32,
     /// Start of the engine's incarnation.
     pub started_at_ms: UnixMs,
+    /// Whether the engine is about to end and wants no further requests.
+    pub is_leaving: bool,
 }
 
 /// Request for a reservation.
@@ -403,6 +405,20 @@
         self.report.as_ref().map(|report| report.started_at_ms)
     }
 
+    /// Start of the engine if it reports that it is leaving.
+    pub fn leaving_engine(&self) -> Option<UnixMs> {
+        let report = self.report.as_ref().filter(|report| report.is_leaving);
+        report.map(|report| report.started_at_ms)
+    }
+
+    /// Whether the agent owns counts for an entry that knows the given start of the engine. It does not
+    /// while entries with a newer view choose another owner: the engine is leaving, does not respond,
+    /// or has started again since.
+    pub fn owns_counts(&self, known_started_at_ms: UnixMs) -> bool {
+        let is_steady = self.leaving_engine().is_none() && !self.is_unavailable();
+        is_steady && !self.has_restarted_since(known_started_at_ms)
+    }
+
     /// Whether the engine reports a later start. An entry may know of a restart before the agent, so
     /// an earlier start in the report proves nothing.
     fn has_restarted_since(&self, started_at_ms: UnixMs) -> bool {
--- a/crates/direct-core/src/usage_ledger.rs
+++ b/crates/direct-core/src/usage_ledger.rs
@@ -6,8 +6,8 @@
 //! moment; the team then waits until what it used beyond its limit is paid back.
 //! `docs/design/usage-limits.md` compares this with equal shares, with the exchange of counters and with leases.
 //!
-//! A new owner does not know what the one before it has granted, so it begins with a part of the
-//! burst. While entries ask different owners, an owner that is not their first choice grants only
+//! A new owner learns from the entry that asks it first what the one before has left, and does not know
+//! what that one has granted since, so it begins with a part of the burst or with less. While entries ask different owners, an owner that is not their first choice grants only
 //! the share of the limit that belongs to the entries which ask it.
 
 use std::collections::HashMap;
@@ -56,6 +56,9 @@
     pub known_entries_count: u32,
     /// Whether the entry asks because earlier owners did not reply.
     pub is_substitute: bool,
+    /// Units that were available when an owner last told the entry, less those it has admitted since;
+    /// `None` if that is too long ago.
+    pub known_level_units: Option<i64>,
 }
 
 /// Reply to a charge.
@@ -98,6 +101,14 @@
         self.updated_at = self.updated_at.max(now);
     }
 
+    /// Lowers the level to one that is known from elsewhere.
+    fn lower_to(&mut self, known_level_units: Option<i64>) {
+        if let Some(units) = known_level_units {
+            let known = i128::from(units) * MICROUNITS;
+            self.level_microunits = self.level_microunits.min(known);
+        }
+    }
+
     /// Takes units, or returns them if negative, whatever the level.
     pub(crate) fn charge(&mut self, units: i64) {
         self.level_microunits -= i128::from(units) * MICROUNITS;
@@ -208,12 +219,17 @@
             usage.version = charge.version;
             usage.limit = charge.limit;
         }
-        usage.entries.insert(charge.entry.clone(), now);
         usage
             .entries
             .retain(|_, at| now.since(*at) < ENTRY_ACTIVE_TIME);
+        // Another agent may have owned the usage since the last charge.
+        let is_taken_over = usage.entries.is_empty();
+        usage.entries.insert(charge.entry.clone(), now);
         let limit = usage.effective_limit(charge);
         usage.bucket.refill(now, &limit);
+        if is_taken_over {
+            usage.bucket.lower_to(charge.known_level_units);
+        }
         usage.bucket.charge(charge.admitted_units);
         let taken = match charge.asked_units {
             0 => Ok(()),
--- a/crates/direct-core/tests/fair_share.rs
+++ b/crates/direct-core/tests/fair_share.rs
@@ -93,6 +93,7 @@
     let report = EngineReport {
         total_tokens: MEMORY,
         started_at_ms: UnixMs(1),
+        is_leaving: false,
         ..EngineReport::default()
     };
     table.apply_report(TimeUs(1), report);
--- a/crates/direct-core/tests/reservation.rs
+++ b/crates/direct-core/tests/reservation.rs
@@ -35,6 +35,7 @@
             .collect(),
         waiting_count: 0,
         started_at_ms: UnixMs(1),
+        is_leaving: false,
     }
 }
 
@@ -242,6 +243,59 @@
     }
 }
 
+/// Guards against two owners of one count: entries that know of a change of the engine choose another
+/// owner, and those that do not must be sent away.
+#[test]
+fn agent_owns_counts_only_beside_a_steady_engine() {
+    struct Case {
+        name: &'static str,
+        change: fn(&mut EngineReport),
+        failed_count: u32,
+        known_ms: u64,
+        is_owner: bool,
+    }
+    let case = |name, change, failed_count, known_ms, is_owner| Case {
+        name,
+        change,
+        failed_count,
+        known_ms,
+        is_owner,
+    };
+    let cases = [
+        case("steady", |_| {}, 0, 5, true),
+        case("one report missing", |_| {}, 1, 5, true),
+        case("does not respond", |_| {}, 2, 5, false),
+        case("leaving", |report| report.is_leaving = true, 0, 5, false),
+        case(
+            "started again, not known to the entry",
+            |report| report.started_at_ms = UnixMs(6),
+            0,
+            5,
+            false,
+        ),
+        case(
+            "started again, known to the entry",
+            |report| report.started_at_ms = UnixMs(6),
+            0,
+            6,
+            true,
+        ),
+        case("start unknown to the entry", |_| {}, 0, 0, true),
+    ];
+    for case in cases {
+        let mut table = ReservationTable::new();
+        let mut engine = report(10_000, &[]);
+        engine.started_at_ms = UnixMs(5);
+        (case.change)(&mut engine);
+        table.apply_report(ms(0), engine);
+        for _ in 0..case.failed_count {
+            table.report_failed();
+        }
+        let is_owner = table.owns_counts(UnixMs(case.known_ms));
+        assert_eq!(is_owner, case.is_owner, "{}", case.name);
+    }
+}
+
 /// Guards against an agent that restarts beside a busy engine and treats it as empty.
 #[test]
 fn unknown_outputs_count() {
--- a/crates/direct-core/tests/reservation_load.rs
+++ b/crates/direct-core/tests/reservation_load.rs
@@ -103,6 +103,7 @@
                 outputs: running.iter().map(report_of).collect(),
                 waiting_count: 0,
                 started_at_ms: UnixMs(1),
+                is_leaving: false,
             };
             table.apply_report(TimeUs(now_us), report);
             next_report_us += REPORT_INTERVAL_US;
--- a/crates/direct-core/tests/usage_limits.rs
+++ b/crates/direct-core/tests/usage_limits.rs
@@ -7,7 +7,7 @@
 mod usage_support;
 
 use cuminlead_types::{DurationUs, Revision, TimeUs};
-use usage_support::{Background, Figures, Load, Scheme, charge, limit, team};
+use usage_support::{Background, Figures, LeavingEngines, Load, Scheme, charge, limit, team};
 use usage_support::{Counters, EqualShares, Leases};
 
 use cuminlead_direct_core::{UsageLedger, UsageLimit};
@@ -33,6 +33,7 @@
     owners_down_s: None,
     cut_entries_count: 0,
     lowered_s: None,
+    leaving: None,
 };
 
 const CASES: &[Case] = &[
@@ -114,6 +115,45 @@
     }
 }
 
+/// Guards against two owners of one team's usage, each of which grants the whole limit: the registry
+/// does not answer some entries while the engine beside the owner leaves, and its successor's too.
+#[test]
+fn team_stays_within_its_limit_while_its_owners_leave() {
+    for entries_count in [3_usize, 22, 100, 300] {
+        for behind_entries_count in [1, entries_count.div_ceil(3), entries_count / 2] {
+            for count in [1, 3] {
+                let leaving = LeavingEngines {
+                    at_s: 10,
+                    count,
+                    behind_entries_count,
+                    is_reported: true,
+                };
+                let load = Load {
+                    leaving: Some(leaving),
+                    ..HOT
+                };
+                let figures = load.play::<Background>(entries_count);
+                let unreported = Load {
+                    leaving: Some(LeavingEngines {
+                        is_reported: false,
+                        ..leaving
+                    }),
+                    ..HOT
+                };
+                let unreported = unreported.play::<Background>(entries_count);
+                let name = format!("{behind_entries_count} of {entries_count}, {count} leave");
+                println!("{name:40} {figures}; unreported: {unreported}");
+                let case = Case {
+                    name: "owners leave",
+                    entries_count,
+                    load,
+                };
+                assert_within_bound(&case, &figures);
+            }
+        }
+    }
+}
+
 /// Prints the figures of `docs/design/usage-limits.md`. Each way is played under the same load; only
 /// the product's is held to a bound.
 #[test]
--- a/crates/direct-core/tests/usage_support/mod.rs
+++ b/crates/direct-core/tests/usage_support/mod.rs
@@ -11,7 +11,7 @@
 use std::fmt;
 
 use cuminlead_direct_core::{
-    Team, UsageCharge, UsageDecision, UsageLedger, UsageLimit, UsageUnit, UsageView,
+    OwnedCounts, Team, UsageCharge, UsageDecision, UsageLimit, UsageUnit, UsageView,
 };
 use cuminlead_types::{DurationUs, Revision, TimeUs, Tokens};
 use rand::rngs::SmallRng;
@@ -62,9 +62,52 @@
         is_late: false,
         known_entries_count: 0,
         is_substitute: false,
+        known_level_units: None,
     }
 }
 
+/// Engines that leave one after the other, each beside the owner at that time, while the registry does
+/// not answer some entries.
+#[derive(Clone, Copy)]
+pub(crate) struct LeavingEngines {
+    /// Second at which the first one begins to drain, and the registry stops answering.
+    pub(crate) at_s: u64,
+    /// Number of engines, each of which begins to drain a second after the one before.
+    pub(crate) count: usize,
+    /// Entries that the registry does not answer for [`SILENT_MS`]; the busiest ones.
+    pub(crate) behind_entries_count: usize,
+    /// Whether the engines say in their reports that they are leaving.
+    pub(crate) is_reported: bool,
+}
+
+impl LeavingEngines {
+    /// Number of engines that began to drain at least the given time ago.
+    fn draining_count(&self, ms: u64, ago_ms: u64) -> usize {
+        let began_ms = |index: usize| (self.at_s + index as u64) * 1_000;
+        let is_draining = |index: &usize| ms >= began_ms(*index) + ago_ms;
+        (0..self.count).filter(is_draining).count()
+    }
+
+    /// Owner that an entry chooses by its view of the engines.
+    fn chosen_owner(&self, ms: u64, entry: usize) -> usize {
+        let silent = self.at_s * 1_000..self.at_s * 1_000 + SILENT_MS;
+        if entry < self.behind_entries_count && silent.contains(&ms) {
+            0
+        } else {
+            self.draining_count(ms, REGISTRY_DELAY_MS)
+        }
+    }
+}
+
+/// Longest time for which the registry answers some entries only.
+const SILENT_MS: u64 = 9_000;
+/// Time until an entry has read that an engine is draining.
+const REGISTRY_DELAY_MS: u64 = 500;
+/// Time until an agent has read the report of an engine that is draining.
+const REPORT_DELAY_MS: u64 = 400;
+/// Agents that may own the team's usage, one after the other.
+const OWNERS_COUNT: usize = 5;
+
 /// Load of one team, and what fails during it.
 #[derive(Clone, Copy)]
 pub(crate) struct Load {
@@ -78,6 +121,8 @@
     pub(crate) cut_entries_count: usize,
     /// Second at which the limit is lowered to a third.
     pub(crate) lowered_s: Option<u64>,
+    /// Owners whose engines leave.
+    pub(crate) leaving: Option<LeavingEngines>,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -111,6 +156,8 @@
     version: u64,
     owner: Option<usize>,
     is_substitute: bool,
+    /// Number of owners, from the first one on, that know that their engines are leaving.
+    leaving_count: usize,
 }
 
 /// Way to hold a team to its limit over several entries.
@@ -133,12 +180,19 @@
             .is_some_and(|at_s| (at_s * 1_000..at_s * 1_000 + 4_000).contains(&ms));
         let is_lost = self.lost_owner_s.is_some_and(|at_s| ms >= at_s * 1_000);
         let is_cut = ms >= HOT_FROM_MS && entry < self.cut_entries_count;
+        let leaving = self.leaving.as_ref();
+        let owner = leaving.map_or(usize::from(is_lost || is_cut), |leaving| {
+            leaving.chosen_owner(ms, entry)
+        });
+        let reported = leaving.filter(|leaving| leaving.is_reported);
         Moment {
             now: TimeUs(1_000_000 + ms * 1_000),
             limit: limit(if is_lowered { self.rate / 3 } else { self.rate }),
             version: 1 + u64::from(is_lowered),
-            owner: (!is_down).then_some(usize::from(is_lost || is_cut)),
+            owner: (!is_down).then_some(owner),
             is_substitute: is_cut || is_lost,
+            leaving_count: reported
+                .map_or(0, |leaving| leaving.draining_count(ms, REPORT_DELAY_MS)),
         }
     }
 
@@ -337,7 +391,7 @@
 /// Each entry takes leases of a quarter of a second's units, divided by the number of entries, or of
 /// one request if that is more, from an owner; unused units are lost after 1 s.
 pub(crate) struct Leases {
-    owners: [ExactBucket; 2],
+    owners: [ExactBucket; OWNERS_COUNT],
     leased: Vec<(u64, TimeUs)>,
     messages_count: u64,
 }
@@ -345,7 +399,7 @@
 impl Scheme for Leases {
     fn new(entries_count: usize) -> Self {
         Self {
-            owners: [ExactBucket::new(limit(0)), ExactBucket::new(limit(0))],
+            owners: std::array::from_fn(|_| ExactBucket::new(limit(0))),
             leased: vec![(0, TimeUs::ZERO); entries_count],
             messages_count: 0,
         }
@@ -386,7 +440,9 @@
 
 /// The product's decisions: charges in the background, and questions near the limit.
 pub(crate) struct Background {
-    owners: [UsageLedger; 2],
+    owners: [OwnedCounts; OWNERS_COUNT],
+    /// First owner that each entry has not been told is leaving.
+    first_owners: Vec<usize>,
     views: Vec<UsageView>,
     /// When an entry sends what it has collected.
     due: Vec<Option<TimeUs>>,
@@ -406,6 +462,7 @@
         let charge = UsageCharge {
             known_entries_count: view.entries_count(moment.now, &team.name, servers_count),
             is_substitute: moment.is_substitute,
+            known_level_units: view.known_level_units(moment.now, &team.name),
             ..charge(
                 &name,
                 moment.version,
@@ -414,17 +471,26 @@
                 asked_units,
             )
         };
-        let reply = self.owners[owner].charge(moment.now, &charge);
-        view.record_reply(moment.now, &team.name, &reply, moment.is_substitute);
-        self.messages_count += 2;
-        Some(reply.is_granted)
+        let first_owner = &mut self.first_owners[entry];
+        let mut owner = owner.max(*first_owner);
+        loop {
+            self.messages_count += 2;
+            let is_owner = owner >= moment.leaving_count;
+            if let Some(reply) = self.owners[owner].charge(moment.now, is_owner, &charge) {
+                view.record_reply(moment.now, &team.name, &reply, moment.is_substitute);
+                return Some(reply.is_granted);
+            }
+            owner += 1;
+            *first_owner = owner;
+        }
     }
 }
 
 impl Scheme for Background {
     fn new(entries_count: usize) -> Self {
         Self {
-            owners: [UsageLedger::default(), UsageLedger::default()],
+            owners: Default::default(),
+            first_owners: vec![0; entries_count],
             views: vec![UsageView::default(); entries_count],
             due: vec![None; entries_count],
             messages_count: 0,
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -21,6 +21,7 @@
 //! | [`pool`] | idle connections to backend servers |
 //! | [`exchange`] | one request to one server, and its response |
 //! | [`engine_resources`] | reservation of decode slots, release of slots and KV caches |
+//! | `owners` | agents that own the counts which all entries share |
 //! | `permits` | permits for requests to servers that have named a limit |
 //! | `team_usage` | admission of requests by the usage limits of their teams |
 //! | `crash_reports` | reports of crashed engines, as evidence against prompt parts |
@@ -48,6 +49,7 @@
 pub mod engine_resources;
 pub mod exchange;
 pub mod head_timer;
+mod owners;
 mod permits;
 pub mod pool;
 pub mod process;
--- a/crates/direct/src/permits.rs
+++ b/crates/direct/src/permits.rs
@@ -4,20 +4,20 @@
 //! requests if the limit is high. A reservation of a decode slot includes a permit, so runs with
 //! one need no other.
 
-use std::net::SocketAddr;
 use std::rc::Rc;
 
-use cuminlead_direct_core::rate_limit::{batch_count, owners};
+use cuminlead_direct_core::owned_counts::CountOwner;
+use cuminlead_direct_core::rate_limit::batch_count;
 use cuminlead_direct_core::{PermitReply, ServerKey, StepOutcome};
-use cuminlead_places::{ReservationError, client};
+use cuminlead_places::ReservationError;
+use cuminlead_places::client::{self, OwnerReply};
 use cuminlead_types::{BackendServerId, DurationUs, MillirequestsPerSecond};
 use slog::debug;
 
 use crate::app::App;
 use crate::engine_resources::agent_address;
+use crate::owners::{owners_of, record_leaving};
 
-/// Most agents that are asked, one after the other while they do not reply.
-const OWNERS_ASKED_MAX: usize = 4;
 /// Pause of a server whose permits no agent can be asked for.
 const NO_OWNER_PAUSE: DurationUs = DurationUs::from_ms(500);
 
@@ -83,11 +83,11 @@
     rate: MillirequestsPerSecond,
 ) -> Result<PermitReply, ReservationError> {
     let mut error = ReservationError::NoReply;
-    for owner in owners_of(app, server, id) {
+    for owner in permit_owners(app, server, id) {
         let connection = app
             .reservation_client
             .borrow_mut()
-            .connection(app.now(), owner);
+            .connection(app.now(), owner.agent);
         let connection = match connection {
             Ok(connection) => connection,
             Err(paused) => {
@@ -95,10 +95,17 @@
                 continue;
             }
         };
-        match client::take_permits(connection, id, rate, batch_count(rate)).await {
-            Ok(reply) => return Ok(reply),
+        let started_at_ms = owner.engine_started_at_ms;
+        let count = batch_count(rate);
+        match client::take_permits(connection, started_at_ms, id, rate, count).await {
+            Ok(OwnerReply::Decided(reply)) => return Ok(reply),
+            Ok(OwnerReply::NoOwner { leaving_engine }) => {
+                record_leaving(app, owner.agent, leaving_engine);
+            }
             Err(no_reply) => {
-                app.reservation_client.borrow_mut().pause(app.now(), owner);
+                app.reservation_client
+                    .borrow_mut()
+                    .pause(app.now(), owner.agent);
                 error = no_reply;
             }
         }
@@ -108,26 +115,27 @@
 
 /// Agents that own the permits of a server, in the order in which they are asked: the agent beside
 /// an engine first, then agents of its region.
-fn owners_of(app: &App, server: ServerKey, id: &BackendServerId) -> Vec<SocketAddr> {
-    let serving = app.serving.borrow();
-    let Some(owned) = serving.servers.get(server) else {
-        return Vec::new();
+fn permit_owners(app: &App, server: ServerKey, id: &BackendServerId) -> Vec<CountOwner> {
+    let (own_agent, region) = {
+        let serving = app.serving.borrow();
+        let Some(owned) = serving.servers.get(server) else {
+            return Vec::new();
+        };
+        let is_engine = owned.record.stage.is_some();
+        let own_agent = is_engine
+            .then(|| agent_address(app, owned.record.address))
+            .flatten();
+        let own_agent = own_agent.map(|agent| CountOwner {
+            agent,
+            engine_started_at_ms: owned.record.started_at_ms,
+        });
+        (own_agent, owned.region.clone())
     };
-    let mut ordered = Vec::new();
-    let is_engine = owned.record.stage.is_some();
-    let own_agent = is_engine
-        .then(|| agent_address(app, owned.record.address))
-        .flatten();
-    ordered.extend(own_agent);
-    let engines = serving
-        .servers
-        .iter()
-        .map(|(_, engine)| engine)
-        .filter(|engine| engine.record.stage.is_some() && engine.region == owned.region);
-    let agents = engines.filter_map(|engine| agent_address(app, engine.record.address));
-    let others = owners(id, agents.collect());
-    ordered.extend(others.into_iter().filter(|agent| own_agent != Some(*agent)));
-    ordered.truncate(OWNERS_ASKED_MAX);
+    let mut ordered = owners_of(app, id, |engine| engine.region == region);
+    if let Some(own_agent) = own_agent {
+        ordered.retain(|owner| owner.agent != own_agent.agent);
+        ordered.insert(0, own_agent);
+    }
     ordered
 }
 
--- a/crates/direct/src/team_usage.rs
+++ b/crates/direct/src/team_usage.rs
@@ -3,22 +3,17 @@
 //! The agent that owns a team's usage is charged for each request that is admitted, and asked first
 //! when the team is near its limit; see [`cuminlead_direct_core::usage_view`].
 
-use std::net::SocketAddr;
 use std::rc::Rc;
 
-use cuminlead_direct_core::rate_limit::owners;
 use cuminlead_direct_core::usage_view::CHARGE_INTERVAL;
 use cuminlead_direct_core::{Team, UsageCharge, UsageDecision, UsageLimit, UsageReply};
-use cuminlead_places::client;
+use cuminlead_places::client::{self, OwnerReply};
 use cuminlead_types::{DurationUs, Revision, TeamName, Tokens};
 use slog::info;
 use tokio::time::sleep;
 
 use crate::app::App;
-use crate::engine_resources::agent_address;
-
-/// Most agents that are asked, one after the other while they do not reply.
-const OWNERS_ASKED_MAX: usize = 4;
+use crate::owners::{owners_of, record_leaving};
 
 /// Units that an admitted request uses.
 #[derive(Debug)]
@@ -129,12 +124,17 @@
         .usage
         .borrow_mut()
         .entries_count(now, team, servers_count);
-    for (rank, owner) in owners_of(app, team).into_iter().enumerate() {
+    let known_level_units = app.usage.borrow_mut().known_level_units(now, team);
+    let mut is_substitute = false;
+    for owner in owners_of(app, team, |_| true) {
         let connection = app
             .reservation_client
             .borrow_mut()
-            .connection(app.now(), owner);
-        let Ok(connection) = connection else { continue };
+            .connection(app.now(), owner.agent);
+        let Ok(connection) = connection else {
+            is_substitute = true;
+            continue;
+        };
         let charge = UsageCharge {
             team: team.clone(),
             entry: app.name.clone(),
@@ -144,19 +144,26 @@
             asked_units,
             is_late,
             known_entries_count,
-            is_substitute: rank > 0,
+            is_substitute,
+            known_level_units,
         };
         app.metrics.usage_charges.inc();
-        match client::charge_usage(connection, &charge).await {
-            Ok(reply) => {
+        match client::charge_usage(connection, owner.engine_started_at_ms, &charge).await {
+            Ok(OwnerReply::Decided(reply)) => {
                 let mut usage = app.usage.borrow_mut();
-                usage.record_reply(app.now(), team, &reply, rank > 0);
+                usage.record_reply(app.now(), team, &reply, is_substitute);
                 return Some(reply);
             }
+            Ok(OwnerReply::NoOwner { leaving_engine }) => {
+                record_leaving(app, owner.agent, leaving_engine);
+            }
             Err(_) => {
                 info!(app.log, "owner of a team's usage does not reply"; "team" => %team,
-                    "agent" => %owner);
-                app.reservation_client.borrow_mut().pause(app.now(), owner);
+                    "agent" => %owner.agent);
+                app.reservation_client
+                    .borrow_mut()
+                    .pause(app.now(), owner.agent);
+                is_substitute = true;
             }
         }
     }
@@ -164,17 +171,3 @@
     app.usage.borrow_mut().record_no_reply(app.now(), team);
     None
 }
-
-/// Agents that own a team's usage, in the order in which they are asked: the same at all entries that
-/// know the same agents.
-fn owners_of(app: &App, team: &TeamName) -> Vec<SocketAddr> {
-    let serving = app.serving.borrow();
-    let engines = serving
-        .servers
-        .iter()
-        .filter(|(_, server)| server.record.stage.is_some());
-    let agents = engines.filter_map(|(_, engine)| agent_address(app, engine.record.address));
-    let mut ordered = owners(team, agents.collect());
-    ordered.truncate(OWNERS_ASKED_MAX);
-    ordered
-}
--- a/crates/places/src/client.rs
+++ b/crates/places/src/client.rs
@@ -154,34 +154,62 @@
     }
 }
 
+/// Reply of an agent that is asked as the owner of a count.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OwnerReply<T> {
+    /// The agent owns the count and has decided.
+    Decided(T),
+    /// The agent owns no counts and has done nothing.
+    NoOwner {
+        /// When its engine started, if that is leaving.
+        leaving_engine: Option<UnixMs>,
+    },
+}
+
+impl<T> OwnerReply<T> {
+    fn new(is_no_owner: bool, leaving_engine_started_at_ms: Option<u64>, decided: T) -> Self {
+        if is_no_owner {
+            let leaving_engine = leaving_engine_started_at_ms.map(UnixMs);
+            Self::NoOwner { leaving_engine }
+        } else {
+            Self::Decided(decided)
+        }
+    }
+}
+
 /// Takes permits for requests to a server with a limit from the agent that owns them.
 pub async fn take_permits(
     mut client: PlacesClient<Channel>,
+    engine_started_at_ms: UnixMs,
     server: &BackendServerId,
     rate: MillirequestsPerSecond,
     count: u32,
-) -> Result<PermitReply, ReservationError> {
+) -> Result<OwnerReply<PermitReply>, ReservationError> {
     let message = TakePermitsRequest {
         server: server.to_string(),
         limit_millirequests_per_s: rate.0,
         count,
+        engine_started_at_ms: engine_started_at_ms.0,
     };
     let answered = timeout(REPLY_TIMEOUT, client.take_permits(message)).await;
     let reply = answered
         .map_err(|_| ReservationError::NoReply)?
         .map_err(|_| ReservationError::NoReply)?
         .into_inner();
-    Ok(PermitReply {
+    let permits = PermitReply {
         granted_count: reply.granted_count,
         retry_after: DurationUs(reply.retry_after_us),
-    })
+    };
+    let leaving = reply.leaving_engine_started_at_ms;
+    Ok(OwnerReply::new(reply.is_no_owner, leaving, permits))
 }
 
 /// Charges a team at the agent that owns its usage.
 pub async fn charge_usage(
     mut client: PlacesClient<Channel>,
+    engine_started_at_ms: UnixMs,
     charge: &UsageCharge,
-) -> Result<UsageReply, ReservationError> {
+) -> Result<OwnerReply<UsageReply>, ReservationError> {
     let message = ChargeUsageRequest {
         team: charge.team.to_string(),
         entry: charge.entry.to_string(),
@@ -193,18 +221,22 @@
         is_late: charge.is_late,
         known_entries_count: charge.known_entries_count,
         is_substitute: charge.is_substitute,
+        known_level_units: charge.known_level_units,
+        engine_started_at_ms: engine_started_at_ms.0,
     };
     let answered = timeout(REPLY_TIMEOUT, client.charge_usage(message)).await;
     let reply = answered
         .map_err(|_| ReservationError::NoReply)?
         .map_err(|_| ReservationError::NoReply)?
         .into_inner();
-    Ok(UsageReply {
+    let usage = UsageReply {
         is_granted: reply.is_granted,
         level_units: reply.level_units,
         retry_after: DurationUs(reply.retry_after_us),
         entries_count: reply.entries_count,
-    })
+    };
+    let leaving = reply.leaving_engine_started_at_ms;
+    Ok(OwnerReply::new(reply.is_no_owner, leaving, usage))
 }
 
 /// Asks an agent for the published configuration; `None` if it is not newer than the known version.
--- a/crates/places/src/rpc.rs
+++ b/crates/places/src/rpc.rs
@@ -3,8 +3,8 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use cuminlead_direct_core::{
-    Claim, RateLimiter, RequestPriority, ReservationReply, ReservationRequest, ReservationTable,
-    UsageCharge, UsageLedger, UsageLimit,
+    Claim, OwnedCounts, RequestPriority, ReservationReply, ReservationRequest, ReservationTable,
+    UsageCharge, UsageLimit,
 };
 use cuminlead_kernel::Clock;
 use cuminlead_quarantine::{CrashReport, PromptQuarantine, QuarantineState};
@@ -53,8 +53,7 @@
 pub struct ReservationRpc {
     table: SharedReservationTable,
     quarantine: Arc<Mutex<PromptQuarantine>>,
-    limiter: Arc<Mutex<RateLimiter>>,
-    usage: Arc<Mutex<UsageLedger>>,
+    counts: Arc<Mutex<OwnedCounts>>,
     configuration: ConfigurationReader,
     clock: Clock,
     log: Logger,
@@ -72,8 +71,7 @@
         Self {
             table,
             quarantine: Arc::default(),
-            limiter: Arc::default(),
-            usage: Arc::default(),
+            counts: Arc::default(),
             configuration,
             clock,
             log,
@@ -93,7 +91,7 @@
         if !reply.is_held || has_permit {
             return reply;
         }
-        let permit = self.limiter().take(now, server, *rate, 1);
+        let permit = self.counts().take_engine_permit(now, server, *rate);
         if permit.granted_count > 0 {
             return reply;
         }
@@ -105,9 +103,18 @@
         }
     }
 
-    fn limiter(&self) -> MutexGuard<'_, RateLimiter> {
-        // The permits are consistent after each call, including one that panicked.
-        self.limiter.lock().unwrap_or_else(PoisonError::into_inner)
+    fn counts(&self) -> MutexGuard<'_, OwnedCounts> {
+        // The counts are consistent after each call, including one that panicked.
+        self.counts.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Whether this agent owns counts for an entry that knows the given start of the engine, and the
+    /// engine's start if it is leaving.
+    fn ownership(&self, engine_started_at_ms: u64) -> (bool, Option<u64>) {
+        let table = self.table.lock();
+        let is_owner = table.owns_counts(UnixMs(engine_started_at_ms));
+        let leaving = table.leaving_engine();
+        (is_owner, leaving.map(|started_at_ms| started_at_ms.0))
     }
 
     fn quarantine(&self) -> MutexGuard<'_, PromptQuarantine> {
@@ -274,10 +281,16 @@
         let server = server.map_err(|_| Status::invalid_argument("server"))?;
         let rate = MillirequestsPerSecond(message.limit_millirequests_per_s);
         let now = self.clock.monotonic();
-        let reply = self.limiter().take(now, &server, rate, message.count);
+        let (is_owner, leaving) = self.ownership(message.engine_started_at_ms);
+        let reply = self
+            .counts()
+            .take_permits(now, is_owner, &server, rate, message.count);
+        let reply = reply.unwrap_or_default();
         Ok(Response::new(TakePermitsReply {
             granted_count: reply.granted_count,
             retry_after_us: reply.retry_after.0,
+            is_no_owner: !is_owner,
+            leaving_engine_started_at_ms: leaving,
         }))
     }
 
@@ -306,14 +319,18 @@
             is_late: message.is_late,
             known_entries_count: message.known_entries_count,
             is_substitute: message.is_substitute,
+            known_level_units: message.known_level_units,
         };
         let now = self.clock.monotonic();
-        let usage = &self.usage;
-        // The ledger is consistent after each call, including one that panicked.
-        let reply = usage
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .charge(now, &charge);
+        let (is_owner, leaving) = self.ownership(message.engine_started_at_ms);
+        let reply = self.counts().charge(now, is_owner, &charge);
+        let Some(reply) = reply else {
+            return Ok(Response::new(ChargeUsageReply {
+                is_no_owner: true,
+                leaving_engine_started_at_ms: leaving,
+                ..ChargeUsageReply::default()
+            }));
+        };
         if !reply.is_granted {
             info!(self.log, "team has reached its limit"; "team" => %charge.team,
                 "entry" => %charge.entry, "level_units" => reply.level_units,
@@ -325,6 +342,8 @@
             level_units: reply.level_units,
             retry_after_us: reply.retry_after.0,
             entries_count: reply.entries_count,
+            is_no_owner: false,
+            leaving_engine_started_at_ms: None,
         }))
     }
 
