Count the units of a charge once when a team's usage has a new owner

A new owner of a team's usage refused a little below the limit: it began at the level that the entry knew, from which the units of the charge were already taken, and then took them again.

Change: the level in a charge is that before its units.

Result: new_owner_goes_on_at_the_level_of_the_one_before failed before (level 50,000 instead of 70,000) and passes.

--- a/crates/direct-core/src/lib.rs
+++ b/crates/direct-core/src/lib.rs
@@ -8,12 +8,14 @@
 //! | [`server`] | published entry of a backend server |
 //! | [`server_notices`] | what servers say about themselves in their responses |
 //! | [`servers`] | table of all backend servers |
+//! | `address_claim` | which of the servers that are published at one address has it |
 //! | [`health`] | locally observed failures, and the pause that follows them |
 //! | [`placement`] | choice of the server for a request |
 //! | [`reservation`] | reservations of decode slots on one engine, by a forecast of its memory |
 //! | [`fair_share`] | order in which requests get the slots of an engine that has too few |
 //! | [`output_length`] | expected length of outputs |
 //! | [`rate_limit`] | permits for requests to servers that have named a limit |
+//! | [`owned_counts`] | counts that an agent owns for all entries, and which agent that is |
 //! | [`action`] | requirements of a request, and its next action |
 //! | [`outcome`] | outcomes of a step, and what they prove |
 //! | `preparation` | slot reservation and KV cache of a model call before its run |
--- a/crates/direct-core/src/usage_ledger.rs
+++ b/crates/direct-core/src/usage_ledger.rs
@@ -6,9 +6,10 @@
 //! moment; the team then waits until what it used beyond its limit is paid back.
 //! `docs/design/usage-limits.md` compares this with equal shares, with the exchange of counters and with leases.
 //!
-//! A new owner learns from the entry that asks it first what the one before has left, and does not know
-//! what that one has granted since, so it begins with a part of the burst or with less. While entries ask different owners, an owner that is not their first choice grants only
-//! the share of the limit that belongs to the entries which ask it.
+//! A new owner learns from the entry that asks it first what the one before has left. It does not know
+//! what that one has granted since, so it begins with a part of the burst or with less. While entries
+//! ask different owners, an owner that is not their first choice grants only the share of the limit
+//! that belongs to the entries which ask it.
 
 use std::collections::HashMap;
 
@@ -56,7 +57,7 @@
     pub known_entries_count: u32,
     /// Whether the entry asks because earlier owners did not reply.
     pub is_substitute: bool,
-    /// Units that were available when an owner last told the entry, less those it has admitted since;
+    /// Units that were available when an owner last told the entry, before those that are charged;
     /// `None` if that is too long ago.
     pub known_level_units: Option<i64>,
 }
--- a/crates/direct-core/src/usage_view.rs
+++ b/crates/direct-core/src/usage_view.rs
@@ -111,13 +111,19 @@
         }
     }
 
-    /// Level that an owner told last, less what was admitted since; `None` if that is too long ago.
-    pub fn known_level_units(&mut self, now: TimeUs, team: &TeamName) -> Option<i64> {
+    /// Level that an owner told last, before the units that are being charged; `None` if that is too
+    /// long ago.
+    pub fn known_level_units(
+        &mut self,
+        now: TimeUs,
+        team: &TeamName,
+        charged_units: i64,
+    ) -> Option<i64> {
         let view = self.team(now, team);
         let is_recent = |told_at: TimeUs| now.since(told_at) < LEVEL_MAX_AGE;
         view.told_at
             .is_some_and(is_recent)
-            .then_some(view.level_units)
+            .then(|| view.level_units.saturating_add(charged_units))
     }
 
     /// Records the reply of an owner. One that is asked because others do not reply knows a part of
--- a/crates/direct-core/tests/usage_limits.rs
+++ b/crates/direct-core/tests/usage_limits.rs
@@ -10,7 +10,7 @@
 use usage_support::{Background, Figures, LeavingEngines, Load, Scheme, charge, limit, team};
 use usage_support::{Counters, EqualShares, Leases};
 
-use cuminlead_direct_core::{UsageLedger, UsageLimit};
+use cuminlead_direct_core::{UsageCharge, UsageLedger, UsageLimit, UsageView};
 
 /// Share of a limit by which it may be exceeded in 8 s, in percent, and tokens beyond that.
 const OVERSHOOT_MAX_PERCENT: u64 = 25;
@@ -186,6 +186,27 @@
     assert!(reply.is_granted && reply.level_units < 100_000);
 }
 
+/// Guards against a new owner that counts the admitted units of its first charge twice, and refuses
+/// requests below the limit.
+#[test]
+fn new_owner_goes_on_at_the_level_of_the_one_before() {
+    let (mut before, mut after) = (UsageLedger::default(), UsageLedger::default());
+    let mut view = UsageView::default();
+    let (now, north) = (TimeUs(1_000_000), team("north").name);
+    let limit = limit(100_000);
+    let reply = before.charge(now, &charge("entry-1", 1, limit, 0, 10_000));
+    view.record_reply(now, &north, &reply, false);
+    view.admit(now, &north, &limit, 20_000, false);
+    let admitted_units = view.take_uncharged(now, &north);
+    assert_eq!(admitted_units, 20_000);
+    let moved = UsageCharge {
+        known_level_units: view.known_level_units(now, &north, admitted_units),
+        ..charge("entry-1", 1, limit, admitted_units, 0)
+    };
+    let level_units = after.charge(now, &moved).level_units;
+    assert_eq!(level_units, before.charge(now, &moved).level_units);
+}
+
 /// Guards against an older configuration that raises a lowered limit again, and against an
 /// overshoot that is not paid back.
 #[test]
--- a/crates/direct-core/tests/usage_support/mod.rs
+++ b/crates/direct-core/tests/usage_support/mod.rs
@@ -462,7 +462,7 @@
         let charge = UsageCharge {
             known_entries_count: view.entries_count(moment.now, &team.name, servers_count),
             is_substitute: moment.is_substitute,
-            known_level_units: view.known_level_units(moment.now, &team.name),
+            known_level_units: view.known_level_units(moment.now, &team.name, admitted_units),
             ..charge(
                 &name,
                 moment.version,
--- a/crates/direct/src/team_usage.rs
+++ b/crates/direct/src/team_usage.rs
@@ -124,7 +124,10 @@
         .usage
         .borrow_mut()
         .entries_count(now, team, servers_count);
-    let known_level_units = app.usage.borrow_mut().known_level_units(now, team);
+    let known_level_units = app
+        .usage
+        .borrow_mut()
+        .known_level_units(now, team, admitted_units);
     let mut is_substitute = false;
     for owner in owners_of(app, team, |_| true) {
         let connection = app
