--- a/review/stand-ins-3/common.rs
+++ b/review/stand-ins-3/common.rs
@@ -436,9 +436,18 @@
         .unwrap_or_else(|error| not_run(&format!("starting {program}: {error}")));
     let id = child.id();
     CHILDREN.lock().unwrap().push(child);
+    note_process(id);
     id
 }
 
+/// Notes a process in the file by which the script ends all of them if it is stopped early.
+fn note_process(id: u32) {
+    let Ok(path) = std::env::var("REVIEW_PROCESSES") else { return };
+    if let Ok(mut file) = fs::OpenOptions::new().append(true).open(path) {
+        let _ = writeln!(file, "{id}");
+    }
+}
+
 /// Log of the processes whose names begin so.
 pub fn logs(name: &str) -> String {
     let mut text = String::new();
