--- a/review/11/case.rs
+++ b/review/11/case.rs
@@ -28,6 +28,9 @@
 const FAILURE_BYTES: usize = 300_000;
 /// Share of its runs that the runner in trouble fails, in percent.
 const FAILED_PERCENT: u64 = 45;
+/// The runner is in trouble for 6.5 s at a time, again and again.
+const TROUBLE_FOR_S: f64 = 6.5;
+const TROUBLE_EVERY_S: f64 = 8.0;
 /// Runners: one that reads prompts, and those that make tokens. One of them is in trouble.
 const RUNNERS: u8 = 8;
 const IN_TROUBLE: &str = "i-decode1";
@@ -69,7 +72,8 @@
     record.line(&format!("{name} runs {id} after event {after}, run {number}"));
     let pauses = id.starts_with("preempted") && number == 1;
     let draw = id.bytes().fold(7_u64, |sum, byte| sum.wrapping_mul(31) + u64::from(byte)) % 100;
-    if has_trouble() && name == IN_TROUBLE && draw < FAILED_PERCENT {
+    let is_in_trouble = record.seconds() % TROUBLE_EVERY_S < TROUBLE_FOR_S;
+    if has_trouble() && is_in_trouble && name == IN_TROUBLE && draw < FAILED_PERCENT {
         let headers = format!(
             "Request-Id: {id}\r\nResponse-Signature: {name}.{id}.500\r\nContent-Type: text/plain\r\n"
         );
