Log and measure whether the configuration in force requires keys

The line "configuration applied" had the version and the number of routes only.

The line now has requires_keys, teams and keys, and the gauges direct_keys_required and direct_known_keys have the same. The gauges of the configuration move to a module of their own.

--- a/crates/direct-core/src/teams.rs
+++ b/crates/direct-core/src/teams.rs
@@ -89,11 +89,13 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Teams {
     by_key: HashMap<KeyDigest, Arc<Team>>,
+    teams_count: usize,
 }
 
 impl Teams {
     /// Teams with their keys. A key that two teams have belongs to the first.
     pub fn new(teams: Vec<(Team, Vec<KeyDigest>)>) -> Self {
+        let teams_count = teams.len();
         let mut by_key = HashMap::new();
         for (team, keys) in teams {
             let team = Arc::new(team);
@@ -101,7 +103,20 @@
                 by_key.entry(key).or_insert_with(|| Arc::clone(&team));
             }
         }
-        Self { by_key }
+        Self {
+            by_key,
+            teams_count,
+        }
+    }
+
+    /// Number of teams, with or without keys.
+    pub fn teams_count(&self) -> usize {
+        self.teams_count
+    }
+
+    /// Number of different keys.
+    pub fn keys_count(&self) -> usize {
+        self.by_key.len()
     }
 
     /// Team of a request's key; `None` for a request without a known key on a route that does not
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -31,6 +31,7 @@
 //! | [`serve`] | callers' connections and requests |
 //! | [`agent_configuration`] | configuration through an agent |
 //! | [`control`] | thread that watches the registry |
+//! | `configuration_metrics` | metrics of the configuration in force |
 //! | [`status`] | metrics, readiness and the status page |
 //! | `slow_servers` | log lines for servers that are slower than others of their service |
 //! | [`process`] | start and shutdown |
@@ -40,6 +41,7 @@
 pub mod app;
 pub mod body;
 pub mod caller_buffer;
+mod configuration_metrics;
 pub mod connection;
 pub mod connections;
 pub mod control;
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -16,7 +16,7 @@
 use cuminlead_direct_core::registry::RegistryUpdate;
 use cuminlead_direct_core::serving::{ServingConfig, UpdateEffect};
 use cuminlead_direct_core::shutdown::ShutdownSchedule;
-use cuminlead_direct_core::{ExpectedCost, FixedCost, PlacementPolicy, ServingState};
+use cuminlead_direct_core::{ExpectedCost, FixedCost, PlacementPolicy, ServingState, Teams};
 use cuminlead_kernel::Clock;
 use cuminlead_places::ReservationClient;
 use cuminlead_process::admin::AdminLimits;
@@ -232,8 +232,12 @@
 fn log_update(app: &App, update: &RegistryUpdate) {
     let log = &app.log;
     match update {
-        RegistryUpdate::OperatorConfig(operator_config) => info!(log, "configuration applied";
-            "config_version" => operator_config.version().0, "routes" => operator_config.routes().len()),
+        RegistryUpdate::OperatorConfig(operator_config) => {
+            let teams = operator_config.teams();
+            info!(log, "configuration applied"; "config_version" => operator_config.version().0,
+                "routes" => operator_config.routes().len(), "requires_keys" => teams.is_some(),
+                "teams" => teams.map(Teams::teams_count), "keys" => teams.map(Teams::keys_count));
+        }
         RegistryUpdate::Server(record) => {
             info!(log, "server published"; "server" => %record.id,
             "service" => %record.service, "address" => %record.address, "state" => %record.state,
--- a/crates/direct/src/status.rs
+++ b/crates/direct/src/status.rs
@@ -20,6 +20,8 @@
 use serde_json::json;
 use strum::IntoEnumIterator;
 
+use crate::configuration_metrics::ConfigurationMetrics;
+
 const US_PER_SECOND: f64 = 1_000_000.0;
 
 /// Outcomes of requests, besides the reasons of refusals.
@@ -84,8 +86,7 @@
     slowness: Gauges,
     work_in_progress_ms: Gauges,
     retries_left: Gauges,
-    config_version: Gauge,
-    config_age_ms: Gauge,
+    configuration: ConfigurationMetrics,
     held_bytes: Gauges,
     /// Connections opened to backend servers.
     pub connections_opened: Counter,
@@ -220,11 +221,7 @@
                 "Time that a server still needs for the work of this entry",
             ),
             retries_left: metrics.gauges("direct_retries_left", "Repeats that a service has left"),
-            config_version: metrics.gauge("direct_config_version", "Configuration in force"),
-            config_age_ms: metrics.gauge(
-                "direct_config_age_ms",
-                "Time since the configuration was put in force",
-            ),
+            configuration: ConfigurationMetrics::register(metrics),
             held_bytes: metrics.gauges(
                 "direct_held_bytes",
                 "Bytes of bodies held until the peer takes them",
@@ -370,11 +367,7 @@
                 self.set_free_tokens(&server.record.id, memory.free_tokens);
             }
         }
-        if let Some(applied) = serving.active_version() {
-            self.config_version.set(to_i64(applied.version.0));
-            self.config_age_ms
-                .set(to_i64(now.since(applied.at).as_ms()));
-        }
+        self.configuration.update(now, serving);
     }
 
     /// Sets the free memory of an engine as its agent reported it.
@@ -524,7 +517,7 @@
     }
 }
 
-fn to_i64(value: u64) -> i64 {
+pub(crate) fn to_i64(value: u64) -> i64 {
     i64::try_from(value).unwrap_or(i64::MAX)
 }
 
