--- a/crates/direct/src/drive.rs
+++ b/crates/direct/src/drive.rs
@@ -7,6 +7,7 @@
 
 use cuminlead_direct_core::{Action, CacheRef, Call, Refusal, Reservation, ServerKey, StepOutcome};
 use cuminlead_types::{DurationUs, PromptPartId, TimeUs, Tokens};
+use http::StatusCode;
 use slog::{debug, info};
 use tokio::time::{sleep, timeout};
 
@@ -236,7 +237,8 @@
     let mut serving = app.serving.borrow_mut();
     match run_result {
         Ok(ServerResponse::Buffered(response)) if !response.is_failure => {
-            log_step(app, exchange, &serving, server, "run", started_at);
+            let status = Some(response.status);
+            log_step(app, exchange, &serving, server, "run", status, started_at);
             call.run_answered(now, &mut serving, server);
             RunEnd::Finished(CallResult::Answered(response))
         }
@@ -246,7 +248,8 @@
             RunEnd::ServerFailed(response)
         }
         Ok(ServerResponse::Streaming(response)) => {
-            log_step(app, exchange, &serving, server, "run", started_at);
+            let status = Some(response.status);
+            log_step(app, exchange, &serving, server, "run", status, started_at);
             RunEnd::Finished(CallResult::Streaming(response))
         }
         Err(outcome) => {
@@ -329,7 +332,7 @@
                 handle,
             };
             call.prefill_done(now, &mut serving, cache.clone());
-            log_step(app, exchange, &serving, server, "prefill", started_at);
+            log_step(app, exchange, &serving, server, "prefill", None, started_at);
             Some(CacheGuard {
                 app: Rc::clone(app),
                 cache,
@@ -413,13 +416,14 @@
     serving: &cuminlead_direct_core::ServingState,
     server: ServerKey,
     step: &'static str,
+    status: Option<StatusCode>,
     started_at: TimeUs,
 ) {
     let Some(server) = serving.servers.get(server) else {
         return;
     };
     info!(app.log, "step completed"; "request" => &exchange.request.id, "step" => step,
-        "server" => %server.record.id, "in_flight" => server.in_flight_count,
+        "status" => status.map(|status| status.as_u16()), "server" => %server.record.id, "in_flight" => server.in_flight_count,
         "took_ms" => app.now().since(started_at).as_ms());
 }
 
