Take a rejection whose body does not end for a rejection

What callers saw: a request whose first server rejected it with a head that says "not run" and a body that stopped or never ended got 504 after its whole time on routes whose requests may run once only, although another server was free. On other routes the rejection counted as a timeout, which excludes its server like one that is unreachable.

Cause: the body of a rejection was read to its end, so that its connection could be reused, and only then was the verdict of the head returned.

Such a body now has 50 ms to arrive, more than the round trip that a new connection takes. Otherwise its connection is closed and the verdict stands.

--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -11,6 +11,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use cuminlead_direct_core::placement::Distance;
@@ -23,6 +24,7 @@
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use slog::info;
+use tokio::time::timeout;
 
 use crate::adapter::{CallerRequest, ResponseClass, RunHeaders};
 use crate::app::{App, InFlight};
@@ -38,6 +40,9 @@
 /// Longest response that is buffered until it is complete. Responses of plain services are a few
 /// KB; a longer one is streamed.
 pub(crate) const BUFFERED_MAX_BYTES: usize = 256 * 1024;
+/// Time in which the body of a response may arrive of which only the head matters. A new connection
+/// takes one round trip, which is at most 40 ms between two regions.
+const DISCARD_TIMEOUT: Duration = Duration::from_millis(50);
 /// Header of the W3C trace context.
 pub(crate) const TRACEPARENT: &str = "traceparent";
 /// Multiple of the latency target after which a server without a response head, or without a
@@ -309,7 +314,7 @@
         ResponseClass::Success => false,
         ResponseClass::Failure => true,
         ResponseClass::Rejected | ResponseClass::OtherIncarnation => {
-            drain(lease, rest).await;
+            discard(lease, rest).await;
             return Err(match class {
                 ResponseClass::OtherIncarnation => StepOutcome::OtherIncarnation,
                 _ if input.cache.is_some() => StepOutcome::CacheUnavailable,
@@ -378,7 +383,7 @@
         .classify_response(parts.status, &parts.headers);
     match class {
         ResponseClass::Rejected => {
-            drain(lease, rest).await;
+            discard(lease, rest).await;
             return Err(StepOutcome::Rejected);
         }
         ResponseClass::OtherIncarnation => return Err(StepOutcome::OtherIncarnation),
@@ -555,9 +560,12 @@
     }
 }
 
-/// Reads a short response to its end, so that its connection can be reused.
-async fn drain(lease: ServerLease, rest: ResponseBody) {
-    if let Ok(Collected::Complete(_)) = collect(&lease, rest, BUFFERED_MAX_BYTES).await {
+/// Reads a response of which only the head matters to its end, so that its connection can be
+/// reused. A response that is long or does not end in time ends with its connection, which leaves
+/// what its head says as it is.
+async fn discard(lease: ServerLease, rest: ResponseBody) {
+    let collected = timeout(DISCARD_TIMEOUT, collect(&lease, rest, BUFFERED_MAX_BYTES)).await;
+    if let Ok(Ok(Collected::Complete(_))) = collected {
         lease.finish();
     }
 }
