Keep the failure of a run apart from its output

Cause: whether a run failed was a flag of buffered responses only. A failure above the buffer became a response that is still arriving, the type of a successful stream, and lost its verdict. Evidence, with the status that the line "step completed" has now: step=run status=200, step=stream outcome=lost, step=run status=500, "stream ended" end=whole bytes=300046. Ruled out: a scanner that joins the events of two servers, and foreign bytes in the output of the second one.

Change: the verdict is part of the type from the head on. A run ends with a buffered response, a streaming one, or a failure, which is buffered or still arriving, and only a streaming one continues a stream. A failure of a continued run is discarded with its head. A failure of a first run is retried or forwarded whatever its size. A failure that is still arriving is held only until the call decides: when another server is tried and does not respond, the caller gets 502.

With the same cause, on first runs: failures above the buffer were not retried and counted as successes of their server, as evidence for sound prompts and as times for the placement; and when the body of one broke off on a resumable route, the events of a second run followed it.

--- a/crates/direct-core/src/call.rs
+++ b/crates/direct-core/src/call.rs
@@ -123,6 +123,11 @@
         self.refusal(RefusalReason::TimedOut, DurationUs::from_ms(1_000))
     }
 
+    /// Refusal of a call that a server may have run, without a response that can be forwarded.
+    pub fn outcome_unknown(&self) -> Refusal {
+        self.refusal(RefusalReason::OutcomeUnknown, DurationUs::from_ms(500))
+    }
+
     /// Next action; the caller reports how it ended before it calls this again.
     pub fn next(&mut self, now: TimeUs, serving: &mut ServingState) -> Action {
         if let Some(final_action) = &self.final_action {
@@ -544,9 +549,7 @@
                 Action::Refuse(self.refusal(RefusalReason::Rejected, DurationUs::from_ms(500)))
             }
             StepOutcome::TimedOut => Action::Refuse(self.timed_out()),
-            _ => Action::Refuse(
-                self.refusal(RefusalReason::OutcomeUnknown, DurationUs::from_ms(500)),
-            ),
+            _ => Action::Refuse(self.outcome_unknown()),
         })
     }
 
@@ -590,8 +593,7 @@
     }
 }
 
-/// A time between two thirds and four thirds of the given one, so that callers that were refused
-/// together do not come back together.
+/// Two thirds to four thirds of a time, so that callers refused together do not return together.
 fn spread(time: DurationUs, rng: &mut SmallRng) -> DurationUs {
     let third_us = time.0 / 3;
     DurationUs(rng.random_range(2 * third_us..=4 * third_us))
--- a/crates/direct/src/drive.rs
+++ b/crates/direct/src/drive.rs
@@ -14,17 +14,18 @@
 use crate::app::App;
 use crate::crash_reports::report_if_crashed;
 use crate::engine_resources;
-use crate::exchange::{
-    self, BufferedResponse, CallerExchange, RunInput, ServerResponse, StreamingResponse,
-};
+use crate::exchange::{self, CallerExchange, RunInput};
 use crate::permits;
+use crate::server_response::{ArrivingResponse, BufferedResponse, FailureResponse, ServerResponse};
 
 /// Result of a call, or the start of its stream.
 pub enum CallResult {
-    /// Complete response of a server.
+    /// Complete response to a successful run.
     Answered(BufferedResponse),
-    /// Start of a streamed response.
-    Streaming(Box<StreamingResponse>),
+    /// Start of the output of a run.
+    Streaming(Box<ArrivingResponse>),
+    /// Response to a failed run; does not continue a stream.
+    Failed(FailureResponse),
     /// Refusal by this process.
     Refused(Refusal),
 }
@@ -85,7 +86,7 @@
     pub last_event_id: Option<&'a str>,
     /// Response of a server that has gone silent. It is closed when another server has a slot for
     /// the stream, before that server gets the request.
-    pub silent_response: &'a mut Option<StreamingResponse>,
+    pub silent_response: &'a mut Option<ArrivingResponse>,
 }
 
 /// Executes a call, from the start or from the interruption of its stream.
@@ -95,7 +96,7 @@
     exchange: &CallerExchange,
     mut interrupted: Option<InterruptedStream<'_>>,
 ) -> CallResult {
-    let mut failure: Option<BufferedResponse> = None;
+    let mut failure: Option<FailureResponse> = None;
     let mut cache_guard: Option<CacheGuard> = None;
     let mut slot_guard: Option<SlotGuard> = None;
     let mut last_failure: Option<StepOutcome> = None;
@@ -106,13 +107,18 @@
         {
             drop(interrupted.silent_response.take());
         }
+        if action != Action::ForwardFailure {
+            // A failure that is still arriving would occupy its connection, unread, until the next
+            // attempt ends.
+            failure = failure.filter(|failure| matches!(failure, FailureResponse::Buffered(_)));
+        }
         match action {
             Action::Refuse(refusal) => return CallResult::Refused(refusal),
             Action::ForwardFailure => {
-                if let Some(failure) = failure {
-                    return CallResult::Answered(failure);
-                }
-                return CallResult::Refused(call.timed_out());
+                return match failure {
+                    Some(failure) => CallResult::Failed(failure),
+                    None => CallResult::Refused(call.outcome_unknown()),
+                };
             }
             Action::Wait(pause) => {
                 if call.waits_count() == 1 {
@@ -163,6 +169,7 @@
                         .as_ref()
                         .map(|guard| (guard.address, guard.cache.handle.as_str())),
                     reservation: reservation.as_ref().and_then(Reservation::engine_name),
+                    continues_stream: interrupted.is_some(),
                     resume_after: interrupted.as_ref().and_then(|stream| stream.last_event_id),
                 };
                 let started_at = app.now();
@@ -195,7 +202,7 @@
     /// The call is finished, or its stream begins.
     Finished(CallResult),
     /// The server failed; its response can be forwarded if no retry succeeds.
-    ServerFailed(BufferedResponse),
+    ServerFailed(FailureResponse),
     /// There is no response that could be forwarded.
     NoResponse,
 }
@@ -213,7 +220,10 @@
                 .metrics
                 .count_discarded_prefill("lapsed", cache.prompt_tokens);
         }
-        cache.is_used |= matches!(run_result, Ok(_) | Err(StepOutcome::CacheUnavailable));
+        cache.is_used |= matches!(
+            run_result,
+            Ok(_) | Err(StepOutcome::CacheUnavailable | StepOutcome::Failed)
+        );
     }
     if let Some(slot) = &mut slot_guard {
         // A run that was sent has used the slot, or the server has released it.
@@ -236,13 +246,13 @@
     let now = app.now();
     let mut serving = app.serving.borrow_mut();
     match run_result {
-        Ok(ServerResponse::Buffered(response)) if !response.is_failure => {
+        Ok(ServerResponse::Buffered(response)) => {
             let status = Some(response.status);
             log_step(app, exchange, &serving, server, "run", status, started_at);
             call.run_answered(now, &mut serving, server);
             RunEnd::Finished(CallResult::Answered(response))
         }
-        Ok(ServerResponse::Buffered(response)) => {
+        Ok(ServerResponse::Failed(response)) => {
             log_failure(app, exchange, &serving, server, "run", StepOutcome::Failed);
             call.run_failed(now, &mut serving, server, StepOutcome::Failed);
             RunEnd::ServerFailed(response)
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -33,6 +33,9 @@
 use crate::correlation::{SentTo, is_response_to};
 use crate::pool::{IDLE_MAX_NOT_REPEATABLE, idle_max};
 use crate::response_validity::{Answered, InformationalHeads, Reporter, ResponseBody};
+use crate::server_response::{
+    ArrivingResponse, BufferedResponse, FailureResponse, ServerLease, ServerResponse,
+};
 use crate::status::{Direction, HeldCount};
 
 /// Size beyond which a response is read to its end only while few others are.
@@ -145,77 +148,6 @@
     New,
 }
 
-/// Response of a server.
-pub enum ServerResponse {
-    /// Response that has arrived in full.
-    Buffered(BufferedResponse),
-    /// Response that is still arriving.
-    Streaming(Box<StreamingResponse>),
-}
-
-/// Complete response in memory.
-#[derive(Clone, Debug)]
-pub struct BufferedResponse {
-    /// Status that the server sent.
-    pub status: StatusCode,
-    /// Headers for the caller.
-    pub headers: HeaderMap,
-    /// Body as the server sent it.
-    pub body: Bytes,
-    /// Whether the server reports that it failed.
-    pub is_failure: bool,
-}
-
-/// Response of which only the start has arrived.
-pub struct StreamingResponse {
-    /// Status that the server sent.
-    pub status: StatusCode,
-    /// Headers for the caller.
-    pub headers: HeaderMap,
-    /// Bytes that have arrived.
-    pub first: Bytes,
-    /// Body after `first`, read from the connection.
-    pub rest: ResponseBody,
-    /// Connection that the body arrives on.
-    pub lease: ServerLease,
-}
-
-/// Connection that is in use by a request, which counts as in flight at the server. Dropping the
-/// lease cancels the request.
-pub struct ServerLease {
-    app: Rc<App>,
-    /// Server at the other end of the connection.
-    pub server: ServerKey,
-    connection: Option<Connection>,
-    pub(crate) idle_max: DurationUs,
-    distance: Distance,
-    in_flight: InFlight,
-}
-
-impl ServerLease {
-    /// Counts bytes of the response.
-    pub(crate) fn count_received(&self, bytes_count: usize) {
-        let bytes_count = u64::try_from(bytes_count).unwrap_or(u64::MAX);
-        self.app
-            .metrics
-            .count_bytes(Direction::Received, self.distance, bytes_count);
-    }
-
-    /// Records that the response is complete and successful, so that its time counts in the
-    /// placement of further requests.
-    pub(crate) fn record_complete(&mut self) {
-        self.in_flight.record_complete();
-    }
-
-    /// Returns the connection to the pool; the response must have been read to its end.
-    pub fn finish(mut self) {
-        if let Some(connection) = self.connection.take() {
-            let mut pool = self.app.pool.borrow_mut();
-            pool.put(self.app.now(), self.server, connection, self.idle_max);
-        }
-    }
-}
-
 /// Response whose head has not arrived. If it is dropped after a long wait, for example because the
 /// caller disconnected, the server is recorded as unresponsive; otherwise every further request
 /// would wait as long.
@@ -261,6 +193,8 @@
     pub cache: Option<(SocketAddr, &'a str)>,
     /// Name of the slot reservation at the engine.
     pub reservation: Option<&'a str>,
+    /// Whether the run continues a stream of which the caller has the head and perhaps events.
+    pub continues_stream: bool,
     /// Id of the last event that the caller received.
     pub resume_after: Option<&'a str>,
 }
@@ -323,31 +257,48 @@
         }
         ResponseClass::Unusable => return Err(StepOutcome::Malformed),
     };
+    if is_failure && input.continues_stream {
+        // The caller has a part of a stream, which no byte of a failure continues.
+        discard(lease, rest).await;
+        return Err(StepOutcome::Failed);
+    }
     let headers = app.protocol_mapping.response_headers(&parts.headers);
     let is_stream = matches!(exchange.kind, RequestKind::Stream { .. }) && !is_failure;
     let buffered_max_bytes = if is_stream { 0 } else { BUFFERED_MAX_BYTES };
+    let status = parts.status;
     match collect(&lease, rest, buffered_max_bytes).await? {
         Collected::Complete(body) => {
-            if !is_failure && parts.status.is_success() {
+            if status.is_success() {
                 lease.record_complete();
             }
             lease.finish();
-            Ok(ServerResponse::Buffered(BufferedResponse {
-                status: parts.status,
+            let buffered = BufferedResponse {
+                status,
                 headers,
                 body,
-                is_failure,
-            }))
+            };
+            Ok(if is_failure {
+                ServerResponse::Failed(FailureResponse::Buffered(buffered))
+            } else {
+                ServerResponse::Buffered(buffered)
+            })
         }
         Collected::OverLimit(first, rest) => {
-            lease.in_flight.record_first_event();
-            Ok(ServerResponse::Streaming(Box::new(StreamingResponse {
-                status: parts.status,
+            if !is_failure {
+                lease.record_first_event();
+            }
+            let arriving = Box::new(ArrivingResponse {
+                status,
                 headers,
                 first,
                 rest,
                 lease,
-            })))
+            });
+            Ok(if is_failure {
+                ServerResponse::Failed(FailureResponse::Arriving(arriving))
+            } else {
+                ServerResponse::Streaming(arriving)
+            })
         }
     }
 }
@@ -485,14 +436,7 @@
                     ResponseBody::check_head(&answered, response, stream, reporter.clone())
                         .map_err(|reason| reporter.report(reason))?;
                 apply_notice(app, &incarnation, sent_at, &response);
-                let lease = ServerLease {
-                    app: Rc::clone(app),
-                    server,
-                    connection: Some(connection),
-                    idle_max: DurationUs::ZERO,
-                    distance,
-                    in_flight,
-                };
+                let lease = ServerLease::new(app, server, connection, distance, in_flight);
                 return Ok((lease, response));
             }
             Err(SendError::NotSent(unsent)) if is_reused => request = *unsent,
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -20,6 +20,7 @@
 //! | [`shared_stream`] | TCP stream that can be inspected while hyper owns it |
 //! | [`pool`] | idle connections to backend servers |
 //! | [`exchange`] | one request to one server, and its response |
+//! | [`server_response`] | responses of servers to runs, and their connections |
 //! | [`engine_resources`] | reservation of decode slots, release of slots and KV caches |
 //! | `owners` | agents that own the counts which all entries share |
 //! | `permits` | permits for requests to servers that have named a limit |
@@ -59,6 +60,7 @@
 mod request_body;
 pub mod response_validity;
 pub mod serve;
+pub mod server_response;
 pub mod shared_stream;
 mod slow_servers;
 pub mod status;
--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -1,4 +1,4 @@
-//! Forwards a stream to the caller.
+//! Forwards a response to the caller while it arrives.
 //!
 //! Bytes are forwarded unchanged as they arrive. A stream that another server may resume is
 //! forwarded in complete events. If a stream can't be finished, the connection is closed, so that
@@ -7,6 +7,9 @@
 //! A server that has gone silent may be unreachable, or may have preempted the stream while its
 //! memory is full. The stream moves to another server if one has a slot for it; otherwise it stays
 //! where it is, since a preempted stream goes on and no other server would continue it.
+//!
+//! The body of a failure is forwarded as it is and never continued elsewhere. What it says about its
+//! server was recorded with its head, so its end adds nothing to that.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -18,6 +21,7 @@
 use cuminlead_quarantine::SOUND_AFTER;
 use cuminlead_types::{DurationUs, TimeUs};
 use http::header::CONTENT_TYPE;
+use http::{HeaderMap, StatusCode};
 use slog::info;
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::time::{Instant, sleep_until, timeout};
@@ -27,14 +31,13 @@
 use crate::caller_buffer::{CallerBuffer, CallerConnection, NotTaken};
 use crate::crash_reports::{record_sound, report_if_crashed};
 use crate::drive::{CallResult, InterruptedStream, drive, log_failure};
-use crate::exchange::{
-    CallerExchange, StreamingResponse, UNRESPONSIVE_AFTER_TARGETS, mark_unresponsive,
-};
+use crate::exchange::{CallerExchange, UNRESPONSIVE_AFTER_TARGETS, mark_unresponsive};
+use crate::server_response::ArrivingResponse;
 
 /// Content type of a stream of server-sent events.
 const EVENT_STREAM: &[u8] = b"text/event-stream";
 
-/// Stream of a call, from its first chunk on.
+/// Response to a call that is forwarded, from its first chunk on.
 pub struct Relay {
     /// State of the traffic thread.
     pub app: Rc<App>,
@@ -78,17 +81,34 @@
     }
 }
 
+/// Response whose body is forwarded.
+pub enum RelayedResponse {
+    /// Output of a run.
+    Stream(Box<ArrivingResponse>),
+    /// Response of a failed run.
+    Failure(Box<ArrivingResponse>),
+}
+
+impl RelayedResponse {
+    /// Status and headers for the caller.
+    pub fn head(&self) -> (StatusCode, HeaderMap) {
+        let (Self::Stream(response) | Self::Failure(response)) = self;
+        (response.status, response.headers.clone())
+    }
+}
+
 impl Relay {
     /// Forwards the response in a task of its own; returns the receiver of its chunks.
-    pub fn start(self, response: StreamingResponse) -> UnboundedReceiver<Chunk> {
+    pub fn start(self, response: RelayedResponse) -> UnboundedReceiver<Chunk> {
         let (buffer, receiver) = CallerBuffer::new(&self.app);
         tokio::task::spawn_local(self.run(response, buffer));
         receiver
     }
 
-    async fn run(mut self, response: StreamingResponse, mut buffer: CallerBuffer) {
+    async fn run(mut self, response: RelayedResponse, mut buffer: CallerBuffer) {
         let chunks = buffer.chunks();
         let deadline = Instant::from_std(self.app.clock.instant(self.exchange.deadline));
+        let is_failure = matches!(response, RelayedResponse::Failure(_));
         let end = tokio::select! {
             end = self.forward(response, &mut buffer) => end,
             () = chunks.closed() => RelayEnd::CallerDisconnected,
@@ -108,6 +128,11 @@
             self.connection.close();
         }
         let total = self.app.now().since(self.arrived_at);
+        if is_failure {
+            info!(self.app.log, "failure of a server forwarded"; "end" => end.name(),
+                "request" => &self.exchange.request.id, "bytes" => self.bytes_count);
+            return;
+        }
         self.app
             .metrics
             .count_stream(&self.route, end.name(), total, self.gap_max);
@@ -116,9 +141,46 @@
             "sends" => self.call.sends_count(), "bytes" => self.bytes_count);
     }
 
-    async fn forward(
+    async fn forward(&mut self, response: RelayedResponse, buffer: &mut CallerBuffer) -> RelayEnd {
+        match response {
+            RelayedResponse::Stream(response) => self.forward_stream(*response, buffer).await,
+            RelayedResponse::Failure(response) => self.forward_failure(*response, buffer).await,
+        }
+    }
+
+    async fn forward_failure(
         &mut self,
-        mut response: StreamingResponse,
+        mut response: ArrivingResponse,
+        buffer: &mut CallerBuffer,
+    ) -> RelayEnd {
+        let mut sink = Sink {
+            app: &self.app,
+            spec: self.call.spec(),
+            output: None,
+            buffer,
+            is_too_slow: false,
+            bytes_count: &mut self.bytes_count,
+            last_chunk: &mut self.last_chunk,
+            gap_max: &mut self.gap_max,
+        };
+        match copy_bytes(&mut response, &mut sink).await {
+            Ok(()) => {
+                response.lease.finish();
+                RelayEnd::Complete
+            }
+            Err(StepOutcome::Unreachable) if sink.is_too_slow => RelayEnd::CallerTooSlow,
+            Err(StepOutcome::Unreachable) => RelayEnd::CallerDisconnected,
+            Err(_) => {
+                let (spec, server) = (self.call.spec(), response.lease.server);
+                report_if_crashed(&self.app, &spec.service, server, &spec.prompt_parts);
+                RelayEnd::Lost
+            }
+        }
+    }
+
+    async fn forward_stream(
+        &mut self,
+        mut response: ArrivingResponse,
         buffer: &mut CallerBuffer,
     ) -> RelayEnd {
         let is_resumable = self.exchange.kind == RequestKind::Stream { resumable: true };
@@ -136,7 +198,7 @@
             let mut sink = Sink {
                 app: &self.app,
                 spec: self.call.spec(),
-                output: &mut output,
+                output: Some(&mut output),
                 buffer,
                 is_too_slow: false,
                 bytes_count: &mut self.bytes_count,
@@ -153,9 +215,7 @@
             let mut silent_response;
             match copied {
                 Ok(()) => {
-                    if response.status.is_success() {
-                        response.lease.record_complete();
-                    }
+                    response.lease.record_complete();
                     response.lease.finish();
                     if !output.is_sound {
                         let spec = self.call.spec();
@@ -203,13 +263,19 @@
                     drop(scanner.take_rest());
                     *next
                 }
-                (CallResult::Answered(_) | CallResult::Refused(_), Some(silent)) => {
+                (
+                    CallResult::Answered(_) | CallResult::Failed(_) | CallResult::Refused(_),
+                    Some(silent),
+                ) => {
                     info!(self.app.log, "no server to move a silent stream to";
                         "request" => &self.exchange.request.id);
                     chunk_timeout = None;
                     silent
                 }
-                (CallResult::Answered(_) | CallResult::Refused(_), None) => return RelayEnd::Lost,
+                (
+                    CallResult::Answered(_) | CallResult::Failed(_) | CallResult::Refused(_),
+                    None,
+                ) => return RelayEnd::Lost,
             };
         }
     }
@@ -243,7 +309,7 @@
 /// Forwards bytes as they arrive. A stream of events that ends inside an event was broken off: if
 /// the end of the connection delimits it, nothing else tells.
 async fn copy_bytes(
-    response: &mut StreamingResponse,
+    response: &mut ArrivingResponse,
     sink: &mut Sink<'_>,
 ) -> Result<(), StepOutcome> {
     let content_type = response.headers.get(CONTENT_TYPE);
@@ -264,7 +330,7 @@
 /// Forwards complete events. Fails with [`StepOutcome::TimedOut`] after `chunk_timeout` without a
 /// chunk.
 async fn copy_events(
-    response: &mut StreamingResponse,
+    response: &mut ArrivingResponse,
     sink: &mut Sink<'_>,
     scanner: &mut EventScanner,
     chunk_timeout: Option<Duration>,
@@ -294,7 +360,7 @@
 }
 
 async fn next_data(
-    response: &mut StreamingResponse,
+    response: &mut ArrivingResponse,
     sink: &mut Sink<'_>,
 ) -> Result<Option<Bytes>, StepOutcome> {
     let asked_at = sink.app.now();
@@ -319,7 +385,8 @@
 struct Sink<'a> {
     app: &'a Rc<App>,
     spec: &'a CallSpec,
-    output: &'a mut OutputProgress,
+    /// `None` for a body that is no output.
+    output: Option<&'a mut OutputProgress>,
     buffer: &'a mut CallerBuffer,
     is_too_slow: bool,
     bytes_count: &'a mut u64,
@@ -333,8 +400,11 @@
     async fn send(&mut self, data: Bytes) -> Result<(), StepOutcome> {
         *self.bytes_count += data.len() as u64;
         let now = self.app.now();
-        if !self.output.is_sound && now.since(self.output.began_at) >= SOUND_AFTER {
-            self.output.is_sound = true;
+        if let Some(output) = &mut self.output
+            && !output.is_sound
+            && now.since(output.began_at) >= SOUND_AFTER
+        {
+            output.is_sound = true;
             record_sound(self.app, &self.spec.service, &self.spec.prompt_parts);
         }
         if let Some((_, last_at)) = self.last_chunk {
--- a/crates/direct/src/serve.rs
+++ b/crates/direct/src/serve.rs
@@ -33,10 +33,11 @@
 use crate::connections::{BodyLease, ConnectionLease};
 use crate::correlation::SentTo;
 use crate::drive::{CallResult, drive};
-use crate::exchange::{BufferedResponse, CallerExchange, TRACEPARENT};
+use crate::exchange::{CallerExchange, TRACEPARENT};
 use crate::head_timer::{HeadTimer, TimedStream};
-use crate::relay::Relay;
+use crate::relay::{Relay, RelayedResponse};
 use crate::request_body::{BodyError, read_body};
+use crate::server_response::{BufferedResponse, FailureResponse};
 use crate::team_usage::{self, UsedUnits};
 
 /// Time after which a caller may retry at a process that has not read the configuration yet.
@@ -475,28 +476,33 @@
             team_usage::refund(app, used_units);
         }
     }
-    match result {
-        CallResult::Answered(response) => buffered_response(response),
-        CallResult::Refused(refusal) => refusal_response(app, &refusal),
-        CallResult::Streaming(streaming) => {
-            let (status, headers) = (streaming.status, streaming.headers.clone());
-            let relay = Relay {
-                app: Rc::clone(app),
-                connection,
-                exchange,
-                call,
-                route,
-                arrived_at,
-                bytes_count: 0,
-                last_chunk: None,
-                gap_max: DurationUs::ZERO,
-            };
-            let mut response = Response::new(CallerBody::Relayed(relay.start(*streaming)));
-            *response.status_mut() = status;
-            *response.headers_mut() = headers;
-            response
+    let relayed = match result {
+        CallResult::Answered(response)
+        | CallResult::Failed(FailureResponse::Buffered(response)) => {
+            return buffered_response(response);
         }
-    }
+        CallResult::Refused(refusal) => return refusal_response(app, &refusal),
+        CallResult::Streaming(response) => RelayedResponse::Stream(response),
+        CallResult::Failed(FailureResponse::Arriving(response)) => {
+            RelayedResponse::Failure(response)
+        }
+    };
+    let (status, headers) = relayed.head();
+    let relay = Relay {
+        app: Rc::clone(app),
+        connection,
+        exchange,
+        call,
+        route,
+        arrived_at,
+        bytes_count: 0,
+        last_chunk: None,
+        gap_max: DurationUs::ZERO,
+    };
+    let mut response = Response::new(CallerBody::Relayed(relay.start(relayed)));
+    *response.status_mut() = status;
+    *response.headers_mut() = headers;
+    response
 }
 
 /// Logs a refusal with the local view of the service's servers.
@@ -513,7 +519,7 @@
 
 fn outcome_name(result: &CallResult) -> &'static str {
     match result {
-        CallResult::Answered(response) if response.is_failure => "failed",
+        CallResult::Failed(_) => "failed",
         CallResult::Answered(_) => "answered",
         CallResult::Streaming(_) => "streaming",
         CallResult::Refused(refusal) => refusal.reason.into(),
