--- a/crates/direct-core/src/owned_counts.rs
+++ b/crates/direct-core/src/owned_counts.rs
@@ -11,7 +11,8 @@
 //!   agent by the engine's reports. The agent tells the entries that still ask it, and they ask the
 //!   next one, which the others have chosen.
 //!
-//! An engine whose record is removed without a notice still has two owners until all entries know.
+//! An engine whose record is removed without a notice, in its state or in the heads of its reports,
+//! still has two owners until all entries know.
 //!
 //! Alternatives: an entry that the registry does not answer takes its share only, which refuses
 //! requests below the limit whenever the registry is away for all entries. A successor that asks the
