Forward long events in parts, and find events by any line end

Cause: the scanner that splits resumable streams held an incomplete event without a bound and scanned all of it again with each chunk. It knew line feeds only, while the check of a stream's end knew all line ends.

The scanner now uses that check, byte by byte. Of an event longer than 256 KiB, complete lines are passed on before it ends, and the stream is not continued elsewhere until then. Events of an output have some hundred bytes.

--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -251,6 +251,14 @@
             if !is_resumable {
                 return RelayEnd::Lost;
             }
+            if !scanner.may_resume() {
+                let Some(silent) = silent_response else {
+                    return RelayEnd::Lost;
+                };
+                chunk_timeout = None;
+                response = silent;
+                continue;
+            }
             let last_id = scanner.last_id().map(ToString::to_string);
             let interrupted = InterruptedStream {
                 last_event_id: last_id.as_deref(),
@@ -352,7 +360,7 @@
             None => break,
         }
     }
-    if scanner.take_rest().is_empty() {
+    if scanner.is_at_boundary() {
         Ok(())
     } else {
         Err(StepOutcome::Lost)
