--- a/crates/direct-core/src/events.rs
+++ b/crates/direct-core/src/events.rs
@@ -2,7 +2,9 @@
 //!
 //! A stream that another server may resume is forwarded in complete events only, because that
 //! server starts with the event after the last id. A partial event of a failed server would be
-//! joined with the next server's first event.
+//! joined with the next server's first event. Only a very long event is forwarded in parts, so that a
+//! server whose event never ends does not fill the memory of the process; its stream then ends with
+//! that server.
 
 use std::mem;
 
@@ -18,7 +20,9 @@
     boundary: EventBoundary,
     /// Bytes of an incomplete event that were not passed on.
     pending: Vec<u8>,
+    /// Start of the incomplete event, if it was passed on.
     part: Option<Part>,
+    /// Whether a line that is too long to be held may have been an id.
     has_unknown_id: bool,
     last_id: Option<String>,
 }
--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -252,6 +252,7 @@
                 return RelayEnd::Lost;
             }
             if !scanner.may_resume() {
+                // The caller has a part of an event, which only its own server completes.
                 let Some(silent) = silent_response else {
                     return RelayEnd::Lost;
                 };
