Accept a fraction in the count of extra retries

A number above 1,000,000 ended it as well.

The fraction is dropped, and any number that fits the type is accepted. Negative numbers and those that are not finite stay invalid.

count_may_have_a_fraction (15 cases) fails without the change at "84.0".

--- a/crates/settings/src/entry.rs
+++ b/crates/settings/src/entry.rs
@@ -7,8 +7,8 @@
 use crate::macros::settings;
 use crate::reader::Reader;
 use crate::value::{
-    AdapterName, Count, DurationMs, Fraction, LogLevel, PlacementName, RoutingPolicyName, Secret,
-    ZoneRegions,
+    AdapterName, Count, DurationMs, Fraction, LogLevel, PlacementName, RoundedCount,
+    RoutingPolicyName, Secret, ZoneRegions,
 };
 
 settings! {
@@ -73,8 +73,9 @@
         /// slots are reserved at the engines themselves.
         place_port: Option<Count> = Optional("7660");
         /// Retries in 10 s, in addition to a fifth of the requests, that all entries together may
-        /// make for each service when backend servers are called directly.
-        retries_extra_count: Count = Default("54") in 0..=1000000;
+        /// make for each service when backend servers are called directly. May have a fraction, which
+        /// is dropped.
+        retries_extra_count: RoundedCount = Default("54") in 0..=4294967295;
         /// Largest number of open connections of callers when backend servers are called directly.
         /// Each connection uses a file descriptor, and each in-flight request uses another.
         connections_max_count: Count = Default("2500") in 1..=65536;
--- a/crates/settings/src/value.rs
+++ b/crates/settings/src/value.rs
@@ -99,6 +99,52 @@
     }
 }
 
+/// Count that may be written as a number with a fraction, which is dropped.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RoundedCount(pub u32);
+
+impl fmt::Display for RoundedCount {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+impl Setting for RoundedCount {
+    const KIND: &'static str = "number";
+
+    fn read(value: &DeValue<'_>, range: Option<NumberRange>) -> Result<Self, ValueError> {
+        let number = match value {
+            DeValue::Float(number) => {
+                let number: Option<f64> = number.as_str().parse().ok();
+                let number = number.and_then(whole_part);
+                check_range(
+                    number.ok_or_else(|| ValueError::expected(Self::KIND))?,
+                    range,
+                )?
+            }
+            _ => read_number(value, Self::KIND, range)?,
+        };
+        let number = u32::try_from(number);
+        number
+            .map(Self)
+            .map_err(|_| ValueError::expected(Self::KIND))
+    }
+
+    fn print(&self) -> Option<String> {
+        Some(self.to_string())
+    }
+}
+
+/// Whole part of a number; `None` for one that is negative or not finite.
+#[allow(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "a cast from a float saturates, and the value is not negative"
+)]
+fn whole_part(number: f64) -> Option<u64> {
+    (number.is_finite() && number >= 0.0).then_some(number as u64)
+}
+
 /// Fraction from 0 to 1.
 #[derive(Clone, Copy, Debug, Default, PartialEq, PartialOrd)]
 pub struct Fraction(f64);
@@ -352,7 +398,10 @@
         DeValue::Integer(digits) => u64::from_str_radix(digits.as_str(), digits.radix()).ok(),
         _ => None,
     };
-    let number = number.ok_or_else(|| ValueError::expected(kind))?;
+    check_range(number.ok_or_else(|| ValueError::expected(kind))?, range)
+}
+
+fn check_range(number: u64, range: Option<NumberRange>) -> Result<u64, ValueError> {
     match range {
         Some(range) if !(range.min..=range.max).contains(&number) => Err(ValueError(format!(
             "{number} is out of range {} to {}",
--- a/crates/settings/tests/settings.rs
+++ b/crates/settings/tests/settings.rs
@@ -49,6 +49,87 @@
     assert_eq!(Ok(settings), EntrySettings::parse("entry.toml", ENTRY));
 }
 
+/// A count as an operator may write it, and what is read; `None` for an error.
+struct RoundedCase {
+    text: &'static str,
+    read: Option<u32>,
+}
+
+const ROUNDED_CASES: &[RoundedCase] = &[
+    RoundedCase {
+        text: "0",
+        read: Some(0),
+    },
+    RoundedCase {
+        text: "84",
+        read: Some(84),
+    },
+    RoundedCase {
+        text: "84.0",
+        read: Some(84),
+    },
+    RoundedCase {
+        text: "84.9",
+        read: Some(84),
+    },
+    RoundedCase {
+        text: "0.5",
+        read: Some(0),
+    },
+    RoundedCase {
+        text: "8.45e1",
+        read: Some(84),
+    },
+    RoundedCase {
+        text: "5000000.5",
+        read: Some(5_000_000),
+    },
+    RoundedCase {
+        text: "4294967295",
+        read: Some(u32::MAX),
+    },
+    RoundedCase {
+        text: "4294967296",
+        read: None,
+    },
+    RoundedCase {
+        text: "1e300",
+        read: None,
+    },
+    RoundedCase {
+        text: "-1",
+        read: None,
+    },
+    RoundedCase {
+        text: "-0.5",
+        read: None,
+    },
+    RoundedCase {
+        text: "nan",
+        read: None,
+    },
+    RoundedCase {
+        text: "inf",
+        read: None,
+    },
+    RoundedCase {
+        text: "\"84\"",
+        read: None,
+    },
+];
+
+/// Guards against an entry that ends at its start because a count of the platform has a fraction.
+#[test]
+fn count_may_have_a_fraction() {
+    for case in ROUNDED_CASES {
+        let line = format!("retries_extra_count = {}", case.text);
+        let text = ENTRY.replace("retries_extra_count = 54", &line);
+        let settings = EntrySettings::parse("entry.toml", &text).ok();
+        let read = settings.map(|settings| settings.retries_extra_count().0);
+        assert_eq!(read, case.read, "{}", case.text);
+    }
+}
+
 fn entry_findings(text: &str) -> Findings {
     EntrySettings::parse("entry.toml", text)
         .err()
