Decide on a reservation at an engine by the status of its response

What callers saw: with an engine whose rejection of a reservation had a body that did not end, the request was refused with 503 after waiting, although the engine had a slot a moment later.

Cause: the body of a response to a request of the process itself was read to its end before its status was looked at. A rejection without an end became a timeout, which pauses the engine and closes its connections, and one above 256 KiB became a malformed response. Only deployments without agents, or whose agents do not reply, reserve slots at engines.

The status of any response that is not successful now decides at once. Such requests have a connection of their own, which is closed anyway.

rejected_reservation_without_an_end_is_a_rejection failed before (503) and passes now.

--- a/crates/direct/src/engine_resources.rs
+++ b/crates/direct/src/engine_resources.rs
@@ -208,7 +208,7 @@
 }
 
 /// Sends a request of this process to a server, on a connection of its own, and reads the complete
-/// response.
+/// response if it is successful; the body of any other is empty.
 async fn send_command(
     app: &Rc<App>,
     server: ServerKey,
@@ -241,6 +241,10 @@
         )
         .await?;
         let (parts, rest) = response.into_parts();
+        if !parts.status.is_success() {
+            // The status alone decides, whatever the size and the end of the body.
+            return Ok((parts.status, Bytes::new()));
+        }
         match collect(&lease, rest, BUFFERED_MAX_BYTES).await? {
             Collected::Complete(body) => Ok((parts.status, body)),
             Collected::OverLimit(..) => Err(StepOutcome::Malformed),
